Lay down the folders, the core types, the actor runtime and HTTP on h2o

Cause: nothing exists yet; the shape of the code is to stand before any feature. Ruled out: a thread pool with locks (state would be shared), coroutines over raw epoll (own plumbing where h2o has an event loop). Change: core (strong types, results), runtime (one h2o loop a thread, tasks, mailboxes, a clock that tests pause), http (server and client), codec (strict JSON), platform (ports and HTTP adapters for table, VM list and workers). Before: nothing.

--- /dev/null
+++ b/src/http/h2oserver.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/ret.h"
+#include "http/ihttpserver.h"
+#include "runtime/eventloop.h"
+
+#include <string>
+
+namespace sardinerun::http {
+
+struct TlsFiles {
+    std::string certificate; //!< PEM file
+    std::string key; //!< PEM file
+};
+
+struct ServerOptions {
+    core::HostPort listen; //!< port 0 takes any free port
+    std::size_t maxBodyBytes = std::size_t(1) << 20;
+    core::Duration requestTimeout = std::chrono::seconds(10); //!< for the arrival of a whole request
+    std::optional<TlsFiles> tls;
+};
+
+struct ServerError {
+    enum class Code {
+        BadAddress,
+        CannotListen,
+        BadTls
+    };
+    Code code;
+    std::string detail;
+};
+
+//! Server for HTTP/1.1 and HTTP/2 on the h2o library. Call before the loop starts.
+core::RetVal<IHttpServerPtr, ServerError> createServer(
+    const runtime::EventLoopPtr& loop, const ServerOptions& options, Handler handler);
+
+} // namespace sardinerun::http
--- /dev/null
+++ b/src/http/ihttpclient.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/ret.h"
+#include "http/httptypes.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinerun::http {
+
+using ClientResult = core::RetVal<Response, ClientError>;
+using ClientCallback = std::function<void(ClientResult)>;
+
+//! Sends requests from one loop. It never sends a request twice.
+class IHttpClient {
+public:
+    virtual ~IHttpClient() = default;
+
+    //! Sends once; the callback runs on the same loop, never before `send` has returned.
+    virtual void send(ClientRequest request, ClientCallback callback) = 0;
+};
+
+using IHttpClientPtr = std::shared_ptr<IHttpClient>;
+
+} // namespace sardinerun::http
--- /dev/null
+++ b/src/http/internal/h2oclient.cpp
@@ -0,0 +1,202 @@
+#include "http/h2oclient.h"
+
+#include <arpa/inet.h>
+#include <map>
+#include <netinet/in.h>
+
+extern "C" {
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <h2o/socketpool.h>
+}
+
+namespace sardinerun::http {
+
+namespace {
+
+constexpr std::size_t connectionsPerAddress = 64;
+constexpr std::uint64_t idleConnectionMs = 10'000;
+//! Only a backstop: each request has a timer of its own.
+constexpr std::uint64_t ioTimeoutMs = 300'000;
+
+bool isReservedHeader(const std::string& name)
+{
+    return name == "host" || name == "content-length" || name == "connection" || name == "transfer-encoding"
+        || name == "keep-alive" || name == "upgrade" || name == "te" || name == "expect";
+}
+
+std::string serialize(const ClientRequest& request)
+{
+    std::string buf = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + request.to.text() + "\r\n";
+    for (const Header& it : request.headers) {
+        if (!isReservedHeader(it.name))
+            buf += it.name + ": " + it.value + "\r\n";
+    }
+    buf += "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    return buf + request.body;
+}
+
+class H2oClient;
+
+//! One request from its sending to its answer.
+struct Call {
+    H2oClient* owner = nullptr;
+    ClientCallback callback;
+    std::string bytes;
+    h2o_iovec_t buffer {};
+    h2o_http1client_t* client = nullptr;
+    runtime::TimerId timer;
+    Response response;
+    std::size_t maxBytes = 0;
+    bool isHead = false;
+    bool isSent = false;
+};
+
+class H2oClient : public IHttpClient, public std::enable_shared_from_this<H2oClient> {
+public:
+    explicit H2oClient(runtime::EventLoopPtr loop)
+        : m_loop(std::move(loop))
+    {
+        m_context.loop = m_loop->handle();
+        m_context.io_timeout = &m_ioTimeout;
+        h2o_timeout_init(m_loop->handle(), &m_ioTimeout, ioTimeoutMs);
+    }
+
+    void send(ClientRequest request, ClientCallback callback) override
+    {
+        h2o_socketpool_t* pool = poolOf(request.to);
+        if (!pool) {
+            m_loop->post([callback = std::move(callback), to = request.to.text()] {
+                callback(core::Failure { ClientError { ClientError::Code::NotConnected, false, "bad address " + to } });
+            });
+            return;
+        }
+        auto* call = new Call; // freed by finish
+        call->owner = this;
+        call->callback = std::move(callback);
+        call->bytes = serialize(request);
+        call->maxBytes = request.maxResponseBytes;
+        call->isHead = request.method == "HEAD";
+        call->timer = m_loop->callAfter(request.timeout, [this, call] { onTimeout(call); });
+        h2o_http1client_connect_with_pool(&call->client, call, &m_context, pool, onConnect);
+    }
+
+private:
+    h2o_socketpool_t* poolOf(const core::HostPort& to)
+    {
+        if (const auto it = m_pools.find(to); it != m_pools.end())
+            return it->second.get();
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        if (inet_pton(AF_INET, to.host.c_str(), &address.sin_addr) != 1)
+            return nullptr;
+        auto pool = std::make_unique<h2o_socketpool_t>();
+        h2o_socketpool_init_by_address(
+            pool.get(), reinterpret_cast<sockaddr*>(&address), sizeof address, 0, connectionsPerAddress);
+        h2o_socketpool_set_timeout(pool.get(), m_loop->handle(), idleConnectionMs);
+        return m_pools.emplace(to, std::move(pool)).first->second.get();
+    }
+
+    void finish(Call* call, ClientResult result)
+    {
+        m_loop->cancel(call->timer);
+        // The callback may start other requests; the library must have let go of this one first.
+        m_loop->post([callback = std::move(call->callback), result = std::move(result)]() mutable {
+            callback(std::move(result));
+        });
+        delete call;
+    }
+
+    void fail(Call* call, ClientError::Code code, const char* detail)
+    {
+        finish(call, core::Failure { ClientError { code, call->isSent, detail } });
+    }
+
+    void onTimeout(Call* call)
+    {
+        h2o_http1client_cancel(call->client);
+        fail(call, call->isSent ? ClientError::Code::TimedOut : ClientError::Code::NotConnected, "timeout");
+    }
+
+    static h2o_http1client_head_cb onConnect(
+        h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers, std::size_t* count, int* isHead)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        if (error) {
+            call->owner->fail(call, ClientError::Code::NotConnected, error);
+            return nullptr;
+        }
+        call->isSent = true;
+        call->buffer = h2o_iovec_init(call->bytes.data(), call->bytes.size());
+        *buffers = &call->buffer;
+        *count = 1;
+        *isHead = call->isHead;
+        return onHead;
+    }
+
+    static h2o_http1client_body_cb onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
+        h2o_header_t* headers, std::size_t count, int)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        const bool isEmpty = error == h2o_http1client_error_is_eos;
+        if (error && !isEmpty) {
+            call->owner->fail(call, ClientError::Code::Broken, error);
+            return nullptr;
+        }
+        bool isFramed = isEmpty;
+        call->response.status = status;
+        for (std::size_t n = 0; n < count; ++n) {
+            std::string name(headers[n].name->base, headers[n].name->len);
+            for (char& c : name)
+                c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+            isFramed = isFramed || name == "content-length" || name == "transfer-encoding";
+            call->response.headers.push_back({ name, std::string(headers[n].value.base, headers[n].value.len) });
+        }
+        if (isEmpty) {
+            call->owner->finish(call, std::move(call->response));
+            return nullptr;
+        }
+        if (!isFramed) {
+            call->owner->fail(call, ClientError::Code::NotFramed, "answer without a length");
+            return nullptr;
+        }
+        return onBody;
+    }
+
+    static int onBody(h2o_http1client_t* client, const char* error)
+    {
+        auto* call = static_cast<Call*>(client->data);
+        const bool isWhole = error == h2o_http1client_error_is_eos;
+        if (error && !isWhole) {
+            call->owner->fail(call, ClientError::Code::Broken, error);
+            return -1;
+        }
+        h2o_buffer_t*& input = client->sock->input;
+        call->response.body.append(input->bytes, input->size);
+        h2o_buffer_consume(&input, input->size);
+        if (call->response.body.size() > call->maxBytes) {
+            if (!isWhole)
+                h2o_http1client_cancel(client);
+            call->owner->fail(call, ClientError::Code::TooLarge, "answer too large");
+            return 0;
+        }
+        if (isWhole)
+            call->owner->finish(call, std::move(call->response));
+        return 0;
+    }
+
+    runtime::EventLoopPtr m_loop;
+    h2o_http1client_ctx_t m_context {};
+    h2o_timeout_t m_ioTimeout {};
+    std::map<core::HostPort, std::unique_ptr<h2o_socketpool_t>> m_pools;
+};
+
+} // namespace
+
+IHttpClientPtr createClient(const runtime::EventLoopPtr& loop)
+{
+    return std::make_shared<H2oClient>(loop);
+}
+
+} // namespace sardinerun::http
--- /dev/null
+++ b/src/http/internal/h2oserver.cpp
@@ -0,0 +1,250 @@
+#include "http/h2oserver.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+extern "C" {
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+}
+
+namespace sardinerun::http {
+
+namespace {
+
+constexpr int listenBacklog = 1024;
+
+class H2oServer;
+
+//! Room in the library's handler for a pointer to ours.
+struct ServerHandler {
+    h2o_handler_t super;
+    H2oServer* server;
+};
+
+//! One request in progress. The library clears `request` when the caller goes away.
+struct Exchange {
+    h2o_req_t* request = nullptr;
+    H2oServer* server = nullptr;
+};
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+std::string text(h2o_iovec_t it)
+{
+    return { it.base, it.len };
+}
+
+std::string hostWithoutPort(std::string authority)
+{
+    for (char& c : authority)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    const std::size_t colon = authority.rfind(':');
+    if (colon != std::string::npos && authority.find(']', colon) == std::string::npos)
+        authority.resize(colon);
+    return authority;
+}
+
+bool isLoopback(h2o_req_t* request)
+{
+    sockaddr_storage peer {};
+    const socklen_t n = request->conn->callbacks->get_peername(request->conn, reinterpret_cast<sockaddr*>(&peer));
+    if (n == 0 || peer.ss_family != AF_INET)
+        return false;
+    const auto* it = reinterpret_cast<const sockaddr_in*>(&peer);
+    return (ntohl(it->sin_addr.s_addr) >> 24) == 127;
+}
+
+Request toRequest(h2o_req_t* from)
+{
+    Request to;
+    to.method = text(from->method);
+    const std::string target = text(from->path);
+    const std::size_t mark = std::min(target.find('?'), target.size());
+    to.path = target.substr(0, mark);
+    to.query = mark < target.size() ? target.substr(mark + 1) : "";
+    to.authority = hostWithoutPort(text(from->authority));
+    to.body = text(from->entity);
+    to.isFromLoopback = isLoopback(from);
+    for (std::size_t n = 0; n < from->headers.size; ++n) {
+        const h2o_header_t& it = from->headers.entries[n];
+        to.headers.push_back({ text(*it.name), text(it.value) });
+    }
+    return to;
+}
+
+void writeResponse(h2o_req_t* request, const Response& response)
+{
+    request->res.status = response.status;
+    request->res.reason = "-";
+    request->res.content_length = response.body.size();
+    for (const Header& it : response.headers) {
+        const h2o_iovec_t name = h2o_strdup(&request->pool, it.name.data(), it.name.size());
+        const h2o_iovec_t value = h2o_strdup(&request->pool, it.value.data(), it.value.size());
+        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
+    }
+    static h2o_generator_t generator = { nullptr, nullptr };
+    h2o_iovec_t body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
+    h2o_start_response(request, &generator);
+    h2o_send(request, &body, response.body.empty() ? 0 : 1, H2O_SEND_STATE_FINAL);
+}
+
+//! Owns the listening socket, the library's context and the requests in progress; lives on one loop.
+class H2oServer : public IHttpServer {
+public:
+    H2oServer(runtime::EventLoopPtr loop, Handler handler)
+        : m_loop(std::move(loop))
+        , m_handler(std::move(handler))
+    {
+    }
+
+    core::Ret<ServerError> open(const ServerOptions& options)
+    {
+        configure(options);
+        if (options.tls) {
+            if (auto ret = openTls(*options.tls); !ret)
+                return ret;
+        }
+        return listen(options.listen);
+    }
+
+    std::uint16_t port() const override { return m_port; }
+    std::size_t inProgress() const override { return m_inProgress; }
+
+    void drain() override
+    {
+        if (!m_listener)
+            return;
+        h2o_socket_read_stop(m_listener);
+        h2o_socket_close(m_listener);
+        m_listener = nullptr;
+        h2o_context_request_shutdown(&m_context);
+    }
+
+    void handle(h2o_req_t* from)
+    {
+        auto exchange = std::make_shared<Exchange>(Exchange { from, this });
+        ++m_inProgress;
+        auto* guard = static_cast<ExchangePtr*>(h2o_mem_alloc_shared(&from->pool, sizeof(ExchangePtr), onRequestGone));
+        new (guard) ExchangePtr(exchange);
+        m_handler(toRequest(from), Responder([loop = m_loop, exchange](Response response) {
+            loop->post([exchange, response = std::move(response)] { finish(*exchange, response); });
+        }));
+    }
+
+private:
+    static void finish(Exchange& exchange, const Response& response)
+    {
+        if (h2o_req_t* request = std::exchange(exchange.request, nullptr)) {
+            --exchange.server->m_inProgress;
+            writeResponse(request, response);
+        }
+    }
+
+    static void onRequestGone(void* data)
+    {
+        auto* guard = static_cast<ExchangePtr*>(data);
+        if (std::exchange((*guard)->request, nullptr))
+            --(*guard)->server->m_inProgress;
+        guard->~ExchangePtr();
+    }
+
+    static int onRequest(h2o_handler_t* self, h2o_req_t* request)
+    {
+        reinterpret_cast<ServerHandler*>(self)->server->handle(request);
+        return 0;
+    }
+
+    static void onAccept(h2o_socket_t* listener, const char* error)
+    {
+        if (error)
+            return;
+        auto* self = static_cast<H2oServer*>(listener->data);
+        if (h2o_socket_t* socket = h2o_evloop_socket_accept(listener))
+            h2o_accept(&self->m_accept, socket);
+    }
+
+    void configure(const ServerOptions& options)
+    {
+        h2o_config_init(&m_config);
+        m_config.max_request_entity_size = options.maxBodyBytes;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(options.requestTimeout).count();
+        m_config.http1.req_timeout = static_cast<std::uint64_t>(ms);
+        m_config.server_name = h2o_iovec_init(H2O_STRLIT("sardinerun"));
+        h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+        h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+        auto* handler = reinterpret_cast<ServerHandler*>(h2o_create_handler(path, sizeof(ServerHandler)));
+        handler->super.on_req = onRequest;
+        handler->server = this;
+        h2o_context_init(&m_context, m_loop->handle(), &m_config);
+        m_accept.ctx = &m_context;
+        m_accept.hosts = m_config.hosts;
+    }
+
+    core::Ret<ServerError> openTls(const TlsFiles& files)
+    {
+        SSL_CTX* tls = SSL_CTX_new(TLS_server_method());
+        SSL_CTX_set_min_proto_version(tls, TLS1_2_VERSION);
+        const bool isLoaded = SSL_CTX_use_certificate_chain_file(tls, files.certificate.c_str()) == 1
+            && SSL_CTX_use_PrivateKey_file(tls, files.key.c_str(), SSL_FILETYPE_PEM) == 1;
+        if (!isLoaded) {
+            SSL_CTX_free(tls);
+            return core::Failure { ServerError { ServerError::Code::BadTls, "cannot load " + files.certificate } };
+        }
+        h2o_ssl_register_alpn_protocols(tls, h2o_http2_alpn_protocols);
+        m_accept.ssl_ctx = tls;
+        return {};
+    }
+
+    core::Ret<ServerError> listen(const core::HostPort& at)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(at.port);
+        if (inet_pton(AF_INET, at.host.c_str(), &address.sin_addr) != 1)
+            return core::Failure { ServerError { ServerError::Code::BadAddress, at.text() } };
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        const int on = 1;
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+        socklen_t n = sizeof address;
+        const bool isOpen = bind(fd, reinterpret_cast<sockaddr*>(&address), n) == 0 && ::listen(fd, listenBacklog) == 0
+            && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) == 0;
+        if (!isOpen) {
+            close(fd);
+            return core::Failure { ServerError { ServerError::Code::CannotListen, at.text() } };
+        }
+        m_port = ntohs(address.sin_port);
+        m_listener = h2o_evloop_socket_create(m_loop->handle(), fd, H2O_SOCKET_FLAG_DONT_READ);
+        m_listener->data = this;
+        h2o_socket_read_start(m_listener, onAccept);
+        return {};
+    }
+
+    runtime::EventLoopPtr m_loop;
+    Handler m_handler;
+    h2o_globalconf_t m_config {};
+    h2o_context_t m_context {};
+    h2o_accept_ctx_t m_accept {};
+    h2o_socket_t* m_listener = nullptr;
+    std::uint16_t m_port = 0;
+    std::size_t m_inProgress = 0;
+};
+
+} // namespace
+
+core::RetVal<IHttpServerPtr, ServerError> createServer(
+    const runtime::EventLoopPtr& loop, const ServerOptions& options, Handler handler)
+{
+    auto server = std::make_shared<H2oServer>(loop, std::move(handler));
+    if (auto ret = server->open(options); !ret)
+        return core::Failure { ret.error() };
+    return IHttpServerPtr(server);
+}
+
+} // namespace sardinerun::http
--- /dev/null
+++ b/src/platform/internal/httpplatform.cpp
@@ -0,0 +1,181 @@
+#include "platform/httpplatform.h"
+
+#include "platform/platformcodec.h"
+
+namespace sardinerun::platform {
+
+namespace {
+
+constexpr std::size_t maxListBytes = std::size_t(64) << 20;
+
+enum HttpStatus {
+    Ok = 200,
+    Conflict = 409,
+    Unavailable = 503
+};
+
+StoreError toStoreError(const http::ClientError& error)
+{
+    const auto code = error.mayBeSent ? StoreError::Code::Unknown : StoreError::Code::Unavailable;
+    return { code, error.detail };
+}
+
+StoreError toStoreError(const http::Response& response)
+{
+    if (response.status == Conflict)
+        return { StoreError::Code::Conflict, response.body };
+    if (response.status == Unavailable)
+        return { StoreError::Code::Unavailable, response.body };
+    return { StoreError::Code::Unknown, "status " + std::to_string(response.status) };
+}
+
+//! Turns an exchange into the decoded value or a store error.
+template <class Value, class Decode>
+core::RetVal<Value, StoreError> readAnswer(const http::ClientResult& result, Decode decode)
+{
+    if (!result)
+        return core::Failure { toStoreError(result.error()) };
+    if (result.value().status != Ok)
+        return core::Failure { toStoreError(result.value()) };
+    try {
+        return decode(result.value().body);
+    } catch (const codec::DecodeError& it) {
+        return core::Failure { StoreError { StoreError::Code::BadAnswer, it.what() } };
+    }
+}
+
+core::RowVersion decodeCommit(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    return core::RowVersion(static_cast<std::uint64_t>(reader.integer("version", 1, std::int64_t(1) << 53)));
+}
+
+class HttpTableStore : public ITableStore {
+public:
+    HttpTableStore(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+        : m_client(std::move(client))
+        , m_platform(std::move(platform))
+        , m_timeouts(timeouts)
+    {
+    }
+
+    void list(std::string prefix, std::function<void(RowsResult)> callback) override
+    {
+        http::ClientRequest request;
+        request.to = m_platform;
+        request.target = "/v1/rows?prefix=" + prefix;
+        request.timeout = m_timeouts.store;
+        request.maxResponseBytes = maxListBytes;
+        m_client->send(std::move(request), [callback = std::move(callback)](const http::ClientResult& result) {
+            callback(readAnswer<std::vector<Row>>(result, decodeRows));
+        });
+    }
+
+    void commit(Transaction transaction, std::function<void(CommitResult)> callback) override
+    {
+        http::ClientRequest request;
+        request.to = m_platform;
+        request.method = "POST";
+        request.target = "/v1/transactions";
+        request.body = encodeTransaction(transaction);
+        request.timeout = m_timeouts.store;
+        m_client->send(std::move(request), [callback = std::move(callback)](const http::ClientResult& result) {
+            callback(readAnswer<core::RowVersion>(result, decodeCommit));
+        });
+    }
+
+private:
+    http::IHttpClientPtr m_client;
+    core::HostPort m_platform;
+    PlatformTimeouts m_timeouts;
+};
+
+class HttpVmList : public IVmList {
+public:
+    HttpVmList(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+        : m_client(std::move(client))
+        , m_platform(std::move(platform))
+        , m_timeouts(timeouts)
+    {
+    }
+
+    void list(std::function<void(VmsResult)> callback) override
+    {
+        http::ClientRequest request;
+        request.to = m_platform;
+        request.target = "/v1/vms";
+        request.timeout = m_timeouts.store;
+        request.maxResponseBytes = maxListBytes;
+        m_client->send(std::move(request), [callback = std::move(callback)](const http::ClientResult& result) {
+            callback(readAnswer<std::vector<VmInfo>>(result, decodeVms));
+        });
+    }
+
+private:
+    http::IHttpClientPtr m_client;
+    core::HostPort m_platform;
+    PlatformTimeouts m_timeouts;
+};
+
+SyncResult readReport(const http::ClientResult& result)
+{
+    using Code = WorkerError::Code;
+    if (!result) {
+        const Code code = result.error().mayBeSent ? Code::Unknown : Code::Unreachable;
+        return core::Failure { WorkerError { code, result.error().detail } };
+    }
+    if (result.value().status == Conflict)
+        return core::Failure { WorkerError { Code::Fenced, result.value().body } };
+    if (result.value().status != Ok)
+        return core::Failure { WorkerError { Code::Unknown, "status " + std::to_string(result.value().status) } };
+    try {
+        return decodeReport(result.value().body);
+    } catch (const codec::DecodeError& it) {
+        return core::Failure { WorkerError { Code::Unknown, it.what() } };
+    }
+}
+
+class HttpWorkerPort : public IWorkerPort {
+public:
+    HttpWorkerPort(http::IHttpClientPtr client, PlatformTimeouts timeouts)
+        : m_client(std::move(client))
+        , m_timeouts(timeouts)
+    {
+    }
+
+    void sync(const core::HostPort& worker, WorkerSync sync, std::function<void(SyncResult)> callback) override
+    {
+        http::ClientRequest request;
+        request.to = worker;
+        request.method = "POST";
+        request.target = "/v1/sync";
+        request.body = encodeSync(sync);
+        request.timeout = m_timeouts.worker;
+        m_client->send(std::move(request),
+            [callback = std::move(callback)](const http::ClientResult& result) { callback(readReport(result)); });
+    }
+
+private:
+    http::IHttpClientPtr m_client;
+    PlatformTimeouts m_timeouts;
+};
+
+} // namespace
+
+ITableStorePtr createTableStore(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+{
+    return std::make_shared<HttpTableStore>(std::move(client), std::move(platform), timeouts);
+}
+
+IVmListPtr createVmList(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+{
+    return std::make_shared<HttpVmList>(std::move(client), std::move(platform), timeouts);
+}
+
+IWorkerPortPtr createWorkerPort(http::IHttpClientPtr client, PlatformTimeouts timeouts)
+{
+    return std::make_shared<HttpWorkerPort>(std::move(client), timeouts);
+}
+
+} // namespace sardinerun::platform
--- /dev/null
+++ b/src/platform/ivmlist.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "platform/platformtypes.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinerun::platform {
+
+using VmsResult = core::RetVal<std::vector<VmInfo>, StoreError>;
+
+//! The platform's list of live and leaving VMs, which lags behind the truth.
+class IVmList {
+public:
+    virtual ~IVmList() = default;
+    virtual void list(std::function<void(VmsResult)> callback) = 0;
+};
+
+using IVmListPtr = std::shared_ptr<IVmList>;
+
+} // namespace sardinerun::platform
--- /dev/null
+++ b/src/platform/iworkerport.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "platform/platformtypes.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinerun::platform {
+
+using SyncResult = core::RetVal<WorkerReport, WorkerError>;
+
+//! Speaks with workers. Whether a worker fences by epoch or by time is hidden behind this port.
+class IWorkerPort {
+public:
+    virtual ~IWorkerPort() = default;
+    virtual void sync(const core::HostPort& worker, WorkerSync sync, std::function<void(SyncResult)> callback) = 0;
+};
+
+using IWorkerPortPtr = std::shared_ptr<IWorkerPort>;
+
+} // namespace sardinerun::platform
--- /dev/null
+++ b/src/runtime/internal/eventloop.cpp
@@ -0,0 +1,141 @@
+#include "runtime/eventloop.h"
+
+#include <algorithm>
+#include <ctime>
+#include <pthread.h>
+
+extern "C" {
+#include <h2o.h>
+#include <h2o/multithread.h>
+}
+
+namespace sardinerun::runtime {
+
+namespace {
+
+constexpr std::int32_t idleWaitMs = 1000;
+
+struct Envelope {
+    h2o_multithread_message_t super;
+    Work work;
+};
+
+void receiveEnvelopes(h2o_multithread_receiver_t*, h2o_linklist_t* messages)
+{
+    while (!h2o_linklist_is_empty(messages)) {
+        auto* link = H2O_STRUCT_FROM_MEMBER(h2o_multithread_message_t, link, messages->next);
+        std::unique_ptr<Envelope> envelope(reinterpret_cast<Envelope*>(link));
+        h2o_linklist_unlink(&envelope->super.link);
+        envelope->work();
+    }
+}
+
+class SystemClock : public IClock {
+public:
+    core::TimePoint now() const override
+    {
+        timespec it {};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return core::TimePoint(std::chrono::seconds(it.tv_sec) + std::chrono::microseconds(it.tv_nsec / 1000));
+    }
+};
+
+} // namespace
+
+IClockPtr systemClock()
+{
+    return std::make_shared<SystemClock>();
+}
+
+struct EventLoop::Queue {
+    h2o_evloop_t* loop = nullptr;
+    h2o_multithread_queue_t* queue = nullptr;
+    h2o_multithread_receiver_t receiver {};
+};
+
+core::RetVal<EventLoopPtr, LoopError> EventLoop::create(std::string name, IClockPtr clock)
+{
+    EventLoopPtr it(new EventLoop(std::move(name), std::move(clock)));
+    it->m_queue->loop = h2o_evloop_create();
+    if (!it->m_queue->loop)
+        return core::Failure { LoopError::NoEventLoop };
+    it->m_queue->queue = h2o_multithread_create_queue(it->m_queue->loop);
+    h2o_multithread_register_receiver(it->m_queue->queue, &it->m_queue->receiver, receiveEnvelopes);
+    return it;
+}
+
+EventLoop::EventLoop(std::string name, IClockPtr clock)
+    : m_name(std::move(name))
+    , m_clock(std::move(clock))
+    , m_queue(std::make_unique<Queue>())
+{
+}
+
+EventLoop::~EventLoop()
+{
+    stop();
+}
+
+void EventLoop::post(Work work)
+{
+    auto* envelope = new Envelope { {}, std::move(work) }; // owned by the queue until receiveEnvelopes
+    h2o_multithread_send_message(&m_queue->receiver, &envelope->super);
+}
+
+TimerId EventLoop::callAfter(core::Duration delay, Work work)
+{
+    return m_timers.add(now() + delay, std::move(work));
+}
+
+void EventLoop::cancel(TimerId id)
+{
+    m_timers.cancel(id);
+}
+
+core::TimePoint EventLoop::now() const
+{
+    return m_clock->now();
+}
+
+void EventLoop::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void EventLoop::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_isStopping = true;
+    post([] {});
+    m_thread.join();
+}
+
+st_h2o_evloop_t* EventLoop::handle() const
+{
+    return m_queue->loop;
+}
+
+void EventLoop::run()
+{
+    pthread_setname_np(pthread_self(), m_name.substr(0, 15).c_str());
+    while (!m_isStopping) {
+        std::int32_t wait = idleWaitMs;
+        if (const auto at = m_timers.nextAt()) {
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(*at - now()).count();
+            wait = static_cast<std::int32_t>(std::clamp<std::int64_t>(left, 0, idleWaitMs));
+        }
+        h2o_evloop_run(m_queue->loop, wait);
+        runDueTimers();
+    }
+}
+
+void EventLoop::runDueTimers()
+{
+    // Timers set by these timers wait for the next turn, so that sockets are served in between.
+    const core::TimePoint upTo = now();
+    while (auto due = m_timers.takeDue(upTo))
+        (*due)();
+}
+
+} // namespace sardinerun::runtime
--- /dev/null
+++ b/src/runtime/manualloop.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "runtime/iclock.h"
+#include "runtime/timers.h"
+
+#include <deque>
+
+namespace sardinerun::runtime {
+
+//! Clock that stands still until a test advances it.
+class ManualClock : public IClock {
+public:
+    core::TimePoint now() const override { return m_now; }
+    void advance(core::Duration by) { m_now += by; }
+
+private:
+    core::TimePoint m_now { std::chrono::hours(1) };
+};
+
+using ManualClockPtr = std::shared_ptr<ManualClock>;
+
+//! Loop without a thread: work runs only when a test says so, in a fixed order.
+class ManualLoop : public ILoop {
+public:
+    explicit ManualLoop(ManualClockPtr clock);
+
+    void post(Work work) override;
+    TimerId callAfter(core::Duration delay, Work work) override;
+    void cancel(TimerId id) override;
+    core::TimePoint now() const override;
+
+    //! Runs queued work until none is left; timers that are due come after it.
+    void runReady();
+    //! Advances the clock from timer to timer and runs what is due.
+    void advance(core::Duration by);
+
+private:
+    ManualClockPtr m_clock;
+    std::deque<Work> m_queue;
+    Timers m_timers;
+};
+
+using ManualLoopPtr = std::shared_ptr<ManualLoop>;
+
+} // namespace sardinerun::runtime
--- /dev/null
+++ b/src/runtime/tests/runtime_tests.cpp
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE runtime
+#include "runtime/eventloop.h"
+#include "runtime/manualloop.h"
+#include "runtime/task.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace sardinerun;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Counter : public runtime::Task<int> {
+public:
+    using Task::Task;
+    void receive(int n) override { total += n; }
+    void countEvery(core::Duration period)
+    {
+        every(period, [this] { ++ticks; });
+    }
+    int total = 0;
+    int ticks = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(messagesRunInOrderOnTheLoop)
+{
+    auto loop = std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>());
+    auto counter = std::make_shared<Counter>(loop);
+    counter->address().send(2);
+    counter->address().send(3);
+    BOOST_TEST(counter->total == 0);
+    loop->runReady();
+    BOOST_TEST(counter->total == 5);
+}
+
+BOOST_AUTO_TEST_CASE(aMessageForAnEndedTaskIsDropped)
+{
+    auto loop = std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>());
+    auto counter = std::make_shared<Counter>(loop);
+    auto address = counter->address();
+    counter.reset();
+    address.send(1);
+    loop->runReady();
+}
+
+BOOST_AUTO_TEST_CASE(timersFollowThePausedClock)
+{
+    auto loop = std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>());
+    auto counter = std::make_shared<Counter>(loop);
+    counter->countEvery(10ms);
+    loop->advance(9ms);
+    BOOST_TEST(counter->ticks == 0);
+    loop->advance(21ms);
+    BOOST_TEST(counter->ticks == 3);
+}
+
+BOOST_AUTO_TEST_CASE(anEventLoopIsWokenByAMessageFromAnotherThread)
+{
+    auto loop = runtime::EventLoop::create("test", runtime::systemClock()).value();
+    loop->start();
+    std::promise<std::thread::id> done;
+    loop->post([&done] { done.set_value(std::this_thread::get_id()); });
+    BOOST_TEST((done.get_future().get() != std::this_thread::get_id()));
+    loop->stop();
+}
