Add the decisions' building blocks and the inner protocol

Cause: placing, admitting and keeping work need pure parts that can be tested and measured alone. Ruled out: one store write a placement (the store takes several hundred a second); a log that is only cut at its end (a long-running service would block it), so the oldest row is rewritten with the next group instead. Change: placement (ledger, grid index, strategies, usage), admission (queue, gate, run times), acceptance (grouped, fenced log), once (claims), protocol (typed messages over JSON-RPC).

--- /dev/null
+++ b/src/acceptance/internal/grouplog.cpp
@@ -0,0 +1,240 @@
+#include "acceptance/grouplog.h"
+
+#include "codec/json.h"
+#include "core/hashing.h"
+
+#include <array>
+#include <cstdio>
+
+namespace sardinerun::acceptance {
+
+namespace {
+
+constexpr std::size_t maxRecord = std::size_t(4) << 20;
+constexpr std::size_t maxRecords = 100'000;
+//! Old rows rewritten with one group, so that a group stays small.
+constexpr std::size_t compactedPerGroup = 2;
+
+std::string encodeRecords(const std::vector<std::pair<ItemId, const std::string*>>& records)
+{
+    Json::Value value(Json::objectValue);
+    value["records"] = Json::Value(Json::arrayValue);
+    for (const auto& [item, record] : records) {
+        Json::Value entry(Json::objectValue);
+        entry["item"] = item.value();
+        entry["record"] = *record;
+        value["records"].append(entry);
+    }
+    return codec::writeJson(value);
+}
+
+std::vector<std::pair<ItemId, std::string>> decodeRecords(const std::string& text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    std::vector<std::pair<ItemId, std::string>> records;
+    for (codec::ObjectReader& it : reader.objects("records", maxRecords))
+        records.emplace_back(ItemId(it.text("item", 1024)), it.text("record", maxRecord));
+    return records;
+}
+
+core::LogSequence sequenceOf(const std::string& key)
+{
+    return core::LogSequence(std::stoull(key.substr(key.rfind('/') + 1), nullptr, 16));
+}
+
+} // namespace
+
+GroupLog::GroupLog(core::PartitionId partition, platform::RowCheck fence, LogOptions options)
+    : m_partition(partition)
+    , m_fence(std::move(fence))
+    , m_options(options)
+{
+}
+
+std::string GroupLog::prefixOf(core::PartitionId partition)
+{
+    std::array<char, 32> buf {};
+    std::snprintf(buf.data(), buf.size(), "log/%05u/", partition.value());
+    return buf.data();
+}
+
+std::string GroupLog::keyOf(core::LogSequence sequence) const
+{
+    std::array<char, 32> buf {};
+    std::snprintf(buf.data(), buf.size(), "%016lx", sequence.value());
+    return prefixOf(m_partition) + buf.data();
+}
+
+std::map<ItemId, std::string> GroupLog::recover(const std::vector<platform::Row>& rows)
+{
+    for (const platform::Row& row : rows) {
+        const core::LogSequence sequence = sequenceOf(row.key);
+        StoredRow& stored = m_rows[sequence];
+        stored.version = row.version;
+        for (auto& [item, record] : decodeRecords(row.value)) {
+            stored.items.push_back(item);
+            m_latest[item] = { sequence, std::move(record), Revision(0) };
+        }
+        m_lastSequence = std::max(m_lastSequence, sequence);
+    }
+    std::map<ItemId, std::string> newest;
+    for (const auto& [item, latest] : m_latest)
+        newest.emplace(item, latest.record);
+    return newest;
+}
+
+Revision GroupLog::append(const ItemId& item, std::string record, bool isRefusable)
+{
+    Waiting& waiting = m_waiting[item];
+    // A record that must be kept stays so, also when a later one replaces it.
+    const bool isNew = waiting.record.empty();
+    waiting.isRefusable = isRefusable && (isNew || waiting.isRefusable);
+    waiting.record = std::move(record);
+    m_lastRevision = Revision(m_lastRevision.value() + 1);
+    waiting.revision = m_lastRevision;
+    return m_lastRevision;
+}
+
+void GroupLog::forget(const ItemId& item)
+{
+    m_waiting.erase(item);
+    m_latest.erase(item);
+    if (m_group && m_group->items.contains(item))
+        m_group->forgotten.insert(item);
+}
+
+GroupLog::Action GroupLog::next(core::TimePoint now)
+{
+    if (m_isLost || m_isInFlight || now < m_notBefore)
+        return {};
+    if (m_mustRead) {
+        m_isInFlight = true;
+        return { std::nullopt, m_group->key };
+    }
+    if (!m_group && m_waiting.empty())
+        return {};
+    if (!m_group)
+        buildGroup();
+    m_isInFlight = true;
+    m_notBefore = now + m_options.groupInterval;
+    return { m_group->transaction, std::nullopt };
+}
+
+void GroupLog::buildGroup()
+{
+    Group group;
+    group.sequence = core::LogSequence(m_lastSequence.value() + 1);
+    group.key = keyOf(group.sequence);
+    addCompaction(group);
+    while (!m_waiting.empty() && group.items.size() < m_options.maxGroupRecords) {
+        auto node = m_waiting.extract(m_waiting.begin());
+        group.items.insert_or_assign(node.key(), std::move(node.mapped()));
+    }
+    std::vector<std::pair<ItemId, const std::string*>> records;
+    for (const auto& [item, waiting] : group.items)
+        records.emplace_back(item, &waiting.record);
+    group.transaction.id = core::WriteId(core::randomId());
+    group.transaction.checks.push_back(m_fence);
+    group.transaction.writes.insert(
+        group.transaction.writes.begin(), { group.key, core::RowVersion(0), encodeRecords(records) });
+    m_group = std::move(group);
+}
+
+void GroupLog::addCompaction(Group& group)
+{
+    // The oldest rows go first, and what still counts in them moves to the new row. So a record is dropped
+    // only after every older record of the same item is gone, and an old record can never come back to count.
+    auto row = m_rows.begin();
+    for (std::size_t n = 0; n < compactedPerGroup && m_rows.size() > m_options.compactAboveRows + n; ++n, ++row) {
+        for (const ItemId& item : row->second.items) {
+            const auto it = m_latest.find(item);
+            if (it != m_latest.end() && it->second.row == row->first)
+                group.items.emplace(item, Waiting { it->second.record, false, it->second.revision });
+        }
+        group.compacted.push_back(row->first);
+        group.transaction.writes.push_back({ keyOf(row->first), row->second.version, std::nullopt });
+    }
+}
+
+LogEvents GroupLog::onCommitted(
+    const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now)
+{
+    LogEvents events;
+    m_isInFlight = false;
+    if (result) {
+        finishGroup(result.value(), events);
+        return events;
+    }
+    using Code = platform::StoreError::Code;
+    const Code code = result.error().code;
+    if (code == Code::Conflict) {
+        // Either another owner has the partition, or an earlier try of this group took effect: the row tells.
+        m_mustRead = true;
+        return events;
+    }
+    m_isHealthy = false;
+    m_notBefore = now + m_options.retryInterval;
+    if (code != Code::Unavailable)
+        m_group->mayHaveEffect = true;
+    if (!m_group->mayHaveEffect)
+        refuseGroup(events);
+    return events;
+}
+
+LogEvents GroupLog::onRead(
+    const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, core::TimePoint now)
+{
+    LogEvents events;
+    m_isInFlight = false;
+    if (!result) {
+        m_isHealthy = false;
+        m_notBefore = now + m_options.retryInterval;
+        return events;
+    }
+    m_mustRead = false;
+    for (const platform::Row& row : result.value()) {
+        if (row.writeId == m_group->transaction.id) {
+            finishGroup(row.version, events);
+            return events;
+        }
+    }
+    m_isLost = true;
+    events.isLost = true;
+    return events;
+}
+
+void GroupLog::finishGroup(core::RowVersion version, LogEvents& events)
+{
+    m_isHealthy = true;
+    ++m_groupsCommitted;
+    m_lastSequence = m_group->sequence;
+    StoredRow& row = m_rows[m_group->sequence];
+    row.version = version;
+    for (auto& [item, waiting] : m_group->items) {
+        row.items.push_back(item);
+        if (!m_group->forgotten.contains(item))
+            m_latest[item] = { m_group->sequence, std::move(waiting.record), waiting.revision };
+        events.kept.push_back({ item, waiting.revision });
+    }
+    for (const core::LogSequence it : m_group->compacted)
+        m_rows.erase(it);
+    m_group.reset();
+}
+
+void GroupLog::refuseGroup(LogEvents& events)
+{
+    for (auto& [item, waiting] : m_group->items) {
+        if (waiting.isRefusable) {
+            events.refused.push_back(item);
+            continue;
+        }
+        const auto it = m_latest.find(item);
+        const bool isOnlyMoved = it != m_latest.end() && it->second.record == waiting.record;
+        if (!isOnlyMoved)
+            m_waiting.try_emplace(item, std::move(waiting)); // a newer record of the item stays as it is
+    }
+    m_group.reset();
+}
+
+} // namespace sardinerun::acceptance
--- /dev/null
+++ b/src/admission/gate.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "admission/admissiontypes.h"
+#include "admission/runtimebook.h"
+#include "admission/workqueue.h"
+
+namespace sardinerun::admission {
+
+//! The largest that one worker can hold, for one shape of worker, and how many workers have it.
+struct WorkerShape {
+    core::Resources capacity;
+    std::uint32_t count = 0;
+};
+
+//! What the gate knows of the fleet and of the moment.
+struct GateView {
+    const std::vector<WorkerShape>* fleet = nullptr; //!< all workers, of all partitions
+    core::Resources roomOfHome; //!< total of the home partition
+    core::Resources waiting; //!< needed by all that waits in the home partition, in its class or a more urgent one
+    core::WallTime now;
+};
+
+//! Decides at once whether a job is taken in. Costs no more for a job that is refused.
+class Gate {
+public:
+    explicit Gate(QueueLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    void setLimits(const QueueLimits& limits) { m_limits = limits; }
+
+    std::optional<Refusal> refuse(
+        const jobs::JobSpec& spec, const WorkQueue& queue, const RunTimeBook& runTimes, const GateView& view) const;
+
+private:
+    std::optional<Refusal> refuseBySize(const jobs::JobSpec& spec, const GateView& view) const;
+    std::optional<Refusal> refuseByQueue(const jobs::JobSpec& spec, const WorkQueue& queue) const;
+    std::optional<Refusal> refuseByDeadline(
+        const jobs::JobSpec& spec, const RunTimeBook& runTimes, const GateView& view) const;
+
+    QueueLimits m_limits;
+};
+
+} // namespace sardinerun::admission
--- /dev/null
+++ b/src/admission/internal/gate.cpp
@@ -0,0 +1,110 @@
+#include "admission/gate.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sardinerun::admission {
+
+namespace {
+
+constexpr core::Duration retryWhenFull = std::chrono::seconds(2);
+
+struct ReasonName {
+    RefusalReason reason;
+    const char* name;
+};
+
+constexpr std::array<ReasonName, 7> reasonNames { {
+    { RefusalReason::QueueFull, "queueFull" },
+    { RefusalReason::TeamQueueFull, "teamQueueFull" },
+    { RefusalReason::NeverFits, "neverFits" },
+    { RefusalReason::DeadlineMissed, "deadlineMissed" },
+    { RefusalReason::StoreDown, "storeDown" },
+    { RefusalReason::NotOwned, "notOwned" },
+    { RefusalReason::ShuttingDown, "shuttingDown" },
+} };
+
+//! Tasks of one need that an empty worker can hold.
+std::int64_t tasksIn(const core::Resources& capacity, const core::Resources& each)
+{
+    std::int64_t n = std::numeric_limits<std::int64_t>::max();
+    const auto bound = [&n](std::int64_t whole, std::int64_t part) {
+        if (part > 0)
+            n = std::min(n, whole / part);
+    };
+    bound(capacity.cpu.value(), each.cpu.value());
+    bound(capacity.memory.value(), each.memory.value());
+    bound(capacity.accelerators.value(), each.accelerators.value());
+    return n;
+}
+
+double dominantRatio(const core::Resources& part, const core::Resources& whole)
+{
+    const auto ratio = [](std::int64_t a, std::int64_t b) { return b > 0 ? double(a) / double(b) : 0.0; };
+    return std::max(ratio(part.cpu.value(), whole.cpu.value()), ratio(part.memory.value(), whole.memory.value()));
+}
+
+} // namespace
+
+const char* nameOf(RefusalReason it)
+{
+    for (const ReasonName& entry : reasonNames) {
+        if (entry.reason == it)
+            return entry.name;
+    }
+    return "unknown";
+}
+
+std::optional<Refusal> Gate::refuse(
+    const jobs::JobSpec& spec, const WorkQueue& queue, const RunTimeBook& runTimes, const GateView& view) const
+{
+    if (auto it = refuseBySize(spec, view))
+        return it;
+    if (auto it = refuseByQueue(spec, queue))
+        return it;
+    return refuseByDeadline(spec, runTimes, view);
+}
+
+std::optional<Refusal> Gate::refuseBySize(const jobs::JobSpec& spec, const GateView& view) const
+{
+    // Without a list of VMs nothing is known of the fleet; the job is then taken in and waits.
+    if (!view.fleet || view.fleet->empty())
+        return std::nullopt;
+    std::int64_t possible = 0;
+    for (const WorkerShape& it : *view.fleet)
+        possible += tasksIn(it.capacity, spec.each) * it.count;
+    if (possible == 0)
+        return Refusal { RefusalReason::NeverFits, "no worker is large enough for one task", std::nullopt };
+    if (spec.kind == jobs::JobKind::AllAtOnce && possible < spec.taskCount) {
+        const std::string detail = "the empty fleet holds " + std::to_string(possible) + " of its tasks at once";
+        return Refusal { RefusalReason::NeverFits, detail, std::nullopt };
+    }
+    return std::nullopt;
+}
+
+std::optional<Refusal> Gate::refuseByQueue(const jobs::JobSpec& spec, const WorkQueue& queue) const
+{
+    if (queue.sizeOf(spec.urgency) >= m_limits.jobs[jobs::indexOf(spec.urgency)])
+        return Refusal { RefusalReason::QueueFull, "too many jobs of this urgency wait", retryWhenFull };
+    if (queue.sizeOf(spec.team) >= m_limits.jobsPerTeam)
+        return Refusal { RefusalReason::TeamQueueFull, "too many jobs of this team wait", retryWhenFull };
+    return std::nullopt;
+}
+
+std::optional<Refusal> Gate::refuseByDeadline(
+    const jobs::JobSpec& spec, const RunTimeBook& runTimes, const GateView& view) const
+{
+    if (!spec.deadline)
+        return std::nullopt;
+    const core::Duration run = runTimes.expect(spec.workload, spec.runTime);
+    // What waits ahead is worked off in rounds of about one run time each, a round filling the home partition.
+    const double rounds = dominantRatio(view.waiting, view.roomOfHome);
+    const auto wait = std::chrono::duration_cast<core::Duration>(run * rounds);
+    const std::int64_t neededMs = (run + wait) / std::chrono::milliseconds(1);
+    if (view.now.value() + neededMs <= spec.deadline->value())
+        return std::nullopt;
+    const std::string detail = "it would end in about " + std::to_string(neededMs) + " ms, after its deadline";
+    return Refusal { RefusalReason::DeadlineMissed, detail, std::nullopt };
+}
+
+} // namespace sardinerun::admission
--- /dev/null
+++ b/src/admission/runtimebook.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace sardinerun::admission {
+
+//! Learns how long tasks of a workload run, since declared run times are far off.
+class RunTimeBook {
+public:
+    void report(const std::string& workload, core::Duration declared, core::Duration seen);
+
+    //! Expected run time of a task; the declared one until enough tasks have ended.
+    core::Duration expect(const std::string& workload, core::Duration declared) const;
+
+private:
+    struct Seen {
+        double meanSeconds = 0;
+        double deviationSeconds = 0;
+        std::uint32_t count = 0;
+    };
+    std::unordered_map<std::string, Seen> m_workloads;
+};
+
+} // namespace sardinerun::admission
--- /dev/null
+++ b/src/admission/tests/admission_tests.cpp
@@ -0,0 +1,132 @@
+#define BOOST_TEST_MODULE admission
+#include "admission/gate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::TimePoint start { 1h };
+
+QueueItem item(std::string job, jobs::Urgency urgency, std::string team = "a", std::optional<std::int64_t> deadline = {})
+{
+    QueueItem it;
+    it.job = core::JobId(std::move(job));
+    it.team = core::TeamId(std::move(team));
+    it.urgency = urgency;
+    it.since = start;
+    if (deadline)
+        it.deadline = core::WallTime(*deadline);
+    return it;
+}
+
+jobs::JobSpec spec(std::int64_t cpu, std::uint32_t tasks, jobs::JobKind kind = jobs::JobKind::Batch)
+{
+    jobs::JobSpec it;
+    it.id = core::JobId("j");
+    it.team = core::TeamId("a");
+    it.workload = "w";
+    it.kind = kind;
+    it.taskCount = tasks;
+    it.each = { core::MilliCpu(cpu), core::MebiBytes(1), {} };
+    it.runTime = 10s;
+    return it;
+}
+
+const placement::GuaranteedShares shares { { 30, 30, 10 } };
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(urgentWorkComesFirstUntilOthersFallBelowTheirGuarantee)
+{
+    WorkQueue queue;
+    queue.push(item("low", jobs::Urgency::Low));
+    queue.push(item("urgent", jobs::Urgency::Urgent));
+    ShareView view;
+    BOOST_TEST((queue.pick(start, shares, view) == core::JobId("urgent")));
+    // A flood of urgent work has more than its share: low work below its guarantee goes first.
+    view.byUrgency = { 0.8, 0, 0.05 };
+    BOOST_TEST((queue.pick(start, shares, view) == core::JobId("low")));
+    view.byUrgency = { 0.8, 0, 0.2 };
+    BOOST_TEST((queue.pick(start, shares, view) == core::JobId("urgent")));
+}
+
+BOOST_AUTO_TEST_CASE(theTeamWithLeastComesFirstAndThenTheEarliestDeadline)
+{
+    WorkQueue queue;
+    queue.push(item("a1", jobs::Urgency::Normal, "a", 500));
+    queue.push(item("b2", jobs::Urgency::Normal, "b", 900));
+    queue.push(item("b1", jobs::Urgency::Normal, "b", 700));
+    queue.push(item("b3", jobs::Urgency::Normal, "b"));
+    ShareView view;
+    view.ofTeam = [](const core::TeamId& it) { return it.value() == "a" ? 0.5 : 0.1; };
+    BOOST_TEST((queue.pick(start, shares, view) == core::JobId("b1")));
+    queue.remove(core::JobId("b1"));
+    BOOST_TEST((queue.pick(start, shares, view) == core::JobId("b2")));
+}
+
+BOOST_AUTO_TEST_CASE(aDeferredJobComesBackWhenItsTimeComesOrRoomIsFreed)
+{
+    WorkQueue queue;
+    queue.push(item("a", jobs::Urgency::Normal));
+    queue.defer(core::JobId("a"), start + 1s);
+    BOOST_TEST(!queue.pick(start, shares, {}));
+    BOOST_TEST(bool(queue.pick(start + 1s, shares, {})));
+    queue.defer(core::JobId("a"), start + 5s);
+    queue.wakeAll();
+    BOOST_TEST(bool(queue.pick(start + 1s, shares, {})));
+    queue.remove(core::JobId("a"));
+    BOOST_TEST(queue.size() == 0U);
+    BOOST_TEST(queue.sizeOf(jobs::Urgency::Normal) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(whatNoWorkerCanEverHoldIsRefusedAtOnce)
+{
+    const std::vector<WorkerShape> fleet { { { core::MilliCpu(4000), core::MebiBytes(100), {} }, 3 } };
+    const Gate gate { QueueLimits {} };
+    GateView view;
+    view.fleet = &fleet;
+    BOOST_TEST(!gate.refuse(spec(4000, 100), {}, {}, view));
+    const auto tooLarge = gate.refuse(spec(4001, 1), {}, {}, view);
+    BOOST_REQUIRE(bool(tooLarge));
+    BOOST_TEST((tooLarge->reason == RefusalReason::NeverFits));
+    BOOST_TEST(!tooLarge->retryAfter);
+    BOOST_TEST(!gate.refuse(spec(2000, 6, jobs::JobKind::AllAtOnce), {}, {}, view));
+    BOOST_TEST(bool(gate.refuse(spec(2000, 7, jobs::JobKind::AllAtOnce), {}, {}, view)));
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotEndInTimeIsRefusedAtOnce)
+{
+    const Gate gate { QueueLimits {} };
+    GateView view;
+    view.now = core::WallTime(0);
+    view.roomOfHome = { core::MilliCpu(1000), core::MebiBytes(1000), {} };
+    jobs::JobSpec it = spec(1000, 1);
+    it.deadline = core::WallTime(10'000);
+    BOOST_TEST(!gate.refuse(it, {}, {}, view));
+    view.waiting = { core::MilliCpu(500), core::MebiBytes(0), {} };
+    BOOST_TEST((gate.refuse(it, {}, {}, view)->reason == RefusalReason::DeadlineMissed));
+    RunTimeBook runTimes;
+    for (int n = 0; n < 50; ++n)
+        runTimes.report("w", 10s, 1s);
+    BOOST_TEST(!gate.refuse(it, {}, runTimes, view));
+}
+
+BOOST_AUTO_TEST_CASE(queuesAreBounded)
+{
+    QueueLimits limits;
+    limits.jobs = { 2, 2, 2 };
+    limits.jobsPerTeam = 3;
+    const Gate gate { limits };
+    WorkQueue queue;
+    queue.push(item("1", jobs::Urgency::Normal));
+    queue.push(item("2", jobs::Urgency::Normal));
+    BOOST_TEST((gate.refuse(spec(1, 1), queue, {}, {})->reason == RefusalReason::QueueFull));
+    queue.remove(core::JobId("2"));
+    queue.push(item("3", jobs::Urgency::Low));
+    queue.push(item("4", jobs::Urgency::Low));
+    BOOST_TEST((gate.refuse(spec(1, 1), queue, {}, {})->reason == RefusalReason::TeamQueueFull));
+}
--- /dev/null
+++ b/src/once/internal/oncecodec.cpp
@@ -0,0 +1,78 @@
+#include "once/oncecodec.h"
+
+namespace sardinerun::once {
+
+namespace {
+
+constexpr std::size_t maxName = 256;
+constexpr std::size_t maxBody = std::size_t(4) << 20;
+constexpr std::int64_t maxWallMs = std::int64_t(1) << 53;
+
+std::uint64_t decodeFingerprint(codec::ObjectReader& reader)
+{
+    const std::string text = reader.text("fingerprint", 16);
+    std::size_t used = 0;
+    try {
+        const std::uint64_t value = std::stoull(text, &used, 16);
+        if (used == text.size())
+            return value;
+    } catch (const std::logic_error&) {
+        // Not a number: reported below like any other bad value.
+    }
+    reader.fail("fingerprint", "must be a number in hex");
+}
+
+std::string hex(std::uint64_t value)
+{
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%016lx", value);
+    return buf;
+}
+
+} // namespace
+
+Json::Value encodeAnswer(const StoredAnswer& it)
+{
+    Json::Value value(Json::objectValue);
+    value["status"] = it.status;
+    value["contentType"] = it.contentType;
+    value["body"] = it.body;
+    value["bodyKept"] = it.isBodyKept;
+    return value;
+}
+
+StoredAnswer decodeAnswer(codec::ObjectReader reader)
+{
+    StoredAnswer it;
+    it.status = static_cast<int>(reader.integer("status", 0, 999));
+    it.contentType = reader.text("contentType", maxName);
+    it.body = reader.text("body", maxBody);
+    it.isBodyKept = reader.flagOr("bodyKept", false);
+    return it;
+}
+
+Json::Value encodeSnapshot(const OnceSnapshot& it)
+{
+    Json::Value value(Json::objectValue);
+    value["team"] = it.key.team.value();
+    value["key"] = it.key.key.value();
+    value["fingerprint"] = hex(it.fingerprint);
+    value["claimedAt"] = Json::Int64(it.claimedAt.value());
+    value["state"] = static_cast<int>(it.state);
+    value["answer"] = encodeAnswer(it.answer);
+    return value;
+}
+
+OnceSnapshot decodeSnapshot(codec::ObjectReader reader)
+{
+    OnceSnapshot it;
+    it.key.team = core::TeamId(reader.text("team", maxName));
+    it.key.key = core::IdempotencyKey(reader.text("key", maxName));
+    it.fingerprint = decodeFingerprint(reader);
+    it.claimedAt = core::WallTime(reader.integer("claimedAt", 0, maxWallMs));
+    it.state = static_cast<OnceState>(reader.integer("state", 0, 2));
+    it.answer = decodeAnswer(reader.object("answer"));
+    return it;
+}
+
+} // namespace sardinerun::once
--- /dev/null
+++ b/src/placement/internal/ledger.cpp
@@ -0,0 +1,264 @@
+#include "placement/ledger.h"
+
+#include <algorithm>
+
+namespace sardinerun::placement {
+
+namespace {
+
+//! Workers with room that are scored before the best of them is taken.
+constexpr int maxScored = 48;
+//! Weight of a task of the same job in the same place, against a score between -4 and 1.
+constexpr double sameFailureDomainWeight = 100;
+constexpr double sameRackWeight = 10;
+
+double dominantPart(const core::Resources& part, const core::Resources& whole)
+{
+    const auto ratio = [](std::int64_t a, std::int64_t b) { return b > 0 ? double(a) / double(b) : 0.0; };
+    return std::max({ ratio(part.cpu.value(), whole.cpu.value()), ratio(part.memory.value(), whole.memory.value()),
+        ratio(part.accelerators.value(), whole.accelerators.value()) });
+}
+
+template <class Key>
+int countOf(const std::map<Key, int>& counts, const Key& key)
+{
+    const auto it = counts.find(key);
+    return it == counts.end() ? 0 : it->second;
+}
+
+double crowding(const Need& need, const Worker& worker)
+{
+    if (!need.spread)
+        return 0;
+    return sameFailureDomainWeight * countOf(need.spread->byFailureDomain, worker.failureDomain)
+        + sameRackWeight * countOf(need.spread->byRack, worker.rack);
+}
+
+} // namespace
+
+RoomIndex& Ledger::indexOf(const Entry& entry)
+{
+    return entry.worker.capacity.accelerators.value() > 0 ? m_accelerated : m_plain;
+}
+
+void Ledger::putWorker(const Worker& worker)
+{
+    const auto [it, isNew] = m_byId.try_emplace(worker.id, WorkerIndex(m_workers.size()));
+    if (isNew) {
+        m_workers.push_back({ worker });
+        m_total = m_total + worker.capacity;
+        return;
+    }
+    Entry& entry = m_workers[it->second];
+    const bool wasOpen = entry.isOpen;
+    setOpen(worker.id, false);
+    m_total = m_total - entry.worker.capacity + worker.capacity;
+    entry.worker = worker;
+    setOpen(worker.id, wasOpen);
+}
+
+std::vector<core::AttemptId> Ledger::removeWorker(const core::VmId& id)
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end())
+        return {};
+    setOpen(id, false);
+    const std::vector<core::AttemptId> lost = m_workers[it->second].attempts;
+    for (const core::AttemptId& attempt : lost)
+        release(attempt);
+    m_total = m_total - m_workers[it->second].worker.capacity;
+    m_workers[it->second].isPresent = false; // its place is not used again: indices stay valid
+    m_byId.erase(it);
+    return lost;
+}
+
+void Ledger::setOpen(const core::VmId& id, bool isOpen)
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end() || m_workers[it->second].isOpen == isOpen)
+        return;
+    Entry& entry = m_workers[it->second];
+    entry.isOpen = isOpen;
+    if (isOpen) {
+        indexOf(entry).insert(it->second, entry.room());
+        ++m_openCount;
+    } else {
+        indexOf(entry).erase(it->second, entry.room());
+        --m_openCount;
+    }
+}
+
+bool Ledger::isOpen(const core::VmId& id) const
+{
+    const auto it = m_byId.find(id);
+    return it != m_byId.end() && m_workers[it->second].isOpen;
+}
+
+const Worker* Ledger::worker(const core::VmId& id) const
+{
+    const auto it = m_byId.find(id);
+    return it == m_byId.end() ? nullptr : &m_workers[it->second].worker;
+}
+
+double Ledger::shareOf(jobs::Urgency urgency, const core::Resources& extra) const
+{
+    return dominantPart(m_byUrgency[jobs::indexOf(urgency)] + extra, m_total);
+}
+
+double Ledger::shareCap(jobs::Urgency urgency) const
+{
+    int others = 0;
+    for (const jobs::Urgency it : jobs::allUrgencies) {
+        if (it != urgency)
+            others += m_shares.percent[jobs::indexOf(it)];
+    }
+    return (100 - others) / 100.0;
+}
+
+bool Ledger::isWithinGuarantee(const Need& need) const
+{
+    const double guaranteed = m_shares.percent[jobs::indexOf(need.urgency)] / 100.0;
+    return shareOf(need.urgency, need.resources) <= guaranteed;
+}
+
+Choice Ledger::choose(const Need& need, const IStrategy& strategy) const
+{
+    Choice best;
+    best.refusal = Refusal::NoRoom;
+    if (!need.resources.fitsIn(m_total - m_committed))
+        return best;
+    best.isBorrowed = shareOf(need.urgency, need.resources) > shareCap(need.urgency);
+    if (best.isBorrowed && !mayBorrow(need)) {
+        best.refusal = Refusal::OverShare;
+        return best;
+    }
+    if (strategy.order() == VisitOrder::ByAge)
+        considerFirst(need, best);
+    else
+        considerAll(need, strategy, best);
+    return best;
+}
+
+void Ledger::considerFirst(const Need& need, Choice& best) const
+{
+    for (const Entry& it : m_workers) {
+        if (it.isOpen && need.resources.fitsIn(it.room())) {
+            best.refusal = Refusal::None;
+            best.worker = it.worker.id;
+            return;
+        }
+    }
+}
+
+void Ledger::considerAll(const Need& need, const IStrategy& strategy, Choice& best) const
+{
+    int left = maxScored;
+    double bestScore = 0;
+    const auto visit = [&](WorkerIndex index) {
+        const Entry& entry = m_workers[index];
+        const core::Resources room = entry.room();
+        if (!need.resources.fitsIn(room))
+            return true;
+        const double score = strategy.score(room - need.resources, entry.worker.capacity) - crowding(need, entry.worker);
+        if (best.refusal == Refusal::NoRoom || score > bestScore) {
+            bestScore = score;
+            best.refusal = Refusal::None;
+            best.worker = entry.worker.id;
+        }
+        return --left > 0;
+    };
+    if (need.resources.accelerators.value() == 0)
+        m_plain.search(need.resources, strategy.order(), visit);
+    if (best.refusal == Refusal::NoRoom)
+        m_accelerated.search(need.resources, strategy.order(), visit);
+}
+
+void Ledger::setCommitted(WorkerIndex index, const core::Resources& committed)
+{
+    Entry& entry = m_workers[index];
+    const core::Resources before = entry.room();
+    m_committed = m_committed - entry.committed + committed;
+    entry.committed = committed;
+    if (entry.isOpen)
+        indexOf(entry).move(index, before, entry.room());
+}
+
+void Ledger::commit(const core::AttemptId& id, const Commitment& commitment)
+{
+    release(id);
+    const auto it = m_byId.find(commitment.worker);
+    if (it == m_byId.end())
+        return;
+    m_commitments.emplace(id, commitment);
+    m_workers[it->second].attempts.push_back(id);
+    setCommitted(it->second, m_workers[it->second].committed + commitment.resources);
+    auto& ofClass = m_byUrgency[jobs::indexOf(commitment.urgency)];
+    ofClass = ofClass + commitment.resources;
+}
+
+void Ledger::release(const core::AttemptId& id)
+{
+    const auto it = m_commitments.find(id);
+    if (it == m_commitments.end())
+        return;
+    const Commitment commitment = it->second;
+    m_commitments.erase(it);
+    const WorkerIndex index = m_byId.at(commitment.worker);
+    std::erase(m_workers[index].attempts, id);
+    setCommitted(index, m_workers[index].committed - commitment.resources);
+    auto& ofClass = m_byUrgency[jobs::indexOf(commitment.urgency)];
+    ofClass = ofClass - commitment.resources;
+}
+
+void Ledger::resize(const core::AttemptId& id, const core::Resources& resources)
+{
+    const auto it = m_commitments.find(id);
+    if (it == m_commitments.end() || it->second.resources == resources)
+        return;
+    Commitment changed = it->second;
+    changed.resources = resources;
+    commit(id, changed);
+}
+
+const Commitment* Ledger::find(const core::AttemptId& id) const
+{
+    const auto it = m_commitments.find(id);
+    return it == m_commitments.end() ? nullptr : &it->second;
+}
+
+std::vector<core::AttemptId> Ledger::attemptsOn(const core::VmId& id) const
+{
+    const auto it = m_byId.find(id);
+    return it == m_byId.end() ? std::vector<core::AttemptId> {} : m_workers[it->second].attempts;
+}
+
+core::Resources Ledger::committedOn(const core::VmId& id) const
+{
+    const auto it = m_byId.find(id);
+    return it == m_byId.end() ? core::Resources {} : m_workers[it->second].committed;
+}
+
+std::vector<core::AttemptId> Ledger::victimsFor(const Need& need) const
+{
+    std::vector<core::AttemptId> best;
+    for (const Entry& entry : m_workers) {
+        if (!entry.isOpen)
+            continue;
+        std::vector<core::AttemptId> victims;
+        core::Resources room = entry.room();
+        // The newest attempts go first: they lose the least work.
+        for (auto it = entry.attempts.rbegin(); it != entry.attempts.rend() && !need.resources.fitsIn(room); ++it) {
+            const Commitment& commitment = m_commitments.at(*it);
+            if (!commitment.isBorrowed || commitment.urgency == need.urgency)
+                continue;
+            victims.push_back(*it);
+            room = room + commitment.resources;
+        }
+        const bool isEnough = !victims.empty() && need.resources.fitsIn(room);
+        if (isEnough && (best.empty() || victims.size() < best.size()))
+            best = std::move(victims);
+    }
+    return best;
+}
+
+} // namespace sardinerun::placement
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -77,6 +77,7 @@
     value["resources"] = encodeResources(it.resources);
     value["runMs"] = Json::Int64(it.runTime / std::chrono::milliseconds(1));
     value["workload"] = it.workload;
+    value["label"] = it.label;
     return value;
 }
 
@@ -87,6 +88,7 @@
     it.resources = decodeResources(reader.object("resources"));
     it.runTime = std::chrono::milliseconds(reader.integer("runMs", 0, maxCount / 1000));
     it.workload = reader.text("workload", maxName);
+    it.label = reader.text("label", maxName);
     return it;
 }
 
@@ -96,6 +98,8 @@
     value["state"] = nameOf(it.state);
     value["resources"] = encodeResources(it.resources);
     value["used"] = encodeResources(it.used);
+    value["workload"] = it.workload;
+    value["label"] = it.label;
     return value;
 }
 
@@ -106,6 +110,8 @@
     it.state = decodeAttemptState(reader);
     it.resources = decodeResources(reader.object("resources"));
     it.used = decodeResources(reader.object("used"));
+    it.workload = reader.text("workload", maxName);
+    it.label = reader.text("label", maxName);
     return it;
 }
 
@@ -179,8 +185,8 @@
 {
     core::AttemptId it;
     it.job = decodeName<core::JobId>(reader, "job");
-    it.task = core::TaskIndex(static_cast<std::uint32_t>(reader.integer("task", 0, 1'000'000)));
-    it.attempt = core::AttemptNumber(static_cast<std::uint32_t>(reader.integer("attempt", 1, 1'000'000)));
+    it.task = core::TaskIndex(static_cast<std::uint32_t>(reader.integer("task", 0, UINT32_MAX)));
+    it.attempt = core::AttemptNumber(static_cast<std::uint32_t>(reader.integer("attempt", 0, UINT32_MAX)));
     return it;
 }
 
@@ -279,6 +285,7 @@
     Json::Value value(Json::objectValue);
     value["epoch"] = Json::UInt64(it.order.epoch.value());
     value["sequence"] = Json::UInt64(it.order.sequence);
+    value["session"] = it.session;
     value["starts"] = Json::Value(Json::arrayValue);
     for (const StartOrder& start : it.starts)
         value["starts"].append(encodeStart(start));
@@ -294,6 +301,7 @@
     WorkerSync it;
     it.order.epoch = core::Epoch(decodeCount(reader, "epoch"));
     it.order.sequence = decodeCount(reader, "sequence");
+    it.session = reader.text("session", maxName);
     for (codec::ObjectReader& start : reader.objects("starts", maxAttempts))
         it.starts.push_back(decodeStart(start));
     it.stops = decodeAttemptIds(reader, "stops");
@@ -304,7 +312,7 @@
 std::string encodeReport(const WorkerReport& it)
 {
     Json::Value value(Json::objectValue);
-    value["bootId"] = it.bootId;
+    value["session"] = it.session;
     value["capacity"] = encodeResources(it.capacity);
     value["leaseMs"] = Json::Int64(it.lease / std::chrono::milliseconds(1));
     value["attempts"] = Json::Value(Json::arrayValue);
@@ -318,7 +326,7 @@
     const Json::Value value = codec::parseJson(text);
     codec::ObjectReader reader(value);
     WorkerReport it;
-    it.bootId = reader.text("bootId", maxName);
+    it.session = reader.text("session", maxName);
     it.capacity = decodeResources(reader.object("capacity"));
     it.lease = std::chrono::milliseconds(reader.integer("leaseMs", 1, 86'400'000));
     for (codec::ObjectReader& attempt : reader.objects("attempts", maxAttempts))
--- a/src/platform/platformtypes.h
+++ b/src/platform/platformtypes.h
@@ -83,11 +83,13 @@
     core::Resources resources;
     core::Duration runTime; //!< declared; zero for a service
     std::string workload;
+    std::string label; //!< the worker gives it back in its reports
 };
 
 //! One exchange with a worker: fences it, renews its lease, starts and stops tasks, and lists what it has.
 struct WorkerSync {
     SyncOrder order;
+    std::string session; //!< as last reported; in another session the worker starts nothing
     std::vector<StartOrder> starts;
     std::vector<core::AttemptId> stops;
     std::vector<core::AttemptId> acknowledged; //!< ends that are kept, which the worker may forget
@@ -106,10 +108,12 @@
     AttemptState state = AttemptState::Running;
     core::Resources resources; //!< as ordered
     core::Resources used; //!< lags
+    std::string workload;
+    std::string label;
 };
 
 struct WorkerReport {
-    std::string bootId; //!< changes when the worker loses its memory
+    std::string session; //!< changes when the worker starts anew and when its lease has lapsed
     core::Resources capacity;
     core::Duration lease; //!< tasks stop when no sync comes for this long
     std::vector<AttemptReport> attempts;
--- /dev/null
+++ b/src/protocol/internal/describe.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "protocol/messages.h"
+
+//! The fields of each message, named once for both directions of the codec.
+//!
+//! `visit(name, field)` is called for each field; the visitor encodes or decodes it.
+namespace sardinerun::protocol {
+
+template <class Visitor>
+void describe(Visitor& visit, HomeStamp& it)
+{
+    visit("partition", it.partition);
+    visit("epoch", it.epoch);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, Asker& it)
+{
+    visit("node", it.node);
+    visit("incarnation", it.incarnation);
+    visit("token", it.token);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, TaskAttempt& it)
+{
+    visit("task", it.task);
+    visit("attempt", it.attempt);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, admission::Refusal& it)
+{
+    visit("reason", it.reason);
+    visit("detail", it.detail);
+    visit("retryAfter", it.retryAfter);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, once::OnceKey& it)
+{
+    visit("team", it.team);
+    visit("key", it.key);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, SubmitJob& it)
+{
+    visit("asker", it.asker);
+    visit("spec", it.spec);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, SubmitAnswer& it)
+{
+    visit("token", it.token);
+    visit("outcome", it.outcome);
+    visit("job", it.job);
+    visit("refusal", it.refusal);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, CancelJobs& it)
+{
+    visit("asker", it.asker);
+    visit("team", it.team);
+    visit("jobs", it.jobs);
+    visit("workload", it.workload);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, CancelAnswer& it)
+{
+    visit("token", it.token);
+    visit("cancelled", it.cancelled);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, ReadJobs& it)
+{
+    visit("asker", it.asker);
+    visit("team", it.team);
+    visit("job", it.job);
+    visit("after", it.after);
+    visit("limit", it.limit);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, JobsAnswer& it)
+{
+    visit("token", it.token);
+    visit("jobs", it.jobs);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, PlaceTasks& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+    visit("toEpoch", it.toEpoch);
+    visit("id", it.id);
+    visit("mode", it.mode);
+    visit("isResend", it.isResend);
+    visit("spec", it.spec);
+    visit("tasks", it.tasks);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, PlaceAnswer& it)
+{
+    visit("from", it.from);
+    visit("fromEpoch", it.fromEpoch);
+    visit("home", it.to);
+    visit("id", it.id);
+    visit("job", it.job);
+    visit("taken", it.taken);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, CommitHeld& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+    visit("id", it.id);
+    visit("job", it.job);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, CommitAnswer& it)
+{
+    visit("from", it.from);
+    visit("fromEpoch", it.fromEpoch);
+    visit("home", it.to);
+    visit("id", it.id);
+    visit("job", it.job);
+    visit("isStarted", it.isStarted);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, ReleaseHeld& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+    visit("id", it.id);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, AttemptEnded& it)
+{
+    visit("from", it.from);
+    visit("home", it.home);
+    visit("id", it.id);
+    visit("state", it.state);
+    visit("isLost", it.isLost);
+    visit("ran", it.ran);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, EndsKept& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+    visit("attempts", it.attempts);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, StopJobs& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+    visit("jobs", it.jobs);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, AskInventory& it)
+{
+    visit("from", it.from);
+    visit("capacity", it.to);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, Inventory& it)
+{
+    visit("from", it.from);
+    visit("fromEpoch", it.fromEpoch);
+    visit("home", it.to);
+    visit("attempts", it.attempts);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, RoomHint& it)
+{
+    visit("from", it.from);
+    visit("fromEpoch", it.fromEpoch);
+    visit("room", it.room);
+    visit("largest", it.largest);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, ClaimOnce& it)
+{
+    visit("asker", it.asker);
+    visit("home", it.to);
+    visit("key", it.key);
+    visit("fingerprint", it.fingerprint);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, ClaimAnswer& it)
+{
+    visit("token", it.token);
+    visit("result", it.result);
+    visit("answer", it.answer);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, FinishOnce& it)
+{
+    visit("asker", it.asker);
+    visit("home", it.to);
+    visit("key", it.key);
+    visit("isAbandoned", it.isAbandoned);
+    visit("answer", it.answer);
+}
+
+template <class Visitor>
+void describe(Visitor& visit, FinishAnswer& it)
+{
+    visit("token", it.token);
+}
+
+template <class Visitor>
+void describe(Visitor&, LookNow&)
+{
+}
+
+} // namespace sardinerun::protocol
--- /dev/null
+++ b/src/protocol/tests/protocol_tests.cpp
@@ -0,0 +1,109 @@
+#define BOOST_TEST_MODULE protocol
+#include "protocol/messagecodec.h"
+#include "protocol/rpccodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::protocol;
+using namespace std::chrono_literals;
+
+namespace {
+
+Envelope roundTrip(const Envelope& envelope)
+{
+    const std::string text = encodeBatch({ { methodOf(envelope.message), encodeParams(envelope) } });
+    const std::vector<RpcCall> calls = decodeBatch(text, allMethods());
+    BOOST_REQUIRE(calls.size() == 1U);
+    return decodeParams(calls[0].method, calls[0].params);
+}
+
+jobs::JobSpec spec()
+{
+    jobs::JobSpec it;
+    it.id = core::JobId("j");
+    it.team = core::TeamId("t");
+    it.workload = "w";
+    it.taskCount = 2;
+    it.each.cpu = core::MilliCpu(100);
+    return it;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(placeTasksSurvivesTheWire)
+{
+    PlaceTasks place { { core::PartitionId(2), core::Epoch(9) }, core::PartitionId(5), core::Epoch(3), PlacementId(77),
+        PlaceMode::HoldSome, true, spec(), { { core::TaskIndex(1), core::AttemptNumber(640) } } };
+    const Envelope back = roundTrip({ core::PartitionId(5), place });
+    const auto& it = std::get<PlaceTasks>(back.message);
+    BOOST_TEST((std::get<core::PartitionId>(back.to) == core::PartitionId(5)));
+    BOOST_TEST((it.from == place.from));
+    BOOST_TEST((it.mode == PlaceMode::HoldSome));
+    BOOST_TEST((it.spec == place.spec));
+    BOOST_TEST((it.tasks == place.tasks));
+}
+
+BOOST_AUTO_TEST_CASE(answersSurviveTheWire)
+{
+    SubmitAnswer answer;
+    answer.token = Token(7);
+    answer.outcome = SubmitOutcome::Refused;
+    answer.refusal = { admission::RefusalReason::NeverFits, "too large", 1500ms };
+    const Envelope back = roundTrip({ core::NodeId("n1"), answer });
+    const auto& it = std::get<SubmitAnswer>(back.message);
+    BOOST_TEST((std::get<core::NodeId>(back.to) == core::NodeId("n1")));
+    BOOST_TEST(it.refusal.detail == "too large");
+    BOOST_TEST((*it.refusal.retryAfter == core::Duration(1500ms)));
+
+    ClaimOnce claim;
+    claim.fingerprint = UINT64_MAX;
+    BOOST_TEST(std::get<ClaimOnce>(roundTrip({ core::PartitionId(1), claim }).message).fingerprint == UINT64_MAX);
+}
+
+BOOST_AUTO_TEST_CASE(everyKindOfMessageSurvivesTheWire)
+{
+    SubmitJob submit { {}, spec() };
+    PlaceTasks place;
+    place.spec = spec();
+    const std::vector<Message> all { submit, SubmitAnswer {}, CancelJobs {}, CancelAnswer {}, ReadJobs {}, JobsAnswer {},
+        place, PlaceAnswer {}, CommitHeld {}, CommitAnswer {}, ReleaseHeld {}, AttemptEnded {}, EndsKept {}, StopJobs {},
+        AskInventory {}, Inventory {}, RoomHint {}, ClaimOnce {}, ClaimAnswer {}, FinishOnce {}, FinishAnswer {},
+        LookNow {} };
+    BOOST_TEST(all.size() == std::variant_size_v<Message>);
+    for (const Message& it : all) {
+        const Envelope sent { core::PartitionId(1), it };
+        const Envelope back = roundTrip(sent);
+        BOOST_TEST(back.message.index() == it.index());
+        BOOST_TEST(codec::writeJson(encodeParams(back)) == codec::writeJson(encodeParams(sent)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(batchesKeepTheirOrder)
+{
+    std::vector<RpcCall> calls;
+    for (int n = 0; n < 50; ++n) {
+        CancelAnswer answer;
+        answer.cancelled = static_cast<std::uint32_t>(n);
+        const Envelope envelope { core::NodeId("n"), answer };
+        calls.push_back({ methodOf(envelope.message), encodeParams(envelope) });
+    }
+    const auto back = decodeBatch(encodeBatch(calls), allMethods());
+    BOOST_REQUIRE(back.size() == calls.size());
+    for (std::size_t n = 0; n < back.size(); ++n)
+        BOOST_TEST(back[n].params["cancelled"].asUInt() == n);
+}
+
+BOOST_AUTO_TEST_CASE(badTextIsRefused)
+{
+    for (const char* it : { "", "x", "[]", "{}", "[1]", "{\"jsonrpc\":\"2.0\",\"method\":\"nope\",\"params\":{}}",
+             "[{\"jsonrpc\":\"2.0\",\"method\":\"lookNow\"}]" }) {
+        try {
+            for (const RpcCall& call : decodeBatch(it, allMethods()))
+                decodeParams(call.method, call.params);
+            BOOST_ERROR(std::string("taken: ") + it);
+        } catch (const RpcError&) {
+        } catch (const codec::DecodeError&) {
+        }
+    }
+}
--- a/src/runtime/eventloop.h
+++ b/src/runtime/eventloop.h
@@ -30,6 +30,7 @@
     TimerId callAfter(core::Duration delay, Work work) override;
     void cancel(TimerId id) override;
     core::TimePoint now() const override;
+    core::WallTime wallNow() const override;
 
     void start();
     //! Asks the thread to end after its present work, and waits for it.
--- a/src/runtime/iclock.h
+++ b/src/runtime/iclock.h
@@ -11,6 +11,7 @@
 public:
     virtual ~IClock() = default;
     virtual core::TimePoint now() const = 0;
+    virtual core::WallTime wallNow() const = 0;
 };
 
 using IClockPtr = std::shared_ptr<IClock>;
--- a/src/runtime/iloop.h
+++ b/src/runtime/iloop.h
@@ -24,6 +24,7 @@
     virtual void cancel(TimerId id) = 0;
 
     virtual core::TimePoint now() const = 0;
+    virtual core::WallTime wallNow() const = 0;
 };
 
 using ILoopPtr = std::shared_ptr<ILoop>;
--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -38,6 +38,12 @@
         clock_gettime(CLOCK_BOOTTIME, &it);
         return core::TimePoint(std::chrono::seconds(it.tv_sec) + std::chrono::microseconds(it.tv_nsec / 1000));
     }
+
+    core::WallTime wallNow() const override
+    {
+        const auto it = std::chrono::system_clock::now().time_since_epoch();
+        return core::WallTime(it / std::chrono::milliseconds(1));
+    }
 };
 
 } // namespace
@@ -97,6 +103,11 @@
     return m_clock->now();
 }
 
+core::WallTime EventLoop::wallNow() const
+{
+    return m_clock->wallNow();
+}
+
 void EventLoop::start()
 {
     m_thread = std::thread([this] { run(); });
--- a/src/runtime/internal/manualloop.cpp
+++ b/src/runtime/internal/manualloop.cpp
@@ -27,6 +27,11 @@
     return m_clock->now();
 }
 
+core::WallTime ManualLoop::wallNow() const
+{
+    return m_clock->wallNow();
+}
+
 void ManualLoop::runReady()
 {
     for (;;) {
--- a/src/runtime/manualloop.h
+++ b/src/runtime/manualloop.h
@@ -11,6 +11,7 @@
 class ManualClock : public IClock {
 public:
     core::TimePoint now() const override { return m_now; }
+    core::WallTime wallNow() const override { return core::WallTime(m_now.time_since_epoch() / std::chrono::milliseconds(1)); }
     void advance(core::Duration by) { m_now += by; }
 
 private:
@@ -28,6 +29,7 @@
     TimerId callAfter(core::Duration delay, Work work) override;
     void cancel(TimerId id) override;
     core::TimePoint now() const override;
+    core::WallTime wallNow() const override;
 
     //! Runs queued work until none is left; timers that are due come after it.
     void runReady();
