--- a/src/admission/internal/workqueue.cpp
+++ b/src/admission/internal/workqueue.cpp
@@ -94,7 +94,7 @@
     const Rank* fallback = nullptr;
     for (const jobs::Urgency it : jobs::allUrgencies) {
         const std::size_t n = jobs::indexOf(it);
-        const Rank* first = firstOf(m_ready[n], view);
+        const Rank* first = view.isBlocked[n] ? nullptr : firstOf(m_ready[n], view);
         if (!first)
             continue;
         if (view.byUrgency[n] * 100 < shares.percent[n])
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -13,6 +13,7 @@
 //! What the queue needs to know of the work that runs.
 struct ShareView {
     jobs::ByUrgency<double> byUrgency {}; //!< part of the fleet that each class has, 0 to 1
+    jobs::ByUrgency<bool> isBlocked {}; //!< classes for which there was no room just now
     std::function<double(const core::TeamId&)> ofTeam; //!< what a team has, divided by its weight
 };
 
--- /dev/null
+++ b/src/partition/internal/partition.cpp
@@ -0,0 +1,383 @@
+#include "partition/partition.h"
+
+#include "codec/json.h"
+#include "core/hashing.h"
+#include "jobs/jobcodec.h"
+#include "once/oncecodec.h"
+#include "partition/internal/capacity.h"
+#include "partition/internal/home.h"
+#include "partition/internal/oncedesk.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+namespace {
+
+constexpr const char* jobPrefix = "job/";
+//! Rounds in which the own two sides answer each other before the effects go out.
+constexpr int maxLocalRounds = 1000;
+
+bool isJobItem(const acceptance::ItemId& item)
+{
+    return item.value().starts_with(jobPrefix);
+}
+
+core::JobId jobOf(const acceptance::ItemId& item)
+{
+    return core::JobId(item.value().substr(std::string_view(jobPrefix).size()));
+}
+
+} // namespace
+
+struct Partition::State {
+    State(Ownership it, Times all)
+        : ownership(std::move(it))
+        , times(all)
+        , log(ownership.id, ownership.fence, times.log)
+        , home(ownership.id, ownership.epoch, ownership.partitionCount, times, log)
+        , capacity(ownership.id, ownership.epoch, ownership.partitionCount, times)
+        , once(times, log)
+    {
+    }
+
+    using Handler = void (State::*)(const protocol::Message&, Moment);
+    static Handler handlerOf(const protocol::Message& message);
+
+    void onSubmit(const protocol::Message& it, Moment at) { home.onSubmit(std::get<protocol::SubmitJob>(it), at, effects); }
+    void onCancel(const protocol::Message& it, Moment at) { home.onCancel(std::get<protocol::CancelJobs>(it), at, effects); }
+    void onRead(const protocol::Message& it, Moment) { home.onRead(std::get<protocol::ReadJobs>(it), effects); }
+    void onPlaceAnswer(const protocol::Message& it, Moment at)
+    {
+        home.onPlaceAnswer(std::get<protocol::PlaceAnswer>(it), at, effects);
+    }
+    void onCommitAnswer(const protocol::Message& it, Moment at)
+    {
+        home.onCommitAnswer(std::get<protocol::CommitAnswer>(it), at, effects);
+    }
+    void onAttemptEnded(const protocol::Message& it, Moment at)
+    {
+        home.onAttemptEnded(std::get<protocol::AttemptEnded>(it), at, effects);
+    }
+    void onInventory(const protocol::Message& it, Moment at)
+    {
+        home.onInventory(std::get<protocol::Inventory>(it), at, effects);
+    }
+    void onHint(const protocol::Message& it, Moment at) { home.onHint(std::get<protocol::RoomHint>(it), at.now); }
+    void onPlace(const protocol::Message& it, Moment at) { capacity.onPlace(std::get<protocol::PlaceTasks>(it), at, effects); }
+    void onCommit(const protocol::Message& it, Moment at)
+    {
+        capacity.onCommit(std::get<protocol::CommitHeld>(it), at, effects);
+    }
+    void onRelease(const protocol::Message& it, Moment)
+    {
+        capacity.onRelease(std::get<protocol::ReleaseHeld>(it));
+        home.onRoomFreed();
+    }
+    void onEndsKept(const protocol::Message& it, Moment at)
+    {
+        capacity.onEndsKept(std::get<protocol::EndsKept>(it), at.now);
+    }
+    void onStop(const protocol::Message& it, Moment at) { capacity.onStop(std::get<protocol::StopJobs>(it), at, effects); }
+    void onAskInventory(const protocol::Message& it, Moment)
+    {
+        capacity.onAskInventory(std::get<protocol::AskInventory>(it), effects);
+    }
+    void onClaim(const protocol::Message& it, Moment at) { once.onClaim(std::get<protocol::ClaimOnce>(it), at, effects); }
+    void onFinish(const protocol::Message& it, Moment at) { once.onFinish(std::get<protocol::FinishOnce>(it), at, effects); }
+    void ignore(const protocol::Message&, Moment) { }
+
+    void refreshFleet();
+    void pollLog(Moment at);
+    void onLogEvents(const acceptance::LogEvents& events, Moment at);
+    void exchangeLocally(Moment at, Effects& out);
+
+    Ownership ownership;
+    Times times;
+    acceptance::GroupLog log;
+    Home home;
+    Capacity capacity;
+    OnceDesk once;
+    FleetView fleet;
+    Effects effects;
+    bool isRecovering = true; //!< the log has not been read yet
+    bool isDeposed = false;
+};
+
+Partition::State::Handler Partition::State::handlerOf(const protocol::Message& message)
+{
+    // In the order of protocol::Message. Answers to callers are for nodes, not for partitions.
+    static constexpr std::array<Handler, std::variant_size_v<protocol::Message>> handlers {
+        &State::onSubmit,
+        &State::ignore, // SubmitAnswer
+        &State::onCancel,
+        &State::ignore, // CancelAnswer
+        &State::onRead,
+        &State::ignore, // JobsAnswer
+        &State::onPlace,
+        &State::onPlaceAnswer,
+        &State::onCommit,
+        &State::onCommitAnswer,
+        &State::onRelease,
+        &State::onAttemptEnded,
+        &State::onEndsKept,
+        &State::onStop,
+        &State::onAskInventory,
+        &State::onInventory,
+        &State::onHint,
+        &State::onClaim,
+        &State::ignore, // ClaimAnswer
+        &State::onFinish,
+        &State::ignore, // FinishAnswer
+        &State::ignore, // LookNow
+    };
+    return handlers[message.index()];
+}
+
+void Partition::State::refreshFleet()
+{
+    const placement::Ledger& ledger = capacity.ledger();
+    fleet.ownRoom = ledger.total();
+    for (const jobs::Urgency it : jobs::allUrgencies)
+        fleet.shares[jobs::indexOf(it)] = ledger.shareOf(it);
+    home.setFleet(fleet);
+}
+
+void Partition::State::onLogEvents(const acceptance::LogEvents& events, Moment at)
+{
+    isDeposed = isDeposed || events.isLost;
+    for (const acceptance::KeptRecord& it : events.kept) {
+        if (isJobItem(it.item))
+            home.onKept(jobOf(it.item), it.revision, at, effects);
+        else
+            once.onKept(it.item, it.revision, effects);
+    }
+    for (const acceptance::ItemId& it : events.refused) {
+        if (isJobItem(it))
+            home.onRefused(jobOf(it), effects);
+        else
+            once.onRefused(it, effects);
+    }
+}
+
+void Partition::State::pollLog(Moment at)
+{
+    const acceptance::GroupLog::Action action = log.next(at.now);
+    if (action.commit)
+        effects.push_back(CommitToStore { *action.commit });
+    if (action.readPrefix)
+        effects.push_back(ReadStore { *action.readPrefix });
+}
+
+//! Hands the messages between the own two sides over at once; all other effects go out.
+void Partition::State::exchangeLocally(Moment at, Effects& out)
+{
+    for (int n = 0; n < maxLocalRounds && !effects.empty(); ++n) {
+        Effects batch = std::exchange(effects, {});
+        for (Effect& it : batch) {
+            auto* send = std::get_if<SendMessage>(&it);
+            const auto* to = send ? std::get_if<core::PartitionId>(&send->envelope.to) : nullptr;
+            if (to && *to == ownership.id)
+                (this->*handlerOf(send->envelope.message))(send->envelope.message, at);
+            else
+                out.push_back(std::move(it));
+        }
+    }
+}
+
+PartitionPtr Partition::create(Ownership ownership, Times times)
+{
+    return PartitionPtr(new Partition(std::make_unique<State>(std::move(ownership), times)));
+}
+
+Partition::Partition(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Partition::~Partition() = default;
+
+void Partition::recover(const std::vector<platform::Row>& rows, Moment at)
+{
+    State& it = *m_state;
+    if (it.ownership.isFormerOwnerGone)
+        it.capacity.setFormerOwnerGone(at.now);
+    it.capacity.setHomeEpochs(it.ownership.owners);
+    it.fleet.owners = it.ownership.owners;
+    it.refreshFleet();
+    std::vector<jobs::JobSnapshot> snapshots;
+    for (const auto& [item, record] : it.log.recover(rows)) {
+        const Json::Value value = codec::parseJson(record);
+        if (isJobItem(item))
+            snapshots.push_back(jobs::decodeSnapshot(codec::ObjectReader(value)));
+        else
+            it.once.recover(once::decodeSnapshot(codec::ObjectReader(value)), at);
+    }
+    it.home.recover(std::move(snapshots), at, it.effects);
+    it.isRecovering = false;
+}
+
+void Partition::setPolicy(const Policy& policy)
+{
+    m_state->home.setPolicy(policy);
+    m_state->capacity.setPolicy(policy);
+}
+
+core::PartitionId Partition::partitionOf(const core::VmId& worker, std::uint32_t partitionCount)
+{
+    return core::partitionOf(worker.value(), partitionCount);
+}
+
+void Partition::setWorkers(const std::vector<platform::VmInfo>& workers, Moment at)
+{
+    State& it = *m_state;
+    std::vector<platform::VmInfo> own;
+    it.fleet.shapes.clear();
+    for (const platform::VmInfo& worker : workers) {
+        if (worker.role != platform::VmRole::Worker)
+            continue;
+        if (partitionOf(worker.id, it.ownership.partitionCount) == it.ownership.id)
+            own.push_back(worker);
+        if (worker.state != platform::VmState::Live)
+            continue;
+        const auto isSame = [&worker](const admission::WorkerShape& shape) { return shape.capacity == worker.capacity; };
+        const auto shape = std::find_if(it.fleet.shapes.begin(), it.fleet.shapes.end(), isSame);
+        if (shape != it.fleet.shapes.end())
+            ++shape->count;
+        else
+            it.fleet.shapes.push_back({ worker.capacity, 1 });
+    }
+    it.capacity.setWorkers(own, at);
+    it.home.onRoomFreed();
+    it.refreshFleet();
+}
+
+void Partition::setOwners(const std::map<core::PartitionId, core::Epoch>& owners)
+{
+    for (const auto& [partition, epoch] : owners)
+        m_state->fleet.owners[partition] = std::max(m_state->fleet.owners[partition], epoch);
+    m_state->refreshFleet();
+}
+
+void Partition::setFormerOwnerGone(Moment at)
+{
+    m_state->capacity.setFormerOwnerGone(at.now);
+}
+
+void Partition::setCertain(bool isCertain)
+{
+    m_state->capacity.setCertain(isCertain);
+}
+
+void Partition::receive(const protocol::Message& message, Moment at)
+{
+    // Before the log is read nothing is known of the jobs; whoever needs an answer asks again.
+    if (m_state->isRecovering || m_state->isDeposed)
+        return;
+    (m_state.get()->*State::handlerOf(message))(message, at);
+}
+
+void Partition::onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at)
+{
+    State& it = *m_state;
+    const core::Resources before = it.capacity.ledger().committed();
+    const std::size_t openBefore = it.capacity.ledger().openCount();
+    it.capacity.onWorker(worker, result, at, it.effects);
+    it.isDeposed = it.isDeposed || it.capacity.isDeposed();
+    const core::Resources after = it.capacity.ledger().committed();
+    if (after.cpu < before.cpu || after.memory < before.memory || it.capacity.ledger().openCount() > openBefore)
+        it.home.onRoomFreed();
+}
+
+void Partition::onCommitted(const platform::StoreError* error, core::RowVersion version, Moment at)
+{
+    using Result = core::RetVal<core::RowVersion, platform::StoreError>;
+    const Result result = error ? Result(core::Failure { *error }) : Result(version);
+    m_state->onLogEvents(m_state->log.onCommitted(result, at.now), at);
+}
+
+void Partition::onRead(const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, Moment at)
+{
+    m_state->onLogEvents(m_state->log.onRead(result, at.now), at);
+}
+
+void Partition::tick(Moment at)
+{
+    State& it = *m_state;
+    if (it.isRecovering)
+        return;
+    it.capacity.tick(at, it.effects);
+    it.home.tick(at, it.effects);
+    it.once.tick(at);
+}
+
+Effects Partition::takeEffects(Moment at)
+{
+    State& it = *m_state;
+    Effects out;
+    if (it.isDeposed) {
+        out.push_back(Deposed {});
+        return out;
+    }
+    if (it.isRecovering)
+        return out;
+    it.exchangeLocally(at, out);
+    it.refreshFleet();
+    it.home.pump(at, it.effects);
+    it.exchangeLocally(at, out);
+    it.capacity.flush(at, it.effects);
+    it.pollLog(at);
+    it.exchangeLocally(at, out);
+    return out;
+}
+
+protocol::RoomHint Partition::hint() const
+{
+    const placement::Ledger& ledger = m_state->capacity.ledger();
+    protocol::RoomHint it;
+    it.from = m_state->ownership.id;
+    it.fromEpoch = m_state->ownership.epoch;
+    it.room = ledger.total() - ledger.committed();
+    it.largest = ledger.largestRoom();
+    return it;
+}
+
+PartitionView Partition::view(Moment at) const
+{
+    const State& it = *m_state;
+    PartitionView view;
+    view.id = it.ownership.id;
+    view.epoch = it.ownership.epoch;
+    view.isRecovered = !it.isRecovering && it.home.isRecovered() && it.capacity.isRecovered();
+    for (const jobs::Urgency urgency : jobs::allUrgencies) {
+        view.queued[jobs::indexOf(urgency)] = it.home.queued(urgency);
+        view.oldestWait[jobs::indexOf(urgency)] = it.home.oldestWait(urgency, at.now);
+    }
+    view.jobs = it.home.jobCount();
+    view.attempts = it.capacity.runningAttempts();
+    view.workers = it.capacity.ledger().workerCount();
+    view.readyWorkers = it.capacity.readyWorkers();
+    view.setAsideWorkers = it.capacity.setAsideWorkers(at.now);
+    view.total = it.capacity.ledger().total();
+    view.committed = it.capacity.ledger().committed();
+    view.logRows = it.log.rowCount();
+    view.logGroups = it.log.groupsCommitted();
+    view.isStoreHealthy = it.log.isHealthy();
+    view.counters = it.capacity.counters();
+    const Counters& ofHome = it.home.counters();
+    view.counters.jobsAccepted = ofHome.jobsAccepted;
+    view.counters.jobsRefused = ofHome.jobsRefused;
+    view.counters.tasksSucceeded = ofHome.tasksSucceeded;
+    view.counters.tasksFailed = ofHome.tasksFailed;
+    view.counters.jobsPlaced = ofHome.jobsPlaced;
+    view.counters.waitSecondsSum = ofHome.waitSecondsSum;
+    view.counters.staleMessages += ofHome.staleMessages;
+    return view;
+}
+
+bool Partition::isAtRest() const
+{
+    return m_state->isRecovering || m_state->log.waitingCount() == 0;
+}
+
+} // namespace sardinerun::partition
--- /dev/null
+++ b/src/partition/internal/workerlink.cpp
@@ -0,0 +1,181 @@
+#include "partition/internal/workerlink.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+WorkerLink::WorkerLink(core::HostPort address, core::Epoch epoch, const Times& times, core::TimePoint now)
+    : m_address(std::move(address))
+    , m_epoch(epoch)
+    , m_times(times)
+    , m_lease(times.workerLease)
+    , m_nextAt(now)
+    , m_lastReportAt(now)
+{
+}
+
+void WorkerLink::start(const platform::StartOrder& order)
+{
+    m_starts.emplace(order.id, order);
+    m_nextAt = core::TimePoint();
+}
+
+void WorkerLink::stop(const core::AttemptId& attempt)
+{
+    m_stops.insert(attempt);
+    m_nextAt = core::TimePoint();
+}
+
+bool WorkerLink::withdraw(const core::AttemptId& attempt)
+{
+    return !m_sent.contains(attempt) && m_starts.erase(attempt) > 0;
+}
+
+void WorkerLink::acknowledge(const core::AttemptId& attempt)
+{
+    m_acknowledged.insert(attempt);
+}
+
+std::optional<platform::WorkerSync> WorkerLink::next(core::TimePoint now)
+{
+    if (m_isInFlight || now < m_nextAt || m_state == State::Silent)
+        return std::nullopt;
+    platform::WorkerSync sync;
+    sync.order = { m_epoch, ++m_sequence };
+    sync.session = m_session;
+    // Without a session the worker would ignore starts: the first exchange only fences it.
+    if (!m_session.empty()) {
+        for (const auto& [id, order] : m_starts) {
+            sync.starts.push_back(order);
+            m_sent.insert(id);
+        }
+        sync.stops.assign(m_stops.begin(), m_stops.end());
+    }
+    sync.acknowledged.assign(m_acknowledged.begin(), m_acknowledged.end());
+    m_acknowledging = m_acknowledged;
+    sync.renewFrom = m_renewFrom;
+    m_isInFlight = true;
+    m_nextAt = now + m_times.heartbeat;
+    return sync;
+}
+
+LinkNews WorkerLink::onResult(const platform::SyncResult& result, bool mayTakeSession, core::TimePoint now)
+{
+    LinkNews news;
+    m_isInFlight = false;
+    if (!result) {
+        onFailure(result.error(), now, news);
+        return news;
+    }
+    if (result.value().session != m_session && !mayTakeSession) {
+        m_state = m_state == State::Ready ? State::Failing : m_state;
+        return news;
+    }
+    m_failingSince.reset();
+    m_lastReportAt = now;
+    m_renewFrom = result.value().time;
+    news.isFirst = !m_isFenced;
+    m_isFenced = true;
+    m_state = State::Ready;
+    onReport(result.value(), news);
+    if (hasOrders())
+        m_nextAt = std::min(m_nextAt, now);
+    return news;
+}
+
+void WorkerLink::onReport(const platform::WorkerReport& report, LinkNews& news)
+{
+    std::set<core::AttemptId> reported;
+    for (const platform::AttemptReport& it : report.attempts)
+        reported.insert(it.id);
+    const bool isNewSession = report.session != m_session;
+    for (const core::AttemptId& it : m_acknowledging)
+        m_acknowledged.erase(it);
+    // What was sent and is not there: in the same session the start is still to come with the next exchange.
+    // In a new session it may have run in the old one, and runs no more.
+    if (isNewSession) {
+        for (const core::AttemptId& it : sentAttempts()) {
+            if (!reported.contains(it))
+                news.vanished.push_back(it);
+        }
+    } else {
+        for (const core::AttemptId& it : m_present) {
+            if (!reported.contains(it) && !m_acknowledging.contains(it))
+                news.vanished.push_back(it);
+        }
+    }
+    for (const core::AttemptId& it : news.vanished) {
+        m_starts.erase(it);
+        m_sent.erase(it);
+    }
+    for (const core::AttemptId& it : reported) {
+        m_starts.erase(it);
+        m_sent.erase(it);
+    }
+    for (const platform::AttemptReport& it : report.attempts) {
+        if (it.state != platform::AttemptState::Running)
+            m_stops.erase(it.id);
+    }
+    std::erase_if(m_stops, [&](const core::AttemptId& it) { return !reported.contains(it) && !m_starts.contains(it); });
+    m_acknowledging.clear();
+    m_present = std::move(reported);
+    m_session = report.session;
+    m_lease = std::max(report.lease, m_times.workerLease);
+    news.reports = report.attempts;
+    news.capacity = report.capacity;
+}
+
+void WorkerLink::onFailure(const platform::WorkerError& error, core::TimePoint now, LinkNews& news)
+{
+    using Code = platform::WorkerError::Code;
+    if (error.code == Code::Fenced) {
+        news.isDeposed = true;
+        return;
+    }
+    if (m_state == State::Ready)
+        m_state = State::Failing;
+    if (!m_failingSince)
+        m_failingSince = now;
+    if (now - *m_failingSince >= m_times.workerPatience)
+        m_state = State::Silent;
+    m_nextAt = now + m_times.heartbeat;
+}
+
+bool WorkerLink::takeLapsed(core::TimePoint now, std::optional<core::TimePoint> formerGoneAt)
+{
+    if (m_state != State::Silent)
+        return false;
+    // Each renewal counts from a report that this owner had received, so the lease ends at the latest one lease
+    // after the last report, however late an exchange arrives.
+    if (!m_isFenced && !formerGoneAt)
+        return false;
+    const core::TimePoint lastRenewal = m_isFenced ? m_lastReportAt : std::max(m_lastReportAt, *formerGoneAt);
+    if (now < lastRenewal + m_lease + m_times.leaseMargin)
+        return false;
+    m_state = State::Fencing;
+    m_isFenced = true; // nothing that an earlier owner started can run either
+    m_lastReportAt = now;
+    m_failingSince = now;
+    m_nextAt = now;
+    return true;
+}
+
+std::vector<core::AttemptId> WorkerLink::sentAttempts() const
+{
+    std::vector<core::AttemptId> all(m_present.begin(), m_present.end());
+    all.insert(all.end(), m_sent.begin(), m_sent.end());
+    return all;
+}
+
+void WorkerLink::dropAll()
+{
+    m_starts.clear();
+    m_sent.clear();
+    m_present.clear();
+    m_stops.clear();
+    m_acknowledged.clear();
+    m_session.clear();
+    m_renewFrom = 0;
+}
+
+} // namespace sardinerun::partition
--- /dev/null
+++ b/src/partition/tests/partition_tests.cpp
@@ -0,0 +1,247 @@
+#define BOOST_TEST_MODULE partition
+#include "partition/tests/smallcell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::partition;
+using namespace sardinerun::partition::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::Resources workerSize { core::MilliCpu(4000), core::MebiBytes(8000), {} };
+
+int startsOf(const SmallCell& cell, const std::string& job)
+{
+    int n = 0;
+    for (const auto& [task, starts] : cell.record.starts) {
+        if (task.first.value() == job)
+            n += starts;
+    }
+    return n;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aBatchJobIsAcceptedPlacedRunAndReported)
+{
+    SmallCell cell(2, 4, workerSize);
+    cell.submit(jobSpec("a", 5));
+    BOOST_TEST(cell.runUntilDone(10s));
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("a")) == protocol::SubmitOutcome::Accepted));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+    BOOST_TEST(startsOf(cell, "a") == 5);
+}
+
+BOOST_AUTO_TEST_CASE(aJobThatCanNeverRunIsRefusedAndDoesNotRun)
+{
+    SmallCell cell(2, 4, workerSize);
+    cell.submit(jobSpec("a", 1, 4001));
+    cell.run(5s);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("a")) == protocol::SubmitOutcome::Refused));
+    BOOST_TEST(startsOf(cell, "a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(workOverflowsToOtherPartitions)
+{
+    SmallCell cell(3, 9, workerSize);
+    cell.run(1s);
+    auto spec = jobSpec("a", 36);
+    spec.runTime = 20s;
+    cell.submit(spec);
+    cell.run(10s);
+    BOOST_TEST(cell.statusOf(core::JobId("a")).running == 36U);
+}
+
+BOOST_AUTO_TEST_CASE(anAllAtOnceJobStartsTogetherAcrossPartitions)
+{
+    SmallCell cell(3, 9, workerSize);
+    cell.run(1s);
+    auto spec = jobSpec("a", 9, 4000);
+    spec.kind = jobs::JobKind::AllAtOnce;
+    spec.runTime = 3s;
+    cell.submit(spec);
+    while (startsOf(cell, "a") == 0)
+        cell.step();
+    cell.run(300ms);
+    BOOST_TEST(startsOf(cell, "a") == 9);
+    BOOST_TEST(cell.runUntilDone(20s));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+}
+
+BOOST_AUTO_TEST_CASE(twoAllAtOnceJobsThatDoNotFitTogetherBothRun)
+{
+    SmallCell cell(3, 9, workerSize);
+    cell.run(1s);
+    for (const char* id : { "a", "b" }) {
+        auto spec = jobSpec(id, 6, 4000);
+        spec.kind = jobs::JobKind::AllAtOnce;
+        cell.submit(spec);
+    }
+    BOOST_TEST(cell.runUntilDone(60s));
+    BOOST_TEST(startsOf(cell, "a") == 6);
+    BOOST_TEST(startsOf(cell, "b") == 6);
+}
+
+BOOST_AUTO_TEST_CASE(aNewOwnerAdoptsWhatRunsAndStartsOnlyTheRest)
+{
+    SmallCell cell(1, 1, workerSize);
+    cell.submit(jobSpec("a", 8));
+    cell.run(500ms);
+    BOOST_TEST(startsOf(cell, "a") == 4);
+    cell.takeOver(0, false);
+    BOOST_TEST(cell.runUntilDone(20s));
+    BOOST_TEST(startsOf(cell, "a") == 8);
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+}
+
+BOOST_AUTO_TEST_CASE(theLossOfAWorkerStartsItsTasksElsewhereOnlyAfterItsLease)
+{
+    SmallCell cell(1, 2, workerSize);
+    auto spec = jobSpec("a", 8);
+    spec.runTime = 30s;
+    cell.submit(spec);
+    cell.run(1s);
+    BOOST_TEST(cell.statusOf(core::JobId("a")).running == 8U);
+    cell.cutWorkers.insert(core::VmId("w0"));
+    cell.run(5s);
+    BOOST_TEST(cell.statusOf(core::JobId("a")).running == 8U); // not known to be over: still counted
+    cell.run(4s);
+    BOOST_TEST(cell.statusOf(core::JobId("a")).running == 4U);
+    cell.cutWorkers.clear();
+    BOOST_TEST(cell.runUntilDone(90s));
+}
+
+BOOST_AUTO_TEST_CASE(aTaskThatMayNotBeRepeatedIsUnknownWhenItsWorkerIsLost)
+{
+    SmallCell cell(1, 1, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.isRepeatable = false;
+    spec.runTime = 30s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.restartWorker(core::VmId("w0"));
+    BOOST_TEST(cell.runUntilDone(10s));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Unknown));
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(whatMayNotBeRepeatedAndNeverStartedRunsAfterATakeover)
+{
+    SmallCell cell(1, 1, workerSize);
+    cell.cutWorkers.insert(core::VmId("w0"));
+    auto spec = jobSpec("a", 1);
+    spec.isRepeatable = false;
+    cell.submit(spec);
+    cell.run(500ms);
+    cell.takeOver(0, true);
+    cell.cutWorkers.clear();
+    BOOST_TEST(cell.runUntilDone(30s));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+}
+
+BOOST_AUTO_TEST_CASE(withTheStoreDownNewWorkIsRefusedAndAcceptedWorkGoesOn)
+{
+    SmallCell cell(1, 2, workerSize);
+    cell.submit(jobSpec("a", 20));
+    cell.run(200ms);
+    cell.storeFault = FakeStore::Fault::Down;
+    cell.submit(jobSpec("b", 1));
+    cell.run(1h);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("b")) == protocol::SubmitOutcome::Refused));
+    BOOST_TEST(startsOf(cell, "a") == 20);
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+    cell.storeFault = FakeStore::Fault::None;
+    cell.run(2s);
+    cell.takeOver(0, true);
+    cell.run(5s);
+    BOOST_TEST(startsOf(cell, "a") == 20);
+}
+
+BOOST_AUTO_TEST_CASE(aWaveOfCancellationsCostsOneMessageAPartition)
+{
+    SmallCell cell(2, 4, workerSize);
+    std::vector<core::JobId> ids;
+    for (int n = 0; n < 200; ++n) {
+        auto spec = jobSpec("j" + std::to_string(n), 1, 100);
+        spec.runTime = 1h;
+        ids.push_back(cell.submit(spec));
+    }
+    cell.run(5s);
+    cell.cancel(ids, protocol::Token(7));
+    cell.cancel(ids, protocol::Token(7));
+    BOOST_TEST(cell.runUntilDone(10s));
+    for (const core::JobId& it : ids)
+        BOOST_TEST((cell.statusOf(it).state == jobs::JobState::Cancelled));
+    BOOST_TEST(cell.view(0).committed.cpu.value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatFailsEveryStartIsSetAside)
+{
+    SmallCell cell(1, 5, workerSize);
+    cell.worker(core::VmId("w0")).failsStarts = true;
+    for (int n = 0; n < 60; ++n)
+        cell.submit(jobSpec("j" + std::to_string(n), 1));
+    BOOST_TEST(cell.runUntilDone(60s));
+    for (int n = 0; n < 60; ++n)
+        BOOST_TEST((cell.statusOf(core::JobId("j" + std::to_string(n))).state == jobs::JobState::Succeeded));
+    BOOST_TEST(cell.view(0).setAsideWorkers == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(urgentWorkTakesBackWhatWasBorrowed)
+{
+    SmallCell cell(1, 4, workerSize);
+    Policy policy;
+    policy.shares = { { 30, 30, 10 } };
+    cell.setPolicy(policy);
+    for (int n = 0; n < 40; ++n) {
+        auto spec = jobSpec("low" + std::to_string(n), 1);
+        spec.urgency = jobs::Urgency::Low;
+        spec.runTime = 10min;
+        cell.submit(spec);
+    }
+    cell.run(3s);
+    BOOST_TEST(cell.view(0).committed.cpu.value() == 16000); // the flood has borrowed all there is
+    auto urgent = jobSpec("urgent", 4);
+    urgent.urgency = jobs::Urgency::Urgent;
+    cell.submit(urgent);
+    cell.run(3900ms);
+    BOOST_TEST(startsOf(cell, "urgent") == 4);
+}
+
+BOOST_AUTO_TEST_CASE(aClaimIsGrantedOnceAlsoAcrossATakeover)
+{
+    SmallCell cell(1, 0, workerSize);
+    protocol::ClaimOnce claim { { cell.caller, {}, protocol::Token(1) }, core::PartitionId(0),
+        { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, 42 };
+    cell.send(core::PartitionId(0), claim);
+    cell.run(500ms);
+    BOOST_TEST((cell.record.claims.at(protocol::Token(1)).result == once::ClaimResult::Granted));
+    cell.takeOver(0, false);
+    claim.asker.token = protocol::Token(2);
+    cell.send(core::PartitionId(0), claim);
+    cell.run(500ms);
+    BOOST_TEST((cell.record.claims.at(protocol::Token(2)).result == once::ClaimResult::InProgress));
+    protocol::FinishOnce finish { { cell.caller, {}, protocol::Token(3) }, core::PartitionId(0), claim.key, false,
+        { 201, "text/plain", "fits", true } };
+    cell.send(core::PartitionId(0), finish);
+    cell.run(500ms);
+    cell.takeOver(0, false);
+    claim.asker.token = protocol::Token(4);
+    cell.send(core::PartitionId(0), claim);
+    cell.run(500ms);
+    BOOST_TEST((cell.record.claims.at(protocol::Token(4)).result == once::ClaimResult::Replayed));
+    BOOST_TEST(cell.record.claims.at(protocol::Token(4)).answer.body == "fits");
+}
+
+BOOST_AUTO_TEST_CASE(aClaimThatCannotBeKeptIsNotGranted)
+{
+    SmallCell cell(1, 0, workerSize);
+    cell.storeFault = FakeStore::Fault::Down;
+    cell.send(core::PartitionId(0),
+        protocol::ClaimOnce { { cell.caller, {}, protocol::Token(1) }, core::PartitionId(0),
+            { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, 42 });
+    cell.run(500ms);
+    BOOST_TEST((cell.record.claims.at(protocol::Token(1)).result == once::ClaimResult::NotKept));
+}
--- /dev/null
+++ b/src/partition/tests/smallcell.h
@@ -0,0 +1,378 @@
+#pragma once
+
+#include "codec/json.h"
+#include "core/hashing.h"
+#include "partition/partition.h"
+#include "platform/testing/fakestore.h"
+#include "platform/testing/fakeworker.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <stdexcept>
+
+namespace sardinerun::partition::testing {
+
+using platform::testing::FakeStore;
+using platform::testing::FakeWorker;
+
+//! A promise of the brief was broken.
+class Broken : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+//! What became of the work, as workers and callers saw it.
+struct Record {
+    std::set<core::JobId> submitted;
+    std::map<core::JobId, protocol::SubmitOutcome> outcomes;
+    std::map<std::pair<core::JobId, core::TaskIndex>, int> running;
+    std::map<std::pair<core::JobId, core::TaskIndex>, int> starts;
+    std::map<std::pair<core::JobId, core::TaskIndex>, int> successes;
+    std::set<core::JobId> once; //!< jobs that may not be repeated
+    std::map<protocol::Token, protocol::ClaimAnswer> claims;
+    std::map<protocol::Token, protocol::JobsAnswer> reads;
+    std::map<protocol::Token, protocol::CancelAnswer> cancels;
+};
+
+//! Partitions with their owners on one paused clock, on small fakes at the interfaces.
+class SmallCell {
+public:
+    static constexpr core::Duration stepTime = std::chrono::milliseconds(50);
+
+    SmallCell(std::uint32_t partitions, int workers, core::Resources capacity)
+        : m_count(partitions)
+        , m_capacity(capacity)
+    {
+        for (int n = 0; n < workers; ++n)
+            addWorker("w" + std::to_string(n));
+        for (std::uint32_t n = 0; n < partitions; ++n) {
+            m_store.put(rowOf(n), "0");
+            takeOver(n, true);
+        }
+    }
+
+    //! --- Faults
+    FakeStore::Fault storeFault = FakeStore::Fault::None;
+    std::set<core::VmId> cutWorkers; //!< get nothing
+    std::set<core::VmId> muteWorkers; //!< get everything, and their answers are lost
+    bool dropsMessages = false;
+
+    //! A new owner takes the partition. The former one goes on as if it knew nothing, unless it is gone.
+    void takeOver(std::uint32_t partition, bool isFormerGone)
+    {
+        if (storeFault != FakeStore::Fault::None)
+            return;
+        Owner& owner = m_owners[partition];
+        if (owner.machine && !isFormerGone) {
+            owner.machine->setCertain(false);
+            m_former.push_back({ partition, std::move(owner.machine) });
+        }
+        ++owner.epoch;
+        m_store.put(rowOf(partition), std::to_string(owner.epoch));
+        Ownership ownership;
+        ownership.id = core::PartitionId(partition);
+        ownership.epoch = core::Epoch(owner.epoch);
+        ownership.partitionCount = m_count;
+        ownership.fence = { rowOf(partition), m_store.versionOf(rowOf(partition)) };
+        ownership.owners = epochs();
+        ownership.isFormerOwnerGone = isFormerGone;
+        owner.machine = Partition::create(ownership, times());
+        owner.machine->setPolicy(policy);
+        owner.machine->setWorkers(m_list, moment());
+        owner.machine->recover(
+            m_store.listNow(acceptance::GroupLog::prefixOf(ownership.id)).value(), moment());
+        dropLinksOf(partition);
+        for (auto& [id, it] : m_owners) {
+            if (it.machine)
+                it.machine->setOwners(epochs());
+        }
+    }
+
+    //! Former owners end, and the present ones learn of it.
+    void endFormer()
+    {
+        for (const Former& it : m_former)
+            m_owners[it.partition].machine->setFormerOwnerGone(moment());
+        m_former.clear();
+    }
+
+    void restartWorker(const core::VmId& id) { m_workers.at(id)->restart(); }
+    FakeWorker& worker(const core::VmId& id) { return *m_workers.at(id); }
+
+    //! --- Work
+    core::JobId submit(jobs::JobSpec spec, protocol::Token token = protocol::Token(1))
+    {
+        record.submitted.insert(spec.id);
+        if (!spec.isRepeatable)
+            record.once.insert(spec.id);
+        const core::PartitionId home = core::partitionOf(spec.id.value(), m_count);
+        send(home, protocol::SubmitJob { { caller, {}, token }, spec });
+        return spec.id;
+    }
+
+    void cancel(const std::vector<core::JobId>& jobs, protocol::Token token)
+    {
+        std::map<core::PartitionId, std::vector<core::JobId>> byHome;
+        for (const core::JobId& it : jobs)
+            byHome[core::partitionOf(it.value(), m_count)].push_back(it);
+        for (auto& [home, ids] : byHome)
+            send(home, protocol::CancelJobs { { caller, {}, token }, {}, ids, {} });
+    }
+
+    void send(core::PartitionId to, protocol::Message message) { m_links[{ -1, to.value() }].push_back(std::move(message)); }
+
+    //! --- Time
+    void step()
+    {
+        m_now += stepTime;
+        for (auto& [id, it] : m_workers)
+            it->tick(m_now);
+        deliver();
+        for (auto& [id, it] : m_owners)
+            run(id, *it.machine, false);
+        for (std::size_t n = 0; n < m_former.size(); ++n)
+            run(m_former[n].partition, *m_former[n].machine, true);
+        if (++m_steps % 10 == 0)
+            shareHints();
+        check();
+    }
+
+    void run(core::Duration time)
+    {
+        for (core::Duration passed {}; passed < time; passed += stepTime)
+            step();
+    }
+
+    //! Runs until all accepted jobs have ended, or the time is over.
+    bool runUntilDone(core::Duration time)
+    {
+        for (core::Duration passed {}; passed < time; passed += stepTime) {
+            step();
+            if (isDone())
+                return true;
+        }
+        return false;
+    }
+
+    bool isDone()
+    {
+        for (const core::JobId& job : record.submitted) {
+            if (!record.outcomes.contains(job))
+                return false;
+            if (const auto outcome = record.outcomes.at(job); outcome == protocol::SubmitOutcome::Accepted && !jobs::isEnded(statusOf(job).state))
+                return false;
+        }
+        return true;
+    }
+
+    jobs::JobStatus statusOf(const core::JobId& job)
+    {
+        const core::PartitionId home = core::partitionOf(job.value(), m_count);
+        Partition& machine = *m_owners[home.value()].machine;
+        machine.receive(protocol::ReadJobs { { caller, {}, protocol::Token(999) }, {}, job, {}, 1 }, moment());
+        process(home.value(), machine, false);
+        const auto it = record.reads.find(protocol::Token(999));
+        if (it == record.reads.end() || it->second.jobs.empty())
+            return {};
+        return it->second.jobs[0];
+    }
+
+    PartitionView view(std::uint32_t partition) { return m_owners[partition].machine->view(moment()); }
+    Moment moment() const { return { m_now, core::WallTime(m_now.time_since_epoch() / std::chrono::milliseconds(1)) }; }
+
+    static Times times()
+    {
+        Times it;
+        it.workerLease = std::chrono::seconds(5);
+        it.workerPatience = std::chrono::seconds(1);
+        return it;
+    }
+
+    void setPolicy(const Policy& it)
+    {
+        policy = it;
+        for (auto& [id, owner] : m_owners)
+            owner.machine->setPolicy(it);
+    }
+
+    Policy policy;
+    Record record;
+    const core::NodeId caller { "caller" };
+
+private:
+    struct Owner {
+        PartitionPtr machine;
+        std::uint64_t epoch = 0;
+    };
+    struct Former {
+        std::uint32_t partition;
+        PartitionPtr machine;
+    };
+    using Link = std::pair<int, std::uint32_t>; //!< from a partition's present owner (-1: another) to a partition
+
+    static std::string rowOf(std::uint32_t partition) { return "cell/partition/" + std::to_string(partition); }
+
+    void addWorker(const std::string& name)
+    {
+        const core::VmId id(name);
+        platform::testing::WorkerEvents events;
+        events.started = [this](const core::AttemptId& it) { onStarted(it); };
+        events.ended = [this](const core::AttemptId& it, platform::AttemptState state) { onEnded(it, state); };
+        m_workers[id] = std::make_unique<FakeWorker>(m_capacity, times().workerLease, name, events);
+        platform::VmInfo vm;
+        vm.id = id;
+        vm.capacity = m_capacity;
+        vm.rack = core::RackId("r" + std::to_string(m_list.size() / 2));
+        vm.address = { name, 1 };
+        m_list.push_back(vm);
+    }
+
+    std::map<core::PartitionId, core::Epoch> epochs() const
+    {
+        std::map<core::PartitionId, core::Epoch> all;
+        for (const auto& [id, it] : m_owners)
+            all[core::PartitionId(id)] = core::Epoch(it.epoch);
+        return all;
+    }
+
+    void onStarted(const core::AttemptId& id)
+    {
+        const std::pair task { id.job, id.task };
+        if (++record.running[task] > 1)
+            throw Broken("a task runs in two places: " + id.job.value());
+        if (++record.starts[task] > 1 && record.once.contains(id.job))
+            throw Broken("a task that may not be repeated started twice: " + id.job.value());
+        const auto outcome = record.outcomes.find(id.job);
+        if (outcome != record.outcomes.end() && outcome->second == protocol::SubmitOutcome::Refused)
+            throw Broken("refused work runs: " + id.job.value());
+    }
+
+    void onEnded(const core::AttemptId& id, platform::AttemptState state)
+    {
+        --record.running[{ id.job, id.task }];
+        if (state == platform::AttemptState::Succeeded)
+            ++record.successes[{ id.job, id.task }];
+    }
+
+    void check()
+    {
+        for (const auto& [id, it] : m_workers) {
+            if (!it->running().fitsIn(it->capacity()))
+                throw Broken("a worker has more than it can hold: " + id.value());
+        }
+    }
+
+    void dropLinksOf(std::uint32_t partition)
+    {
+        std::erase_if(m_links, [partition](const auto& it) { return it.first.first == int(partition); });
+    }
+
+    void deliver()
+    {
+        for (auto& [link, queue] : m_links) {
+            std::deque<protocol::Message> batch = std::exchange(queue, {});
+            for (const protocol::Message& it : batch) {
+                if (dropsMessages && ++m_sent % 5 == 0)
+                    continue;
+                m_owners[link.second].machine->receive(it, moment());
+            }
+        }
+    }
+
+    void run(std::uint32_t partition, Partition& machine, bool isFormer)
+    {
+        machine.tick(moment());
+        process(partition, machine, isFormer);
+    }
+
+    void process(std::uint32_t partition, Partition& machine, bool isFormer)
+    {
+        for (Effect& it : machine.takeEffects(moment()))
+            carryOut(partition, machine, isFormer, it);
+    }
+
+    void carryOut(std::uint32_t partition, Partition& machine, bool isFormer, Effect& effect)
+    {
+        if (auto* it = std::get_if<SendMessage>(&effect))
+            sendOn(isFormer ? -1 : int(partition), it->envelope);
+        if (auto* it = std::get_if<SyncWorker>(&effect))
+            machine.onWorker(it->worker, exchange(*it), moment());
+        if (auto* it = std::get_if<CommitToStore>(&effect)) {
+            const auto result = m_store.commitNow(it->transaction, storeFault);
+            machine.onCommitted(result ? nullptr : &result.error(), result ? result.value() : core::RowVersion(), moment());
+        }
+        if (auto* it = std::get_if<ReadStore>(&effect))
+            machine.onRead(m_store.listNow(it->prefix, storeFault), moment());
+    }
+
+    platform::SyncResult exchange(const SyncWorker& it)
+    {
+        using Code = platform::WorkerError::Code;
+        if (cutWorkers.contains(it.worker))
+            return core::Failure { platform::WorkerError { Code::Unreachable, "cut" } };
+        const platform::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
+        if (muteWorkers.contains(it.worker))
+            return core::Failure { platform::WorkerError { Code::Unknown, "mute" } };
+        return result;
+    }
+
+    void sendOn(int from, const protocol::Envelope& envelope)
+    {
+        if (const auto* to = std::get_if<core::PartitionId>(&envelope.to)) {
+            m_links[{ from, to->value() }].push_back(envelope.message);
+            return;
+        }
+        if (const auto* it = std::get_if<protocol::SubmitAnswer>(&envelope.message)) {
+            const auto known = record.outcomes.find(it->job);
+            const bool wasAccepted = known != record.outcomes.end() && known->second == protocol::SubmitOutcome::Accepted;
+            if (!wasAccepted)
+                record.outcomes[it->job] = it->outcome;
+            if (it->outcome == protocol::SubmitOutcome::Refused && record.starts.contains({ it->job, core::TaskIndex(0) }))
+                throw Broken("work that ran was refused: " + it->job.value());
+        }
+        if (const auto* it = std::get_if<protocol::ClaimAnswer>(&envelope.message))
+            record.claims[it->token] = *it;
+        if (const auto* it = std::get_if<protocol::JobsAnswer>(&envelope.message))
+            record.reads[it->token] = *it;
+        if (const auto* it = std::get_if<protocol::CancelAnswer>(&envelope.message))
+            record.cancels[it->token] = *it;
+    }
+
+    void shareHints()
+    {
+        for (auto& [from, owner] : m_owners) {
+            for (auto& [to, other] : m_owners) {
+                if (from != to)
+                    other.machine->receive(owner.machine->hint(), moment());
+            }
+        }
+    }
+
+    std::uint32_t m_count;
+    core::Resources m_capacity;
+    core::TimePoint m_now { std::chrono::hours(1) };
+    int m_steps = 0;
+    int m_sent = 0;
+    FakeStore m_store;
+    std::map<core::VmId, std::unique_ptr<FakeWorker>> m_workers;
+    std::vector<platform::VmInfo> m_list;
+    std::map<std::uint32_t, Owner> m_owners;
+    std::vector<Former> m_former;
+    std::map<Link, std::deque<protocol::Message>> m_links;
+};
+
+inline jobs::JobSpec jobSpec(const std::string& id, std::uint32_t tasks, std::int64_t cpu = 1000)
+{
+    jobs::JobSpec it;
+    it.id = core::JobId(id);
+    it.team = core::TeamId("team");
+    it.workload = "glaze-run";
+    it.taskCount = tasks;
+    it.each = { core::MilliCpu(cpu), core::MebiBytes(100), {} };
+    it.runTime = std::chrono::seconds(1);
+    return it;
+}
+
+} // namespace sardinerun::partition::testing
--- a/src/placement/internal/ledger.cpp
+++ b/src/placement/internal/ledger.cpp
@@ -238,6 +238,22 @@
     return it == m_byId.end() ? core::Resources {} : m_workers[it->second].committed;
 }
 
+core::Resources Ledger::largestRoom() const
+{
+    core::Resources largest;
+    int left = maxScored;
+    const auto visit = [&](WorkerIndex index) {
+        const core::Resources room = m_workers[index].room();
+        if (room.cpu > largest.cpu)
+            largest = room;
+        return --left > 0;
+    };
+    m_plain.search({}, VisitOrder::LooseFirst, visit);
+    left = maxScored;
+    m_accelerated.search({}, VisitOrder::LooseFirst, visit);
+    return largest;
+}
+
 std::vector<core::AttemptId> Ledger::victimsFor(const Need& need) const
 {
     std::vector<core::AttemptId> best;
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -49,6 +49,8 @@
     core::Resources committedOn(const core::VmId& id) const;
     //! Dominant share of a class, in parts of the open and closed workers together: 0 to 1.
     double shareOf(jobs::Urgency urgency, const core::Resources& extra = {}) const;
+    //! Room of an open worker that has much of it: a hint, since no worker need have the most of everything.
+    core::Resources largestRoom() const;
     std::size_t workerCount() const { return m_byId.size(); }
     std::size_t openCount() const { return m_openCount; }
 
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -286,6 +286,7 @@
     value["epoch"] = Json::UInt64(it.order.epoch.value());
     value["sequence"] = Json::UInt64(it.order.sequence);
     value["session"] = it.session;
+    value["renewFrom"] = Json::UInt64(it.renewFrom);
     value["starts"] = Json::Value(Json::arrayValue);
     for (const StartOrder& start : it.starts)
         value["starts"].append(encodeStart(start));
@@ -302,6 +303,7 @@
     it.order.epoch = core::Epoch(decodeCount(reader, "epoch"));
     it.order.sequence = decodeCount(reader, "sequence");
     it.session = reader.text("session", maxName);
+    it.renewFrom = decodeCount(reader, "renewFrom");
     for (codec::ObjectReader& start : reader.objects("starts", maxAttempts))
         it.starts.push_back(decodeStart(start));
     it.stops = decodeAttemptIds(reader, "stops");
@@ -313,6 +315,7 @@
 {
     Json::Value value(Json::objectValue);
     value["session"] = it.session;
+    value["time"] = Json::UInt64(it.time);
     value["capacity"] = encodeResources(it.capacity);
     value["leaseMs"] = Json::Int64(it.lease / std::chrono::milliseconds(1));
     value["attempts"] = Json::Value(Json::arrayValue);
@@ -327,6 +330,7 @@
     codec::ObjectReader reader(value);
     WorkerReport it;
     it.session = reader.text("session", maxName);
+    it.time = decodeCount(reader, "time");
     it.capacity = decodeResources(reader.object("capacity"));
     it.lease = std::chrono::milliseconds(reader.integer("leaseMs", 1, 86'400'000));
     for (codec::ObjectReader& attempt : reader.objects("attempts", maxAttempts))
--- a/src/platform/itablestore.h
+++ b/src/platform/itablestore.h
@@ -7,9 +7,6 @@
 
 namespace sardinerun::platform {
 
-using RowsResult = core::RetVal<std::vector<Row>, StoreError>;
-using CommitResult = core::RetVal<core::RowVersion, StoreError>;
-
 //! The platform's transactional table. Callbacks run on the loop that the store was made for.
 class ITableStore {
 public:
--- a/src/platform/ivmlist.h
+++ b/src/platform/ivmlist.h
@@ -7,8 +7,6 @@
 
 namespace sardinerun::platform {
 
-using VmsResult = core::RetVal<std::vector<VmInfo>, StoreError>;
-
 //! The platform's list of live and leaving VMs, which lags behind the truth.
 class IVmList {
 public:
--- a/src/platform/iworkerport.h
+++ b/src/platform/iworkerport.h
@@ -7,8 +7,6 @@
 
 namespace sardinerun::platform {
 
-using SyncResult = core::RetVal<WorkerReport, WorkerError>;
-
 //! Speaks with workers. Whether a worker fences by epoch or by time is hidden behind this port.
 class IWorkerPort {
 public:
--- a/src/platform/platformtypes.h
+++ b/src/platform/platformtypes.h
@@ -90,6 +90,7 @@
 struct WorkerSync {
     SyncOrder order;
     std::string session; //!< as last reported; in another session the worker starts nothing
+    std::uint64_t renewFrom = 0; //!< `time` of the last report: the lease is renewed from then, not from arrival
     std::vector<StartOrder> starts;
     std::vector<core::AttemptId> stops;
     std::vector<core::AttemptId> acknowledged; //!< ends that are kept, which the worker may forget
@@ -114,8 +115,9 @@
 
 struct WorkerReport {
     std::string session; //!< changes when the worker starts anew and when its lease has lapsed
+    std::uint64_t time = 0; //!< of the worker's own clock, in milliseconds
     core::Resources capacity;
-    core::Duration lease; //!< tasks stop when no sync comes for this long
+    core::Duration lease; //!< tasks stop when it has not been renewed for this long
     std::vector<AttemptReport> attempts;
 };
 
@@ -129,4 +131,9 @@
     std::string detail;
 };
 
+using RowsResult = core::RetVal<std::vector<Row>, StoreError>;
+using CommitResult = core::RetVal<core::RowVersion, StoreError>;
+using VmsResult = core::RetVal<std::vector<VmInfo>, StoreError>;
+using SyncResult = core::RetVal<WorkerReport, WorkerError>;
+
 } // namespace sardinerun::platform
--- a/src/protocol/internal/describe.h
+++ b/src/protocol/internal/describe.h
@@ -124,6 +124,7 @@
     visit("capacity", it.to);
     visit("id", it.id);
     visit("job", it.job);
+    visit("tasks", it.tasks);
 }
 
 template <class Visitor>
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -120,6 +120,7 @@
     core::PartitionId to;
     PlacementId id;
     core::JobId job;
+    std::vector<TaskAttempt> tasks;
 };
 
 struct CommitAnswer {
@@ -160,17 +161,18 @@
     std::vector<core::JobId> jobs;
 };
 
-//! A new owner of a home asks what capacity knows of its jobs, and fences the former owner.
+//! A home asks what capacity knows of its jobs: after the home or the capacity got a new owner. Former owners of
+//! the home are ignored from then on.
 struct AskInventory {
     HomeStamp from;
     core::PartitionId to;
 };
 
-//! All attempts of a home's jobs that capacity knows. Also sent unasked by a new owner of capacity.
+//! All attempts of a home's jobs that capacity knows.
 struct Inventory {
     core::PartitionId from;
     core::Epoch fromEpoch;
-    HomeStamp to; //!< epoch 0: whoever owns it
+    HomeStamp to;
     std::vector<core::AttemptId> attempts;
 };
 
