Add membership on the store's rows: owners, shares of slots, configuration in force

Cause: one owner a partition and one preset at a time need rules that hold through pauses and outages. Ruled out: a lease a partition (writes grow with partitions; the member's lease covers all its own); moving slots by lease alone (runners know no epochs, so a paused node could overfill one), so they move on release, on proof of the holder's end, or after hours. Change: a state machine over conditional writes; configuration needs every live member's confirmation. Before: a renewal that said 'leaving' was repeated for ever, since the view kept the old row (a planned stop never ended).

--- /dev/null
+++ b/src/membership/internal/membership.cpp
@@ -0,0 +1,459 @@
+#include "membership/membership.h"
+
+#include "codec/json.h"
+#include "core/hashing.h"
+#include "membership/assignment.h"
+#include "membership/cellcodec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sardinerun::membership {
+
+MembershipPtr Membership::create(Options options)
+{
+    return MembershipPtr(new Membership(std::move(options)));
+}
+
+Membership::Membership(Options options)
+    : m_options(std::move(options))
+    , m_self { m_options.node, core::Incarnation(core::randomId()) }
+{
+}
+
+// --- Requests
+
+std::optional<StoreRequest> Membership::next(core::TimePoint now)
+{
+    if (m_isInFlight || m_hasLeft)
+        return std::nullopt;
+    // In order of urgency: what keeps the node alive, then what frees others, then what it takes and gives.
+    static constexpr std::array<Decision, 8> decisions { &Membership::join, &Membership::renew, &Membership::activate,
+        &Membership::removeLapsed, &Membership::takePartitions, &Membership::handOver, &Membership::moveSlots,
+        &Membership::depart };
+    for (std::size_t n = 0; m_hasView && n < decisions.size(); ++n) {
+        auto transaction = (this->*decisions[n])(now);
+        if (!transaction)
+            continue;
+        m_isInFlight = true;
+        m_sentAt = now;
+        const bool isRenewal = decisions[n] == &Membership::join || decisions[n] == &Membership::renew;
+        m_renewal = isRenewal ? transaction->id : core::WriteId();
+        if (isRenewal)
+            m_unresolved[transaction->id] = now;
+        return StoreRequest { false, std::move(transaction) };
+    }
+    if (m_hasView && now < m_lookAt)
+        return std::nullopt;
+    if (!m_hasView && now < m_lookAt && m_isStoreDown)
+        return std::nullopt;
+    m_isInFlight = true;
+    m_sentAt = now;
+    m_lookAt = now + m_options.times.look;
+    return StoreRequest { true, std::nullopt };
+}
+
+void Membership::onLooked(const platform::RowsResult& result, core::TimePoint now)
+{
+    m_isInFlight = false;
+    m_isStoreDown = !result;
+    if (!result)
+        return;
+    try {
+        takeView(decodeCell(result.value()), now);
+    } catch (const codec::DecodeError&) {
+        m_isStoreDown = true; // rows that cannot be read are no ground to act on
+    }
+}
+
+void Membership::onCommitted(const platform::CommitResult& result, core::TimePoint now)
+{
+    m_isInFlight = false;
+    m_isStoreDown = !result && result.error().code != platform::StoreError::Code::Conflict;
+    const bool isRenewal = !m_renewal.value().empty();
+    if (result && isRenewal)
+        noteRenewed(result.value(), m_sentAt);
+    const auto isOwn = [this](const Member& it) { return it.run == m_self; };
+    const auto own = std::find_if(m_view.members.begin(), m_view.members.end(), isOwn);
+    if (result && isRenewal && own != m_view.members.end()) {
+        *own = m_written;
+        own->row = m_ownRow;
+        return;
+    }
+    // A write that failed, or whose answer was lost, is judged by the rows. So is what a write has changed.
+    m_hasView = false;
+    m_lookAt = result ? now : std::min(m_lookAt, now + m_options.times.look / 2);
+}
+
+void Membership::noteRenewed(core::RowVersion row, core::TimePoint sentAt)
+{
+    m_isMember = true;
+    m_ownRow = row;
+    m_renewedAt = sentAt;
+    m_unresolved.clear(); // earlier ones expect an older row and can have no effect any more
+}
+
+// --- What the rows tell
+
+void Membership::takeView(CellView view, core::TimePoint now)
+{
+    m_view = std::move(view);
+    m_hasView = true;
+    noteOwnRow();
+    noteSightings(now);
+}
+
+void Membership::noteOwnRow()
+{
+    const Member* own = m_view.find(m_self);
+    const auto unresolved = own ? m_unresolved.find(own->writeId) : m_unresolved.end();
+    if (own && own->row != m_ownRow && unresolved != m_unresolved.end())
+        noteRenewed(own->row, unresolved->second); // the answer was lost; the row shows the effect
+    const bool isReplaced = m_isMember && (!own || own->row != m_ownRow);
+    if (isReplaced)
+        dropOut();
+}
+
+void Membership::dropOut()
+{
+    // Others have taken this run as gone. All it had is lost; it comes back as a new member.
+    m_isMember = false;
+    m_self.incarnation = core::Incarnation(core::randomId());
+    m_ownRow = core::RowVersion();
+    m_confirmed = core::ConfigVersion();
+    m_unresolved.clear();
+    m_atRest.clear();
+    m_idleSlots.clear();
+}
+
+void Membership::noteSightings(core::TimePoint now)
+{
+    std::map<core::NodeId, Sighting> sightings;
+    for (const Member& it : m_view.members) {
+        const auto known = m_sightings.find(it.run.node);
+        const bool isSame = known != m_sightings.end() && known->second.row == it.row;
+        sightings[it.run.node] = isSame ? known->second : Sighting { it.row, now };
+        m_addresses[it.run] = it.address;
+    }
+    m_sightings = std::move(sightings);
+    for (const auto& [id, it] : m_view.slots)
+        m_addresses[it.holder] = it.address;
+    std::map<NodeRun, core::TimePoint> missingSince;
+    for (const NodeRun& it : wanted()) {
+        const auto known = m_missingSince.find(it);
+        missingSince[it] = known == m_missingSince.end() ? now : known->second;
+        const Member* successor = m_view.find(it.node);
+        if (successor && successor->run.incarnation != it.incarnation)
+            onProvedGone(it, now);
+    }
+    m_missingSince = std::move(missingSince);
+}
+
+void Membership::onProvedGone(const NodeRun& run, core::TimePoint now)
+{
+    m_goneSince.try_emplace(run, now);
+}
+
+bool Membership::isLive(const NodeRun& run) const
+{
+    return m_view.find(run) != nullptr;
+}
+
+std::vector<NodeRun> Membership::wanted() const
+{
+    std::set<NodeRun> runs;
+    for (const auto& [id, it] : m_view.slots) {
+        if (!it.holder.isNobody() && !isLive(it.holder))
+            runs.insert(it.holder);
+    }
+    for (const auto& [id, it] : m_view.partitions) {
+        if (it.owner != m_self)
+            continue;
+        for (const NodeRun& former : it.formers)
+            runs.insert(former);
+    }
+    return { runs.begin(), runs.end() };
+}
+
+bool Membership::areFormersGone(core::PartitionId partition) const
+{
+    const auto it = m_view.partitions.find(partition);
+    return it != m_view.partitions.end() && remainingFormers(it->second).empty();
+}
+
+std::vector<NodeRun> Membership::remainingFormers(const PartitionRow& row) const
+{
+    std::vector<NodeRun> remaining = row.formers;
+    std::erase_if(remaining, [this](const NodeRun& it) { return m_goneSince.contains(it); });
+    return remaining;
+}
+
+std::optional<core::HostPort> Membership::lastAddressOf(const NodeRun& run) const
+{
+    const auto it = m_addresses.find(run);
+    if (it == m_addresses.end())
+        return std::nullopt;
+    return it->second;
+}
+
+std::map<core::PartitionId, core::NodeId> Membership::assignment() const
+{
+    std::vector<core::NodeId> members;
+    for (const Member& it : m_view.members) {
+        const bool isStaying = !it.isLeaving && !(it.run == m_self && m_isLeaving);
+        if (isStaying)
+            members.push_back(it.run.node);
+    }
+    return assignPartitions(m_view.partitionCount, members);
+}
+
+std::set<core::PartitionId> Membership::handingOver() const
+{
+    std::set<core::PartitionId> all;
+    const auto owners = assignment();
+    for (const auto& [id, it] : m_view.partitions) {
+        const auto owner = owners.find(id);
+        const bool isMine = owner != owners.end() && owner->second == m_self.node;
+        const bool isTaker = owner != owners.end() || m_isLeaving;
+        if (it.owner == m_self && !isMine && isTaker)
+            all.insert(id);
+    }
+    return all;
+}
+
+std::set<core::PartitionId> Membership::releasing() const
+{
+    std::set<core::PartitionId> all;
+    const auto owners = assignment();
+    for (const auto& [id, it] : m_view.slots) {
+        const auto owner = owners.find(id);
+        const bool isMine = owner != owners.end() && owner->second == m_self.node;
+        if (it.holder == m_self && !isMine && (owner != owners.end() || m_isLeaving))
+            all.insert(id);
+    }
+    return all;
+}
+
+Standing Membership::standing(core::TimePoint now) const
+{
+    Standing it;
+    it.self = m_self;
+    it.isMember = m_isMember;
+    if (!m_isMember)
+        return it;
+    it.certainUntil = m_renewedAt + m_options.times.lease;
+    it.slotsUntil = m_renewedAt + m_options.times.slotsLease;
+    const bool isConfirmed = m_confirmed == m_view.active.version && m_view.config.version == m_view.active.version;
+    if (isConfirmed && now < it.certainUntil)
+        it.actsUnder = m_view.active.version;
+    if (m_view.config.version > m_view.active.version)
+        it.confirming = m_view.config.version;
+    for (const auto& [id, partition] : m_view.partitions) {
+        if (partition.owner == m_self)
+            it.owned.emplace(id, partition);
+    }
+    const std::set<core::PartitionId> leaving = releasing();
+    for (const auto& [id, slots] : m_view.slots) {
+        if (slots.holder == m_self && now < it.slotsUntil && !leaving.contains(id))
+            it.slots.insert(id);
+    }
+    return it;
+}
+
+void Membership::onStoppedActing(core::ConfigVersion version)
+{
+    m_stopped = std::max(m_stopped, version);
+}
+
+// --- What is written
+
+platform::Transaction Membership::begin() const
+{
+    platform::Transaction it;
+    it.id = core::WriteId(core::randomId());
+    return it;
+}
+
+platform::Transaction Membership::beginAsMember() const
+{
+    platform::Transaction it = begin();
+    it.checks.push_back({ memberKey(m_self.node), m_ownRow });
+    return it;
+}
+
+std::string Membership::writeOwnRow()
+{
+    m_written.run = m_self;
+    m_written.address = m_options.address;
+    m_written.failureDomain = m_options.failureDomain;
+    m_written.confirmed = m_confirmed;
+    m_written.isLeaving = m_isLeaving;
+    return encodeMember(m_written);
+}
+
+std::optional<platform::Transaction> Membership::join(core::TimePoint now)
+{
+    if (m_isMember || m_isLeaving)
+        return std::nullopt;
+    platform::Transaction it = begin();
+    if (m_view.partitionCount == 0)
+        it.writes.push_back({ shapeKey, core::RowVersion(0), encodeShape(m_options.partitionCount) });
+    // It joins as one that confirms the newest configuration, so it never acts under an older one. The check
+    // makes sure that this is the newest at the moment of joining.
+    m_confirmed = m_view.config.version;
+    it.checks.push_back({ configKey, m_view.config.row });
+    const Member* former = m_view.find(m_self.node);
+    it.writes.push_back({ memberKey(m_self.node), former ? former->row : core::RowVersion(0), writeOwnRow() });
+    m_renewAt = now + m_options.times.renew;
+    return it;
+}
+
+std::optional<platform::Transaction> Membership::renew(core::TimePoint now)
+{
+    if (!m_isMember)
+        return std::nullopt;
+    const core::ConfigVersion newest = m_view.config.version;
+    const bool mustConfirm = newest > m_confirmed && m_stopped >= newest;
+    const Member* own = m_view.find(m_self);
+    const bool mustSayLeaving = own && own->isLeaving != m_isLeaving;
+    if (now < m_renewAt && !mustConfirm && !mustSayLeaving)
+        return std::nullopt;
+    if (mustConfirm)
+        m_confirmed = newest;
+    if (mustConfirm || mustSayLeaving)
+        m_lookAt = now;
+    m_renewAt = now + m_options.times.renew;
+    platform::Transaction it = begin();
+    it.writes.push_back({ memberKey(m_self.node), m_ownRow, writeOwnRow() });
+    return it;
+}
+
+std::optional<platform::Transaction> Membership::removeLapsed(core::TimePoint now)
+{
+    if (!m_isMember)
+        return std::nullopt;
+    for (const Member& it : m_view.members) {
+        const auto sighting = m_sightings.find(it.run.node);
+        if (it.run == m_self || sighting == m_sightings.end())
+            continue;
+        if (now - sighting->second.firstSeen <= m_options.times.lease + m_options.times.margin)
+            continue;
+        platform::Transaction transaction = beginAsMember();
+        transaction.writes.push_back({ memberKey(it.run.node), it.row, std::nullopt });
+        return transaction;
+    }
+    return std::nullopt;
+}
+
+std::optional<platform::Transaction> Membership::activate(core::TimePoint)
+{
+    const core::ConfigVersion newest = m_view.config.version;
+    if (!m_isMember || newest <= m_view.active.version || m_confirmed < newest)
+        return std::nullopt;
+    // No check on the members' rows is needed: a confirmation is never taken back, a lapsed member was removed
+    // before, and whoever joins later confirms this configuration or a newer one.
+    for (const Member& it : m_view.members) {
+        if (it.confirmed < newest)
+            return std::nullopt;
+    }
+    platform::Transaction it = begin();
+    it.checks.push_back({ configKey, m_view.config.row });
+    it.writes.push_back({ activeKey, m_view.active.row, encodeActive({ newest, {} }) });
+    return it;
+}
+
+std::optional<platform::Transaction> Membership::takePartitions(core::TimePoint)
+{
+    if (!m_isMember || m_isLeaving)
+        return std::nullopt;
+    platform::Transaction it = beginAsMember();
+    for (const auto& [id, owner] : assignment()) {
+        if (owner != m_self.node)
+            continue;
+        const auto known = m_view.partitions.find(id);
+        const PartitionRow row = known == m_view.partitions.end() ? PartitionRow {} : known->second;
+        if (!row.owner.isNobody() && isLive(row.owner))
+            continue;
+        PartitionRow mine { m_self, core::Epoch(row.epoch.value() + 1), remainingFormers(row), {} };
+        if (!row.owner.isNobody() && row.owner != m_self && !m_goneSince.contains(row.owner))
+            mine.formers.push_back(row.owner);
+        it.writes.push_back({ partitionKey(id), row.row, encodePartition(mine) });
+        m_atRest.erase(id);
+    }
+    if (it.writes.empty())
+        return std::nullopt;
+    return it;
+}
+
+std::optional<platform::Transaction> Membership::handOver(core::TimePoint)
+{
+    if (!m_isMember)
+        return std::nullopt;
+    platform::Transaction it = beginAsMember();
+    for (const core::PartitionId id : handingOver()) {
+        const auto atRest = m_atRest.find(id);
+        if (atRest == m_atRest.end())
+            continue;
+        const PartitionRow& row = m_view.partitions.at(id);
+        const std::vector<NodeRun> formers = atRest->second ? std::vector<NodeRun> {} : remainingFormers(row);
+        it.writes.push_back({ partitionKey(id), row.row, encodePartition({ {}, row.epoch, formers, {} }) });
+    }
+    if (it.writes.empty())
+        return std::nullopt;
+    return it;
+}
+
+bool Membership::maySlotsMove(const SlotsRow& slots, core::TimePoint now) const
+{
+    if (slots.holder.isNobody())
+        return true;
+    if (isLive(slots.holder))
+        return false;
+    const MembershipTimes& times = m_options.times;
+    const auto gone = m_goneSince.find(slots.holder);
+    if (gone != m_goneSince.end() && now - gone->second > times.longestRequest)
+        return true;
+    const auto missing = m_missingSince.find(slots.holder);
+    return missing != m_missingSince.end() && now - missing->second > times.slotsLease + times.longestRequest + times.margin;
+}
+
+std::optional<platform::Transaction> Membership::moveSlots(core::TimePoint now)
+{
+    if (!m_isMember)
+        return std::nullopt;
+    platform::Transaction it = beginAsMember();
+    const std::set<core::PartitionId> leaving = releasing();
+    for (const core::PartitionId id : leaving) {
+        if (m_idleSlots.contains(id))
+            it.writes.push_back({ slotsKey(id), m_view.slots.at(id).row, encodeSlots({}) });
+    }
+    for (const auto& [id, owner] : assignment()) {
+        const auto known = m_view.slots.find(id);
+        const SlotsRow row = known == m_view.slots.end() ? SlotsRow {} : known->second;
+        if (owner != m_self.node || row.holder == m_self || !maySlotsMove(row, now))
+            continue;
+        m_idleSlots.erase(id);
+        it.writes.push_back({ slotsKey(id), row.row, encodeSlots({ m_self, m_options.address, {} }) });
+    }
+    if (it.writes.empty())
+        return std::nullopt;
+    return it;
+}
+
+std::optional<platform::Transaction> Membership::depart(core::TimePoint)
+{
+    if (!m_isLeaving || !m_isMember) {
+        m_hasLeft = m_isLeaving && !m_isMember;
+        return std::nullopt;
+    }
+    const auto isOwned = [this](const auto& it) { return it.second.owner == m_self; };
+    const auto isHeld = [this](const auto& it) { return it.second.holder == m_self; };
+    if (std::any_of(m_view.partitions.begin(), m_view.partitions.end(), isOwned)
+        || std::any_of(m_view.slots.begin(), m_view.slots.end(), isHeld))
+        return std::nullopt;
+    platform::Transaction it = begin();
+    it.writes.push_back({ memberKey(m_self.node), m_ownRow, std::nullopt });
+    return it;
+}
+
+} // namespace sardinerun::membership
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "membership/membershiptypes.h"
+
+#include <memory>
+#include <set>
+
+namespace sardinerun::membership {
+
+//! What a node asks of the store.
+struct StoreRequest {
+    bool isLook = false; //!< list all rows of the cell
+    std::optional<platform::Transaction> commit;
+};
+
+//! What a node may do at a moment, by what it knows.
+struct Standing {
+    NodeRun self;
+    bool isMember = false;
+    core::TimePoint certainUntil {}; //!< until then no other node takes it as gone
+    core::TimePoint slotsUntil {}; //!< until then it may use its shares of slots
+    core::ConfigVersion actsUnder; //!< configuration in force here until `certainUntil`; 0 for none
+    core::ConfigVersion confirming; //!< newer configuration for which it has stopped acting; 0 for none
+    std::map<core::PartitionId, PartitionRow> owned;
+    std::set<core::PartitionId> slots; //!< shares that it may use
+};
+
+//! A node's part in the cell, as a state machine on the store's rows.
+//!
+//! Safety rests on conditional writes and on two rules of time. A member counts its lease from before it sent the
+//! renewal; others count from after they read it, plus a margin. Shares of slots move only when released, or when
+//! their holder is known to have ended and its last request must be over, or after a lease of hours.
+class Membership {
+public:
+    struct Options {
+        core::NodeId node;
+        core::HostPort address;
+        core::FailureDomainId failureDomain;
+        std::uint32_t partitionCount = 8; //!< used by the first node only
+        MembershipTimes times;
+    };
+    static std::unique_ptr<Membership> create(Options options);
+
+    //! The next request to the store, or nothing; at most one is in progress.
+    std::optional<StoreRequest> next(core::TimePoint now);
+    void onLooked(const platform::RowsResult& result, core::TimePoint now);
+    void onCommitted(const platform::CommitResult& result, core::TimePoint now);
+    //! Reads the rows as soon as possible: something has changed.
+    void lookSoon() { m_lookAt = core::TimePoint(); }
+
+    //! All tasks of the node have stopped acting under configurations older than this.
+    void onStoppedActing(core::ConfigVersion version);
+    //! The partition's machine is at rest, so it can be handed over. `isRecovered`: it has fenced all its workers, so
+    //! earlier owners no longer matter.
+    void onAtRest(core::PartitionId partition, bool isRecovered) { m_atRest[partition] = isRecovered; }
+    //! No request uses the share any more, so it can be released.
+    void onSlotsIdle(core::PartitionId partition) { m_idleSlots.insert(partition); }
+    //! That run of the node's process has certainly ended.
+    void onProvedGone(const NodeRun& run, core::TimePoint now);
+    //! Planned stop: hands over everything, then leaves.
+    void leave() { m_isLeaving = true; }
+
+    Standing standing(core::TimePoint now) const;
+    const CellView& view() const { return m_view; }
+    //! Partitions that are owned and should go to another node.
+    std::set<core::PartitionId> handingOver() const;
+    //! Shares that are held and should go to another node.
+    std::set<core::PartitionId> releasing() const;
+    //! Runs whose end would free something, so that it is worth asking whether they have ended.
+    std::vector<NodeRun> wanted() const;
+    //! No earlier owner of the partition can still speak with its workers.
+    bool areFormersGone(core::PartitionId partition) const;
+    //! Where that run could be reached when it was a member.
+    std::optional<core::HostPort> lastAddressOf(const NodeRun& run) const;
+    //! Everything is handed over and the own row is gone.
+    bool hasLeft() const { return m_hasLeft; }
+    //! The store did not answer the last request.
+    bool isStoreDown() const { return m_isStoreDown; }
+
+private:
+    explicit Membership(Options options);
+    using Decision = std::optional<platform::Transaction> (Membership::*)(core::TimePoint now);
+
+    struct Sighting {
+        core::RowVersion row;
+        core::TimePoint firstSeen;
+    };
+
+    std::optional<platform::Transaction> join(core::TimePoint now);
+    std::optional<platform::Transaction> renew(core::TimePoint now);
+    std::optional<platform::Transaction> removeLapsed(core::TimePoint now);
+    std::optional<platform::Transaction> activate(core::TimePoint now);
+    std::optional<platform::Transaction> takePartitions(core::TimePoint now);
+    std::optional<platform::Transaction> handOver(core::TimePoint now);
+    std::optional<platform::Transaction> moveSlots(core::TimePoint now);
+    std::optional<platform::Transaction> depart(core::TimePoint now);
+
+    platform::Transaction begin() const;
+    platform::Transaction beginAsMember() const;
+    std::string writeOwnRow();
+    void takeView(CellView view, core::TimePoint now);
+    void noteOwnRow();
+    void noteRenewed(core::RowVersion row, core::TimePoint sentAt);
+    void noteSightings(core::TimePoint now);
+    void dropOut();
+    bool isLive(const NodeRun& run) const;
+    std::map<core::PartitionId, core::NodeId> assignment() const;
+    std::vector<NodeRun> remainingFormers(const PartitionRow& row) const;
+    bool maySlotsMove(const SlotsRow& slots, core::TimePoint now) const;
+
+    Options m_options;
+    NodeRun m_self;
+    CellView m_view;
+    bool m_hasView = false;
+    bool m_isInFlight = false;
+    bool m_isLeaving = false;
+    bool m_hasLeft = false;
+    bool m_isStoreDown = false;
+    bool m_isMember = false;
+    core::RowVersion m_ownRow;
+    core::ConfigVersion m_confirmed; //!< as written, or about to be
+    core::ConfigVersion m_stopped; //!< all tasks have stopped acting under older ones
+    core::TimePoint m_sentAt {}; //!< of the request in progress
+    std::map<core::WriteId, core::TimePoint> m_unresolved; //!< renewals without a clear answer, by their sending
+    core::WriteId m_renewal; //!< the renewal in progress, if any
+    Member m_written; //!< own row as last sent
+    core::TimePoint m_renewedAt {};
+    core::TimePoint m_renewAt {};
+    core::TimePoint m_lookAt {};
+    std::map<core::NodeId, Sighting> m_sightings;
+    std::map<NodeRun, core::TimePoint> m_goneSince;
+    std::map<NodeRun, core::TimePoint> m_missingSince;
+    std::map<NodeRun, core::HostPort> m_addresses;
+    std::map<core::PartitionId, bool> m_atRest;
+    std::set<core::PartitionId> m_idleSlots;
+};
+
+using MembershipPtr = std::unique_ptr<Membership>;
+
+} // namespace sardinerun::membership
