--- /dev/null
+++ b/src/configuration/internal/configuration.cpp
@@ -0,0 +1,91 @@
+#include "configuration/configuration.h"
+
+#include <algorithm>
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+namespace sardinerun::configuration {
+
+namespace {
+
+bool isBelow(const std::string& path, const std::string& prefix)
+{
+    return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/' || prefix.ends_with('/'));
+}
+
+Route routeOf(const Service& service, const std::string& method, const std::string& path)
+{
+    for (const Route& it : service.routes) {
+        if ((it.method == "*" || it.method == method) && isBelow(path, it.path))
+            return it;
+    }
+    return Route { method, "/", false, jobs::Urgency::Normal };
+}
+
+std::optional<std::string> pathWithin(const Service& service, const std::string& host, const std::string& path)
+{
+    if (std::find(service.hosts.begin(), service.hosts.end(), host) != service.hosts.end())
+        return path;
+    if (service.pathPrefix.empty() || !isBelow(path, service.pathPrefix))
+        return std::nullopt;
+    const std::string rest = path.substr(service.pathPrefix.size());
+    return rest.empty() ? "/" : rest;
+}
+
+} // namespace
+
+Preset betweenPresets(const Configuration& configuration)
+{
+    Preset it;
+    it.name = core::PresetName(noPreset);
+    it.mayBorrow = false;
+    it.usage.floorPercent = 100;
+    bool isFirst = true;
+    for (const auto& [name, preset] : configuration.presets) {
+        for (const jobs::Urgency urgency : jobs::allUrgencies) {
+            const std::size_t n = jobs::indexOf(urgency);
+            it.shares.percent[n] = isFirst ? preset.shares.percent[n] : std::min(it.shares.percent[n], preset.shares.percent[n]);
+        }
+        isFirst = false;
+    }
+    return it;
+}
+
+std::optional<Match> match(
+    const Configuration& configuration, const std::string& host, const std::string& method, const std::string& path)
+{
+    for (const Service& it : configuration.services) {
+        if (const auto within = pathWithin(it, host, path))
+            return Match { &it, routeOf(it, method, *within), *within };
+    }
+    return std::nullopt;
+}
+
+std::string sha256Hex(const std::string& text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
+    static constexpr const char* digits = "0123456789abcdef";
+    std::string hex;
+    for (const unsigned char it : digest) {
+        hex += digits[it >> 4];
+        hex += digits[it & 15];
+    }
+    return hex;
+}
+
+std::optional<Identity> identify(const Configuration& configuration, const std::string& token)
+{
+    const std::string hash = sha256Hex(token);
+    std::optional<Identity> found;
+    for (const Team& team : configuration.teams) {
+        for (const Token& it : team.tokens) {
+            if (CRYPTO_memcmp(it.sha256.data(), hash.data(), hash.size()) == 0)
+                found = Identity { team.id, it.role };
+        }
+    }
+    return found;
+}
+
+} // namespace sardinerun::configuration
--- /dev/null
+++ b/src/telemetry/metrics.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sardinerun::telemetry {
+
+//! Every metric of the program. Their meaning stands in docs/OPERATIONS.md.
+enum class Metric {
+    Requests,
+    RequestSeconds,
+    RequestWaitSeconds,
+    RequestsInProgress,
+    LateAnswers,
+    JobsAccepted,
+    JobsRefused,
+    JobsPlaced,
+    JobWaitSeconds,
+    TasksPlaced,
+    TasksSucceeded,
+    TasksFailed,
+    TasksPreempted,
+    AttemptsLost,
+    JobsWaiting,
+    OldestWaitSeconds,
+    Workers,
+    CapacityMilliCpu,
+    PartitionsOwned,
+    SlotShares,
+    ConfigVersion,
+    StoreUp,
+    LogGroups,
+    InnerMessages,
+    InnerBytes,
+    ProcessCpuSeconds,
+    ProcessMemoryBytes
+};
+
+using Labels = std::map<std::string, std::string>;
+
+class Metrics;
+using MetricsPtr = std::shared_ptr<Metrics>;
+
+//! The registry. All calls are safe from any thread.
+class Metrics {
+public:
+    static MetricsPtr create();
+    ~Metrics();
+
+    void add(Metric metric, const Labels& labels, double amount = 1);
+    void set(Metric metric, const Labels& labels, double value);
+    void observe(Metric metric, const Labels& labels, double value);
+
+    //! Text in the format of Prometheus.
+    std::string text() const;
+
+private:
+    Metrics();
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace sardinerun::telemetry
--- /dev/null
+++ b/src/telemetry/tests/telemetry_tests.cpp
@@ -0,0 +1,38 @@
+#define BOOST_TEST_MODULE telemetry
+#include "telemetry/metrics.h"
+#include "telemetry/trace.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun::telemetry;
+
+BOOST_AUTO_TEST_CASE(aTraceIsCarriedOn)
+{
+    const std::string header = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    const auto it = TraceContext::parse(header);
+    BOOST_REQUIRE(bool(it));
+    BOOST_TEST(it->isSampled);
+    BOOST_TEST(it->header() == header);
+    const TraceContext next = it->child();
+    BOOST_TEST(next.traceId == it->traceId);
+    BOOST_TEST(next.spanId != it->spanId);
+}
+
+BOOST_AUTO_TEST_CASE(badHeadersAreIgnored)
+{
+    for (const char* it : { "", "00-1-2-01", "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+             "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+             "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" })
+        BOOST_TEST(!TraceContext::parse(it));
+}
+
+BOOST_AUTO_TEST_CASE(metricsAreRenderedForPrometheus)
+{
+    const auto metrics = Metrics::create();
+    metrics->add(Metric::Requests, { { "service", "labdesk" }, { "outcome", "answered" } });
+    metrics->add(Metric::Requests, { { "service", "labdesk" }, { "outcome", "answered" } });
+    metrics->set(Metric::StoreUp, {}, 1);
+    const std::string text = metrics->text();
+    BOOST_TEST(text.find("sardinerun_requests_total{outcome=\"answered\",service=\"labdesk\"} 2") != std::string::npos);
+    BOOST_TEST(text.find("sardinerun_store_up 1") != std::string::npos);
+}
