--- /dev/null
+++ b/src/app/internal/node.cpp
@@ -0,0 +1,309 @@
+#include "app/node.h"
+
+#include "api/iapi.h"
+#include "core/hashing.h"
+#include "http/h2oclient.h"
+#include "http/h2oserver.h"
+#include "node/askdesk.h"
+#include "node/internal/celltask.h"
+#include "node/internal/partitionstask.h"
+#include "node/internal/peerstask.h"
+#include "platform/httpplatform.h"
+#include "runtime/eventloop.h"
+#include "telemetry/log.h"
+#include "telemetry/metrics.h"
+
+#include <fstream>
+#include <future>
+#include <sys/resource.h>
+#include <unistd.h>
+
+
+namespace sardinerun::app {
+
+namespace {
+
+constexpr std::size_t maxInnerBodyBytes = std::size_t(64) << 20;
+constexpr core::Duration balancerPause = std::chrono::seconds(1);
+constexpr core::Duration processReport = std::chrono::seconds(1);
+
+membership::Membership::Options membershipOptions(const settings::NodeSettings& settings)
+{
+    membership::Membership::Options options;
+    options.node = settings.node;
+    options.address = settings.inner;
+    options.failureDomain = settings.failureDomain;
+    options.partitionCount = settings.partitions;
+    options.times = settings.membership;
+    return options;
+}
+
+routing::RouterNews toRouterNews(const node::CellNews& news)
+{
+    routing::RouterNews it;
+    const std::vector<platform::VmInfo> none;
+    for (const platform::VmInfo& vm : news.vms ? *news.vms : none) {
+        if (vm.role == platform::VmRole::Runner)
+            it.runners.push_back(vm);
+    }
+    it.shares = news.standing.slots;
+    it.releasing = news.releasing;
+    it.sharesUntil = news.standing.slotsUntil;
+    it.partitionCount = news.view ? news.view->partitionCount : 0;
+    it.acting = news.acting;
+    it.actingUntil = news.standing.actsUnder.value() > 0 ? news.standing.certainUntil : core::TimePoint();
+    it.between = news.between;
+    return it;
+}
+
+void reportProcess(telemetry::Metrics& metrics)
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    const double cpu = double(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
+        + double(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+    metrics.set(telemetry::Metric::ProcessCpuSeconds, {}, cpu);
+    std::ifstream statm("/proc/self/statm");
+    std::int64_t pages = 0;
+    std::int64_t resident = 0;
+    statm >> pages >> resident;
+    metrics.set(telemetry::Metric::ProcessMemoryBytes, {}, double(resident) * double(sysconf(_SC_PAGESIZE)));
+}
+
+} // namespace
+
+struct Node::Parts {
+    settings::NodeSettings settings;
+    telemetry::MetricsPtr metrics = telemetry::Metrics::create();
+    runtime::EventLoopPtr front; //!< serves callers
+    runtime::EventLoopPtr control; //!< decides
+    std::shared_ptr<node::CellTask> cell;
+    std::shared_ptr<node::PartitionsTask> partitions;
+    std::shared_ptr<node::PeersTask> peers;
+    node::AskDeskPtr desk;
+    routing::IRouterPtr router;
+    api::IApiPtr api;
+    http::IHttpServerPtr callersServer;
+    http::IHttpServerPtr innerServer;
+    node::CellNewsPtr lastNews; //!< on the control loop only
+    //! Written and read on the front loop only.
+    std::uint32_t partitionCount = 0;
+    core::ConfigVersion confirming;
+    std::promise<void> routerIdle;
+    std::promise<void> left;
+    bool isRouterIdleTold = false;
+    bool isLeftTold = false;
+
+    core::Ret<StartError> makeLoops();
+    void makeControl();
+    void makeFront();
+    core::Ret<StartError> listen();
+    void onNews(const node::CellNewsPtr& news);
+    void takeNewsInFront(const node::CellNewsPtr& news);
+    void reportForever();
+    void handleInner(const http::Request& request, http::Responder responder);
+};
+
+core::Ret<StartError> Node::Parts::makeLoops()
+{
+    auto frontLoop = runtime::EventLoop::create("front", runtime::systemClock());
+    auto controlLoop = runtime::EventLoop::create("control", runtime::systemClock());
+    if (!frontLoop || !controlLoop)
+        return core::Failure { StartError { "no event loop can be made" } };
+    front = frontLoop.value();
+    control = controlLoop.value();
+    return {};
+}
+
+void Node::Parts::makeControl()
+{
+    const http::IHttpClientPtr client = http::createClient(control);
+    const auto store = platform::createTableStore(client, settings.platform, settings.timeouts);
+    const auto vms = platform::createVmList(client, settings.platform, settings.timeouts);
+    const auto workers = platform::createWorkerPort(client, settings.timeouts);
+
+    node::PeersHooks peersHooks;
+    peersHooks.toPartition = [this](core::PartitionId id, protocol::Message message) {
+        partitions->address().send(node::ForPartition { id, std::move(message) });
+    };
+    peersHooks.toAsker = [this](protocol::Message message) { desk->address().send(std::move(message)); };
+    peersHooks.toHints = [this](const protocol::RoomHint& hint) { partitions->address().send(hint); };
+    peersHooks.lookNow = [this] { cell->address().send(node::LookNow {}); };
+    peers = std::make_shared<node::PeersTask>(control, client, settings.innerSecret, metrics, std::move(peersHooks));
+
+    node::PartitionsHooks partitionsHooks;
+    partitionsHooks.send = [this](protocol::Envelope it) { peers->address().send(node::Outgoing { std::move(it) }); };
+    partitionsHooks.stoppedActing = [this](node::ActingTask task, core::ConfigVersion under) {
+        cell->address().send(node::StoppedActing { task, under });
+    };
+    partitionsHooks.atRest = [this](core::PartitionId id, bool isRecovered) {
+        cell->address().send(node::PartitionAtRest { id, isRecovered });
+    };
+    partitions = std::make_shared<node::PartitionsTask>(
+        control, store, workers, settings.partition, metrics, std::move(partitionsHooks));
+
+    node::CellHooks cellHooks;
+    cellHooks.news = [this](const node::CellNewsPtr& news) { onNews(news); };
+    cellHooks.pokePeers = [this] {
+        for (const membership::Member& it : lastNews->view->members)
+            peers->address().send(node::Outgoing { { it.run.node, protocol::LookNow {} } });
+    };
+    cellHooks.left = [this] {
+        if (!std::exchange(isLeftTold, true))
+            left.set_value();
+    };
+    cell = std::make_shared<node::CellTask>(control, membership::Membership::create(membershipOptions(settings)), store,
+        vms, node::createPortProbe(control), metrics, std::move(cellHooks));
+}
+
+void Node::Parts::onNews(const node::CellNewsPtr& news)
+{
+    lastNews = news;
+    peers->address().send(news);
+    partitions->address().send(news);
+    front->post([this, news] { takeNewsInFront(news); });
+}
+
+void Node::Parts::takeNewsInFront(const node::CellNewsPtr& news)
+{
+    partitionCount = news->view ? news->view->partitionCount : 0;
+    confirming = news->standing.confirming;
+    api->newsAddress().send(news);
+    router->routerAddress().send(toRouterNews(*news));
+}
+
+void Node::Parts::makeFront()
+{
+    desk = node::AskDesk::create(front, settings.node, metrics,
+        [this](protocol::Envelope it) { peers->address().send(node::Outgoing { std::move(it) }); });
+    routing::RouterHooks hooks;
+    hooks.newsTaken = [this] {
+        if (confirming.value() > 0)
+            cell->address().send(node::StoppedActing { node::ActingTask::Router, confirming });
+    };
+    hooks.shareIdle = [this](core::PartitionId id) { cell->address().send(node::SlotsIdle { id }); };
+    hooks.idle = [this] {
+        if (!std::exchange(isRouterIdleTold, true))
+            routerIdle.set_value();
+    };
+    router = routing::createRouter(front, http::createClient(front), node::createOncePort(desk, [this] { return partitionCount; }),
+        metrics, std::move(hooks), settings.maxResponseBytes);
+    api::ApiPorts ports;
+    ports.desk = desk;
+    ports.router = router->routerAddress();
+    ports.metrics = metrics;
+    ports.toCell = [this](node::CellMessage message) { cell->address().send(std::move(message)); };
+    ports.readPartitions = [this](runtime::Reply<std::vector<partition::PartitionView>> reply) {
+        partitions->address().send(node::ReadPartitions { std::move(reply) });
+    };
+    api = api::createApi(front, std::move(ports), { settings.mayAdministerFromLoopback });
+}
+
+void Node::Parts::handleInner(const http::Request& request, http::Responder responder)
+{
+    if (request.path != "/inner/messages" || request.method != "POST") {
+        responder.send({ 404, {}, "" });
+        return;
+    }
+    node::BatchRead read = node::readBatch(request, settings.innerSecret);
+    if (read.incoming) {
+        metrics->add(telemetry::Metric::InnerMessages, { { "direction", "in" } }, double(read.incoming->envelopes.size()));
+        metrics->add(telemetry::Metric::InnerBytes, { { "direction", "in" } }, double(request.body.size()));
+        peers->address().send(std::move(*read.incoming));
+    }
+    responder.send({ read.status, {}, "" });
+}
+
+core::Ret<StartError> Node::Parts::listen()
+{
+    http::ServerOptions callers;
+    callers.listen = settings.callers.address;
+    callers.tls = settings.callers.tls;
+    callers.maxBodyBytes = settings.maxBodyBytes;
+    auto server = http::createServer(front, callers,
+        [this](http::Request request, http::Responder responder) { api->handle(std::move(request), std::move(responder)); });
+    if (!server)
+        return core::Failure { StartError { "callers: " + server.error().detail } };
+    callersServer = server.value();
+
+    http::ServerOptions inner;
+    inner.listen = settings.inner;
+    inner.maxBodyBytes = maxInnerBodyBytes;
+    auto innerResult = http::createServer(control, inner,
+        [this](http::Request request, http::Responder responder) { handleInner(request, std::move(responder)); });
+    if (!innerResult)
+        return core::Failure { StartError { "inner: " + innerResult.error().detail } };
+    innerServer = innerResult.value();
+    return {};
+}
+
+void Node::Parts::reportForever()
+{
+    reportProcess(*metrics);
+    control->callAfter(processReport, [this] { reportForever(); });
+}
+
+core::RetVal<NodePtr, StartError> Node::start(const settings::NodeSettings& settings)
+{
+    NodePtr node(new Node(std::make_unique<Parts>()));
+    Parts& parts = *node->m_parts;
+    parts.settings = settings;
+    if (auto ret = parts.makeLoops(); !ret)
+        return core::Failure { ret.error() };
+    parts.makeControl();
+    parts.makeFront();
+    if (auto ret = parts.listen(); !ret)
+        return core::Failure { ret.error() };
+    parts.control->post([&parts] {
+        parts.partitions->start();
+        parts.peers->start();
+        parts.cell->start();
+        parts.reportForever();
+    });
+    parts.front->start();
+    parts.control->start();
+    telemetry::LogLine(telemetry::Severity::Info, "started")
+        .with("node", settings.node.value())
+        .with("callers", settings.callers.address.text())
+        .with("inner", settings.inner.text());
+    return node;
+}
+
+Node::Node(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts))
+{
+}
+
+Node::~Node()
+{
+    if (m_parts->front)
+        m_parts->front->stop();
+    if (m_parts->control)
+        m_parts->control->stop();
+}
+
+std::uint16_t Node::callersPort() const
+{
+    return m_parts->callersServer->port();
+}
+
+void Node::stop()
+{
+    Parts& parts = *m_parts;
+    telemetry::LogLine(telemetry::Severity::Info, "stopping").with("node", parts.settings.node.value());
+    const auto until = std::chrono::steady_clock::now() + parts.settings.stopWithin;
+    parts.front->post([&parts] { parts.api->setStopping(); });
+    // The balancer is given a moment to see that the node is not ready; what comes in that time is still served.
+    parts.front->post([&parts] {
+        parts.front->callAfter(balancerPause, [&parts] {
+            parts.callersServer->drain();
+            parts.router->routerAddress().send(routing::StopTaking {});
+        });
+    });
+    parts.routerIdle.get_future().wait_until(until);
+    parts.cell->address().send(node::Leave {});
+    parts.left.get_future().wait_until(until);
+    telemetry::LogLine(telemetry::Severity::Info, "stopped").with("node", parts.settings.node.value());
+}
+
+} // namespace sardinerun::app
--- /dev/null
+++ b/src/node/internal/celltask.cpp
@@ -0,0 +1,314 @@
+#include "node/internal/celltask.h"
+
+#include "codec/json.h"
+#include "codec/yaml.h"
+#include "core/hashing.h"
+#include "membership/cellcodec.h"
+#include "telemetry/log.h"
+
+namespace sardinerun::node {
+
+namespace {
+
+constexpr core::Duration pollPeriod = std::chrono::milliseconds(50);
+constexpr core::Duration vmListPeriod = std::chrono::seconds(1);
+constexpr core::Duration probePeriod = std::chrono::seconds(1);
+constexpr core::Duration resolvePause = std::chrono::milliseconds(500);
+constexpr int resolveTries = 6;
+
+} // namespace
+
+CellTask::CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
+    platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks)
+    : Task(std::move(loop))
+    , m_membership(std::move(membership))
+    , m_store(std::move(store))
+    , m_vmList(std::move(vms))
+    , m_probe(std::move(probe))
+    , m_metrics(std::move(metrics))
+    , m_hooks(std::move(hooks))
+{
+    m_between.name = core::PresetName(configuration::noPreset);
+    m_between.mayBorrow = false;
+}
+
+void CellTask::start()
+{
+    every(pollPeriod, [this] { poll(); });
+    every(vmListPeriod, [this] { readVms(); });
+    every(probePeriod, [this] { probeWanted(); });
+    readVms();
+    drive();
+}
+
+void CellTask::receive(CellMessage message)
+{
+    std::visit([this](auto& it) { on(it); }, message);
+}
+
+void CellTask::poll()
+{
+    drive();
+    tell();
+}
+
+void CellTask::drive()
+{
+    auto request = m_membership->next(now());
+    if (!request) {
+        if (m_membership->hasLeft() && !std::exchange(m_hasLeft, true))
+            m_hooks.left();
+        return;
+    }
+    auto self = weak_from_this();
+    if (request->isLook) {
+        m_store->list(membership::cellPrefix, [this, self](const platform::RowsResult& result) {
+            auto keep = self.lock();
+            if (!keep)
+                return;
+            m_membership->onLooked(result, now());
+            refreshConfiguration();
+            tell();
+            drive();
+        });
+        return;
+    }
+    m_store->commit(std::move(*request->commit), [this, self](const platform::CommitResult& result) {
+        auto keep = self.lock();
+        if (!keep)
+            return;
+        m_membership->onCommitted(result, now());
+        tell();
+        drive();
+    });
+}
+
+void CellTask::refreshConfiguration()
+{
+    const membership::CellView& view = m_membership->view();
+    const bool isInForce = view.active.version == view.config.version;
+    if (!isInForce || view.config.version == m_readVersion || view.config.version.value() == 0)
+        return;
+    try {
+        auto read = configuration::readConfiguration(view.config.document, "configuration");
+        m_acting = read.presets.at(view.config.preset);
+        m_between = configuration::betweenPresets(read);
+        m_configuration = std::make_shared<const configuration::Configuration>(std::move(read));
+        m_readVersion = view.config.version;
+        telemetry::LogLine(telemetry::Severity::Info, "configurationInForce")
+            .with("version", std::int64_t(m_readVersion.value()))
+            .with("preset", view.config.preset.value());
+    } catch (const std::exception& it) {
+        // Every change is checked before it is accepted; this is a document of a later release.
+        telemetry::LogLine(telemetry::Severity::Error, "configurationUnreadable").with("detail", it.what());
+    }
+}
+
+void CellTask::tell()
+{
+    auto news = std::make_shared<CellNews>();
+    news->standing = m_membership->standing(now());
+    if (news->standing.actsUnder != m_readVersion)
+        news->standing.actsUnder = core::ConfigVersion();
+    news->view = std::make_shared<const membership::CellView>(m_membership->view());
+    news->configuration = m_configuration;
+    news->acting = m_acting;
+    news->between = m_between;
+    news->vms = m_vms;
+    news->handingOver = m_membership->handingOver();
+    news->releasing = m_membership->releasing();
+    news->isStoreUp = !m_membership->isStoreDown();
+    for (const auto& [id, row] : news->standing.owned) {
+        if (m_membership->areFormersGone(id))
+            news->formersGone.insert(id);
+    }
+    m_metrics->set(telemetry::Metric::StoreUp, {}, news->isStoreUp ? 1 : 0);
+    m_metrics->set(telemetry::Metric::PartitionsOwned, {}, double(news->standing.owned.size()));
+    m_metrics->set(telemetry::Metric::SlotShares, {}, double(news->standing.slots.size()));
+    m_metrics->set(telemetry::Metric::ConfigVersion, { { "state", "in_force" } }, double(news->standing.actsUnder.value()));
+    m_metrics->set(telemetry::Metric::ConfigVersion, { { "state", "accepted" } }, double(news->view->config.version.value()));
+    m_hooks.news(news);
+}
+
+void CellTask::readVms()
+{
+    if (std::exchange(m_isReadingVms, true))
+        return;
+    auto self = weak_from_this();
+    m_vmList->list([this, self](const platform::VmsResult& result) {
+        auto keep = self.lock();
+        if (!keep)
+            return;
+        m_isReadingVms = false;
+        if (!result)
+            return; // the last list stays: what it says of workers is checked with each of them
+        m_vms = std::make_shared<const std::vector<platform::VmInfo>>(result.value());
+        tell();
+    });
+}
+
+void CellTask::probeWanted()
+{
+    auto self = weak_from_this();
+    for (const membership::NodeRun& run : m_membership->wanted()) {
+        const auto address = m_membership->lastAddressOf(run);
+        if (!address || !m_probing.insert(run).second)
+            continue;
+        m_probe->probe(*address, [this, self, run](IPortProbe::Result result) {
+            auto keep = self.lock();
+            if (!keep)
+                return;
+            m_probing.erase(run);
+            if (result == IPortProbe::Result::Refused)
+                m_membership->onProvedGone(run, now());
+        });
+    }
+}
+
+void CellTask::on(StoppedActing& message)
+{
+    m_stopped[message.task] = std::max(m_stopped[message.task], message.under);
+    if (m_stopped.size() < 2)
+        return;
+    core::ConfigVersion all = message.under;
+    for (const auto& [task, under] : m_stopped)
+        all = std::min(all, under);
+    m_membership->onStoppedActing(all);
+    drive();
+}
+
+void CellTask::on(PartitionAtRest& message)
+{
+    m_membership->onAtRest(message.id, message.isRecovered);
+    drive();
+}
+
+void CellTask::on(SlotsIdle& message)
+{
+    m_membership->onSlotsIdle(message.id);
+    drive();
+}
+
+void CellTask::on(ForgetNode& message)
+{
+    for (const membership::NodeRun& it : m_membership->wanted()) {
+        if (it.node == message.node)
+            m_membership->onProvedGone(it, now());
+    }
+}
+
+void CellTask::on(LookNow&)
+{
+    m_membership->lookSoon();
+    drive();
+}
+
+void CellTask::on(Leave&)
+{
+    m_membership->leave();
+    drive();
+}
+
+// --- Operators' changes
+
+std::string CellTask::checkDocument(const std::string& document, const core::PresetName& preset) const
+{
+    try {
+        const auto read = configuration::readConfiguration(document, "configuration");
+        return read.presets.contains(preset) ? "" : "there is no preset " + preset.value();
+    } catch (const codec::YamlError& it) {
+        return it.what();
+    }
+}
+
+void CellTask::on(Configure& message)
+{
+    auto self = weak_from_this();
+    m_store->list(membership::cellPrefix, [this, self, message](const platform::RowsResult& result) {
+        auto keep = self.lock();
+        if (!keep)
+            return;
+        auto reply = message.reply;
+        if (!result) {
+            reply.send({ ConfigureOutcome::StoreDown, {}, result.error().detail });
+            return;
+        }
+        try {
+            applyConfigure(message, membership::decodeCell(result.value()));
+        } catch (const codec::DecodeError& it) {
+            reply.send({ ConfigureOutcome::StoreDown, {}, it.what() });
+        }
+    });
+}
+
+void CellTask::applyConfigure(const Configure& message, const membership::CellView& view)
+{
+    auto reply = message.reply;
+    if (message.expected && *message.expected != view.config.version) {
+        reply.send({ ConfigureOutcome::Conflict, view.config.version, "another version was accepted before" });
+        return;
+    }
+    membership::ConfigRow row = view.config;
+    row.version = core::ConfigVersion(view.config.version.value() + 1);
+    row.preset = message.preset.value_or(view.config.preset);
+    row.document = message.document.value_or(view.config.document);
+    if (const std::string problem = checkDocument(row.document, row.preset); !problem.empty()) {
+        reply.send({ ConfigureOutcome::Invalid, view.config.version, problem });
+        return;
+    }
+    platform::Transaction transaction;
+    transaction.id = core::WriteId(core::randomId());
+    transaction.writes.push_back({ membership::configKey, view.config.row, membership::encodeConfig(row) });
+    auto self = weak_from_this();
+    m_store->commit(transaction, [this, self, message, id = transaction.id, version = row.version](const platform::CommitResult& result) {
+        auto keep = self.lock();
+        if (!keep)
+            return;
+        auto reply = message.reply;
+        using Code = platform::StoreError::Code;
+        if (result) {
+            reply.send({ ConfigureOutcome::Accepted, version, "" });
+            m_membership->lookSoon();
+            m_hooks.pokePeers();
+            drive();
+        } else if (result.error().code == Code::Unavailable) {
+            reply.send({ ConfigureOutcome::StoreDown, {}, result.error().detail });
+        } else {
+            resolveConfigure(message, id, version, resolveTries);
+        }
+    });
+}
+
+//! The answer was lost, or another change came first: the row tells by the id of its write.
+void CellTask::resolveConfigure(const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft)
+{
+    auto self = weak_from_this();
+    m_store->list(membership::configKey, [=, this](const platform::RowsResult& result) {
+        auto keep = self.lock();
+        if (!keep)
+            return;
+        auto reply = message.reply;
+        if (!result) {
+            if (triesLeft == 0) {
+                reply.send({ ConfigureOutcome::Unknown, version, "the store does not answer" });
+                return;
+            }
+            loop()->callAfter(resolvePause, [=, this] {
+                if (auto stillHere = self.lock())
+                    resolveConfigure(message, id, version, triesLeft - 1);
+            });
+            return;
+        }
+        const membership::CellView view = membership::decodeCell(result.value());
+        if (view.config.writeId == id)
+            reply.send({ ConfigureOutcome::Accepted, version, "" });
+        else if (view.config.version == version)
+            reply.send({ ConfigureOutcome::Conflict, view.config.version, "another version was accepted before" });
+        else // not yet written, or accepted and followed by another one
+            reply.send({ ConfigureOutcome::Unknown, view.config.version, "it cannot be told from the row any more" });
+        m_membership->lookSoon();
+        drive();
+    });
+}
+
+} // namespace sardinerun::node
--- /dev/null
+++ b/src/node/internal/celltask.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "node/internal/portprobe.h"
+#include "node/nodetypes.h"
+#include "platform/itablestore.h"
+#include "platform/ivmlist.h"
+#include "telemetry/metrics.h"
+
+namespace sardinerun::node {
+
+//! Told when the cell task has something to say.
+struct CellHooks {
+    std::function<void(CellNewsPtr)> news = [](const CellNewsPtr&) {};
+    std::function<void()> pokePeers = [] {}; //!< other nodes should read the rows now
+    std::function<void()> left = [] {};
+};
+
+//! Runs the membership against the store, reads the VM list, and takes operators' changes.
+class CellTask : public runtime::Task<CellMessage> {
+public:
+    CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
+        platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks);
+    void start();
+    void receive(CellMessage message) override;
+
+private:
+    void on(Configure& message);
+    void on(StoppedActing& message);
+    void on(PartitionAtRest& message);
+    void on(SlotsIdle& message);
+    void on(ForgetNode& message);
+    void on(LookNow&);
+    void on(Leave&);
+
+    void poll();
+    void drive();
+    void readVms();
+    void probeWanted();
+    void tell();
+    void refreshConfiguration();
+    void applyConfigure(const Configure& message, const membership::CellView& view);
+    void resolveConfigure(const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft);
+    std::string checkDocument(const std::string& document, const core::PresetName& preset) const;
+
+    membership::MembershipPtr m_membership;
+    platform::ITableStorePtr m_store;
+    platform::IVmListPtr m_vmList;
+    IPortProbePtr m_probe;
+    telemetry::MetricsPtr m_metrics;
+    CellHooks m_hooks;
+    std::shared_ptr<const std::vector<platform::VmInfo>> m_vms;
+    std::shared_ptr<const configuration::Configuration> m_configuration;
+    configuration::Preset m_acting;
+    configuration::Preset m_between;
+    core::ConfigVersion m_readVersion; //!< of m_configuration
+    std::map<ActingTask, core::ConfigVersion> m_stopped;
+    std::set<membership::NodeRun> m_probing;
+    bool m_isReadingVms = false;
+    bool m_hasLeft = false;
+};
+
+} // namespace sardinerun::node
--- /dev/null
+++ b/src/node/internal/partitionstask.cpp
@@ -0,0 +1,375 @@
+#include "node/internal/partitionstask.h"
+
+#include "acceptance/grouplog.h"
+#include "membership/cellcodec.h"
+#include "codec/json.h"
+#include "telemetry/log.h"
+
+#include <array>
+
+namespace sardinerun::node {
+
+namespace {
+
+constexpr core::Duration tickPeriod = std::chrono::milliseconds(20);
+constexpr core::Duration hintPeriod = std::chrono::seconds(1);
+constexpr core::Duration reportPeriod = std::chrono::seconds(1);
+constexpr core::Duration loadRetry = std::chrono::milliseconds(250);
+constexpr core::Duration retryWhileMoving = std::chrono::seconds(1);
+
+} // namespace
+
+PartitionsTask::PartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store, platform::IWorkerPortPtr workers,
+    partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks)
+    : Task(std::move(loop))
+    , m_store(std::move(store))
+    , m_workers(std::move(workers))
+    , m_times(times)
+    , m_metrics(std::move(metrics))
+    , m_hooks(std::move(hooks))
+    , m_news(std::make_shared<CellNews>())
+{
+}
+
+void PartitionsTask::start()
+{
+    every(tickPeriod, [this] { tick(); });
+    every(hintPeriod, [this] { shareHints(); });
+    every(reportPeriod, [this] { report(); });
+}
+
+void PartitionsTask::receive(PartitionsMessage message)
+{
+    std::visit([this](auto& it) { on(it); }, message);
+}
+
+PartitionsTask::Owned* PartitionsTask::find(core::PartitionId id, core::Epoch epoch)
+{
+    const auto it = m_owned.find(id);
+    return it != m_owned.end() && it->second.epoch == epoch ? &it->second : nullptr;
+}
+
+// --- News of the cell
+
+bool PartitionsTask::isActing() const
+{
+    return m_news->standing.actsUnder.value() > 0 && now() < m_news->standing.certainUntil;
+}
+
+partition::Policy PartitionsTask::policyOf(const configuration::Preset& preset) const
+{
+    partition::Policy policy;
+    policy.strategy = preset.placement;
+    policy.shares = preset.shares;
+    policy.usage = preset.usage;
+    policy.queues = preset.queues;
+    policy.mayBorrow = preset.mayBorrow;
+    if (m_news->configuration) {
+        for (const configuration::Team& it : m_news->configuration->teams)
+            policy.teamWeights[it.id] = it.weight;
+    }
+    return policy;
+}
+
+void PartitionsTask::applyPolicy()
+{
+    m_wasActing = isActing();
+    const partition::Policy policy = policyOf(m_wasActing ? m_news->acting : m_news->between);
+    for (auto& [id, it] : m_owned) {
+        it.machine->setPolicy(policy);
+        it.machine->setCertain(now() < m_news->standing.certainUntil);
+    }
+}
+
+void PartitionsTask::on(CellNewsPtr& news)
+{
+    m_news = news;
+    const auto& owned = m_news->standing.owned;
+    std::erase_if(m_owned, [&owned](const auto& it) {
+        const auto row = owned.find(it.first);
+        return row == owned.end() || row->second.epoch != it.second.epoch;
+    });
+    for (const auto& [id, row] : owned) {
+        if (!m_owned.contains(id))
+            takeOver(id, row);
+    }
+    applyPolicy();
+    const bool isNewList = m_news->vms && m_news->vms != m_vms;
+    for (auto& [id, it] : m_owned) {
+        followNews(id, it);
+        if (isNewList)
+            it.machine->setWorkers(*m_news->vms, moment());
+    }
+    m_vms = m_news->vms;
+    if (m_news->standing.confirming.value() > 0)
+        m_hooks.stoppedActing(ActingTask::Partitions, m_news->standing.confirming);
+    flushSoon();
+}
+
+void PartitionsTask::followNews(core::PartitionId id, Owned& owned)
+{
+    owned.machine->setOwners(m_news->view->epochs());
+    if (m_news->formersGone.contains(id))
+        owned.machine->setFormerOwnerGone(moment());
+    owned.isHandingOver = m_news->handingOver.contains(id);
+    owned.isFrozen = owned.isFrozen && owned.isHandingOver;
+}
+
+void PartitionsTask::takeOver(core::PartitionId id, const membership::PartitionRow& row)
+{
+    telemetry::LogLine(telemetry::Severity::Info, "partitionTaken")
+        .with("partition", id.value())
+        .with("epoch", std::int64_t(row.epoch.value()));
+    partition::Ownership ownership;
+    ownership.id = id;
+    ownership.epoch = row.epoch;
+    ownership.partitionCount = m_news->view->partitionCount;
+    ownership.fence = { membership::partitionKey(id), row.row };
+    ownership.owners = m_news->view->epochs();
+    ownership.isFormerOwnerGone = m_news->formersGone.contains(id);
+    Owned owned;
+    owned.epoch = row.epoch;
+    owned.machine = partition::Partition::create(ownership, m_times);
+    if (m_news->vms)
+        owned.machine->setWorkers(*m_news->vms, moment());
+    m_owned[id] = std::move(owned);
+    load(id, row.epoch);
+}
+
+void PartitionsTask::load(core::PartitionId id, core::Epoch epoch)
+{
+    auto self = weak_from_this();
+    m_store->list(acceptance::GroupLog::prefixOf(id), [this, self, id, epoch](const platform::RowsResult& result) {
+        auto keep = self.lock();
+        Owned* owned = keep ? find(id, epoch) : nullptr;
+        if (!owned)
+            return;
+        try {
+            if (result) {
+                owned->machine->recover(result.value(), moment());
+                owned->isLoaded = true;
+                flushSoon();
+                return;
+            }
+        } catch (const codec::DecodeError& it) {
+            telemetry::LogLine(telemetry::Severity::Error, "logUnreadable").with("partition", id.value()).with("detail", it.what());
+        }
+        loop()->callAfter(loadRetry, [this, self, id, epoch] {
+            if (auto stillHere = self.lock())
+                load(id, epoch);
+        });
+    });
+}
+
+// --- Messages
+
+void PartitionsTask::on(ForPartition& message)
+{
+    const auto it = m_owned.find(message.id);
+    if (it == m_owned.end() || !it->second.isLoaded || it->second.isHandingOver) {
+        refuseWhileMoving(message.id, message.message);
+        return;
+    }
+    it->second.machine->receive(message.message, moment());
+    flushSoon();
+}
+
+//! New work is refused while a partition moves. All else is sent again by its sender, to the new owner.
+void PartitionsTask::refuseWhileMoving(core::PartitionId, const protocol::Message& message)
+{
+    if (const auto* it = std::get_if<protocol::SubmitJob>(&message)) {
+        protocol::SubmitAnswer answer { it->asker.token, protocol::SubmitOutcome::Refused, it->spec.id,
+            { admission::RefusalReason::NotOwned, "the partition is moving to another node", retryWhileMoving } };
+        m_hooks.send({ it->asker.node, answer });
+    }
+    if (const auto* it = std::get_if<protocol::ClaimOnce>(&message))
+        m_hooks.send({ it->asker.node, protocol::ClaimAnswer { it->asker.token, once::ClaimResult::NotKept, {} } });
+}
+
+void PartitionsTask::on(protocol::RoomHint& hint)
+{
+    for (auto& [id, it] : m_owned) {
+        if (it.isLoaded)
+            it.machine->receive(hint, moment());
+    }
+}
+
+void PartitionsTask::on(ReadPartitions& message)
+{
+    std::vector<partition::PartitionView> views;
+    for (const auto& [id, it] : m_owned)
+        views.push_back(it.machine->view(moment()));
+    message.reply.send(std::move(views));
+}
+
+// --- Effects
+
+void PartitionsTask::flushSoon()
+{
+    if (std::exchange(m_isFlushPosted, true))
+        return;
+    auto self = weak_from_this();
+    loop()->post([this, self] {
+        if (auto keep = self.lock())
+            flushAll();
+    });
+}
+
+void PartitionsTask::flushAll()
+{
+    m_isFlushPosted = false;
+    for (auto& [id, it] : m_owned)
+        step(id, it);
+}
+
+void PartitionsTask::step(core::PartitionId id, Owned& owned)
+{
+    if (!owned.isLoaded || owned.isFrozen)
+        return;
+    for (partition::Effect& it : owned.machine->takeEffects(moment()))
+        carryOut(id, owned, it);
+    if (!owned.isHandingOver || !owned.machine->isAtRest())
+        return;
+    owned.isFrozen = true;
+    m_hooks.atRest(id, owned.machine->view(moment()).isRecovered);
+}
+
+void PartitionsTask::carryOut(core::PartitionId id, Owned& owned, partition::Effect& effect)
+{
+    if (auto* it = std::get_if<partition::SendMessage>(&effect))
+        m_hooks.send(std::move(it->envelope));
+    if (auto* it = std::get_if<partition::SyncWorker>(&effect))
+        perform(id, owned.epoch, *it);
+    if (auto* it = std::get_if<partition::CommitToStore>(&effect))
+        perform(id, owned.epoch, *it);
+    if (auto* it = std::get_if<partition::ReadStore>(&effect))
+        perform(id, owned.epoch, *it);
+    if (std::holds_alternative<partition::Deposed>(effect) && !owned.isFrozen) {
+        telemetry::LogLine(telemetry::Severity::Warning, "partitionLost").with("partition", id.value());
+        owned.isFrozen = true; // the rows will tell who has it
+    }
+}
+
+void PartitionsTask::perform(core::PartitionId id, core::Epoch epoch, partition::SyncWorker& effect)
+{
+    auto self = weak_from_this();
+    m_workers->sync(effect.address, std::move(effect.sync),
+        [this, self, id, epoch, worker = effect.worker](const platform::SyncResult& result) {
+            auto keep = self.lock();
+            if (Owned* owned = keep ? find(id, epoch) : nullptr) {
+                owned->machine->onWorker(worker, result, moment());
+                flushSoon();
+            }
+        });
+}
+
+void PartitionsTask::perform(core::PartitionId id, core::Epoch epoch, partition::CommitToStore& effect)
+{
+    auto self = weak_from_this();
+    m_store->commit(std::move(effect.transaction), [this, self, id, epoch](const platform::CommitResult& result) {
+        auto keep = self.lock();
+        if (Owned* owned = keep ? find(id, epoch) : nullptr) {
+            const core::RowVersion version = result ? result.value() : core::RowVersion();
+            owned->machine->onCommitted(result ? nullptr : &result.error(), version, moment());
+            flushSoon();
+        }
+    });
+}
+
+void PartitionsTask::perform(core::PartitionId id, core::Epoch epoch, partition::ReadStore& effect)
+{
+    auto self = weak_from_this();
+    m_store->list(std::move(effect.prefix), [this, self, id, epoch](const platform::RowsResult& result) {
+        auto keep = self.lock();
+        if (Owned* owned = keep ? find(id, epoch) : nullptr) {
+            owned->machine->onRead(result, moment());
+            flushSoon();
+        }
+    });
+}
+
+// --- Time
+
+void PartitionsTask::tick()
+{
+    if (m_wasActing != isActing())
+        applyPolicy();
+    const bool isCertain = now() < m_news->standing.certainUntil;
+    // Without the store for longer than the lease of the shares the workers are left alone as well.
+    const bool maySpeak = now() < m_news->standing.slotsUntil;
+    for (auto& [id, it] : m_owned) {
+        it.machine->setCertain(isCertain);
+        if (it.isLoaded && !it.isFrozen && maySpeak)
+            it.machine->tick(moment());
+        step(id, it);
+    }
+}
+
+void PartitionsTask::shareHints()
+{
+    for (auto& [id, it] : m_owned) {
+        if (!it.isLoaded || it.isFrozen)
+            continue;
+        protocol::RoomHint hint = it.machine->hint();
+        for (const membership::Member& member : m_news->view->members) {
+            if (member.run.node != m_news->standing.self.node)
+                m_hooks.send({ member.run.node, hint });
+        }
+        on(hint);
+    }
+}
+
+void PartitionsTask::report()
+{
+    using telemetry::Metric;
+    partition::Counters sum;
+    jobs::ByUrgency<std::size_t> queued {};
+    jobs::ByUrgency<core::Duration> oldest {};
+    std::size_t ready = 0;
+    std::size_t setAside = 0;
+    std::size_t all = 0;
+    core::Resources total;
+    core::Resources committed;
+    std::uint64_t groups = 0;
+    for (const auto& [id, it] : m_owned) {
+        const partition::PartitionView view = it.machine->view(moment());
+        sum = sum + view.counters;
+        for (const jobs::Urgency urgency : jobs::allUrgencies) {
+            const std::size_t n = jobs::indexOf(urgency);
+            queued[n] += view.queued[n];
+            oldest[n] = std::max(oldest[n], view.oldestWait[n]);
+        }
+        ready += view.readyWorkers;
+        setAside += view.setAsideWorkers;
+        all += view.workers;
+        total = total + view.total;
+        committed = committed + view.committed;
+        groups += view.logGroups;
+    }
+    const std::array<std::pair<Metric, double>, 10> counters { {
+        { Metric::JobsAccepted, double(sum.jobsAccepted) },
+        { Metric::JobsRefused, double(sum.jobsRefused) },
+        { Metric::JobsPlaced, double(sum.jobsPlaced) },
+        { Metric::JobWaitSeconds, sum.waitSecondsSum },
+        { Metric::TasksPlaced, double(sum.tasksPlaced) },
+        { Metric::TasksSucceeded, double(sum.tasksSucceeded) },
+        { Metric::TasksFailed, double(sum.tasksFailed) },
+        { Metric::TasksPreempted, double(sum.tasksPreempted) },
+        { Metric::AttemptsLost, double(sum.attemptsLost) },
+        { Metric::LogGroups, double(groups) },
+    } };
+    for (const auto& [metric, value] : counters)
+        m_metrics->set(metric, {}, value);
+    for (const jobs::Urgency urgency : jobs::allUrgencies) {
+        const telemetry::Labels labels { { "urgency", jobs::nameOf(urgency) } };
+        m_metrics->set(Metric::JobsWaiting, labels, double(queued[jobs::indexOf(urgency)]));
+        m_metrics->set(Metric::OldestWaitSeconds, labels, std::chrono::duration<double>(oldest[jobs::indexOf(urgency)]).count());
+    }
+    m_metrics->set(Metric::Workers, { { "state", "all" } }, double(all));
+    m_metrics->set(Metric::Workers, { { "state", "ready" } }, double(ready));
+    m_metrics->set(Metric::Workers, { { "state", "set_aside" } }, double(setAside));
+    m_metrics->set(Metric::CapacityMilliCpu, { { "state", "total" } }, double(total.cpu.value()));
+    m_metrics->set(Metric::CapacityMilliCpu, { { "state", "committed" } }, double(committed.cpu.value()));
+}
+
+} // namespace sardinerun::node
--- /dev/null
+++ b/src/node/internal/partitionstask.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "node/nodetypes.h"
+#include "partition/partition.h"
+#include "platform/itablestore.h"
+#include "platform/iworkerport.h"
+#include "telemetry/metrics.h"
+
+namespace sardinerun::node {
+
+struct PartitionsHooks {
+    std::function<void(protocol::Envelope)> send = [](const protocol::Envelope&) {};
+    std::function<void(ActingTask, core::ConfigVersion)> stoppedActing = [](ActingTask, core::ConfigVersion) {};
+    std::function<void(core::PartitionId, bool isRecovered)> atRest = [](core::PartitionId, bool) {};
+};
+
+//! Owns the machines of the partitions that this node owns, and carries out their effects.
+class PartitionsTask : public runtime::Task<PartitionsMessage> {
+public:
+    PartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store, platform::IWorkerPortPtr workers,
+        partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks);
+    void start();
+    void receive(PartitionsMessage message) override;
+
+private:
+    struct Owned {
+        core::Epoch epoch;
+        partition::PartitionPtr machine;
+        bool isLoaded = false;
+        bool isHandingOver = false;
+        bool isFrozen = false; //!< handed over as far as this node is concerned
+    };
+
+    void on(ForPartition& message);
+    void on(CellNewsPtr& news);
+    void on(ReadPartitions& message);
+    void on(protocol::RoomHint& hint);
+
+    partition::Moment moment() const { return { now(), loop()->wallNow() }; }
+    bool isActing() const;
+    void applyPolicy();
+    partition::Policy policyOf(const configuration::Preset& preset) const;
+    void takeOver(core::PartitionId id, const membership::PartitionRow& row);
+    void load(core::PartitionId id, core::Epoch epoch);
+    void followNews(core::PartitionId id, Owned& owned);
+    void refuseWhileMoving(core::PartitionId id, const protocol::Message& message);
+    void flushSoon();
+    void flushAll();
+    void step(core::PartitionId id, Owned& owned);
+    void carryOut(core::PartitionId id, Owned& owned, partition::Effect& effect);
+    void perform(core::PartitionId id, core::Epoch epoch, partition::SyncWorker& effect);
+    void perform(core::PartitionId id, core::Epoch epoch, partition::CommitToStore& effect);
+    void perform(core::PartitionId id, core::Epoch epoch, partition::ReadStore& effect);
+    Owned* find(core::PartitionId id, core::Epoch epoch);
+    void tick();
+    void shareHints();
+    void report();
+
+    platform::ITableStorePtr m_store;
+    platform::IWorkerPortPtr m_workers;
+    partition::Times m_times;
+    telemetry::MetricsPtr m_metrics;
+    PartitionsHooks m_hooks;
+    CellNewsPtr m_news;
+    std::map<core::PartitionId, Owned> m_owned;
+    std::shared_ptr<const std::vector<platform::VmInfo>> m_vms;
+    bool m_wasActing = false;
+    bool m_isFlushPosted = false;
+};
+
+} // namespace sardinerun::node
--- /dev/null
+++ b/src/node/internal/peerstask.cpp
@@ -0,0 +1,205 @@
+#include "node/internal/peerstask.h"
+
+#include "codec/json.h"
+#include "protocol/messagecodec.h"
+#include "protocol/rpccodec.h"
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <openssl/crypto.h>
+
+namespace sardinerun::node {
+
+namespace {
+
+constexpr std::size_t maxBatch = 500;
+constexpr std::size_t maxQueue = 50'000;
+constexpr std::size_t maxKnownRuns = 1000;
+constexpr core::Duration sendTimeout = std::chrono::seconds(2);
+constexpr core::Duration pauseAfterFailure = std::chrono::milliseconds(100);
+constexpr core::Duration pumpPeriod = std::chrono::milliseconds(50);
+
+bool isSecret(std::string_view given, const std::string& secret)
+{
+    const std::string expected = "Bearer " + secret;
+    return given.size() == expected.size() && CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+std::string headerOr(const http::Request& request, const char* name)
+{
+    return std::string(http::findHeader(request.headers, name).value_or(""));
+}
+
+} // namespace
+
+PeersTask::PeersTask(runtime::ILoopPtr loop, http::IHttpClientPtr client, std::string secret,
+    telemetry::MetricsPtr metrics, PeersHooks hooks)
+    : Task(std::move(loop))
+    , m_client(std::move(client))
+    , m_secret(std::move(secret))
+    , m_metrics(std::move(metrics))
+    , m_hooks(std::move(hooks))
+    , m_news(std::make_shared<CellNews>())
+{
+}
+
+void PeersTask::start()
+{
+    every(pumpPeriod, [this] {
+        for (auto& [node, link] : m_links)
+            pump(link);
+    });
+}
+
+void PeersTask::receive(PeersMessage message)
+{
+    std::visit([this](auto& it) { on(it); }, message);
+}
+
+void PeersTask::on(CellNewsPtr& news)
+{
+    m_news = news;
+    if (!m_news->view)
+        return;
+    if (m_received.size() > maxKnownRuns)
+        std::erase_if(m_received, [this](const auto& it) { return !m_news->view->find(it.first); });
+    std::erase_if(m_links, [this](const auto& it) { return !m_news->view->find(it.second.to); });
+    for (const membership::Member& it : m_news->view->members) {
+        Link& link = m_links[it.run.node];
+        if (link.to != it.run)
+            link = Link { it.run, it.address };
+    }
+}
+
+void PeersTask::on(Outgoing& message)
+{
+    protocol::Envelope& envelope = message.envelope;
+    if (!m_news->view)
+        return;
+    if (const auto* node = std::get_if<core::NodeId>(&envelope.to)) {
+        if (*node == m_news->standing.self.node)
+            deliverToNode(envelope.message);
+        else if (const membership::Member* member = m_news->view->find(*node))
+            sendTo(member->run, std::move(envelope));
+        return;
+    }
+    const auto row = m_news->view->partitions.find(std::get<core::PartitionId>(envelope.to));
+    if (row == m_news->view->partitions.end() || row->second.owner.isNobody())
+        return;
+    if (row->second.owner == m_news->standing.self)
+        m_hooks.toPartition(row->first, std::move(envelope.message));
+    else
+        sendTo(row->second.owner, std::move(envelope));
+}
+
+void PeersTask::on(Incoming& message)
+{
+    std::uint64_t& newest = m_received[message.from];
+    std::uint64_t sequence = message.firstSequence;
+    for (protocol::Envelope& it : message.envelopes) {
+        // Messages that came before, with an answer that was lost, are passed over.
+        if (sequence > newest) {
+            newest = sequence;
+            deliver(it);
+        }
+        ++sequence;
+    }
+}
+
+void PeersTask::deliver(protocol::Envelope& envelope)
+{
+    if (const auto* partition = std::get_if<core::PartitionId>(&envelope.to))
+        m_hooks.toPartition(*partition, std::move(envelope.message));
+    else if (std::get<core::NodeId>(envelope.to) == m_news->standing.self.node)
+        deliverToNode(envelope.message);
+}
+
+void PeersTask::deliverToNode(protocol::Message& message)
+{
+    if (auto* hint = std::get_if<protocol::RoomHint>(&message))
+        m_hooks.toHints(*hint);
+    else if (std::holds_alternative<protocol::LookNow>(message))
+        m_hooks.lookNow();
+    else
+        m_hooks.toAsker(std::move(message));
+}
+
+void PeersTask::sendTo(const membership::NodeRun& run, protocol::Envelope envelope)
+{
+    const auto it = m_links.find(run.node);
+    if (it == m_links.end() || it->second.to != run || it->second.queue.size() >= maxQueue)
+        return;
+    it->second.queue.push_back(std::move(envelope));
+    pump(it->second);
+}
+
+void PeersTask::pump(Link& link)
+{
+    if (link.inFlight > 0 || link.queue.empty() || now() < link.notBefore)
+        return;
+    link.inFlight = std::min(link.queue.size(), maxBatch);
+    std::vector<protocol::RpcCall> calls;
+    for (std::size_t n = 0; n < link.inFlight; ++n)
+        calls.push_back({ protocol::methodOf(link.queue[n].message), protocol::encodeParams(link.queue[n]) });
+    http::ClientRequest request;
+    request.to = link.address;
+    request.method = "POST";
+    request.target = "/inner/messages";
+    request.headers = { { "authorization", "Bearer " + m_secret }, { fromNodeHeader, m_news->standing.self.node.value() },
+        { fromIncarnationHeader, m_news->standing.self.incarnation.value() },
+        { sequenceHeader, std::to_string(link.firstSequence) } };
+    request.body = protocol::encodeBatch(calls);
+    request.timeout = sendTimeout;
+    m_metrics->add(telemetry::Metric::InnerMessages, { { "direction", "out" } }, double(link.inFlight));
+    m_metrics->add(telemetry::Metric::InnerBytes, { { "direction", "out" } }, double(request.body.size()));
+    auto self = weak_from_this();
+    m_client->send(std::move(request), [this, self, to = link.to](const http::ClientResult& result) {
+        // A batch that cannot be read there is given up: sending it again would hold up all that follows.
+        const bool isDone = result && (result.value().status == 200 || result.value().status == 400);
+        if (auto keep = self.lock())
+            onBatchDone(to.node, to, isDone);
+    });
+}
+
+void PeersTask::onBatchDone(const core::NodeId& node, const membership::NodeRun& to, bool isTaken)
+{
+    const auto it = m_links.find(node);
+    if (it == m_links.end() || it->second.to != to)
+        return;
+    Link& link = it->second;
+    if (isTaken) {
+        link.queue.erase(link.queue.begin(), link.queue.begin() + static_cast<std::ptrdiff_t>(link.inFlight));
+        link.firstSequence += link.inFlight;
+    } else {
+        link.notBefore = now() + pauseAfterFailure;
+    }
+    link.inFlight = 0;
+    pump(link);
+}
+
+BatchRead readBatch(const http::Request& request, const std::string& secret)
+{
+    if (!isSecret(headerOr(request, "authorization"), secret))
+        return { 401, std::nullopt };
+    Incoming incoming;
+    incoming.from = { core::NodeId(headerOr(request, fromNodeHeader)), core::Incarnation(headerOr(request, fromIncarnationHeader)) };
+    const std::string sequence = headerOr(request, sequenceHeader);
+    const bool isNumber = !sequence.empty() && sequence.size() < 19
+        && sequence.find_first_not_of("0123456789") == std::string::npos;
+    if (!isNumber || incoming.from.isNobody())
+        return { 400, std::nullopt };
+    incoming.firstSequence = std::stoull(sequence);
+    try {
+        for (const protocol::RpcCall& it : protocol::decodeBatch(request.body, protocol::allMethods()))
+            incoming.envelopes.push_back(protocol::decodeParams(it.method, it.params));
+    } catch (const protocol::RpcError& it) {
+        telemetry::LogLine(telemetry::Severity::Error, "innerMessageRefused").with("detail", it.what());
+        return { 400, std::nullopt };
+    } catch (const codec::DecodeError& it) {
+        telemetry::LogLine(telemetry::Severity::Error, "innerMessageRefused").with("detail", it.what());
+        return { 400, std::nullopt };
+    }
+    return { 200, std::move(incoming) };
+}
+
+} // namespace sardinerun::node
--- /dev/null
+++ b/src/node/internal/peerstask.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http/ihttpclient.h"
+#include "node/nodetypes.h"
+#include "telemetry/metrics.h"
+
+#include <deque>
+
+namespace sardinerun::node {
+
+struct PeersHooks {
+    std::function<void(core::PartitionId, protocol::Message)> toPartition = [](core::PartitionId, const protocol::Message&) {};
+    std::function<void(protocol::Message)> toAsker = [](const protocol::Message&) {}; //!< answers for this node
+    std::function<void(protocol::RoomHint)> toHints = [](const protocol::RoomHint&) {};
+    std::function<void()> lookNow = [] {};
+};
+
+//! Knows where each message goes. Owns the links to other nodes.
+//!
+//! A link sends one batch at a time and sends it again until it is taken, so messages arrive in order and at most
+//! once while both ends live. What waits for a run that is gone is dropped; its sender asks again.
+class PeersTask : public runtime::Task<PeersMessage> {
+public:
+    PeersTask(runtime::ILoopPtr loop, http::IHttpClientPtr client, std::string secret, telemetry::MetricsPtr metrics,
+        PeersHooks hooks);
+    void start();
+    void receive(PeersMessage message) override;
+
+private:
+    struct Link {
+        membership::NodeRun to;
+        core::HostPort address;
+        std::deque<protocol::Envelope> queue;
+        std::uint64_t firstSequence = 1; //!< of the queue's front
+        std::size_t inFlight = 0; //!< messages of the batch that has no answer yet
+        core::TimePoint notBefore {};
+    };
+
+    void on(Outgoing& message);
+    void on(Incoming& message);
+    void on(CellNewsPtr& news);
+    void deliver(protocol::Envelope& envelope);
+    void deliverToNode(protocol::Message& message);
+    void sendTo(const membership::NodeRun& run, protocol::Envelope envelope);
+    void pump(Link& link);
+    void onBatchDone(const core::NodeId& node, const membership::NodeRun& to, bool isTaken);
+
+    http::IHttpClientPtr m_client;
+    std::string m_secret;
+    telemetry::MetricsPtr m_metrics;
+    PeersHooks m_hooks;
+    CellNewsPtr m_news;
+    std::map<core::NodeId, Link> m_links;
+    std::map<membership::NodeRun, std::uint64_t> m_received; //!< newest sequence taken from each run
+};
+
+//! Headers of a batch.
+inline constexpr const char* fromNodeHeader = "x-sardinerun-node";
+inline constexpr const char* fromIncarnationHeader = "x-sardinerun-incarnation";
+inline constexpr const char* sequenceHeader = "x-sardinerun-sequence";
+
+//! Reads a batch as it came over HTTP. Nothing when it is not one, or when its secret is wrong.
+struct BatchRead {
+    int status = 200;
+    std::optional<Incoming> incoming;
+};
+BatchRead readBatch(const http::Request& request, const std::string& secret);
+
+} // namespace sardinerun::node
--- a/src/once/internal/oncebook.cpp
+++ b/src/once/internal/oncebook.cpp
@@ -2,14 +2,13 @@
 
 namespace sardinerun::once {
 
-OnceBook::Claim OnceBook::claim(
-    const OnceKey& key, std::uint64_t fingerprint, core::TimePoint now, core::WallTime wallNow)
+OnceBook::Claim OnceBook::claim(const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now,
+    core::WallTime wallNow)
 {
+    const OnceSnapshot fresh { key, fingerprint, id, wallNow, OnceState::Open, {} };
     const auto it = m_entries.find(key);
-    if (it == m_entries.end()) {
-        open(key, fingerprint, now, wallNow);
-        return { ClaimResult::Granted, {}, true };
-    }
+    if (it == m_entries.end())
+        return open(fresh, now);
     const OnceSnapshot& known = it->second.snapshot;
     if (known.fingerprint != fingerprint)
         return { ClaimResult::Mismatch, {}, false };
@@ -17,17 +16,26 @@
         return { ClaimResult::Replayed, known.answer, false };
     if (known.state == OnceState::Abandoned) {
         erase(key);
-        open(key, fingerprint, now, wallNow);
-        return { ClaimResult::Granted, {}, true };
+        return open(fresh, now);
     }
     const bool mayStillRun = now - it->second.claimedAt < m_times.runLimit;
     return { mayStillRun ? ClaimResult::InProgress : ClaimResult::Unknown, {}, false };
 }
 
-void OnceBook::open(const OnceKey& key, std::uint64_t fingerprint, core::TimePoint now, core::WallTime wallNow)
+OnceBook::Claim OnceBook::open(OnceSnapshot snapshot, core::TimePoint now)
 {
-    m_entries[key] = { { key, fingerprint, wallNow, OnceState::Open, {} }, now };
+    const OnceKey key = snapshot.key;
     m_byAge.emplace(now, key);
+    m_entries[key] = { std::move(snapshot), now };
+    return { ClaimResult::Granted, {}, true };
+}
+
+OnceBook::Entry* OnceBook::findOpen(const OnceKey& key, const ClaimId& id)
+{
+    const auto it = m_entries.find(key);
+    if (it == m_entries.end() || it->second.snapshot.state != OnceState::Open || it->second.snapshot.claim != id)
+        return nullptr;
+    return &it->second;
 }
 
 void OnceBook::erase(const OnceKey& key)
@@ -44,22 +52,22 @@
     erase(key);
 }
 
-bool OnceBook::finish(const OnceKey& key, StoredAnswer answer, core::TimePoint)
+bool OnceBook::finish(const OnceKey& key, const ClaimId& id, StoredAnswer answer)
 {
-    const auto it = m_entries.find(key);
-    if (it == m_entries.end() || it->second.snapshot.state != OnceState::Open)
+    Entry* it = findOpen(key, id);
+    if (!it)
         return false;
-    it->second.snapshot.state = OnceState::Done;
-    it->second.snapshot.answer = std::move(answer);
+    it->snapshot.state = OnceState::Done;
+    it->snapshot.answer = std::move(answer);
     return true;
 }
 
-bool OnceBook::abandon(const OnceKey& key, core::TimePoint)
+bool OnceBook::abandon(const OnceKey& key, const ClaimId& id)
 {
-    const auto it = m_entries.find(key);
-    if (it == m_entries.end() || it->second.snapshot.state != OnceState::Open)
+    Entry* it = findOpen(key, id);
+    if (!it)
         return false;
-    it->second.snapshot.state = OnceState::Abandoned;
+    it->snapshot.state = OnceState::Abandoned;
     return true;
 }
 
--- a/src/once/internal/oncecodec.cpp
+++ b/src/once/internal/oncecodec.cpp
@@ -57,6 +57,7 @@
     value["team"] = it.key.team.value();
     value["key"] = it.key.key.value();
     value["fingerprint"] = hex(it.fingerprint);
+    value["claim"] = it.claim.value();
     value["claimedAt"] = Json::Int64(it.claimedAt.value());
     value["state"] = static_cast<int>(it.state);
     value["answer"] = encodeAnswer(it.answer);
@@ -69,6 +70,7 @@
     it.key.team = core::TeamId(reader.text("team", maxName));
     it.key.key = core::IdempotencyKey(reader.text("key", maxName));
     it.fingerprint = decodeFingerprint(reader);
+    it.claim = ClaimId(reader.text("claim", maxName));
     it.claimedAt = core::WallTime(reader.integer("claimedAt", 0, maxWallMs));
     it.state = static_cast<OnceState>(reader.integer("state", 0, 2));
     it.answer = decodeAnswer(reader.object("answer"));
--- a/src/once/oncebook.h
+++ b/src/once/oncebook.h
@@ -28,14 +28,14 @@
         StoredAnswer answer; //!< when replayed
         bool mustKeep = false; //!< granted only once `snapshot(key)` is kept
     };
-    Claim claim(const OnceKey& key, std::uint64_t fingerprint, core::TimePoint now, core::WallTime wallNow);
+    Claim claim(const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now, core::WallTime wallNow);
 
     //! The claim could not be kept: it was never granted.
     void drop(const OnceKey& key);
-    //! The request ran and has an answer; false when the key is not known or has one already.
-    bool finish(const OnceKey& key, StoredAnswer answer, core::TimePoint now);
-    //! The request certainly did not run; false when the key is not open.
-    bool abandon(const OnceKey& key, core::TimePoint now);
+    //! The request ran and has an answer; false when that claim is not open.
+    bool finish(const OnceKey& key, const ClaimId& id, StoredAnswer answer);
+    //! The request certainly did not run; false when that claim is not open.
+    bool abandon(const OnceKey& key, const ClaimId& id);
 
     //! Takes over what an earlier owner kept; `age` is the time since the claim.
     void recover(const OnceSnapshot& snapshot, core::TimePoint now, core::Duration age);
@@ -49,7 +49,8 @@
         OnceSnapshot snapshot;
         core::TimePoint claimedAt;
     };
-    void open(const OnceKey& key, std::uint64_t fingerprint, core::TimePoint now, core::WallTime wallNow);
+    Claim open(OnceSnapshot snapshot, core::TimePoint now);
+    Entry* findOpen(const OnceKey& key, const ClaimId& id);
     void erase(const OnceKey& key);
 
     OnceTimes m_times;
--- a/src/once/oncetypes.h
+++ b/src/once/oncetypes.h
@@ -24,6 +24,9 @@
     bool operator==(const StoredAnswer&) const = default;
 };
 
+//! Names one claim, so that only who made it can end it.
+using ClaimId = core::Strong<struct ClaimTag, std::string>;
+
 enum class OnceState {
     Open, //!< claimed: it may run, may have run, or be running
     Done, //!< it ran, and its answer is known
@@ -34,6 +37,7 @@
 struct OnceSnapshot {
     OnceKey key;
     std::uint64_t fingerprint = 0; //!< of method, target and body
+    ClaimId claim; //!< the one that was granted
     core::WallTime claimedAt;
     OnceState state = OnceState::Open;
     StoredAnswer answer;
--- a/src/partition/internal/oncedesk.cpp
+++ b/src/partition/internal/oncedesk.cpp
@@ -46,7 +46,7 @@
         answerClaim(message.asker, { once::ClaimResult::NotKept, {}, false }, effects);
         return;
     }
-    const once::OnceBook::Claim claim = m_book.claim(message.key, message.fingerprint, at.now, at.wall);
+    const once::OnceBook::Claim claim = m_book.claim(message.key, message.fingerprint, message.claim, at.now, at.wall);
     if (!claim.mustKeep) {
         answerClaim(message.asker, claim, effects);
         return;
@@ -55,10 +55,10 @@
     keep(message.key, true, { {}, {}, { { message.asker.node, granted } }, true, message.asker });
 }
 
-void OnceDesk::onFinish(const protocol::FinishOnce& message, Moment at, Effects& effects)
+void OnceDesk::onFinish(const protocol::FinishOnce& message, Effects& effects)
 {
-    const bool isChanged = message.isAbandoned ? m_book.abandon(message.key, at.now)
-                                               : m_book.finish(message.key, message.answer, at.now);
+    const bool isChanged = message.isAbandoned ? m_book.abandon(message.key, message.claim)
+                                               : m_book.finish(message.key, message.claim, message.answer);
     SendMessage answer { { message.asker.node, protocol::FinishAnswer { message.asker.token } } };
     if (isChanged)
         keep(message.key, false, { {}, {}, std::move(answer), false, message.asker });
--- a/src/partition/internal/oncedesk.h
+++ b/src/partition/internal/oncedesk.h
@@ -15,7 +15,7 @@
 
     void recover(const once::OnceSnapshot& snapshot, Moment at);
     void onClaim(const protocol::ClaimOnce& message, Moment at, Effects& effects);
-    void onFinish(const protocol::FinishOnce& message, Moment at, Effects& effects);
+    void onFinish(const protocol::FinishOnce& message, Effects& effects);
     void onKept(const acceptance::ItemId& item, acceptance::Revision revision, Effects& effects);
     void onRefused(const acceptance::ItemId& item, Effects& effects);
     void tick(Moment at);
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -30,6 +30,23 @@
 
 } // namespace
 
+Counters Counters::operator+(const Counters& other) const
+{
+    Counters sum = *this;
+    sum.jobsAccepted += other.jobsAccepted;
+    sum.jobsRefused += other.jobsRefused;
+    sum.tasksPlaced += other.tasksPlaced;
+    sum.tasksSucceeded += other.tasksSucceeded;
+    sum.tasksFailed += other.tasksFailed;
+    sum.attemptsLost += other.attemptsLost;
+    sum.tasksPreempted += other.tasksPreempted;
+    sum.workersSetAside += other.workersSetAside;
+    sum.staleMessages += other.staleMessages;
+    sum.jobsPlaced += other.jobsPlaced;
+    sum.waitSecondsSum += other.waitSecondsSum;
+    return sum;
+}
+
 struct Partition::State {
     State(Ownership it, Times all)
         : ownership(std::move(it))
@@ -84,7 +101,7 @@
         capacity.onAskInventory(std::get<protocol::AskInventory>(it), effects);
     }
     void onClaim(const protocol::Message& it, Moment at) { once.onClaim(std::get<protocol::ClaimOnce>(it), at, effects); }
-    void onFinish(const protocol::Message& it, Moment at) { once.onFinish(std::get<protocol::FinishOnce>(it), at, effects); }
+    void onFinish(const protocol::Message& it, Moment) { once.onFinish(std::get<protocol::FinishOnce>(it), effects); }
     void ignore(const protocol::Message&, Moment) { }
 
     void refreshFleet();
--- a/src/partition/partitiontypes.h
+++ b/src/partition/partitiontypes.h
@@ -87,6 +87,8 @@
     std::uint64_t staleMessages = 0;
     std::uint64_t jobsPlaced = 0; //!< jobs with a first task placed
     double waitSecondsSum = 0; //!< from acceptance to that
+
+    Counters operator+(const Counters& other) const;
 };
 
 //! Number of a new attempt: the owner's epoch comes first, so no later owner gives a number twice.
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -214,7 +214,7 @@
 {
     SmallCell cell(1, 0, workerSize);
     protocol::ClaimOnce claim { { cell.caller, {}, protocol::Token(1) }, core::PartitionId(0),
-        { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, 42 };
+        { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, once::ClaimId("c"), 42 };
     cell.send(core::PartitionId(0), claim);
     cell.run(500ms);
     BOOST_TEST((cell.record.claims.at(protocol::Token(1)).result == once::ClaimResult::Granted));
@@ -223,7 +223,7 @@
     cell.send(core::PartitionId(0), claim);
     cell.run(500ms);
     BOOST_TEST((cell.record.claims.at(protocol::Token(2)).result == once::ClaimResult::InProgress));
-    protocol::FinishOnce finish { { cell.caller, {}, protocol::Token(3) }, core::PartitionId(0), claim.key, false,
+    protocol::FinishOnce finish { { cell.caller, {}, protocol::Token(3) }, core::PartitionId(0), claim.key, claim.claim, false,
         { 201, "text/plain", "fits", true } };
     cell.send(core::PartitionId(0), finish);
     cell.run(500ms);
@@ -241,7 +241,7 @@
     cell.storeFault = FakeStore::Fault::Down;
     cell.send(core::PartitionId(0),
         protocol::ClaimOnce { { cell.caller, {}, protocol::Token(1) }, core::PartitionId(0),
-            { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, 42 });
+            { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, once::ClaimId("c"), 42 });
     cell.run(500ms);
     BOOST_TEST((cell.record.claims.at(protocol::Token(1)).result == once::ClaimResult::NotKept));
 }
--- a/src/protocol/internal/describe.h
+++ b/src/protocol/internal/describe.h
@@ -204,6 +204,7 @@
     visit("asker", it.asker);
     visit("home", it.to);
     visit("key", it.key);
+    visit("claim", it.claim);
     visit("fingerprint", it.fingerprint);
 }
 
@@ -221,6 +222,7 @@
     visit("asker", it.asker);
     visit("home", it.to);
     visit("key", it.key);
+    visit("claim", it.claim);
     visit("isAbandoned", it.isAbandoned);
     visit("answer", it.answer);
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -188,6 +188,7 @@
     Asker asker;
     core::PartitionId to;
     once::OnceKey key;
+    once::ClaimId claim;
     std::uint64_t fingerprint = 0;
 };
 
@@ -202,6 +203,7 @@
     Asker asker;
     core::PartitionId to;
     once::OnceKey key;
+    once::ClaimId claim;
     bool isAbandoned = false; //!< it certainly did not run
     once::StoredAnswer answer;
 };
--- a/src/routing/internal/failures.cpp
+++ b/src/routing/internal/failures.cpp
@@ -1,4 +1,3 @@
-#include "codec/json.h"
 #include "routing/irouter.h"
 
 #include <array>
@@ -31,26 +30,10 @@
 
 } // namespace
 
-const char* nameOf(Ran it)
-{
-    static constexpr std::array<const char*, 3> names { "no", "yes", "unknown" };
-    return names[static_cast<std::size_t>(it)];
-}
-
 http::Response toResponse(const FailureAnswer& answer)
 {
     const FailureText& text = failureTexts[static_cast<std::size_t>(answer.failure)];
-    Json::Value body(Json::objectValue);
-    body["type"] = std::string("urn:sardinerun:") + text.type;
-    body["title"] = text.title;
-    body["status"] = text.status;
-    body["run"] = nameOf(answer.ran);
-    http::Response response { text.status, { { "content-type", "application/problem+json" } }, codec::writeJson(body) };
-    if (answer.retryAfter) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retryAfter).count();
-        response.headers.push_back({ "retry-after", std::to_string(seconds) });
-    }
-    return response;
+    return http::toResponse(http::Problem { text.status, text.type, text.title, answer.ran, "", answer.retryAfter });
 }
 
 } // namespace sardinerun::routing
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -344,7 +344,6 @@
         const bool isTimeout = !result && result.error().code == http::ClientError::Code::TimedOut;
         const bool isRepeatable = request->in.route.isRepeatable;
         const Failure failure = isTimeout ? Failure::TimedOut : isRepeatable ? Failure::RunnerFailed : Failure::OutcomeUnknown;
-        request->key.reset(); // the claim stays: it is never granted again
         fail(request, { failure, Ran::Unknown, std::nullopt });
         break;
     }
@@ -388,6 +387,8 @@
 {
     if (request->key && answer.ran == Ran::No)
         m_once->abandon(*request->key);
+    if (request->key && answer.ran != Ran::No)
+        m_once->leaveOpen(*request->key);
     request->key.reset();
     // The names of the outcomes on the metric.
     static constexpr std::array<const char*, 3> outcomes { "refused", "failed", "unknown" };
--- a/src/routing/irouter.h
+++ b/src/routing/irouter.h
@@ -24,6 +24,8 @@
     virtual void finish(const once::OnceKey& key, once::StoredAnswer answer) = 0;
     //! It certainly did not run.
     virtual void abandon(const once::OnceKey& key) = 0;
+    //! It may have run: the claim stands, and nobody runs it again.
+    virtual void leaveOpen(const once::OnceKey& key) = 0;
 };
 
 using IOncePortPtr = std::shared_ptr<IOncePort>;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -2,7 +2,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "core/types.h"
-#include "http/httptypes.h"
+#include "http/problem.h"
 #include "once/oncetypes.h"
 #include "platform/platformtypes.h"
 
@@ -14,14 +14,7 @@
 //! Requests to services: admission, choice of a runner, retries, and what the caller is told.
 namespace sardinerun::routing {
 
-//! Whether a request was run, as far as the caller may rely on it.
-enum class Ran {
-    No, //!< it certainly was not and will not be
-    Yes,
-    Unknown
-};
-
-const char* nameOf(Ran it);
+using http::Ran;
 
 //! Why a request got no answer of a runner.
 enum class Failure {
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -51,11 +51,13 @@
     }
     void finish(const once::OnceKey&, once::StoredAnswer answer) override { finished.push_back(answer); }
     void abandon(const once::OnceKey&) override { ++abandoned; }
+    void leaveOpen(const once::OnceKey&) override { ++leftOpen; }
     once::ClaimResult result = once::ClaimResult::Granted;
     once::StoredAnswer kept;
     std::vector<once::OnceKey> claims;
     std::vector<once::StoredAnswer> finished;
     int abandoned = 0;
+    int leftOpen = 0;
 };
 
 struct Fixture {
@@ -150,6 +152,7 @@
     BOOST_TEST(answer->status == 502);
     BOOST_TEST(says(*answer, "unknown"));
     BOOST_TEST(once->abandoned == 0);
+    BOOST_TEST(once->leftOpen == 1);
 }
 
 BOOST_FIXTURE_TEST_CASE(whatWasNotSentMayGoToAnotherRunner, Fixture)
