Prove the promises by processes under faults

Cause: the machines are proved alone; the program around them is not. Change: process tests with callers that resend, and stand-ins that count what must never happen. Not run yet: operators racing, rolling replacement, workers' faults, leaving runner.

--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -13,8 +13,8 @@
 import tempfile
 import time
 
-BUILD = os.environ.get("SARDINERUN_BUILD", "build")
 SOURCE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.path.join(SOURCE, os.environ.get("SARDINERUN_BUILD", "build"))
 OPERATOR = "operators-token"
 SUBMITTER = "mixing-room-token"
 CALLER = "dealers-token"
@@ -117,9 +117,8 @@
             sockets = []
             try:
                 for port in range(first, first + count):
-                    it = socket.socket()
-                    it.bind(("127.0.0.1", port))
-                    sockets.append(it)
+                    sockets.append(socket.socket())
+                    sockets[-1].bind(("127.0.0.1", port))
                 return list(range(first, first + count)) or [0]
             except OSError:
                 continue
@@ -218,6 +217,7 @@
         for it in reversed(self.processes):
             if it.process.poll() is None:
                 it.kill()
+            it.log.close()
 
     def __enter__(self):
         return self
--- /dev/null
+++ b/tests/process/load.py
@@ -0,0 +1,113 @@
+"""Callers that send jobs and requests all the time, and remember what they were told."""
+
+import threading
+import time
+
+from cell import CALLER, SUBMITTER, call
+
+
+class Load:
+    def __init__(self, cell, threads=4, pause=0.02, run_ms=200):
+        self.cell = cell
+        self.pause = pause
+        self.run_ms = run_ms
+        self.accepted = {}  # job id -> key
+        self.refused = set()  # job ids that were refused for good
+        self.answered = {}  # request key -> body
+        self.refused_requests = set()
+        self.unknown_requests = set()
+        self.differing = []  # a resend that got another answer
+        self.cut = []  # exchanges with a ready node that broke off
+        self.statuses = {}
+        self.avoid = set()  # nodes that are known to be stopping or gone
+        self.stopping = False
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=self.work, args=(n,), daemon=True) for n in range(threads)]
+
+    def start(self):
+        for it in self.threads:
+            it.start()
+        return self
+
+    def stop(self):
+        self.stopping = True
+        for it in self.threads:
+            it.join(60)
+
+    def nodes(self):
+        """Nodes as the platform's balancer would use them."""
+        return [n for n in sorted(self.cell.nodes) if n not in self.avoid]
+
+    def work(self, thread):
+        n = 0
+        while not self.stopping:
+            n += 1
+            key = "%d-%d" % (thread, n)
+            self.job(key, n)
+            self.request(key, n)
+            time.sleep(self.pause)
+
+    def exchange(self, n, method, target, body, token, key):
+        """Sends with resends to other nodes until there is an answer that a caller would take."""
+        status, answer = None, None
+        for attempt in range(40):
+            nodes = self.nodes()
+            node = nodes[(n + attempt) % len(nodes)]
+            status, answer, _ = call(self.cell.callers[node], method, target, body, token=token,
+                                     headers={"Idempotency-Key": key}, timeout=10)
+            with self.lock:
+                self.statuses[status] = self.statuses.get(status, 0) + 1
+            if status is None and node not in self.avoid:
+                self.cut.append((node, key, answer))
+            run = answer.get("run") if isinstance(answer, dict) else None
+            if status is not None and (status < 300 or status == 422 or run in ("yes",)):
+                return status, answer
+            if self.stopping and attempt > 20:
+                break
+            time.sleep(0.25)
+        return status, answer
+
+    def job(self, key, n):
+        spec = {"workload": "load", "tasks": 1 + n % 3, "each": {"cpuMilli": 500, "memoryMib": 128}, "runMs": self.run_ms}
+        status, answer = self.exchange(n, "POST", "/v1/jobs", spec, SUBMITTER, "job-" + key)
+        with self.lock:
+            if status == 202:
+                self.accepted[answer["id"]] = key
+
+    def request(self, key, n):
+        status, answer = self.exchange(n, "POST", "/lid-orders/fit-checks", "crock " + key, CALLER, "fit-" + key)
+        with self.lock:
+            if status == 200:
+                self.answered["fit-" + key] = answer
+                if answer.get("body") != "crock " + key:
+                    self.differing.append((key, answer))
+            else:
+                self.unknown_requests.add(key)
+
+    def check(self, test, may_be_unknown=0):
+        """Counts what must never happen; the numbers must be zero."""
+        deadline = time.time() + 60
+        open_jobs = dict(self.accepted)
+        states = {}
+        while open_jobs and time.time() < deadline:
+            for job in list(open_jobs):
+                it = self.cell.job(self.nodes()[0], job)
+                state = it.get("state") if isinstance(it, dict) else None
+                if state in ("succeeded", "failed", "unknown", "cancelled"):
+                    states[state] = states.get(state, 0) + 1
+                    del open_jobs[job]
+            time.sleep(0.2)
+        workers, runners = self.cell.worker_stats(), self.cell.runner_stats()
+        print("accepted", len(self.accepted), "ended", states, "answered", len(self.answered), "unknown",
+              len(self.unknown_requests), "cut", len(self.cut), "statuses", self.statuses, flush=True)
+        print("workers", {k: v for k, v in workers.items() if k != "jobs"}, "runners", runners, flush=True)
+        test.assertFalse(open_jobs, "accepted work that did not end: %s" % list(open_jobs)[:5])
+        test.assertEqual(states.get("succeeded", 0), len(self.accepted), "accepted work that did not succeed")
+        test.assertEqual(workers["runningTwice"], 0, "tasks in two places")
+        test.assertEqual(workers["overfull"], 0, "workers with more than they can hold")
+        test.assertEqual(runners["doubled"], 0, "requests that ran twice")
+        test.assertEqual(runners["overfull"], 0, "runners with more requests than slots")
+        test.assertEqual(self.differing, [], "answers to other requests")
+        test.assertLessEqual(len(self.unknown_requests), may_be_unknown, "requests with an unknown outcome")
+        test.assertGreater(len(self.accepted), 10)
+        test.assertGreater(len(self.answered), 10)
