--- a/src/acceptance/grouplog.h
+++ b/src/acceptance/grouplog.h
@@ -64,10 +64,8 @@
     };
     Action next(core::TimePoint now);
 
-    LogEvents onCommitted(
-        const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now);
-    LogEvents onRead(
-        const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, core::TimePoint now);
+    LogEvents onCommitted(const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now);
+    LogEvents onRead(const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, core::TimePoint now);
 
     //! False while the store does not take groups: new work can then be refused before anything is sent.
     bool isHealthy() const { return m_isHealthy; }
--- a/src/acceptance/internal/grouplog.cpp
+++ b/src/acceptance/internal/grouplog.cpp
@@ -157,8 +157,7 @@
     }
 }
 
-LogEvents GroupLog::onCommitted(
-    const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now)
+LogEvents GroupLog::onCommitted(const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now)
 {
     LogEvents events;
     m_isInFlight = false;
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -11,7 +11,8 @@
 
 const core::TimePoint start { 1h };
 
-QueueItem item(std::string job, jobs::Urgency urgency, std::string team = "a", std::optional<std::int64_t> deadline = {})
+QueueItem item(
+    std::string job, jobs::Urgency urgency, std::string team = "a", std::optional<std::int64_t> deadline = {})
 {
     QueueItem it;
     it.job = core::JobId(std::move(job));
--- a/src/api/internal/api.cpp
+++ b/src/api/internal/api.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-using http::Ran;
 using configuration::Role;
+using http::Ran;
 
 constexpr core::Duration submitTimeout = std::chrono::seconds(5);
 constexpr core::Duration readTimeout = std::chrono::seconds(2);
@@ -99,7 +99,8 @@
     void listJobs(const CallPtr& call);
     void cancelJob(const CallPtr& call);
     void cancelJobs(const CallPtr& call);
-    void cancelAt(const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload);
+    void cancelAt(
+        const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload);
     void readConfig(const CallPtr& call);
     void changeConfig(const CallPtr& call);
     void checkConfig(const CallPtr& call);
@@ -224,7 +225,8 @@
     out.team = who ? who->team : core::TeamId(openTeam);
     const auto traceparent = http::findHeader(request.headers, "traceparent");
     const auto trace = traceparent ? telemetry::TraceContext::parse(*traceparent) : std::nullopt;
-    const bool isSampled = m_options.traceOneIn > 0 && ++m_requests % static_cast<std::uint64_t>(m_options.traceOneIn) == 0;
+    const bool isSampled
+        = m_options.traceOneIn > 0 && ++m_requests % static_cast<std::uint64_t>(m_options.traceOneIn) == 0;
     out.trace = trace ? trace->child() : telemetry::TraceContext::start(isSampled);
     out.request = std::move(request);
     out.responder = std::move(responder);
@@ -241,7 +243,8 @@
 void Api::readiness(const CallPtr& call)
 {
     const bool isReady = !m_isStopping && m_news->standing.isMember && m_news->configuration;
-    call->responder.send({ isReady ? 200 : 503, { { "content-type", "text/plain" } }, isReady ? "ready\n" : "not ready\n" });
+    call->responder.send(
+        { isReady ? 200 : 503, { { "content-type", "text/plain" } }, isReady ? "ready\n" : "not ready\n" });
 }
 
 void Api::metrics(const CallPtr& call)
@@ -253,7 +256,8 @@
 {
     if (partitionCount() > 0)
         return false;
-    call->responder.send(problem(503, "not-ready", "The node does not know its cell yet", Ran::No, "", std::chrono::seconds(1)));
+    call->responder.send(
+        problem(503, "not-ready", "The node does not know its cell yet", Ran::No, "", std::chrono::seconds(1)));
     return true;
 }
 
@@ -277,7 +281,8 @@
         return;
     }
     if ((key && (key->empty() || key->size() > maxKey)) || (!key && !spec.isRepeatable)) {
-        call->responder.send(problem(400, "key-missing", "A job that may not be repeated needs an Idempotency-Key of 1 to 200 bytes", Ran::No));
+        call->responder.send(problem(
+            400, "key-missing", "A job that may not be repeated needs an Idempotency-Key of 1 to 200 bytes", Ran::No));
         return;
     }
     spec.team = call->who.team;
@@ -285,7 +290,8 @@
     const core::PartitionId home = core::partitionOf(spec.id.value(), partitionCount());
     const auto row = m_news->view->partitions.find(home);
     if (row == m_news->view->partitions.end() || row->second.owner.isNobody()) {
-        call->responder.send(problem(503, "no-owner", "The job's partition has no owner now", Ran::No, "", std::chrono::seconds(1)));
+        call->responder.send(
+            problem(503, "no-owner", "The job's partition has no owner now", Ran::No, "", std::chrono::seconds(1)));
         return;
     }
     const auto make = [&spec](const protocol::Asker& asker) { return protocol::SubmitJob { asker, spec }; };
@@ -297,7 +303,9 @@
 {
     const auto* it = answer ? std::get_if<protocol::SubmitAnswer>(&*answer) : nullptr;
     const protocol::SubmitOutcome outcome = it ? it->outcome : protocol::SubmitOutcome::Unknown;
-    telemetry::LogLine(telemetry::Severity::Info, "submit").with("job", id.value()).with("outcome", std::int64_t(outcome));
+    telemetry::LogLine(telemetry::Severity::Info, "submit")
+        .with("job", id.value())
+        .with("outcome", std::int64_t(outcome));
     if (outcome == protocol::SubmitOutcome::Accepted) {
         Json::Value body(Json::objectValue);
         body["id"] = id.value();
@@ -311,13 +319,14 @@
         return;
     }
     if (outcome == protocol::SubmitOutcome::Unknown) {
-        call->responder.send(problem(504, "outcome-unknown", "The job may have been accepted; ask for it or send it again with the same key",
-            Ran::Unknown, id.value(), std::chrono::seconds(1)));
+        call->responder.send(problem(504, "outcome-unknown",
+            "The job may have been accepted; ask for it or send it again with the same key", Ran::Unknown, id.value(),
+            std::chrono::seconds(1)));
         return;
     }
     const bool mayTryAgain = it->refusal.retryAfter.has_value();
-    call->responder.send(problem(mayTryAgain ? 503 : 422, admission::nameOf(it->refusal.reason), "The job is refused and will not run",
-        Ran::No, it->refusal.detail, it->refusal.retryAfter));
+    call->responder.send(problem(mayTryAgain ? 503 : 422, admission::nameOf(it->refusal.reason),
+        "The job is refused and will not run", Ran::No, it->refusal.detail, it->refusal.retryAfter));
 }
 
 void Api::ask(const core::JobId& job, const CallPtr& call, std::function<void(const jobs::JobStatus&)> found)
@@ -326,21 +335,24 @@
     const auto make = [&](const protocol::Asker& asker) {
         return protocol::ReadJobs { asker, call->visibleTeam(), job, {}, 1 };
     };
-    m_ports.desk->askUntilAnswered(home, make, readTimeout, [call, found](const std::optional<protocol::Message>& answer) {
-        const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
-        if (!it)
-            call->responder.send(problem(503, "no-owner", "The job's partition does not answer now", Ran::Unknown, "", std::chrono::seconds(1)));
-        else if (it->jobs.empty())
-            call->responder.send(problem(404, "not-found", "No such job is known", Ran::Unknown));
-        else
-            found(it->jobs[0]);
-    });
+    m_ports.desk->askUntilAnswered(
+        home, make, readTimeout, [call, found](const std::optional<protocol::Message>& answer) {
+            const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
+            if (!it)
+                call->responder.send(problem(503, "no-owner", "The job's partition does not answer now", Ran::Unknown,
+                    "", std::chrono::seconds(1)));
+            else if (it->jobs.empty())
+                call->responder.send(problem(404, "not-found", "No such job is known", Ran::Unknown));
+            else
+                found(it->jobs[0]);
+        });
 }
 
 void Api::readJob(const CallPtr& call)
 {
     if (!refuseWithoutPartitions(call))
-        ask(core::JobId(call->id), call, [call](const jobs::JobStatus& it) { call->responder.send(json(200, writeJob(it))); });
+        ask(core::JobId(call->id), call,
+            [call](const jobs::JobStatus& it) { call->responder.send(json(200, writeJob(it))); });
 }
 
 void Api::waitJob(const CallPtr& call)
@@ -386,24 +398,25 @@
         const auto make = [&](const protocol::Asker& asker) {
             return protocol::ReadJobs { asker, call->visibleTeam(), {}, after, limit };
         };
-        m_ports.desk->askUntilAnswered(core::PartitionId(n), make, readTimeout, [call, gathered, limit](const std::optional<protocol::Message>& answer) {
-            const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
-            gathered->isWhole = gathered->isWhole && it;
-            if (it)
-                gathered->jobs.insert(gathered->jobs.end(), it->jobs.begin(), it->jobs.end());
-            if (--gathered->missing > 0)
-                return;
-            auto& all = gathered->jobs;
-            std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.spec.id < b.spec.id; });
-            Json::Value body(Json::objectValue);
-            body["jobs"] = Json::Value(Json::arrayValue);
-            body["complete"] = gathered->isWhole;
-            for (std::size_t k = 0; k < std::min<std::size_t>(limit, all.size()); ++k)
-                body["jobs"].append(writeJob(all[k]));
-            if (all.size() >= limit)
-                body["next"] = all[limit - 1].spec.id.value();
-            call->responder.send(json(200, body));
-        });
+        m_ports.desk->askUntilAnswered(core::PartitionId(n), make, readTimeout,
+            [call, gathered, limit](const std::optional<protocol::Message>& answer) {
+                const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
+                gathered->isWhole = gathered->isWhole && it;
+                if (it)
+                    gathered->jobs.insert(gathered->jobs.end(), it->jobs.begin(), it->jobs.end());
+                if (--gathered->missing > 0)
+                    return;
+                auto& all = gathered->jobs;
+                std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.spec.id < b.spec.id; });
+                Json::Value body(Json::objectValue);
+                body["jobs"] = Json::Value(Json::arrayValue);
+                body["complete"] = gathered->isWhole;
+                for (std::size_t k = 0; k < std::min<std::size_t>(limit, all.size()); ++k)
+                    body["jobs"].append(writeJob(all[k]));
+                if (all.size() >= limit)
+                    body["next"] = all[limit - 1].spec.id.value();
+                call->responder.send(json(200, body));
+            });
     }
 }
 
@@ -437,7 +450,8 @@
     cancelAt(call, std::move(byHome), workload);
 }
 
-void Api::cancelAt(const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload)
+void Api::cancelAt(
+    const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload)
 {
     auto gathered = std::make_shared<Gathered>();
     gathered->missing = byHome.size();
@@ -450,17 +464,18 @@
             return protocol::CancelJobs { asker, call->visibleTeam(), ids, workload };
         };
         // Cancelling is idempotent, so it is sent again until it is answered.
-        m_ports.desk->askUntilAnswered(home, make, submitTimeout, [call, gathered](const std::optional<protocol::Message>& answer) {
-            const auto* it = answer ? std::get_if<protocol::CancelAnswer>(&*answer) : nullptr;
-            gathered->isWhole = gathered->isWhole && it;
-            gathered->cancelled += it ? it->cancelled : 0;
-            if (--gathered->missing > 0)
-                return;
-            Json::Value body(Json::objectValue);
-            body["cancelled"] = gathered->cancelled;
-            body["complete"] = gathered->isWhole;
-            call->responder.send(json(gathered->isWhole ? 200 : 504, body));
-        });
+        m_ports.desk->askUntilAnswered(
+            home, make, submitTimeout, [call, gathered](const std::optional<protocol::Message>& answer) {
+                const auto* it = answer ? std::get_if<protocol::CancelAnswer>(&*answer) : nullptr;
+                gathered->isWhole = gathered->isWhole && it;
+                gathered->cancelled += it ? it->cancelled : 0;
+                if (--gathered->missing > 0)
+                    return;
+                Json::Value body(Json::objectValue);
+                body["cancelled"] = gathered->cancelled;
+                body["complete"] = gathered->isWhole;
+                call->responder.send(json(gathered->isWhole ? 200 : 504, body));
+            });
     }
 }
 
@@ -503,16 +518,20 @@
             call->responder.send(json(200, body));
             break;
         case Outcome::Conflict:
-            call->responder.send(problem(409, "version-conflict", "Another change came first", Ran::No, version + result.detail));
+            call->responder.send(
+                problem(409, "version-conflict", "Another change came first", Ran::No, version + result.detail));
             break;
         case Outcome::Invalid:
-            call->responder.send(problem(422, "bad-configuration", "The configuration is wrong", Ran::No, result.detail));
+            call->responder.send(
+                problem(422, "bad-configuration", "The configuration is wrong", Ran::No, result.detail));
             break;
         case Outcome::StoreDown:
-            call->responder.send(problem(503, "store-down", "The platform's store does not answer", Ran::No, result.detail, std::chrono::seconds(5)));
+            call->responder.send(problem(503, "store-down", "The platform's store does not answer", Ran::No,
+                result.detail, std::chrono::seconds(5)));
             break;
         case Outcome::Unknown:
-            call->responder.send(problem(504, "outcome-unknown", "The change may have been accepted", Ran::Unknown, result.detail));
+            call->responder.send(
+                problem(504, "outcome-unknown", "The change may have been accepted", Ran::Unknown, result.detail));
             break;
         }
     });
@@ -635,26 +654,27 @@
 
 void Api::readPartitions(const CallPtr& call)
 {
-    m_ports.readPartitions(replyHere<std::vector<partition::PartitionView>>([call](const std::vector<partition::PartitionView>& views) {
-        Json::Value body(Json::objectValue);
-        body["partitions"] = Json::Value(Json::arrayValue);
-        for (const partition::PartitionView& it : views) {
-            Json::Value view(Json::objectValue);
-            view["partition"] = it.id.value();
-            view["epoch"] = Json::UInt64(it.epoch.value());
-            view["recovered"] = it.isRecovered;
-            view["jobs"] = Json::UInt64(it.jobs);
-            view["attempts"] = Json::UInt64(it.attempts);
-            view["workers"] = Json::UInt64(it.workers);
-            view["readyWorkers"] = Json::UInt64(it.readyWorkers);
-            view["setAsideWorkers"] = Json::UInt64(it.setAsideWorkers);
-            view["total"] = platform::encodeResources(it.total);
-            view["committed"] = platform::encodeResources(it.committed);
-            view["storeHealthy"] = it.isStoreHealthy;
-            body["partitions"].append(view);
-        }
-        call->responder.send(json(200, body));
-    }));
+    m_ports.readPartitions(
+        replyHere<std::vector<partition::PartitionView>>([call](const std::vector<partition::PartitionView>& views) {
+            Json::Value body(Json::objectValue);
+            body["partitions"] = Json::Value(Json::arrayValue);
+            for (const partition::PartitionView& it : views) {
+                Json::Value view(Json::objectValue);
+                view["partition"] = it.id.value();
+                view["epoch"] = Json::UInt64(it.epoch.value());
+                view["recovered"] = it.isRecovered;
+                view["jobs"] = Json::UInt64(it.jobs);
+                view["attempts"] = Json::UInt64(it.attempts);
+                view["workers"] = Json::UInt64(it.workers);
+                view["readyWorkers"] = Json::UInt64(it.readyWorkers);
+                view["setAsideWorkers"] = Json::UInt64(it.setAsideWorkers);
+                view["total"] = platform::encodeResources(it.total);
+                view["committed"] = platform::encodeResources(it.committed);
+                view["storeHealthy"] = it.isStoreHealthy;
+                body["partitions"].append(view);
+            }
+            call->responder.send(json(200, body));
+        }));
 }
 
 } // namespace
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -129,7 +129,8 @@
 int serve(const Arguments& arguments)
 {
     options::options_description description("Options");
-    description.add_options()("help", "show this")("config", options::value<std::string>()->required(), "the node's settings file");
+    description.add_options()("help", "show this")(
+        "config", options::value<std::string>()->required(), "the node's settings file");
     const Parsed it = parse("serve", arguments, description);
     const std::string file = it.text("config");
     const settings::NodeSettings settings = settings::readNodeSettings(readFile(file), file);
@@ -167,7 +168,8 @@
                 configuration::readConfiguration(text, file);
             else
                 settings::readNodeSettings(text, file);
-            std::cout << file << ": right (" << (isForAll ? "configuration of all nodes" : "settings of one node") << ")\n";
+            std::cout << file << ": right (" << (isForAll ? "configuration of all nodes" : "settings of one node")
+                      << ")\n";
         } catch (const codec::YamlError& error) {
             std::cerr << error.what() << "\n";
             code = ExitCode::Failed;
@@ -197,13 +199,15 @@
     const auto until = std::chrono::steady_clock::now() + timeout;
     const bool isWatched = isatty(STDERR_FILENO) == 1;
     for (;;) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+        const auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
         const auto wait = std::clamp(left, std::chrono::milliseconds(0), std::chrono::milliseconds(step));
         auto answer = client.call("GET", "/v1/wait/" + escaped(job) + "?ms=" + std::to_string(wait.count()));
         if (isWatched && answer.exitCode == ExitCode::Ok) {
             const Json::Value& tasks = answer.body["tasks"];
-            std::cerr << "\r" << job << ": " << answer.body["state"].asString() << ", " << tasks["succeeded"].asString() << " of "
-                      << tasks["all"].asString() << " tasks done   " << (isEnded(answer.body) ? "\n" : "") << std::flush;
+            std::cerr << "\r" << job << ": " << answer.body["state"].asString() << ", " << tasks["succeeded"].asString()
+                      << " of " << tasks["all"].asString() << " tasks done   " << (isEnded(answer.body) ? "\n" : "")
+                      << std::flush;
         }
         const bool mayTryAgain = answer.exitCode == ExitCode::Ok || answer.exitCode == ExitCode::Unknown;
         if (!mayTryAgain || left.count() <= 0 || (answer.exitCode == ExitCode::Ok && isEnded(answer.body)))
@@ -214,7 +218,8 @@
 int submit(const Arguments& arguments)
 {
     options::options_description description = nodeOptions();
-    description.add_options()("key", options::value<std::string>(), "idempotency key: a resend with it names the same job");
+    description.add_options()(
+        "key", options::value<std::string>(), "idempotency key: a resend with it names the same job");
     description.add_options()("wait", "wait for the end of the job");
     description.add_options()("timeout", options::value<int>()->default_value(600), "seconds to wait");
     const Parsed it = parse("submit", arguments, description);
@@ -243,7 +248,8 @@
     const Parsed it = parse("status", arguments, description);
     NodeClient client = it.client();
     const bool isOne = !it.names.empty();
-    const std::string page = "/v1/jobs?limit=" + std::to_string(it.values["limit"].as<int>()) + "&after=" + escaped(it.text("after"));
+    const std::string page
+        = "/v1/jobs?limit=" + std::to_string(it.values["limit"].as<int>()) + "&after=" + escaped(it.text("after"));
     const auto answer = client.call("GET", isOne ? "/v1/jobs/" + escaped(it.names[0]) : page);
     if (answer.exitCode == ExitCode::Ok)
         print(answer.body, it.output(), isOne ? "" : "jobs", jobColumns);
@@ -327,7 +333,8 @@
     return answer.exitCode;
 }
 
-int list(const char* command, const Arguments& arguments, const char* path, const char* member, const std::vector<std::string>& columns)
+int list(const char* command, const Arguments& arguments, const char* path, const char* member,
+    const std::vector<std::string>& columns)
 {
     const Parsed it = parse(command, arguments, nodeOptions());
     NodeClient client = it.client();
@@ -340,20 +347,23 @@
 int nodes(const Arguments& arguments)
 {
     options::options_description description = nodeOptions();
-    description.add_options()("forget", options::value<std::string>(), "vouch that a node's VM is gone, so that its slots can be used");
+    description.add_options()(
+        "forget", options::value<std::string>(), "vouch that a node's VM is gone, so that its slots can be used");
     const Parsed it = parse("nodes", arguments, description);
     NodeClient client = it.client();
     if (it.has("forget"))
         return client.call("DELETE", "/v1/nodes/" + escaped(it.text("forget"))).exitCode;
     const auto answer = client.call("GET", "/v1/nodes");
     if (answer.exitCode == ExitCode::Ok)
-        print(answer.body, it.output(), "nodes", { "node", "address", "failureDomain", "confirmed", "leaving", "partitions" });
+        print(answer.body, it.output(), "nodes",
+            { "node", "address", "failureDomain", "confirmed", "leaving", "partitions" });
     return answer.exitCode;
 }
 
 int workers(const Arguments& arguments)
 {
-    return list("workers", arguments, "/v1/workers", "vms", { "id", "role", "state", "rack", "failureDomain", "partition" });
+    return list(
+        "workers", arguments, "/v1/workers", "vms", { "id", "role", "state", "rack", "failureDomain", "partition" });
 }
 
 int version(const Arguments&)
@@ -376,13 +386,15 @@
 {
     static const std::vector<Command> all {
         { "serve", "Run a node", "sardinerun serve --config /etc/sardinerun/node.yaml", serve },
-        { "check-config", "Check settings and configuration files", "sardinerun check-config node.yaml cell.yaml", checkConfig },
+        { "check-config", "Check settings and configuration files", "sardinerun check-config node.yaml cell.yaml",
+            checkConfig },
         { "submit", "Submit a job", "sardinerun submit glaze-run.json --key run-1207 --wait", submit },
         { "status", "Show a job, or a page of jobs", "sardinerun status j-4f0c2a --output json", status },
         { "cancel", "Cancel jobs", "sardinerun cancel --workload glaze-run", cancel },
         { "wait", "Wait for the end of a job", "sardinerun wait j-4f0c2a --timeout 60", wait },
         { "preset", "Show or change the preset in force", "sardinerun preset peak --expected 7", preset },
-        { "config", "Show or change the configuration of all nodes", "sardinerun config cell.yaml --preset ordinary --expected 7", config },
+        { "config", "Show or change the configuration of all nodes",
+            "sardinerun config cell.yaml --preset ordinary --expected 7", config },
         { "nodes", "Show the nodes", "sardinerun nodes", nodes },
         { "workers", "Show workers and runners", "sardinerun workers --output json", workers },
         { "version", "Show the version", "sardinerun version", version },
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -18,7 +18,6 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
-
 namespace sardinerun::app {
 
 namespace {
@@ -186,8 +185,9 @@
         if (!std::exchange(isRouterIdleTold, true))
             routerIdle.set_value();
     };
-    router = routing::createRouter(front, http::createClient(front), node::createOncePort(desk, [this] { return partitionCount; }),
-        metrics, std::move(hooks), settings.maxResponseBytes);
+    router = routing::createRouter(front, http::createClient(front),
+        node::createOncePort(desk, [this] { return partitionCount; }), metrics, std::move(hooks),
+        settings.maxResponseBytes);
     api::ApiPorts ports;
     ports.desk = desk;
     ports.router = router->routerAddress();
@@ -207,7 +207,8 @@
     }
     node::BatchRead read = node::readBatch(request, settings.innerSecret);
     if (read.incoming) {
-        metrics->add(telemetry::Metric::InnerMessages, { { "direction", "in" } }, double(read.incoming->envelopes.size()));
+        metrics->add(
+            telemetry::Metric::InnerMessages, { { "direction", "in" } }, double(read.incoming->envelopes.size()));
         metrics->add(telemetry::Metric::InnerBytes, { { "direction", "in" } }, double(request.body.size()));
         peers->address().send(std::move(*read.incoming));
     }
@@ -220,8 +221,9 @@
     callers.listen = settings.callers.address;
     callers.tls = settings.callers.tls;
     callers.maxBodyBytes = settings.maxBodyBytes;
-    auto server = http::createServer(front, callers,
-        [this](http::Request request, http::Responder responder) { api->handle(std::move(request), std::move(responder)); });
+    auto server = http::createServer(front, callers, [this](http::Request request, http::Responder responder) {
+        api->handle(std::move(request), std::move(responder));
+    });
     if (!server)
         return core::Failure { StartError { "callers: " + server.error().detail } };
     callersServer = server.value();
--- a/src/app/internal/nodeclient.h
+++ b/src/app/internal/nodeclient.h
@@ -20,7 +20,8 @@
         Json::Value body;
     };
     //! Problems are printed to standard error and turned into exit codes.
-    Answer call(const std::string& method, const std::string& target, const std::string& body = {}, const std::string& key = {});
+    Answer call(const std::string& method, const std::string& target, const std::string& body = {},
+        const std::string& key = {});
 
 private:
     core::HostPort m_node;
--- a/src/app/internal/output.cpp
+++ b/src/app/internal/output.cpp
@@ -43,7 +43,8 @@
 
 } // namespace
 
-void print(const Json::Value& value, const std::string& format, const std::string& list, const std::vector<std::string>& columns)
+void print(const Json::Value& value, const std::string& format, const std::string& list,
+    const std::vector<std::string>& columns)
 {
     if (format == "json") {
         Json::StreamWriterBuilder builder;
--- a/src/configuration/internal/configuration.cpp
+++ b/src/configuration/internal/configuration.cpp
@@ -11,7 +11,8 @@
 
 bool isBelow(const std::string& path, const std::string& prefix)
 {
-    return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/' || prefix.ends_with('/'));
+    return path.starts_with(prefix)
+        && (path.size() == prefix.size() || path[prefix.size()] == '/' || prefix.ends_with('/'));
 }
 
 Route routeOf(const Service& service, const std::string& method, const std::string& path)
@@ -45,7 +46,8 @@
     for (const auto& [name, preset] : configuration.presets) {
         for (const jobs::Urgency urgency : jobs::allUrgencies) {
             const std::size_t n = jobs::indexOf(urgency);
-            it.shares.percent[n] = isFirst ? preset.shares.percent[n] : std::min(it.shares.percent[n], preset.shares.percent[n]);
+            it.shares.percent[n]
+                = isFirst ? preset.shares.percent[n] : std::min(it.shares.percent[n], preset.shares.percent[n]);
         }
         isFirst = false;
     }
--- a/src/configuration/internal/readconfiguration.cpp
+++ b/src/configuration/internal/readconfiguration.cpp
@@ -13,8 +13,8 @@
 constexpr std::int64_t maxTimeoutMs = 25'000; //!< below the time after which a request is surely over
 
 template <class Value>
-Value readNamed(YamlReader& reader, const char* key, std::optional<Value> (*valueOf)(std::string_view),
-    Value fallback, const char* allowed)
+Value readNamed(YamlReader& reader, const char* key, std::optional<Value> (*valueOf)(std::string_view), Value fallback,
+    const char* allowed)
 {
     const std::string text = reader.textOr(key, "");
     if (text.empty())
--- a/src/core/internal/hashing.cpp
+++ b/src/core/internal/hashing.cpp
@@ -22,9 +22,8 @@
 {
     const std::uint64_t seed = stableHash(key);
     const auto weight = [seed](const NodeId& it) { return stableHash(it.value(), seed); };
-    const auto lighter = [&weight](const NodeId& a, const NodeId& b) {
-        return std::pair(weight(a), a) < std::pair(weight(b), b);
-    };
+    const auto lighter
+        = [&weight](const NodeId& a, const NodeId& b) { return std::pair(weight(a), a) < std::pair(weight(b), b); };
     return *std::max_element(members.begin(), members.end(), lighter);
 }
 
--- a/src/core/ret.h
+++ b/src/core/ret.h
@@ -7,17 +7,14 @@
 namespace sardinerun::core {
 
 //! Wraps an error, so that a function can return it where it would return a value.
-template <class Error>
-struct Failure {
+template <class Error> struct Failure {
     Error error;
 };
 
-template <class Error>
-Failure(Error) -> Failure<Error>;
+template <class Error> Failure(Error) -> Failure<Error>;
 
 //! Result of an operation that gives a value or fails with an error of its layer.
-template <class Value, class Error>
-class RetVal {
+template <class Value, class Error> class RetVal {
 public:
     RetVal(Value value) // NOLINT(google-explicit-constructor): lets factories return the value itself
         : m_state(std::in_place_index<0>, std::move(value))
@@ -38,8 +35,7 @@
 };
 
 //! Result of an operation that gives nothing or fails with an error of its layer.
-template <class Error>
-class Ret {
+template <class Error> class Ret {
 public:
     Ret() = default;
     Ret(Failure<Error> failure) // NOLINT(google-explicit-constructor)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -11,8 +11,7 @@
 namespace sardinerun::core {
 
 //! A value of one kind that cannot be mixed with a value of another kind.
-template <class Tag, class Rep>
-class Strong {
+template <class Tag, class Rep> class Strong {
 public:
     constexpr Strong() = default;
     constexpr explicit Strong(Rep value)
@@ -28,8 +27,7 @@
 };
 
 //! A count of a unit, which can be added, subtracted and scaled.
-template <class Tag>
-class Quantity {
+template <class Tag> class Quantity {
 public:
     constexpr Quantity() = default;
     constexpr explicit Quantity(std::int64_t value)
@@ -71,7 +69,8 @@
 using IdempotencyKey = Strong<struct IdempotencyKeyTag, std::string>;
 using PartitionId = Strong<struct PartitionTag, std::uint32_t>;
 using TaskIndex = Strong<struct TaskTag, std::uint32_t>; //!< index of a task in its job
-using AttemptNumber = Strong<struct AttemptTag, std::uint32_t>; //!< grows over all attempts of a task, also across owners
+using AttemptNumber
+    = Strong<struct AttemptTag, std::uint32_t>; //!< grows over all attempts of a task, also across owners
 using Epoch = Strong<struct EpochTag, std::uint64_t>; //!< grows with each change of a partition's owner
 using RowVersion = Strong<struct RowVersionTag, std::uint64_t>; //!< 0 means that the row does not exist
 using ConfigVersion = Strong<struct ConfigVersionTag, std::uint64_t>; //!< 0 means no configuration yet
@@ -137,13 +136,11 @@
 
 } // namespace sardinerun::core
 
-template <class Tag, class Rep>
-struct std::hash<sardinerun::core::Strong<Tag, Rep>> {
+template <class Tag, class Rep> struct std::hash<sardinerun::core::Strong<Tag, Rep>> {
     std::size_t operator()(const sardinerun::core::Strong<Tag, Rep>& it) const { return std::hash<Rep>()(it.value()); }
 };
 
-template <>
-struct std::hash<sardinerun::core::AttemptId> {
+template <> struct std::hash<sardinerun::core::AttemptId> {
     std::size_t operator()(const sardinerun::core::AttemptId& it) const
     {
         const std::size_t n = (std::size_t(it.task.value()) << 32) ^ it.attempt.value();
--- a/src/http/h2oserver.h
+++ b/src/http/h2oserver.h
@@ -21,11 +21,7 @@
 };
 
 struct ServerError {
-    enum class Code {
-        BadAddress,
-        CannotListen,
-        BadTls
-    };
+    enum class Code { BadAddress, CannotListen, BadTls };
     Code code;
     std::string detail;
 };
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -86,7 +86,8 @@
     for (const Header& it : response.headers) {
         const h2o_iovec_t name = h2o_strdup(&request->pool, it.name.data(), it.name.size());
         const h2o_iovec_t value = h2o_strdup(&request->pool, it.value.data(), it.value.size());
-        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
+        h2o_add_header_by_str(
+            &request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
     }
     static h2o_generator_t generator = { nullptr, nullptr };
     h2o_iovec_t body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
--- a/src/jobs/internal/jobtypes.cpp
+++ b/src/jobs/internal/jobtypes.cpp
@@ -4,8 +4,7 @@
 
 namespace {
 
-template <class Value>
-struct Name {
+template <class Value> struct Name {
     Value value;
     const char* text;
 };
@@ -31,8 +30,7 @@
     { JobState::Unknown, "unknown" },
 } };
 
-template <class Names, class Value>
-const char* nameIn(const Names& names, Value value)
+template <class Names, class Value> const char* nameIn(const Names& names, Value value)
 {
     for (const auto& it : names) {
         if (it.value == value)
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -16,11 +16,7 @@
     AllAtOnce //!< tasks start together or not at all
 };
 
-enum class Urgency {
-    Urgent,
-    Normal,
-    Low
-};
+enum class Urgency { Urgent, Normal, Low };
 constexpr std::size_t urgencyCount = 3;
 constexpr std::array<Urgency, urgencyCount> allUrgencies { Urgency::Urgent, Urgency::Normal, Urgency::Low };
 
@@ -30,8 +26,7 @@
 }
 
 //! A value for each class of urgency.
-template <class Value>
-using ByUrgency = std::array<Value, urgencyCount>;
+template <class Value> using ByUrgency = std::array<Value, urgencyCount>;
 
 //! What an operator asks for. Immutable once accepted.
 struct JobSpec {
@@ -65,14 +60,7 @@
     return it >= TaskState::Succeeded;
 }
 
-enum class JobState {
-    Waiting,
-    Running,
-    Succeeded,
-    Failed,
-    Cancelled,
-    Unknown
-};
+enum class JobState { Waiting, Running, Succeeded, Failed, Cancelled, Unknown };
 
 constexpr bool isEnded(JobState it)
 {
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -414,7 +414,8 @@
     if (gone != m_goneSince.end() && now - gone->second > times.longestRequest)
         return true;
     const auto missing = m_missingSince.find(slots.holder);
-    return missing != m_missingSince.end() && now - missing->second > times.slotsLease + times.longestRequest + times.margin;
+    return missing != m_missingSince.end()
+        && now - missing->second > times.slotsLease + times.longestRequest + times.margin;
 }
 
 std::optional<platform::Transaction> Membership::moveSlots(core::TimePoint now)
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -72,7 +72,8 @@
     {
         const CellView view = decodeCell(store.listNow(cellPrefix).value());
         ConfigRow row { core::ConfigVersion(view.config.version.value() + 1), core::PresetName(preset), "x", {}, {} };
-        return bool(store.commitNow({ core::WriteId("op"), {}, { { configKey, view.config.row, encodeConfig(row) } } }));
+        return bool(
+            store.commitNow({ core::WriteId("op"), {}, { { configKey, view.config.row, encodeConfig(row) } } }));
     }
 
     core::ConfigVersion inForce(int n) { return nodes[n].machine->standing(now).actsUnder; }
--- a/src/node/askdesk.h
+++ b/src/node/askdesk.h
@@ -39,7 +39,8 @@
         bool isRepeated = false;
         core::TimePoint until;
     };
-    protocol::Token open(core::PartitionId to, const MakeMessage& make, core::Duration timeout, bool isRepeated, Answered callback);
+    protocol::Token open(
+        core::PartitionId to, const MakeMessage& make, core::Duration timeout, bool isRepeated, Answered callback);
     void checkTimes();
 
     core::NodeId m_self;
--- a/src/node/internal/askdesk.cpp
+++ b/src/node/internal/askdesk.cpp
@@ -16,8 +16,7 @@
 
 //! The token of an answer, or nothing for other messages.
 struct TokenOf {
-    template <class Message>
-    std::optional<protocol::Token> operator()(const Message& it) const
+    template <class Message> std::optional<protocol::Token> operator()(const Message& it) const
     {
         if constexpr (requires { it.token; })
             return it.token;
@@ -116,18 +115,19 @@
         const auto make = [&](const protocol::Asker& asker) {
             return protocol::ClaimOnce { asker, home, key, id, fingerprint };
         };
-        m_desk->ask(home, make, claimTimeout, [this, key, id, callback](const std::optional<protocol::Message>& answer) {
-            const auto* it = answer ? std::get_if<protocol::ClaimAnswer>(&*answer) : nullptr;
-            if (!it) {
-                // The claim may be kept later, for a request that nobody carries any more: it is given back.
-                tellEnd(key, id, true, {}, abandonTimeout);
-                callback(once::ClaimResult::NotKept, {});
-                return;
-            }
-            if (it->result == once::ClaimResult::Granted)
-                m_granted[key] = id;
-            callback(it->result, it->answer);
-        });
+        m_desk->ask(
+            home, make, claimTimeout, [this, key, id, callback](const std::optional<protocol::Message>& answer) {
+                const auto* it = answer ? std::get_if<protocol::ClaimAnswer>(&*answer) : nullptr;
+                if (!it) {
+                    // The claim may be kept later, for a request that nobody carries any more: it is given back.
+                    tellEnd(key, id, true, {}, abandonTimeout);
+                    callback(once::ClaimResult::NotKept, {});
+                    return;
+                }
+                if (it->result == once::ClaimResult::Granted)
+                    m_granted[key] = id;
+                callback(it->result, it->answer);
+            });
     }
 
     void finish(const once::OnceKey& key, once::StoredAnswer answer) override
@@ -145,7 +145,10 @@
     void leaveOpen(const once::OnceKey& key) override { m_granted.erase(key); }
 
 private:
-    core::PartitionId homeOf(const once::OnceKey& key) const { return core::partitionOf(key.text(), m_partitionCount()); }
+    core::PartitionId homeOf(const once::OnceKey& key) const
+    {
+        return core::partitionOf(key.text(), m_partitionCount());
+    }
 
     void tellEnd(const once::OnceKey& key, const once::ClaimId& id, bool isAbandoned, once::StoredAnswer answer,
         core::Duration timeout)
--- a/src/node/internal/celltask.cpp
+++ b/src/node/internal/celltask.cpp
@@ -125,8 +125,10 @@
     m_metrics->set(telemetry::Metric::StoreUp, {}, news->isStoreUp ? 1 : 0);
     m_metrics->set(telemetry::Metric::PartitionsOwned, {}, double(news->standing.owned.size()));
     m_metrics->set(telemetry::Metric::SlotShares, {}, double(news->standing.slots.size()));
-    m_metrics->set(telemetry::Metric::ConfigVersion, { { "state", "in_force" } }, double(news->standing.actsUnder.value()));
-    m_metrics->set(telemetry::Metric::ConfigVersion, { { "state", "accepted" } }, double(news->view->config.version.value()));
+    m_metrics->set(
+        telemetry::Metric::ConfigVersion, { { "state", "in_force" } }, double(news->standing.actsUnder.value()));
+    m_metrics->set(
+        telemetry::Metric::ConfigVersion, { { "state", "accepted" } }, double(news->view->config.version.value()));
     m_hooks.news(news);
 }
 
@@ -260,27 +262,29 @@
     transaction.id = core::WriteId(core::randomId());
     transaction.writes.push_back({ membership::configKey, view.config.row, membership::encodeConfig(row) });
     auto self = weak_from_this();
-    m_store->commit(transaction, [this, self, message, id = transaction.id, version = row.version](const platform::CommitResult& result) {
-        auto keep = self.lock();
-        if (!keep)
-            return;
-        auto reply = message.reply;
-        using Code = platform::StoreError::Code;
-        if (result) {
-            reply.send({ ConfigureOutcome::Accepted, version, "" });
-            m_membership->lookSoon();
-            m_hooks.pokePeers();
-            drive();
-        } else if (result.error().code == Code::Unavailable) {
-            reply.send({ ConfigureOutcome::StoreDown, {}, result.error().detail });
-        } else {
-            resolveConfigure(message, id, version, resolveTries);
-        }
-    });
+    m_store->commit(transaction,
+        [this, self, message, id = transaction.id, version = row.version](const platform::CommitResult& result) {
+            auto keep = self.lock();
+            if (!keep)
+                return;
+            auto reply = message.reply;
+            using Code = platform::StoreError::Code;
+            if (result) {
+                reply.send({ ConfigureOutcome::Accepted, version, "" });
+                m_membership->lookSoon();
+                m_hooks.pokePeers();
+                drive();
+            } else if (result.error().code == Code::Unavailable) {
+                reply.send({ ConfigureOutcome::StoreDown, {}, result.error().detail });
+            } else {
+                resolveConfigure(message, id, version, resolveTries);
+            }
+        });
 }
 
 //! The answer was lost, or another change came first: the row tells by the id of its write.
-void CellTask::resolveConfigure(const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft)
+void CellTask::resolveConfigure(
+    const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft)
 {
     auto self = weak_from_this();
     m_store->list(membership::configKey, [=, this](const platform::RowsResult& result) {
--- a/src/node/internal/celltask.h
+++ b/src/node/internal/celltask.h
@@ -39,7 +39,8 @@
     void tell();
     void refreshConfiguration();
     void applyConfigure(const Configure& message, const membership::CellView& view);
-    void resolveConfigure(const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft);
+    void resolveConfigure(
+        const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft);
     std::string checkDocument(const std::string& document, const core::PresetName& preset) const;
 
     membership::MembershipPtr m_membership;
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -1,8 +1,8 @@
 #include "node/internal/partitionstask.h"
 
 #include "acceptance/grouplog.h"
-#include "membership/cellcodec.h"
 #include "codec/json.h"
+#include "membership/cellcodec.h"
 #include "telemetry/log.h"
 
 #include <array>
@@ -152,7 +152,9 @@
                 return;
             }
         } catch (const codec::DecodeError& it) {
-            telemetry::LogLine(telemetry::Severity::Error, "logUnreadable").with("partition", id.value()).with("detail", it.what());
+            telemetry::LogLine(telemetry::Severity::Error, "logUnreadable")
+                .with("partition", id.value())
+                .with("detail", it.what());
         }
         loop()->callAfter(loadRetry, [this, self, id, epoch] {
             if (auto stillHere = self.lock())
@@ -363,7 +365,8 @@
     for (const jobs::Urgency urgency : jobs::allUrgencies) {
         const telemetry::Labels labels { { "urgency", jobs::nameOf(urgency) } };
         m_metrics->set(Metric::JobsWaiting, labels, double(queued[jobs::indexOf(urgency)]));
-        m_metrics->set(Metric::OldestWaitSeconds, labels, std::chrono::duration<double>(oldest[jobs::indexOf(urgency)]).count());
+        m_metrics->set(
+            Metric::OldestWaitSeconds, labels, std::chrono::duration<double>(oldest[jobs::indexOf(urgency)]).count());
     }
     m_metrics->set(Metric::Workers, { { "state", "all" } }, double(all));
     m_metrics->set(Metric::Workers, { { "state", "ready" } }, double(ready));
--- a/src/node/internal/peerstask.cpp
+++ b/src/node/internal/peerstask.cpp
@@ -145,9 +145,10 @@
     request.to = link.address;
     request.method = "POST";
     request.target = "/inner/messages";
-    request.headers = { { "authorization", "Bearer " + m_secret }, { fromNodeHeader, m_news->standing.self.node.value() },
-        { fromIncarnationHeader, m_news->standing.self.incarnation.value() },
-        { sequenceHeader, std::to_string(link.firstSequence) } };
+    request.headers
+        = { { "authorization", "Bearer " + m_secret }, { fromNodeHeader, m_news->standing.self.node.value() },
+              { fromIncarnationHeader, m_news->standing.self.incarnation.value() },
+              { sequenceHeader, std::to_string(link.firstSequence) } };
     request.body = protocol::encodeBatch(calls);
     request.timeout = sendTimeout;
     m_metrics->add(telemetry::Metric::InnerMessages, { { "direction", "out" } }, double(link.inFlight));
@@ -182,10 +183,11 @@
     if (!isSecret(headerOr(request, "authorization"), secret))
         return { 401, std::nullopt };
     Incoming incoming;
-    incoming.from = { core::NodeId(headerOr(request, fromNodeHeader)), core::Incarnation(headerOr(request, fromIncarnationHeader)) };
+    incoming.from = { core::NodeId(headerOr(request, fromNodeHeader)),
+        core::Incarnation(headerOr(request, fromIncarnationHeader)) };
     const std::string sequence = headerOr(request, sequenceHeader);
-    const bool isNumber = !sequence.empty() && sequence.size() < 19
-        && sequence.find_first_not_of("0123456789") == std::string::npos;
+    const bool isNumber
+        = !sequence.empty() && sequence.size() < 19 && sequence.find_first_not_of("0123456789") == std::string::npos;
     if (!isNumber || incoming.from.isNobody())
         return { 400, std::nullopt };
     incoming.firstSequence = std::stoull(sequence);
--- a/src/node/internal/peerstask.h
+++ b/src/node/internal/peerstask.h
@@ -9,7 +9,8 @@
 namespace sardinerun::node {
 
 struct PeersHooks {
-    std::function<void(core::PartitionId, protocol::Message)> toPartition = [](core::PartitionId, const protocol::Message&) {};
+    std::function<void(core::PartitionId, protocol::Message)> toPartition
+        = [](core::PartitionId, const protocol::Message&) {};
     std::function<void(protocol::Message)> toAsker = [](const protocol::Message&) {}; //!< answers for this node
     std::function<void(protocol::RoomHint)> toHints = [](const protocol::RoomHint&) {};
     std::function<void()> lookNow = [] {};
--- a/src/node/nodetypes.h
+++ b/src/node/nodetypes.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "configuration/configuration.h"
-#include "membership/membershiptypes.h"
 #include "membership/membership.h"
+#include "membership/membershiptypes.h"
 #include "partition/partition.h"
 #include "protocol/messages.h"
 #include "runtime/task.h"
@@ -35,10 +35,7 @@
 using CellNewsPtr = std::shared_ptr<const CellNews>;
 
 //! The tasks that act under a preset, and must have stopped before a newer one is confirmed.
-enum class ActingTask {
-    Partitions,
-    Router
-};
+enum class ActingTask { Partitions, Router };
 
 enum class ConfigureOutcome {
     Accepted,
--- a/src/once/internal/oncebook.cpp
+++ b/src/once/internal/oncebook.cpp
@@ -2,8 +2,8 @@
 
 namespace sardinerun::once {
 
-OnceBook::Claim OnceBook::claim(const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now,
-    core::WallTime wallNow)
+OnceBook::Claim OnceBook::claim(
+    const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now, core::WallTime wallNow)
 {
     const OnceSnapshot fresh { key, fingerprint, id, wallNow, OnceState::Open, {} };
     const auto it = m_entries.find(key);
--- a/src/once/oncebook.h
+++ b/src/once/oncebook.h
@@ -28,7 +28,8 @@
         StoredAnswer answer; //!< when replayed
         bool mustKeep = false; //!< granted only once `snapshot(key)` is kept
     };
-    Claim claim(const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now, core::WallTime wallNow);
+    Claim claim(
+        const OnceKey& key, std::uint64_t fingerprint, const ClaimId& id, core::TimePoint now, core::WallTime wallNow);
 
     //! The claim could not be kept: it was never granted.
     void drop(const OnceKey& key);
--- a/src/partition/internal/allatonce.h
+++ b/src/partition/internal/allatonce.h
@@ -9,12 +9,7 @@
 
 //! A request to a partition for an all-at-once job.
 struct AllAtOnceRequest {
-    enum class Kind {
-        HoldAll,
-        HoldSome,
-        Commit,
-        Release
-    };
+    enum class Kind { HoldAll, HoldSome, Commit, Release };
     Kind kind = Kind::HoldAll;
     core::PartitionId to;
     protocol::PlacementId id;
@@ -51,12 +46,7 @@
     std::vector<AllAtOnceRequest> unanswered() const;
 
 private:
-    enum class Phase {
-        HoldWhole,
-        HoldPieces,
-        Committing,
-        Over
-    };
+    enum class Phase { HoldWhole, HoldPieces, Committing, Over };
     struct Held {
         core::PartitionId at;
         std::vector<protocol::TaskAttempt> tasks;
--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -128,8 +128,7 @@
     effects.push_back(SendMessage { { message.from.partition, std::move(answer) } });
 }
 
-std::optional<core::VmId> Capacity::takeRoom(
-    const jobs::JobSpec& spec, const core::AttemptId& id, core::TimePoint)
+std::optional<core::VmId> Capacity::takeRoom(const jobs::JobSpec& spec, const core::AttemptId& id, core::TimePoint)
 {
     placement::Need need;
     need.resources = m_usage.toCommit(spec.workload, spec.each, m_policy.usage);
@@ -157,8 +156,7 @@
     spread.byFailureDomain[it->failureDomain] += change;
 }
 
-void Capacity::startAttempt(
-    const jobs::JobSpec& spec, const core::AttemptId& id, const core::VmId& worker, Moment at)
+void Capacity::startAttempt(const jobs::JobSpec& spec, const core::AttemptId& id, const core::VmId& worker, Moment at)
 {
     const placement::Commitment* commitment = m_ledger.find(id);
     Attempt attempt { worker, spec.workload, spec.each, spec.kind, spec.urgency, commitment->isPreemptible, at.now };
@@ -221,7 +219,9 @@
     // Without the hold the answer depends on what earlier owners did: it must wait until that is known.
     if (isStale(message.from) || !m_isRecovered)
         return;
-    const auto isTaskKnown = [&](const protocol::TaskAttempt& it) { return isKnown({ message.job, it.task, it.attempt }); };
+    const auto isTaskKnown = [&](const protocol::TaskAttempt& it) {
+        return isKnown({ message.job, it.task, it.attempt });
+    };
     bool isStarted = std::all_of(message.tasks.begin(), message.tasks.end(), isTaskKnown);
     const auto it = m_holds.find({ message.from.partition, message.id });
     if (it != m_holds.end()) {
@@ -289,7 +289,8 @@
     else
         judge(id, attempt, state, at);
     End end;
-    end.message = { m_id, core::partitionOf(id.job.value(), m_partitionCount), id, state, isLost, at.now - attempt.startedAt };
+    end.message
+        = { m_id, core::partitionOf(id.job.value(), m_partitionCount), id, state, isLost, at.now - attempt.startedAt };
     end.worker = attempt.worker;
     end.nextSend = at.now + m_times.resend;
     effects.push_back(SendMessage { { end.message.home, end.message } });
@@ -384,8 +385,7 @@
     noteRecovery(effects);
 }
 
-void Capacity::takeReport(
-    const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects)
+void Capacity::takeReport(const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects)
 {
     if (m_ends.contains(report.id))
         return;
@@ -418,7 +418,8 @@
         return;
     attempt.usageReportedAt = at.now;
     m_usage.report(attempt.workload, attempt.declared, report.used);
-    m_ledger.resize(report.id, m_usage.toCommitRunning(attempt.workload, attempt.declared, report.used, m_policy.usage));
+    m_ledger.resize(
+        report.id, m_usage.toCommitRunning(attempt.workload, attempt.declared, report.used, m_policy.usage));
 }
 
 void Capacity::relieve(
@@ -467,7 +468,8 @@
     }
     for (const core::AttemptId& it : all) {
         const bool isLost = sent.contains(it);
-        endAttempt(it, isLost ? platform::AttemptState::Stopped : platform::AttemptState::NotStarted, isLost, at, effects);
+        endAttempt(
+            it, isLost ? platform::AttemptState::Stopped : platform::AttemptState::NotStarted, isLost, at, effects);
     }
     link.dropAll();
 }
--- a/src/partition/internal/capacity.h
+++ b/src/partition/internal/capacity.h
@@ -87,7 +87,8 @@
     void adopt(const platform::AttemptReport& report, const core::VmId& worker, Moment at);
     void takeReport(const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects);
     void learnUsage(const platform::AttemptReport& report, Attempt& attempt, Moment at);
-    void relieve(const core::VmId& worker, const std::vector<platform::AttemptReport>& reports, Moment at, Effects& effects);
+    void relieve(
+        const core::VmId& worker, const std::vector<platform::AttemptReport>& reports, Moment at, Effects& effects);
     void judge(const core::AttemptId& id, const Attempt& attempt, platform::AttemptState state, Moment at);
     void loseWorker(const core::VmId& worker, Moment at, Effects& effects);
     void openOrClose(const core::VmId& worker, core::TimePoint now);
--- a/src/partition/internal/home.cpp
+++ b/src/partition/internal/home.cpp
@@ -213,7 +213,8 @@
     const core::JobId* last = nullptr;
     for (const core::JobId& id : ids) {
         const auto it = m_jobs.find(id);
-        const bool isAllowed = it != m_jobs.end() && (message.team.value().empty() || it->second.spec().team == message.team);
+        const bool isAllowed
+            = it != m_jobs.end() && (message.team.value().empty() || it->second.spec().team == message.team);
         if (!isAllowed || !cancelJob(it->second, stops, at, effects))
             continue;
         ++answer.cancelled;
@@ -257,7 +258,8 @@
         if (it != m_jobs.end() && isVisible(it->second))
             answer.jobs.push_back(it->second.status());
     } else {
-        for (auto it = m_jobs.upper_bound(message.after); it != m_jobs.end() && answer.jobs.size() < message.limit; ++it) {
+        for (auto it = m_jobs.upper_bound(message.after); it != m_jobs.end() && answer.jobs.size() < message.limit;
+             ++it) {
             if (isVisible(it->second))
                 answer.jobs.push_back(it->second.status());
         }
@@ -349,8 +351,8 @@
     std::optional<core::PartitionId> best;
     core::MilliCpu most;
     for (const auto& [partition, hint] : m_hints) {
-        const bool isUsable = partition != m_id && !job.refusedBy.contains(partition)
-            && hasHintedRoom(partition, job.spec().each, now);
+        const bool isUsable
+            = partition != m_id && !job.refusedBy.contains(partition) && hasHintedRoom(partition, job.spec().each, now);
         if (isUsable && (!best || hint.message.room.cpu > most)) {
             best = partition;
             most = hint.message.room.cpu;
@@ -396,7 +398,8 @@
 {
     const int doublings = std::min<int>(static_cast<int>(job.deferrals++), maxDeferralDoublings);
     const core::Duration base = firstDeferral * (1 << doublings);
-    const auto jitter = core::stableHash(job.spec().id.value(), job.deferrals) % static_cast<std::uint64_t>(base.count());
+    const auto jitter
+        = core::stableHash(job.spec().id.value(), job.deferrals) % static_cast<std::uint64_t>(base.count());
     job.refusedBy.clear();
     m_queue.defer(job.spec().id, now + base / 2 + core::Duration(static_cast<std::int64_t>(jitter)));
     noteRefusal(job.spec().urgency, now);
@@ -531,7 +534,8 @@
     else
         job.refusedBy.clear();
     afterChange(job, at, effects);
-    const bool isFault = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
+    const bool isFault
+        = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
     if (state == TaskState::Waiting && isFault && m_queue.contains(job.spec().id))
         defer(job, at.now);
 }
@@ -617,8 +621,8 @@
         message = protocol::ReleaseHeld { stamp(), request.to, request.id };
     } else {
         const auto mode = request.kind == Kind::HoldAll ? protocol::PlaceMode::HoldAll : protocol::PlaceMode::HoldSome;
-        message = protocol::PlaceTasks { stamp(), request.to, ownerOf(request.to), request.id, mode, isResend, job.spec(),
-            request.tasks };
+        message = protocol::PlaceTasks { stamp(), request.to, ownerOf(request.to), request.id, mode, isResend,
+            job.spec(), request.tasks };
     }
     effects.push_back(SendMessage { { request.to, std::move(message) } });
 }
--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -43,7 +43,6 @@
     void onInventory(const protocol::Inventory& message, Moment at, Effects& effects);
     void onHint(const protocol::RoomHint& message, core::TimePoint now);
 
-
     void onKept(const core::JobId& job, acceptance::Revision revision, Moment at, Effects& effects);
     void onRefused(const core::JobId& job, Effects& effects);
 
@@ -54,7 +53,10 @@
     void onRoomFreed() { m_isRoomFreed = true; }
 
     std::size_t queued(jobs::Urgency urgency) const { return m_queue.sizeOf(urgency); }
-    core::Duration oldestWait(jobs::Urgency urgency, core::TimePoint now) const { return m_queue.oldestWait(urgency, now); }
+    core::Duration oldestWait(jobs::Urgency urgency, core::TimePoint now) const
+    {
+        return m_queue.oldestWait(urgency, now);
+    }
     std::size_t jobCount() const { return m_jobs.size(); }
     bool isRecovered() const { return m_awaitedInventories.empty(); }
     const Counters& counters() const { return m_counters; }
--- a/src/partition/internal/oncedesk.cpp
+++ b/src/partition/internal/oncedesk.cpp
@@ -33,10 +33,10 @@
     m_waiting.emplace(item, std::move(waiting));
 }
 
-void OnceDesk::answerClaim(
-    const protocol::Asker& asker, const once::OnceBook::Claim& claim, Effects& effects) const
+void OnceDesk::answerClaim(const protocol::Asker& asker, const once::OnceBook::Claim& claim, Effects& effects) const
 {
-    effects.push_back(SendMessage { { asker.node, protocol::ClaimAnswer { asker.token, claim.result, claim.answer } } });
+    effects.push_back(
+        SendMessage { { asker.node, protocol::ClaimAnswer { asker.token, claim.result, claim.answer } } });
 }
 
 void OnceDesk::onClaim(const protocol::ClaimOnce& message, Moment at, Effects& effects)
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -61,8 +61,14 @@
     using Handler = void (State::*)(const protocol::Message&, Moment);
     static Handler handlerOf(const protocol::Message& message);
 
-    void onSubmit(const protocol::Message& it, Moment at) { home.onSubmit(std::get<protocol::SubmitJob>(it), at, effects); }
-    void onCancel(const protocol::Message& it, Moment at) { home.onCancel(std::get<protocol::CancelJobs>(it), at, effects); }
+    void onSubmit(const protocol::Message& it, Moment at)
+    {
+        home.onSubmit(std::get<protocol::SubmitJob>(it), at, effects);
+    }
+    void onCancel(const protocol::Message& it, Moment at)
+    {
+        home.onCancel(std::get<protocol::CancelJobs>(it), at, effects);
+    }
     void onRead(const protocol::Message& it, Moment) { home.onRead(std::get<protocol::ReadJobs>(it), effects); }
     void onPlaceAnswer(const protocol::Message& it, Moment at)
     {
@@ -81,7 +87,10 @@
         home.onInventory(std::get<protocol::Inventory>(it), at, effects);
     }
     void onHint(const protocol::Message& it, Moment at) { home.onHint(std::get<protocol::RoomHint>(it), at.now); }
-    void onPlace(const protocol::Message& it, Moment at) { capacity.onPlace(std::get<protocol::PlaceTasks>(it), at, effects); }
+    void onPlace(const protocol::Message& it, Moment at)
+    {
+        capacity.onPlace(std::get<protocol::PlaceTasks>(it), at, effects);
+    }
     void onCommit(const protocol::Message& it, Moment at)
     {
         capacity.onCommit(std::get<protocol::CommitHeld>(it), at, effects);
@@ -95,12 +104,18 @@
     {
         capacity.onEndsKept(std::get<protocol::EndsKept>(it), at.now);
     }
-    void onStop(const protocol::Message& it, Moment at) { capacity.onStop(std::get<protocol::StopJobs>(it), at, effects); }
+    void onStop(const protocol::Message& it, Moment at)
+    {
+        capacity.onStop(std::get<protocol::StopJobs>(it), at, effects);
+    }
     void onAskInventory(const protocol::Message& it, Moment)
     {
         capacity.onAskInventory(std::get<protocol::AskInventory>(it), effects);
     }
-    void onClaim(const protocol::Message& it, Moment at) { once.onClaim(std::get<protocol::ClaimOnce>(it), at, effects); }
+    void onClaim(const protocol::Message& it, Moment at)
+    {
+        once.onClaim(std::get<protocol::ClaimOnce>(it), at, effects);
+    }
     void onFinish(const protocol::Message& it, Moment) { once.onFinish(std::get<protocol::FinishOnce>(it), effects); }
     void ignore(const protocol::Message&, Moment) { }
 
@@ -131,18 +146,9 @@
         &State::ignore, // CancelAnswer
         &State::onRead,
         &State::ignore, // JobsAnswer
-        &State::onPlace,
-        &State::onPlaceAnswer,
-        &State::onCommit,
-        &State::onCommitAnswer,
-        &State::onRelease,
-        &State::onAttemptEnded,
-        &State::onEndsKept,
-        &State::onStop,
-        &State::onAskInventory,
-        &State::onInventory,
-        &State::onHint,
-        &State::onClaim,
+        &State::onPlace, &State::onPlaceAnswer, &State::onCommit, &State::onCommitAnswer, &State::onRelease,
+        &State::onAttemptEnded, &State::onEndsKept, &State::onStop, &State::onAskInventory, &State::onInventory,
+        &State::onHint, &State::onClaim,
         &State::ignore, // ClaimAnswer
         &State::onFinish,
         &State::ignore, // FinishAnswer
@@ -257,7 +263,8 @@
             own.push_back(worker);
         if (worker.state != platform::VmState::Live)
             continue;
-        const auto isSame = [&worker](const admission::WorkerShape& shape) { return shape.capacity == worker.capacity; };
+        const auto isSame
+            = [&worker](const admission::WorkerShape& shape) { return shape.capacity == worker.capacity; };
         const auto shape = std::find_if(it.fleet.shapes.begin(), it.fleet.shapes.end(), isSame);
         if (shape != it.fleet.shapes.end())
             ++shape->count;
--- a/src/partition/internal/workerlink.h
+++ b/src/partition/internal/workerlink.h
@@ -52,12 +52,7 @@
     void setAddress(core::HostPort address) { m_address = std::move(address); }
 
 private:
-    enum class State {
-        Fencing,
-        Ready,
-        Failing,
-        Silent
-    };
+    enum class State { Fencing, Ready, Failing, Silent };
 
     bool hasOrders() const { return !m_starts.empty() || !m_stops.empty() || !m_acknowledged.empty(); }
     void onReport(const platform::WorkerReport& report, LinkNews& news);
--- a/src/partition/tests/interleaving_tests.cpp
+++ b/src/partition/tests/interleaving_tests.cpp
@@ -30,8 +30,9 @@
     {
         using Event = void (Storm::*)(std::uint32_t);
         static constexpr std::array<Event, 14> events { &Storm::submit, &Storm::submit, &Storm::submit, &Storm::submit,
-            &Storm::submitTogether, &Storm::submitOnce, &Storm::takeOverPaused, &Storm::takeOverEnded, &Storm::cutWorker,
-            &Storm::muteWorker, &Storm::restartWorker, &Storm::failStore, &Storm::cancel, &Storm::dropMessages };
+            &Storm::submitTogether, &Storm::submitOnce, &Storm::takeOverPaused, &Storm::takeOverEnded,
+            &Storm::cutWorker, &Storm::muteWorker, &Storm::restartWorker, &Storm::failStore, &Storm::cancel,
+            &Storm::dropMessages };
         (this->*events[n % events.size()])(n / events.size());
         for (std::uint32_t it = 0; it < 1 + n % 23; ++it)
             m_cell.step();
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -223,8 +223,8 @@
     cell.send(core::PartitionId(0), claim);
     cell.run(500ms);
     BOOST_TEST((cell.record.claims.at(protocol::Token(2)).result == once::ClaimResult::InProgress));
-    protocol::FinishOnce finish { { cell.caller, {}, protocol::Token(3) }, core::PartitionId(0), claim.key, claim.claim, false,
-        { 201, "text/plain", "fits", true } };
+    protocol::FinishOnce finish { { cell.caller, {}, protocol::Token(3) }, core::PartitionId(0), claim.key, claim.claim,
+        false, { 201, "text/plain", "fits", true } };
     cell.send(core::PartitionId(0), finish);
     cell.run(500ms);
     cell.takeOver(0, false);
--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -81,8 +81,7 @@
         owner.machine = Partition::create(ownership, times());
         owner.machine->setPolicy(policy);
         owner.machine->setWorkers(m_list, moment());
-        owner.machine->recover(
-            m_store.listNow(acceptance::GroupLog::prefixOf(ownership.id)).value(), moment());
+        owner.machine->recover(m_store.listNow(acceptance::GroupLog::prefixOf(ownership.id)).value(), moment());
         dropLinksOf(partition);
         for (auto& [id, it] : m_owners) {
             if (it.machine)
@@ -121,7 +120,10 @@
             send(home, protocol::CancelJobs { { caller, {}, token }, {}, ids, {} });
     }
 
-    void send(core::PartitionId to, protocol::Message message) { m_links[{ -1, to.value() }].push_back(std::move(message)); }
+    void send(core::PartitionId to, protocol::Message message)
+    {
+        m_links[{ -1, to.value() }].push_back(std::move(message));
+    }
 
     //! --- Time
     void step()
@@ -161,7 +163,8 @@
         for (const core::JobId& job : record.submitted) {
             if (!record.outcomes.contains(job))
                 return false;
-            if (const auto outcome = record.outcomes.at(job); outcome == protocol::SubmitOutcome::Accepted && !jobs::isEnded(statusOf(job).state))
+            if (const auto outcome = record.outcomes.at(job);
+                outcome == protocol::SubmitOutcome::Accepted && !jobs::isEnded(statusOf(job).state))
                 return false;
         }
         return true;
@@ -301,7 +304,8 @@
             machine.onWorker(it->worker, exchange(*it), moment());
         if (auto* it = std::get_if<CommitToStore>(&effect)) {
             const auto result = m_store.commitNow(it->transaction, storeFault);
-            machine.onCommitted(result ? nullptr : &result.error(), result ? result.value() : core::RowVersion(), moment());
+            machine.onCommitted(
+                result ? nullptr : &result.error(), result ? result.value() : core::RowVersion(), moment());
         }
         if (auto* it = std::get_if<ReadStore>(&effect))
             machine.onRead(m_store.listNow(it->prefix, storeFault), moment());
@@ -326,10 +330,12 @@
         }
         if (const auto* it = std::get_if<protocol::SubmitAnswer>(&envelope.message)) {
             const auto known = record.outcomes.find(it->job);
-            const bool wasAccepted = known != record.outcomes.end() && known->second == protocol::SubmitOutcome::Accepted;
+            const bool wasAccepted
+                = known != record.outcomes.end() && known->second == protocol::SubmitOutcome::Accepted;
             if (!wasAccepted)
                 record.outcomes[it->job] = it->outcome;
-            if (it->outcome == protocol::SubmitOutcome::Refused && record.starts.contains({ it->job, core::TaskIndex(0) }))
+            if (it->outcome == protocol::SubmitOutcome::Refused
+                && record.starts.contains({ it->job, core::TaskIndex(0) }))
                 throw Broken("work that ran was refused: " + it->job.value());
         }
         if (const auto* it = std::get_if<protocol::ClaimAnswer>(&envelope.message))
--- a/src/placement/internal/healthbook.cpp
+++ b/src/placement/internal/healthbook.cpp
@@ -15,8 +15,8 @@
     m_workers.erase(worker);
 }
 
-bool HealthBook::onFailure(const core::VmId& worker, const core::JobId& job, core::Duration ran,
-    std::size_t workerCount, core::TimePoint now)
+bool HealthBook::onFailure(
+    const core::VmId& worker, const core::JobId& job, core::Duration ran, std::size_t workerCount, core::TimePoint now)
 {
     if (ran > m_policy.quickFailure)
         return false;
@@ -41,8 +41,8 @@
 
 std::size_t HealthBook::setAsideCount(core::TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_workers.begin(), m_workers.end(), [now](const auto& it) { return now < it.second.until; }));
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), [now](const auto& it) { return now < it.second.until; }));
 }
 
 } // namespace sardinerun::placement
--- a/src/placement/internal/ledger.cpp
+++ b/src/placement/internal/ledger.cpp
@@ -19,8 +19,7 @@
         ratio(part.accelerators.value(), whole.accelerators.value()) });
 }
 
-template <class Key>
-int countOf(const std::map<Key, int>& counts, const Key& key)
+template <class Key> int countOf(const std::map<Key, int>& counts, const Key& key)
 {
     const auto it = counts.find(key);
     return it == counts.end() ? 0 : it->second;
@@ -161,7 +160,8 @@
         const core::Resources room = entry.room();
         if (!need.resources.fitsIn(room))
             return true;
-        const double score = strategy.score(room - need.resources, entry.worker.capacity) - crowding(need, entry.worker);
+        const double score
+            = strategy.score(room - need.resources, entry.worker.capacity) - crowding(need, entry.worker);
         if (best.refusal == Refusal::NoRoom || score > bestScore) {
             bestScore = score;
             best.refusal = Refusal::None;
--- a/src/placement/internal/strategies.cpp
+++ b/src/placement/internal/strategies.cpp
@@ -69,8 +69,7 @@
     const IStrategy& (*make)();
 };
 
-template <class Strategy>
-const IStrategy& only()
+template <class Strategy> const IStrategy& only()
 {
     static const Strategy it;
     return it;
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -57,11 +57,6 @@
     bool operator==(const GuaranteedShares&) const = default;
 };
 
-enum class StrategyKind {
-    BestFit,
-    DominantFit,
-    LeastLoaded,
-    FirstFit
-};
+enum class StrategyKind { BestFit, DominantFit, LeastLoaded, FirstFit };
 
 } // namespace sardinerun::placement
--- a/src/placement/usagebook.h
+++ b/src/placement/usagebook.h
@@ -21,7 +21,8 @@
     void report(const std::string& workload, const core::Resources& declared, const core::Resources& used);
 
     //! Room to commit for a task that has not started.
-    core::Resources toCommit(const std::string& workload, const core::Resources& declared, const UsagePolicy& policy) const;
+    core::Resources toCommit(
+        const std::string& workload, const core::Resources& declared, const UsagePolicy& policy) const;
 
     //! Room to commit for a running task; never less than what it uses now.
     core::Resources toCommitRunning(const std::string& workload, const core::Resources& declared,
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -8,12 +8,7 @@
 
 constexpr std::size_t maxListBytes = std::size_t(64) << 20;
 
-enum HttpStatus {
-    Ok = 200,
-    NotModified = 304,
-    Conflict = 409,
-    Unavailable = 503
-};
+enum HttpStatus { Ok = 200, NotModified = 304, Conflict = 409, Unavailable = 503 };
 
 StoreError toStoreError(const http::ClientError& error)
 {
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -44,8 +44,7 @@
     reader.fail("state", "is not a known state");
 }
 
-template <class Strong>
-Strong decodeName(codec::ObjectReader& reader, const char* name)
+template <class Strong> Strong decodeName(codec::ObjectReader& reader, const char* name)
 {
     return Strong(reader.text(name, maxName));
 }
--- a/src/platform/platformtypes.h
+++ b/src/platform/platformtypes.h
@@ -49,15 +49,9 @@
     std::string detail;
 };
 
-enum class VmRole {
-    Worker,
-    Runner
-};
+enum class VmRole { Worker, Runner };
 
-enum class VmState {
-    Live,
-    Leaving
-};
+enum class VmState { Live, Leaving };
 
 //! One VM of the platform's list.
 struct VmInfo {
--- a/src/platform/testing/fakeworker.h
+++ b/src/platform/testing/fakeworker.h
@@ -50,7 +50,8 @@
     SyncResult sync(const WorkerSync& sync, core::TimePoint now)
     {
         tick(now);
-        const auto isOlder = std::pair(sync.order.epoch, sync.order.sequence) <= std::pair(m_order.epoch, m_order.sequence);
+        const auto isOlder
+            = std::pair(sync.order.epoch, sync.order.sequence) <= std::pair(m_order.epoch, m_order.sequence);
         if (isOlder)
             return core::Failure { WorkerError { WorkerError::Code::Fenced, "older than the newest order" } };
         m_order = sync.order;
--- a/src/protocol/internal/describe.h
+++ b/src/protocol/internal/describe.h
@@ -7,52 +7,45 @@
 //! `visit(name, field)` is called for each field; the visitor encodes or decodes it.
 namespace sardinerun::protocol {
 
-template <class Visitor>
-void describe(Visitor& visit, HomeStamp& it)
+template <class Visitor> void describe(Visitor& visit, HomeStamp& it)
 {
     visit("partition", it.partition);
     visit("epoch", it.epoch);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, Asker& it)
+template <class Visitor> void describe(Visitor& visit, Asker& it)
 {
     visit("node", it.node);
     visit("incarnation", it.incarnation);
     visit("token", it.token);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, TaskAttempt& it)
+template <class Visitor> void describe(Visitor& visit, TaskAttempt& it)
 {
     visit("task", it.task);
     visit("attempt", it.attempt);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, admission::Refusal& it)
+template <class Visitor> void describe(Visitor& visit, admission::Refusal& it)
 {
     visit("reason", it.reason);
     visit("detail", it.detail);
     visit("retryAfter", it.retryAfter);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, once::OnceKey& it)
+template <class Visitor> void describe(Visitor& visit, once::OnceKey& it)
 {
     visit("team", it.team);
     visit("key", it.key);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, SubmitJob& it)
+template <class Visitor> void describe(Visitor& visit, SubmitJob& it)
 {
     visit("asker", it.asker);
     visit("spec", it.spec);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, SubmitAnswer& it)
+template <class Visitor> void describe(Visitor& visit, SubmitAnswer& it)
 {
     visit("token", it.token);
     visit("outcome", it.outcome);
@@ -60,8 +53,7 @@
     visit("refusal", it.refusal);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, CancelJobs& it)
+template <class Visitor> void describe(Visitor& visit, CancelJobs& it)
 {
     visit("asker", it.asker);
     visit("team", it.team);
@@ -69,15 +61,13 @@
     visit("workload", it.workload);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, CancelAnswer& it)
+template <class Visitor> void describe(Visitor& visit, CancelAnswer& it)
 {
     visit("token", it.token);
     visit("cancelled", it.cancelled);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, ReadJobs& it)
+template <class Visitor> void describe(Visitor& visit, ReadJobs& it)
 {
     visit("asker", it.asker);
     visit("team", it.team);
@@ -86,15 +76,13 @@
     visit("limit", it.limit);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, JobsAnswer& it)
+template <class Visitor> void describe(Visitor& visit, JobsAnswer& it)
 {
     visit("token", it.token);
     visit("jobs", it.jobs);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, PlaceTasks& it)
+template <class Visitor> void describe(Visitor& visit, PlaceTasks& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
@@ -106,8 +94,7 @@
     visit("tasks", it.tasks);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, PlaceAnswer& it)
+template <class Visitor> void describe(Visitor& visit, PlaceAnswer& it)
 {
     visit("from", it.from);
     visit("fromEpoch", it.fromEpoch);
@@ -117,8 +104,7 @@
     visit("taken", it.taken);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, CommitHeld& it)
+template <class Visitor> void describe(Visitor& visit, CommitHeld& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
@@ -127,8 +113,7 @@
     visit("tasks", it.tasks);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, CommitAnswer& it)
+template <class Visitor> void describe(Visitor& visit, CommitAnswer& it)
 {
     visit("from", it.from);
     visit("fromEpoch", it.fromEpoch);
@@ -138,16 +123,14 @@
     visit("isStarted", it.isStarted);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, ReleaseHeld& it)
+template <class Visitor> void describe(Visitor& visit, ReleaseHeld& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
     visit("id", it.id);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, AttemptEnded& it)
+template <class Visitor> void describe(Visitor& visit, AttemptEnded& it)
 {
     visit("from", it.from);
     visit("home", it.home);
@@ -157,31 +140,27 @@
     visit("ran", it.ran);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, EndsKept& it)
+template <class Visitor> void describe(Visitor& visit, EndsKept& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
     visit("attempts", it.attempts);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, StopJobs& it)
+template <class Visitor> void describe(Visitor& visit, StopJobs& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
     visit("jobs", it.jobs);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, AskInventory& it)
+template <class Visitor> void describe(Visitor& visit, AskInventory& it)
 {
     visit("from", it.from);
     visit("capacity", it.to);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, Inventory& it)
+template <class Visitor> void describe(Visitor& visit, Inventory& it)
 {
     visit("from", it.from);
     visit("fromEpoch", it.fromEpoch);
@@ -189,8 +168,7 @@
     visit("attempts", it.attempts);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, RoomHint& it)
+template <class Visitor> void describe(Visitor& visit, RoomHint& it)
 {
     visit("from", it.from);
     visit("fromEpoch", it.fromEpoch);
@@ -198,8 +176,7 @@
     visit("largest", it.largest);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, ClaimOnce& it)
+template <class Visitor> void describe(Visitor& visit, ClaimOnce& it)
 {
     visit("asker", it.asker);
     visit("home", it.to);
@@ -208,16 +185,14 @@
     visit("fingerprint", it.fingerprint);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, ClaimAnswer& it)
+template <class Visitor> void describe(Visitor& visit, ClaimAnswer& it)
 {
     visit("token", it.token);
     visit("result", it.result);
     visit("answer", it.answer);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, FinishOnce& it)
+template <class Visitor> void describe(Visitor& visit, FinishOnce& it)
 {
     visit("asker", it.asker);
     visit("home", it.to);
@@ -227,14 +202,12 @@
     visit("answer", it.answer);
 }
 
-template <class Visitor>
-void describe(Visitor& visit, FinishAnswer& it)
+template <class Visitor> void describe(Visitor& visit, FinishAnswer& it)
 {
     visit("token", it.token);
 }
 
-template <class Visitor>
-void describe(Visitor&, LookNow&)
+template <class Visitor> void describe(Visitor&, LookNow&)
 {
 }
 
--- a/src/protocol/internal/fieldcodec.h
+++ b/src/protocol/internal/fieldcodec.h
@@ -16,44 +16,28 @@
 //! Writes the fields of a message into a JSON object.
 class FieldEncoder {
 public:
-    template <class Field>
-    void operator()(const char* name, Field& field)
-    {
-        m_value[name] = encode(field);
-    }
+    template <class Field> void operator()(const char* name, Field& field) { m_value[name] = encode(field); }
 
-    template <class Described>
-    static Json::Value encode(Described& it)
+    template <class Described> static Json::Value encode(Described& it)
     {
         FieldEncoder encoder;
         describe(encoder, it);
         return std::move(encoder.m_value);
     }
-    template <class Tag>
-    static Json::Value encode(core::Strong<Tag, std::string>& it)
-    {
-        return it.value();
-    }
-    template <class Tag>
-    static Json::Value encode(core::Strong<Tag, std::uint32_t>& it)
-    {
-        return it.value();
-    }
-    template <class Tag>
-    static Json::Value encode(core::Strong<Tag, std::uint64_t>& it)
+    template <class Tag> static Json::Value encode(core::Strong<Tag, std::string>& it) { return it.value(); }
+    template <class Tag> static Json::Value encode(core::Strong<Tag, std::uint32_t>& it) { return it.value(); }
+    template <class Tag> static Json::Value encode(core::Strong<Tag, std::uint64_t>& it)
     {
         return Json::UInt64(it.value());
     }
-    template <class Element>
-    static Json::Value encode(std::vector<Element>& list)
+    template <class Element> static Json::Value encode(std::vector<Element>& list)
     {
         Json::Value value(Json::arrayValue);
         for (Element& it : list)
             value.append(encode(it));
         return value;
     }
-    template <class Value>
-    static Json::Value encode(std::optional<Value>& it)
+    template <class Value> static Json::Value encode(std::optional<Value>& it)
     {
         return it ? encode(*it) : Json::Value();
     }
@@ -77,18 +61,12 @@
 };
 
 //! Number of values of each enumeration on the wire.
-template <class Enum>
-constexpr int enumCount = 0;
-template <>
-inline constexpr int enumCount<SubmitOutcome> = 4;
-template <>
-inline constexpr int enumCount<PlaceMode> = 3;
-template <>
-inline constexpr int enumCount<platform::AttemptState> = 5;
-template <>
-inline constexpr int enumCount<admission::RefusalReason> = 7;
-template <>
-inline constexpr int enumCount<once::ClaimResult> = 6;
+template <class Enum> constexpr int enumCount = 0;
+template <> inline constexpr int enumCount<SubmitOutcome> = 4;
+template <> inline constexpr int enumCount<PlaceMode> = 3;
+template <> inline constexpr int enumCount<platform::AttemptState> = 5;
+template <> inline constexpr int enumCount<admission::RefusalReason> = 7;
+template <> inline constexpr int enumCount<once::ClaimResult> = 6;
 
 //! Reads the fields of a message from a JSON object; throws codec::DecodeError.
 class FieldDecoder {
@@ -98,42 +76,31 @@
     {
     }
 
-    template <class Field>
-    void operator()(const char* name, Field& field)
-    {
-        decode(name, field);
-    }
+    template <class Field> void operator()(const char* name, Field& field) { decode(name, field); }
 
 private:
-    template <class Described>
-    void decode(const char* name, Described& it)
+    template <class Described> void decode(const char* name, Described& it)
     {
         codec::ObjectReader inner = m_reader.object(name);
         FieldDecoder decoder(inner);
         describe(decoder, it);
         inner.finish();
     }
-    template <class Tag>
-    void decode(const char* name, core::Strong<Tag, std::string>& it)
+    template <class Tag> void decode(const char* name, core::Strong<Tag, std::string>& it)
     {
         it = core::Strong<Tag, std::string>(m_reader.text(name, maxFieldText));
     }
-    template <class Tag>
-    void decode(const char* name, core::Strong<Tag, std::uint32_t>& it)
+    template <class Tag> void decode(const char* name, core::Strong<Tag, std::uint32_t>& it)
     {
         it = core::Strong<Tag, std::uint32_t>(static_cast<std::uint32_t>(m_reader.integer(name, 0, UINT32_MAX)));
     }
-    template <class Tag>
-    void decode(const char* name, core::Strong<Tag, std::uint64_t>& it)
+    template <class Tag> void decode(const char* name, core::Strong<Tag, std::uint64_t>& it)
     {
         it = core::Strong<Tag, std::uint64_t>(static_cast<std::uint64_t>(m_reader.integer(name, 0, maxWireCount)));
     }
     template <class Enum>
     requires std::is_enum_v<Enum>
-    void decode(const char* name, Enum& it)
-    {
-        it = static_cast<Enum>(m_reader.integer(name, 0, enumCount<Enum> - 1));
-    }
+    void decode(const char* name, Enum& it) { it = static_cast<Enum>(m_reader.integer(name, 0, enumCount<Enum> - 1)); }
     void decode(const char* name, std::string& it) { it = m_reader.text(name, maxFieldText); }
     void decode(const char* name, bool& it) { it = m_reader.flagOr(name, false); }
     void decode(const char* name, std::uint32_t& it)
--- a/src/protocol/internal/messagecodec.cpp
+++ b/src/protocol/internal/messagecodec.cpp
@@ -13,16 +13,14 @@
     Message (*decode)(codec::ObjectReader& reader);
 };
 
-template <class Alternative>
-Json::Value encodeAs(const Message& message)
+template <class Alternative> Json::Value encodeAs(const Message& message)
 {
     // The descriptions are shared with decoding, so they take fields that can be changed.
     auto copy = std::get<Alternative>(message);
     return FieldEncoder::encode(copy);
 }
 
-template <class Alternative>
-Message decodeAs(codec::ObjectReader& reader)
+template <class Alternative> Message decodeAs(codec::ObjectReader& reader)
 {
     Alternative it;
     FieldDecoder decoder(reader);
@@ -30,8 +28,7 @@
     return it;
 }
 
-template <class Alternative>
-constexpr Kind kind(const char* method)
+template <class Alternative> constexpr Kind kind(const char* method)
 {
     return { method, encodeAs<Alternative>, decodeAs<Alternative> };
 }
--- a/src/protocol/internal/rpccodec.cpp
+++ b/src/protocol/internal/rpccodec.cpp
@@ -70,5 +70,5 @@
     return std::move(collector.calls);
 }
 
-}
-} // namespace sardinerun::protocol
+} // namespace protocol
+} // namespace sardinerun
--- a/src/protocol/rpccodec.h
+++ b/src/protocol/rpccodec.h
@@ -28,5 +28,5 @@
 //! Calls of a batch in their order. `methods` names the methods that exist. Throws RpcError.
 std::vector<RpcCall> decodeBatch(const std::string& text, const std::vector<const char*>& methods);
 
-}
-} // namespace sardinerun::protocol
+} // namespace protocol
+} // namespace sardinerun
--- a/src/protocol/tests/protocol_tests.cpp
+++ b/src/protocol/tests/protocol_tests.cpp
@@ -66,10 +66,10 @@
     SubmitJob submit { {}, spec() };
     PlaceTasks place;
     place.spec = spec();
-    const std::vector<Message> all { submit, SubmitAnswer {}, CancelJobs {}, CancelAnswer {}, ReadJobs {}, JobsAnswer {},
-        place, PlaceAnswer {}, CommitHeld {}, CommitAnswer {}, ReleaseHeld {}, AttemptEnded {}, EndsKept {}, StopJobs {},
-        AskInventory {}, Inventory {}, RoomHint {}, ClaimOnce {}, ClaimAnswer {}, FinishOnce {}, FinishAnswer {},
-        LookNow {} };
+    const std::vector<Message> all { submit, SubmitAnswer {}, CancelJobs {}, CancelAnswer {}, ReadJobs {},
+        JobsAnswer {}, place, PlaceAnswer {}, CommitHeld {}, CommitAnswer {}, ReleaseHeld {}, AttemptEnded {},
+        EndsKept {}, StopJobs {}, AskInventory {}, Inventory {}, RoomHint {}, ClaimOnce {}, ClaimAnswer {},
+        FinishOnce {}, FinishAnswer {}, LookNow {} };
     BOOST_TEST(all.size() == std::variant_size_v<Message>);
     for (const Message& it : all) {
         const Envelope sent { core::PartitionId(1), it };
--- a/src/routing/internal/requestqueue.cpp
+++ b/src/routing/internal/requestqueue.cpp
@@ -50,7 +50,8 @@
 core::Duration RequestQueue::expectedWait(jobs::Urgency urgency, std::int64_t usableSlots) const
 {
     // The class gets at least its guarantee, and what is ahead of it is its own queue.
-    const std::int64_t slots = std::max<std::int64_t>(1, std::max(guaranteeOf(urgency, usableSlots), m_running[jobs::indexOf(urgency)]));
+    const std::int64_t slots
+        = std::max<std::int64_t>(1, std::max(guaranteeOf(urgency, usableSlots), m_running[jobs::indexOf(urgency)]));
     const double ahead = static_cast<double>(m_waiting[jobs::indexOf(urgency)].size() + 1);
     const double seconds = ahead * m_meanSeconds / static_cast<double>(slots);
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
--- a/src/routing/internal/requestqueue.h
+++ b/src/routing/internal/requestqueue.h
@@ -16,7 +16,8 @@
 //! would wait too long, by the measured service time, is refused when it comes; the queues are bounded as well.
 class RequestQueue {
 public:
-    void setPolicy(const configuration::RequestPolicy& policy, const placement::GuaranteedShares& shares, bool mayBorrow);
+    void setPolicy(
+        const configuration::RequestPolicy& policy, const placement::GuaranteedShares& shares, bool mayBorrow);
 
     //! True when a request of the class may take a slot now.
     bool mayStart(jobs::Urgency urgency, std::int64_t usableSlots) const;
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -98,7 +98,8 @@
     void startNext(ServiceState& state);
     bool start(const RequestPtr& request);
     void send(const RequestPtr& request, const platform::VmInfo& runner);
-    void onResult(const RequestPtr& request, const core::VmId& runner, core::TimePoint sentAt, const http::ClientResult& result);
+    void onResult(
+        const RequestPtr& request, const core::VmId& runner, core::TimePoint sentAt, const http::ClientResult& result);
     Attempt toAttempt(const http::ClientResult& result) const;
     void retry(const RequestPtr& request);
     void deliver(const RequestPtr& request, const http::Response& response);
@@ -194,7 +195,8 @@
         + in.query + "\n" + in.body;
     request->key = once::OnceKey { request->in.team, core::IdempotencyKey(std::string(*key)) };
     m_once->claim(*request->key, core::stableHash(identity),
-        [this, request](once::ClaimResult result, const once::StoredAnswer& answer) { onClaimed(request, result, answer); });
+        [this, request](
+            once::ClaimResult result, const once::StoredAnswer& answer) { onClaimed(request, result, answer); });
 }
 
 void Router::onClaimed(const RequestPtr& request, once::ClaimResult result, const once::StoredAnswer& answer)
@@ -273,7 +275,8 @@
     state.queue.onStarted(request->in.route.urgency);
     if (request->tried.empty()) {
         const double waited = std::chrono::duration<double>(now() - request->arrivedAt).count();
-        m_metrics->observe(telemetry::Metric::RequestWaitSeconds, { { "service", request->in.service.id.value() } }, waited);
+        m_metrics->observe(
+            telemetry::Metric::RequestWaitSeconds, { { "service", request->in.service.id.value() } }, waited);
     }
     request->tried.insert(*runner);
     send(request, *state.runners.find(*runner));
@@ -298,8 +301,8 @@
     out.maxResponseBytes = m_maxResponseBytes;
     request->startedAt = now();
     auto self = weak_from_this();
-    m_client->send(std::move(out),
-        [this, self, request, id = runner.id, sentAt = now()](const http::ClientResult& result) {
+    m_client->send(
+        std::move(out), [this, self, request, id = runner.id, sentAt = now()](const http::ClientResult& result) {
             if (auto keep = self.lock())
                 onResult(request, id, sentAt, result);
         });
@@ -343,7 +346,9 @@
     case Action::FailUnknown: {
         const bool isTimeout = !result && result.error().code == http::ClientError::Code::TimedOut;
         const bool isRepeatable = request->in.route.isRepeatable;
-        const Failure failure = isTimeout ? Failure::TimedOut : isRepeatable ? Failure::RunnerFailed : Failure::OutcomeUnknown;
+        const Failure failure = isTimeout ? Failure::TimedOut
+            : isRepeatable                ? Failure::RunnerFailed
+                                          : Failure::OutcomeUnknown;
         fail(request, { failure, Ran::Unknown, std::nullopt });
         break;
     }
@@ -401,7 +406,8 @@
     const core::Duration took = now() - request->arrivedAt;
     m_metrics->add(telemetry::Metric::Requests,
         { { "service", service }, { "urgency", jobs::nameOf(request->in.route.urgency) }, { "outcome", outcome } });
-    m_metrics->observe(telemetry::Metric::RequestSeconds, { { "service", service } }, std::chrono::duration<double>(took).count());
+    m_metrics->observe(
+        telemetry::Metric::RequestSeconds, { { "service", service } }, std::chrono::duration<double>(took).count());
     telemetry::writeSpan({ request->in.trace, "", "request", took, service + " " + outcome });
     response.headers.push_back({ "x-request-id", request->in.trace.traceId });
     request->in.responder.send(std::move(response));
@@ -417,7 +423,8 @@
         applyPolicy();
     for (auto& [id, state] : m_services) {
         startNext(state); // late requests, and slots of runners whose circuit has closed
-        m_metrics->set(telemetry::Metric::RequestsInProgress, { { "service", id.value() } }, double(state.runners.totalInUse()));
+        m_metrics->set(
+            telemetry::Metric::RequestsInProgress, { { "service", id.value() } }, double(state.runners.totalInUse()));
     }
     tellIdleShares();
 }
@@ -431,13 +438,14 @@
             request.target = "/runner-state";
             request.timeout = askTimeout;
             auto self = weak_from_this();
-            m_client->send(std::move(request), [this, self, service = id, runner = it.id](const http::ClientResult& result) {
-                auto keep = self.lock();
-                if (!keep || !result)
-                    return;
-                const auto word = http::findHeader(result.value().headers, runnerStateHeader);
-                m_services[service].runners.setOwnWord(runner, word && *word == runnerLeaving);
-            });
+            m_client->send(
+                std::move(request), [this, self, service = id, runner = it.id](const http::ClientResult& result) {
+                    auto keep = self.lock();
+                    if (!keep || !result)
+                        return;
+                    const auto word = http::findHeader(result.value().headers, runnerStateHeader);
+                    m_services[service].runners.setOwnWord(runner, word && *word == runnerLeaving);
+                });
         }
     }
 }
@@ -453,7 +461,8 @@
     std::set<core::PartitionId> all = m_news.shares;
     all.insert(m_news.releasing.begin(), m_news.releasing.end());
     for (const core::PartitionId share : m_news.releasing) {
-        const auto isIdle = [&](const auto& it) { return it.second.runners.isShareIdle(share, all, m_news.partitionCount); };
+        const auto isIdle
+            = [&](const auto& it) { return it.second.runners.isShareIdle(share, all, m_news.partitionCount); };
         if (std::all_of(m_services.begin(), m_services.end(), isIdle))
             m_hooks.shareIdle(share);
     }
@@ -464,8 +473,8 @@
 IRouterPtr createRouter(runtime::ILoopPtr loop, http::IHttpClientPtr client, IOncePortPtr once,
     telemetry::MetricsPtr metrics, RouterHooks hooks, std::size_t maxResponseBytes)
 {
-    auto router = std::make_shared<Router>(std::move(loop), std::move(client), std::move(once), std::move(metrics),
-        std::move(hooks), maxResponseBytes);
+    auto router = std::make_shared<Router>(
+        std::move(loop), std::move(client), std::move(once), std::move(metrics), std::move(hooks), maxResponseBytes);
     router->start();
     return router;
 }
--- a/src/routing/internal/runnerbook.cpp
+++ b/src/routing/internal/runnerbook.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-std::int64_t slotsOf(const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount)
+std::int64_t slotsOf(
+    const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount)
 {
     std::int64_t n = 0;
     for (std::int64_t slot = 0; slot < runner.slots.value() && partitionCount > 0; ++slot)
@@ -140,7 +141,8 @@
 {
     std::int64_t n = 0;
     for (const auto& [id, it] : m_runners) {
-        const bool isOut = !it.isListed || it.vm.state != platform::VmState::Live || it.saysLeaving || now < it.openUntil;
+        const bool isOut
+            = !it.isListed || it.vm.state != platform::VmState::Live || it.saysLeaving || now < it.openUntil;
         n += isOut ? 0 : it.slots;
     }
     return n;
--- a/src/routing/internal/runnerbook.h
+++ b/src/routing/internal/runnerbook.h
@@ -8,7 +8,8 @@
 
 //! Slots of a runner that a node may use, by the shares that it holds: slot n of a runner belongs to the share
 //! (hash of the runner + n) modulo the number of partitions. Every node reckons the same, without a message.
-std::int64_t slotsOf(const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount);
+std::int64_t slotsOf(
+    const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount);
 
 //! The runners of one service as one node may use them.
 class RunnerBook {
@@ -24,7 +25,8 @@
 
     const platform::VmInfo* find(const core::VmId& runner) const;
     //! Requests do not belong to one share: a share is idle when those on each runner fit into the other ones.
-    bool isShareIdle(core::PartitionId share, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount) const;
+    bool isShareIdle(
+        core::PartitionId share, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount) const;
     std::int64_t totalInUse() const { return m_totalInUse; }
     //! Slots that can be used now.
     std::int64_t usableSlots(core::TimePoint now) const;
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -89,8 +89,8 @@
         loop->runReady();
     }
 
-    std::shared_ptr<http::Response> ask(bool isRepeatable, const std::string& key = "",
-        jobs::Urgency urgency = jobs::Urgency::Normal)
+    std::shared_ptr<http::Response> ask(
+        bool isRepeatable, const std::string& key = "", jobs::Urgency urgency = jobs::Urgency::Normal)
     {
         auto answer = std::make_shared<http::Response>();
         answer->status = 0;
--- a/src/runtime/manualloop.h
+++ b/src/runtime/manualloop.h
@@ -11,7 +11,10 @@
 class ManualClock : public IClock {
 public:
     core::TimePoint now() const override { return m_now; }
-    core::WallTime wallNow() const override { return core::WallTime(m_now.time_since_epoch() / std::chrono::milliseconds(1)); }
+    core::WallTime wallNow() const override
+    {
+        return core::WallTime(m_now.time_since_epoch() / std::chrono::milliseconds(1));
+    }
     void advance(core::Duration by) { m_now += by; }
 
 private:
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -10,16 +10,14 @@
 namespace sardinerun::runtime {
 
 //! Takes messages of one type, one at a time, on the thread of its loop.
-template <class Message>
-class IReceiver {
+template <class Message> class IReceiver {
 public:
     virtual ~IReceiver() = default;
     virtual void receive(Message message) = 0;
 };
 
 //! Where to send messages for a task. Copies are cheap; sending is allowed from any thread.
-template <class Message>
-class Address {
+template <class Message> class Address {
 public:
     Address() = default;
     Address(ILoopPtr loop, std::weak_ptr<IReceiver<Message>> receiver)
@@ -45,8 +43,7 @@
 };
 
 //! Carries one answer back to the task that asked, on that task's loop. Only the first answer counts.
-template <class Answer>
-class Reply {
+template <class Answer> class Reply {
 public:
     Reply() = default;
     Reply(ILoopPtr loop, std::function<void(Answer)> function)
@@ -70,8 +67,7 @@
 };
 
 //! Base of a task: owns its state, lives on one loop, is reached only by messages.
-template <class Message>
-class Task : public IReceiver<Message>, public std::enable_shared_from_this<Task<Message>> {
+template <class Message> class Task : public IReceiver<Message>, public std::enable_shared_from_this<Task<Message>> {
 public:
     explicit Task(ILoopPtr loop)
         : m_loop(std::move(loop))
@@ -85,8 +81,7 @@
     core::TimePoint now() const { return m_loop->now(); }
 
     //! A reply that runs `function` here, unless the task has ended by then.
-    template <class Answer, class Function>
-    Reply<Answer> replyHere(Function function)
+    template <class Answer, class Function> Reply<Answer> replyHere(Function function)
     {
         auto self = this->weak_from_this();
         return Reply<Answer>(m_loop, [self, function = std::move(function)](Answer answer) mutable {
--- a/src/runtime/work.h
+++ b/src/runtime/work.h
@@ -23,8 +23,7 @@
         virtual ~IBody() = default;
         virtual void run() = 0;
     };
-    template <class Function>
-    struct Body : IBody {
+    template <class Function> struct Body : IBody {
         explicit Body(Function it)
             : function(std::move(it))
         {
--- a/src/settings/internal/nodesettings.cpp
+++ b/src/settings/internal/nodesettings.cpp
@@ -58,8 +58,8 @@
 void readLog(YamlReader reader, acceptance::LogOptions& options)
 {
     options.groupInterval = readMs(reader, "groupMs", 1, 1000, options.groupInterval);
-    options.compactAboveRows
-        = static_cast<std::size_t>(reader.integerOr("compactAboveRows", 8, 10'000, std::int64_t(options.compactAboveRows)));
+    options.compactAboveRows = static_cast<std::size_t>(
+        reader.integerOr("compactAboveRows", 8, 10'000, std::int64_t(options.compactAboveRows)));
     reader.finish();
 }
 
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -12,11 +12,7 @@
 
 namespace {
 
-enum class Kind {
-    Counter,
-    Gauge,
-    Histogram
-};
+enum class Kind { Counter, Gauge, Histogram };
 
 struct Definition {
     Metric metric;
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -6,11 +6,7 @@
 //! Telemetry: logs as JSON lines, metrics for Prometheus, and spans of traces.
 namespace sardinerun::telemetry {
 
-enum class Severity {
-    Info,
-    Warning,
-    Error
-};
+enum class Severity { Info, Warning, Error };
 
 //! Sends all log lines to standard error as JSON, through glog. Call once, before threads start.
 void startLogging(const std::string& program);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -100,7 +100,8 @@
         options::positional_options_description positions;
         positions.add("role", 1);
         options::variables_map values;
-        options::store(options::command_line_parser(argc, argv).options(description).positional(positions).run(), values);
+        options::store(
+            options::command_line_parser(argc, argv).options(description).positional(positions).run(), values);
         options::notify(values);
         const std::string role = values["role"].as<std::string>();
         auto loop = runtime::EventLoop::create(role, runtime::systemClock()).value();
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -85,7 +85,8 @@
     {
         ++m_reads;
         const std::string prefix = http::queryParameter(request.query, "prefix").value_or("");
-        return { 200, { { "content-type", "application/json" } }, platform::encodeRows(m_store.listNow(prefix).value()) };
+        return { 200, { { "content-type", "application/json" } },
+            platform::encodeRows(m_store.listNow(prefix).value()) };
     }
 
     http::Response vms(const http::Request& request)
@@ -111,8 +112,10 @@
         codec::ObjectReader reader(value);
         m_isDown = reader.flagOr("down", m_isDown);
         m_losesAnswers = reader.flagOr("loseAnswers", m_losesAnswers);
-        m_slow = std::chrono::milliseconds(reader.integerOr("slowMs", 0, 60'000, m_slow / std::chrono::milliseconds(1)));
-        m_listLag = std::chrono::milliseconds(reader.integerOr("listLagMs", 0, 600'000, m_listLag / std::chrono::milliseconds(1)));
+        m_slow
+            = std::chrono::milliseconds(reader.integerOr("slowMs", 0, 60'000, m_slow / std::chrono::milliseconds(1)));
+        m_listLag = std::chrono::milliseconds(
+            reader.integerOr("listLagMs", 0, 600'000, m_listLag / std::chrono::milliseconds(1)));
         reader.finish();
         return jsonResponse(200, Json::Value(Json::objectValue));
     }
--- a/standins/runnerstandin.cpp
+++ b/standins/runnerstandin.cpp
@@ -40,12 +40,14 @@
         it->vm.role = platform::VmRole::Runner;
         it->vm.service = m_options.service;
         it->vm.slots = m_options.slots;
-        it->vm.failureDomain = core::FailureDomainId(m_options.failureDomains[static_cast<std::size_t>(n) % m_options.failureDomains.size()]);
+        it->vm.failureDomain = core::FailureDomainId(
+            m_options.failureDomains[static_cast<std::size_t>(n) % m_options.failureDomains.size()]);
         Hosted& hosted = *it;
         const auto port = static_cast<std::uint16_t>(m_options.firstPort == 0 ? 0 : m_options.firstPort + n);
-        it->server = listenOrDie(m_loop, port, [this, &hosted](const http::Request& request, http::Responder responder) {
-            handle(hosted, request, std::move(responder));
-        });
+        it->server
+            = listenOrDie(m_loop, port, [this, &hosted](const http::Request& request, http::Responder responder) {
+                  handle(hosted, request, std::move(responder));
+              });
         it->vm.address = { "127.0.0.1", it->server->port() };
         const platform::VmInfo vm = it->vm;
         m_runners.push_back(std::move(it));
--- a/standins/runnerstandin.h
+++ b/standins/runnerstandin.h
@@ -18,6 +18,7 @@
 
 //! Runners of a service, each on a port of its own, that count what must never happen.
 class RunnersStandin;
-std::shared_ptr<RunnersStandin> startRunners(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const RunnersOptions& options);
+std::shared_ptr<RunnersStandin> startRunners(
+    const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const RunnersOptions& options);
 
 } // namespace sardinerun::standins
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -42,7 +42,8 @@
         vm.id = core::VmId(options.prefix + "-" + std::to_string(n));
         vm.role = platform::VmRole::Worker;
         vm.rack = core::RackId("rack-" + std::to_string(n / options.perRack));
-        vm.failureDomain = core::FailureDomainId(options.failureDomains[static_cast<std::size_t>(n) % options.failureDomains.size()]);
+        vm.failureDomain = core::FailureDomainId(
+            options.failureDomains[static_cast<std::size_t>(n) % options.failureDomains.size()]);
         vm.capacity = options.capacity;
         platform::testing::WorkerEvents events;
         events.started = [this](const core::AttemptId& it) { onStarted(it); };
@@ -50,12 +51,15 @@
         auto hosted = std::make_unique<Hosted>();
         // A name that no earlier process used, so that its sessions differ.
         const std::string session = vm.id.value() + "-" + std::to_string(m_loop->now().time_since_epoch().count());
-        hosted->worker = std::make_unique<platform::testing::FakeWorker>(options.capacity, options.lease, session, events);
+        hosted->worker
+            = std::make_unique<platform::testing::FakeWorker>(options.capacity, options.lease, session, events);
         hosted->worker->usedPercent = options.usedPercent;
         Hosted& it = *hosted;
         const auto port = static_cast<std::uint16_t>(options.firstPort == 0 ? 0 : options.firstPort + n);
-        hosted->server = listenOrDie(m_loop, port,
-            [this, &it](const http::Request& request, http::Responder responder) { handle(it, request, std::move(responder)); });
+        hosted->server
+            = listenOrDie(m_loop, port, [this, &it](const http::Request& request, http::Responder responder) {
+                  handle(it, request, std::move(responder));
+              });
         vm.address = { "127.0.0.1", hosted->server->port() };
         m_workers.push_back(std::move(hosted));
         return vm;
--- a/standins/workerstandin.h
+++ b/standins/workerstandin.h
@@ -20,6 +20,7 @@
 
 //! Workers, each on a port of its own, that count what must never happen.
 class WorkersStandin;
-std::shared_ptr<WorkersStandin> startWorkers(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const WorkersOptions& options);
+std::shared_ptr<WorkersStandin> startWorkers(
+    const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const WorkersOptions& options);
 
 } // namespace sardinerun::standins
--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,14 +21,36 @@
 CALLER = "dealers-token"
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
-    return ports
+class Ports:
+    """Neighbouring ports below the range for outgoing connections, kept from other tests until closed.
+
+    A UDP socket on the same number marks a port as taken; the programs under test use TCP.
+    """
+
+    def __init__(self):
+        self.marks = []
+
+    def take(self, count):
+        first = 12000 + random.randrange(0, 18000)
+        while True:
+            marks = []
+            try:
+                for port in range(first, first + count):
+                    marks.append(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+                    marks[-1].bind(("127.0.0.1", port))
+                    with socket.socket() as probe:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        probe.bind(("127.0.0.1", port))
+                self.marks += marks
+                return list(range(first, first + count))
+            except OSError:
+                for it in marks:
+                    it.close()
+                first = 12000 + (first - 12000 + count + 1) % 18000
+
+    def close(self):
+        for it in self.marks:
+            it.close()
 
 
 def call(port, method, target, body=None, token=None, headers=None, timeout=15):
@@ -87,18 +110,17 @@
         self.callers = {}
         self.inner = {}
         self.processes = []
-        ports = free_ports(3 + 2 * nodes + workers + runners)
-        self.platform_port = ports.pop()
+        self.ports = Ports()
+        self.platform_port = self.ports.take(1)[0]
         self.platform = self._standin("platform", "--port", self.platform_port)
-        self.worker_ports = sorted(self._block(workers))
-        self.runner_ports = sorted(self._block(runners))
+        self.worker_ports = self.ports.take(workers)
+        self.runner_ports = self.ports.take(runners)
         self.workers = self._standin("workers", "--platform", self._platform(), "--count", workers, "--port",
                                      self.worker_ports[0], "--cpu", cpu, "--memory", memory, "--lease-ms", lease_ms) if workers else None
         self.runners = self._standin("runners", "--platform", self._platform(), "--count", runners, "--port",
                                      self.runner_ports[0], "--slots", slots, "--work-ms", work_ms, "--service", service) if runners else None
         for n in range(nodes):
-            self.callers[n] = ports.pop()
-            self.inner[n] = ports.pop()
+            self.callers[n], self.inner[n] = self.ports.take(2)
             self.start_node(n)
         if configuration:
             self.wait_until(lambda: self.configure(os.path.join(SOURCE, configuration), "ordinary") == 200, "configuration accepted")
@@ -107,26 +129,6 @@
     def _platform(self):
         return "127.0.0.1:%d" % self.platform_port
 
-    next_block = 20000 + os.getpid() % 10000
-
-    @staticmethod
-    def _block(count):
-        """Neighbouring free ports: the stand-ins count upwards from the first one."""
-        for first in range(Cell.next_block, 32000, 100):
-            Cell.next_block = first + 100
-            sockets = []
-            try:
-                for port in range(first, first + count):
-                    sockets.append(socket.socket())
-                    sockets[-1].bind(("127.0.0.1", port))
-                return list(range(first, first + count)) or [0]
-            except OSError:
-                continue
-            finally:
-                for it in sockets:
-                    it.close()
-        raise RuntimeError("no free ports")
-
     def _standin(self, *arguments):
         return self._start("sardinerun-standins", os.path.join(BUILD, "standins", "sardinerun-standins"), *arguments)
 
@@ -218,6 +220,7 @@
             if it.process.poll() is None:
                 it.kill()
             it.log.close()
+        self.ports.close()
 
     def __enter__(self):
         return self
