--- a/model/activation.pml
+++ b/model/activation.pml
@@ -10,6 +10,7 @@
 #define FAULTS 2
 #endif
 #define NODES 2
+#define RUNS 4 /* bounds the search: a run ends only by a fault or a mistake */
 
 /* The store's rows. */
 byte config = 1;
@@ -75,7 +76,7 @@
         /* Membership::join. */
         atomic {
             if
-            :: !isJoined[n] && isReadStillNewest ->
+            :: !isJoined[n] && runOf[n] < RUNS && isReadStillNewest ->
                 isMember[n] = true; rowRun[n] = runOf[n]; rowConfirmed[n] = seenConfig[n];
                 confirmed[n] = seenConfig[n]; isJoined[n] = true; isFresh[n] = true
             :: else
