--- a/src/api/internal/api.cpp
+++ b/src/api/internal/api.cpp
@@ -100,7 +100,7 @@
     void cancelJob(const CallPtr& call);
     void cancelJobs(const CallPtr& call);
     void cancelAt(
-        const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload);
+        const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome, const std::string& workload);
     void readConfig(const CallPtr& call);
     void changeConfig(const CallPtr& call);
     void checkConfig(const CallPtr& call);
@@ -113,7 +113,7 @@
     void readWorkers(const CallPtr& call);
     void readPartitions(const CallPtr& call);
 
-    void ask(const core::JobId& job, const CallPtr& call, std::function<void(const jobs::JobStatus&)> found);
+    void ask(const core::JobId& job, const CallPtr& call, const std::function<void(const jobs::JobStatus&)>& found);
     std::uint32_t partitionCount() const { return m_news->view ? m_news->view->partitionCount : 0; }
     bool refuseWithoutPartitions(const CallPtr& call) const;
 
@@ -329,7 +329,7 @@
         "The job is refused and will not run", Ran::No, it->refusal.detail, it->refusal.retryAfter));
 }
 
-void Api::ask(const core::JobId& job, const CallPtr& call, std::function<void(const jobs::JobStatus&)> found)
+void Api::ask(const core::JobId& job, const CallPtr& call, const std::function<void(const jobs::JobStatus&)>& found)
 {
     const core::PartitionId home = core::partitionOf(job.value(), partitionCount());
     const auto make = [&](const protocol::Asker& asker) {
@@ -447,11 +447,11 @@
     }
     for (std::uint32_t n = 0; n < partitionCount() && !workload.empty(); ++n)
         byHome[core::PartitionId(n)];
-    cancelAt(call, std::move(byHome), workload);
+    cancelAt(call, byHome, workload);
 }
 
 void Api::cancelAt(
-    const CallPtr& call, std::map<core::PartitionId, std::vector<core::JobId>> byHome, const std::string& workload)
+    const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome, const std::string& workload)
 {
     auto gathered = std::make_shared<Gathered>();
     gathered->missing = byHome.size();
@@ -459,7 +459,9 @@
         call->responder.send(problem(400, "bad-request", "Name jobs or a workload", Ran::No));
         return;
     }
-    for (const auto& [home, ids] : byHome) {
+    for (const auto& it : byHome) {
+        const core::PartitionId home = it.first;
+        const std::vector<core::JobId>& ids = it.second;
         const auto make = [&](const protocol::Asker& asker) {
             return protocol::CancelJobs { asker, call->visibleTeam(), ids, workload };
         };
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -79,7 +79,7 @@
 //! Asked for the help of a command: nothing else is to be done.
 class HelpShown { };
 
-Parsed parse(const char* command, const Arguments& arguments, options::options_description description)
+Parsed parse(const char* command, const Arguments& arguments, const options::options_description& description)
 {
     options::options_description hidden;
     hidden.add_options()("names", options::value<std::vector<std::string>>());
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -232,7 +232,7 @@
     inner.listen = settings.inner;
     inner.maxBodyBytes = maxInnerBodyBytes;
     auto innerResult = http::createServer(control, inner,
-        [this](http::Request request, http::Responder responder) { handleInner(request, std::move(responder)); });
+        [this](const http::Request& request, http::Responder responder) { handleInner(request, std::move(responder)); });
     if (!innerResult)
         return core::Failure { StartError { "inner: " + innerResult.error().detail } };
     innerServer = innerResult.value();
--- a/src/app/internal/output.cpp
+++ b/src/app/internal/output.cpp
@@ -55,6 +55,7 @@
     Rows rows { columns };
     const auto add = [&](const Json::Value& object) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const std::string& it : columns)
             row.push_back(cell(object, it));
         rows.push_back(std::move(row));
--- a/src/codec/internal/yaml.cpp
+++ b/src/codec/internal/yaml.cpp
@@ -20,8 +20,8 @@
 
 } // namespace
 
-YamlReader::YamlReader(YAML::Node node, std::string file, std::string path)
-    : m_node(std::move(node))
+YamlReader::YamlReader(const YAML::Node& node, std::string file, std::string path)
+    : m_node(node)
     , m_file(std::move(file))
     , m_path(std::move(path))
 {
@@ -82,7 +82,7 @@
 
 std::string YamlReader::name(const char* key)
 {
-    const std::string it = text(key);
+    std::string it = text(key);
     if (it.empty() || it.size() > maxNameLength || !std::all_of(it.begin(), it.end(), isNameChar))
         failAt(member(key), pathOf(key), "must be a name of 1 to 64 letters, digits, '-', '_' or '.'");
     return it;
--- a/src/codec/yaml.h
+++ b/src/codec/yaml.h
@@ -56,7 +56,7 @@
     [[noreturn]] void fail(const std::string& key, const std::string& message) const;
 
 private:
-    YamlReader(YAML::Node node, std::string file, std::string path);
+    YamlReader(const YAML::Node& node, std::string file, std::string path);
     YAML::Node member(const char* key);
     std::string pathOf(const std::string& key) const;
     [[noreturn]] void failAt(const YAML::Node& node, const std::string& path, const std::string& message) const;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -87,7 +87,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<RuntimeClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that std::chrono asks for
 };
 using TimePoint = RuntimeClock::time_point;
 using Duration = RuntimeClock::duration;
--- a/src/partition/internal/home.cpp
+++ b/src/partition/internal/home.cpp
@@ -507,10 +507,8 @@
     Job& job = it->second;
     const TaskRecord& task = job.task(message.id.task);
     // While inventories are awaited the newest attempt is not known yet: any attempt counts.
-    const bool isNewest = task.attempt == message.id.attempt || job.isRecovered;
-    if (!jobs::isEnded(task.state) && isNewest && task.state != TaskState::Waiting)
-        applyEnd(job, message, at, effects);
-    else if (job.isRecovered && !jobs::isEnded(task.state))
+    const bool isNewest = task.attempt == message.id.attempt && task.state != TaskState::Waiting;
+    if (!jobs::isEnded(task.state) && (isNewest || job.isRecovered))
         applyEnd(job, message, at, effects);
     sendEndKept(message.id.job, message, effects);
 }
--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -30,6 +30,9 @@
     std::map<std::pair<core::JobId, core::TaskIndex>, int> running;
     std::map<std::pair<core::JobId, core::TaskIndex>, int> starts;
     std::map<std::pair<core::JobId, core::TaskIndex>, int> successes;
+    std::map<core::JobId, core::TimePoint> submittedAt;
+    std::map<core::JobId, core::TimePoint> firstStartAt;
+    std::map<core::JobId, core::TimePoint> lastSuccessAt;
     std::set<core::JobId> once; //!< jobs that may not be repeated
     std::map<protocol::Token, protocol::ClaimAnswer> claims;
     std::map<protocol::Token, protocol::JobsAnswer> reads;
@@ -104,6 +107,7 @@
     core::JobId submit(jobs::JobSpec spec, protocol::Token token = protocol::Token(1))
     {
         record.submitted.insert(spec.id);
+        record.submittedAt.emplace(spec.id, m_now);
         if (!spec.isRepeatable)
             record.once.insert(spec.id);
         const core::PartitionId home = core::partitionOf(spec.id.value(), m_count);
@@ -242,6 +246,7 @@
 
     void onStarted(const core::AttemptId& id)
     {
+        record.firstStartAt.emplace(id.job, m_now);
         const std::pair task { id.job, id.task };
         if (++record.running[task] > 1)
             throw Broken("a task runs in two places: " + id.job.value());
@@ -255,8 +260,10 @@
     void onEnded(const core::AttemptId& id, platform::AttemptState state)
     {
         --record.running[{ id.job, id.task }];
-        if (state == platform::AttemptState::Succeeded)
+        if (state == platform::AttemptState::Succeeded) {
             ++record.successes[{ id.job, id.task }];
+            record.lastSuccessAt[id.job] = m_now;
+        }
     }
 
     void check()
--- a/src/placement/internal/ledger.cpp
+++ b/src/placement/internal/ledger.cpp
@@ -62,7 +62,7 @@
     if (it == m_byId.end())
         return {};
     setOpen(id, false);
-    const std::vector<core::AttemptId> lost = m_workers[it->second].attempts;
+    std::vector<core::AttemptId> lost = m_workers[it->second].attempts;
     for (const core::AttemptId& attempt : lost)
         release(attempt);
     m_total = m_total - m_workers[it->second].worker.capacity;
--- a/src/platform/testing/fakestore.h
+++ b/src/platform/testing/fakestore.h
@@ -24,7 +24,7 @@
             return core::Failure { StoreError { Code::Unavailable, "down" } };
         if (fault == Fault::LostBeforeEffect)
             return core::Failure { StoreError { Code::Unknown, "lost" } };
-        const CommitResult result = apply(transaction);
+        CommitResult result = apply(transaction);
         if (fault == Fault::LostAfterEffect)
             return core::Failure { StoreError { Code::Unknown, "lost" } };
         return result;
--- a/src/protocol/internal/messagecodec.cpp
+++ b/src/protocol/internal/messagecodec.cpp
@@ -77,6 +77,7 @@
 {
     static const std::vector<const char*> methods = [] {
         std::vector<const char*> it;
+        it.reserve(kinds.size());
         for (const Kind& kind : kinds)
             it.push_back(kind.method);
         return it;
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -21,7 +21,7 @@
 constexpr core::Duration retryWhenFull = std::chrono::seconds(1);
 constexpr core::Duration retryInProgress = std::chrono::seconds(1);
 //! Answers above this size are not kept for a resend.
-constexpr std::size_t maxKeptAnswer = 64 * 1024;
+constexpr std::size_t maxKeptAnswer = std::size_t(64) << 10;
 
 constexpr std::array<std::string_view, 9> hopHeaders { "connection", "keep-alive", "proxy-authenticate",
     "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length" };
--- a/standins/control.cpp
+++ b/standins/control.cpp
@@ -34,7 +34,7 @@
 }
 
 void announce(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const core::HostPort& platform,
-    std::vector<platform::VmInfo> vms)
+    const std::vector<platform::VmInfo>& vms)
 {
     http::ClientRequest request;
     request.to = platform;
--- a/standins/control.h
+++ b/standins/control.h
@@ -18,6 +18,6 @@
 
 //! Tells the platform stand-in of VMs, again and again until it has taken them.
 void announce(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const core::HostPort& platform,
-    std::vector<platform::VmInfo> vms);
+    const std::vector<platform::VmInfo>& vms);
 
 } // namespace sardinerun::standins
--- a/standins/runnerstandin.cpp
+++ b/standins/runnerstandin.cpp
@@ -15,6 +15,7 @@
         , m_options(options)
     {
         std::vector<platform::VmInfo> vms;
+        vms.reserve(static_cast<std::size_t>(options.count));
         for (int n = 0; n < options.count; ++n)
             vms.push_back(addRunner(n));
         announce(m_loop, m_client, options.platform, vms);
@@ -49,7 +50,7 @@
                   handle(hosted, request, std::move(responder));
               });
         it->vm.address = { "127.0.0.1", it->server->port() };
-        const platform::VmInfo vm = it->vm;
+        platform::VmInfo vm = it->vm;
         m_runners.push_back(std::move(it));
         return vm;
     }
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -21,6 +21,7 @@
         : m_loop(std::move(loop))
     {
         std::vector<platform::VmInfo> vms;
+        vms.reserve(static_cast<std::size_t>(options.count));
         for (int n = 0; n < options.count; ++n)
             vms.push_back(addWorker(n, options));
         announce(m_loop, client, options.platform, vms);
