--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -29,8 +29,8 @@
 
 Size randomSize(std::mt19937& random)
 {
-    static constexpr std::array<Size, 6> sizes { { { 1000, 2048, 1 }, { 2000, 16'384, 1 }, { 4000, 4096, 1 }, { 500, 8192, 1 },
-        { 8000, 16'384, 1 }, { 2000, 8192, 6 } } };
+    static constexpr std::array<Size, 6> sizes { { { 1000, 2048, 1 }, { 2000, 16'384, 1 }, { 4000, 4096, 1 },
+        { 500, 8192, 1 }, { 8000, 16'384, 1 }, { 2000, 8192, 6 } } };
     return sizes[random() % sizes.size()];
 }
 
@@ -51,14 +51,16 @@
             const auto choice = ledger.choose(need, strategy);
             if (choice.refusal != placement::Refusal::None)
                 return ledger.shareOf(jobs::Urgency::Normal);
-            ledger.commit({ core::JobId(std::to_string(n)), core::TaskIndex(std::uint32_t(task)), {} }, { choice.worker, need.resources });
+            ledger.commit({ core::JobId(std::to_string(n)), core::TaskIndex(std::uint32_t(task)), {} },
+                { choice.worker, need.resources });
         }
     }
 }
 
 void measurePacking()
 {
-    std::printf("packing: strategy, share of the fleet used when the first task waits (seeds 1 to 5); bound by total size 1.000\n");
+    std::printf("packing: strategy, share of the fleet used when the first task waits (seeds 1 to 5); bound by total "
+                "size 1.000\n");
     for (const auto kind : { placement::StrategyKind::DominantFit, placement::StrategyKind::BestFit,
              placement::StrategyKind::LeastLoaded, placement::StrategyKind::FirstFit }) {
         std::printf("%-12s", placement::nameOf(kind));
@@ -132,7 +134,8 @@
         const double seconds = std::chrono::duration<double>(SmallCell::stepTime).count();
         std::poisson_distribution<int> arrivals(rate * seconds);
         for (int n = arrivals(m_random); n > 0; --n) {
-            auto spec = jobSpec(std::string(phase) + "-" + std::to_string(urgency) + "-" + std::to_string(++m_jobs), 1, 4000);
+            auto spec
+                = jobSpec(std::string(phase) + "-" + std::to_string(urgency) + "-" + std::to_string(++m_jobs), 1, 4000);
             std::uniform_real_distribution<double> run(5, 15);
             spec.runTime = std::chrono::milliseconds(std::int64_t(run(m_random) * 1000));
             spec.urgency = m_hasShares ? jobs::allUrgencies[urgency] : jobs::Urgency::Normal;
@@ -171,8 +174,9 @@
                 trial.settle(5s);
                 for (std::size_t n = 0; n < 3; ++n) {
                     const Outcome it = trial.outcome(n, "w");
-                    std::printf("%-8s %.1f %u %-6s %5d %6.2f %6.2f %6.2f %5d\n", hasShares ? "shares" : "oneQueue", load, seed,
-                        jobs::nameOf(jobs::allUrgencies[n]), it.submitted, at(it.waits, 0.5), at(it.waits, 0.99), at(it.waits, 1), it.refused);
+                    std::printf("%-8s %.1f %u %-6s %5d %6.2f %6.2f %6.2f %5d\n", hasShares ? "shares" : "oneQueue",
+                        load, seed, jobs::nameOf(jobs::allUrgencies[n]), it.submitted, at(it.waits, 0.5),
+                        at(it.waits, 0.99), at(it.waits, 1), it.refused);
                 }
             }
         }
@@ -181,7 +185,8 @@
 
 void measureFlood()
 {
-    std::printf("flood: policy, class in flood (ten times the fleet for 30 s), seed, class, submitted, ended, refused, p99 wait s\n");
+    std::printf("flood: policy, class in flood (ten times the fleet for 30 s), seed, class, submitted, ended, refused, "
+                "p99 wait s\n");
     for (const bool hasShares : { true, false }) {
         for (const std::size_t flooding : { std::size_t(2), std::size_t(0) }) {
             for (const unsigned seed : { 1U, 2U }) {
@@ -199,8 +204,9 @@
                     for (std::size_t n = 0; n < 3; ++n) {
                         const Outcome it = trial.outcome(n, phase);
                         std::printf("%-8s %-6s %u %-8s %-6s %6d %6d %6d %7.2f\n", hasShares ? "shares" : "oneQueue",
-                            jobs::nameOf(jobs::allUrgencies[flooding]), seed, phase, jobs::nameOf(jobs::allUrgencies[n]), it.submitted,
-                            it.ended, it.refused, at(it.waits, 0.99));
+                            jobs::nameOf(jobs::allUrgencies[flooding]), seed, phase,
+                            jobs::nameOf(jobs::allUrgencies[n]), it.submitted, it.ended, it.refused,
+                            at(it.waits, 0.99));
                     }
                 }
             }
--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -89,7 +89,8 @@
     loop->stop();
     auto& millis = sender.millis;
     std::sort(millis.begin(), millis.end());
-    const auto at = [&](double part) { return millis.empty() ? -1 : millis[std::size_t(double(millis.size() - 1) * part)]; };
+    const auto at
+        = [&](double part) { return millis.empty() ? -1 : millis[std::size_t(double(millis.size() - 1) * part)]; };
     std::printf("{\"answered\": %zu, \"perSecond\": %.1f, \"p50Ms\": %.2f, \"p99Ms\": %.2f", millis.size(),
         double(millis.size()) / seconds, at(0.5), at(0.99));
     for (const auto& [status, n] : sender.statuses)
--- a/src/api/internal/api.cpp
+++ b/src/api/internal/api.cpp
@@ -99,8 +99,8 @@
     void listJobs(const CallPtr& call);
     void cancelJob(const CallPtr& call);
     void cancelJobs(const CallPtr& call);
-    void cancelAt(
-        const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome, const std::string& workload);
+    void cancelAt(const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome,
+        const std::string& workload);
     void readConfig(const CallPtr& call);
     void changeConfig(const CallPtr& call);
     void checkConfig(const CallPtr& call);
@@ -450,8 +450,8 @@
     cancelAt(call, byHome, workload);
 }
 
-void Api::cancelAt(
-    const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome, const std::string& workload)
+void Api::cancelAt(const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome,
+    const std::string& workload)
 {
     auto gathered = std::make_shared<Gathered>();
     gathered->missing = byHome.size();
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -231,8 +231,10 @@
     http::ServerOptions inner;
     inner.listen = settings.inner;
     inner.maxBodyBytes = maxInnerBodyBytes;
-    auto innerResult = http::createServer(control, inner,
-        [this](const http::Request& request, http::Responder responder) { handleInner(request, std::move(responder)); });
+    auto innerResult
+        = http::createServer(control, inner, [this](const http::Request& request, http::Responder responder) {
+              handleInner(request, std::move(responder));
+          });
     if (!innerResult)
         return core::Failure { StartError { "inner: " + innerResult.error().detail } };
     innerServer = innerResult.value();
--- a/src/node/internal/celltask.cpp
+++ b/src/node/internal/celltask.cpp
@@ -34,7 +34,7 @@
 
 void CellTask::start()
 {
-    every(pollPeriod, [this] { poll(); });
+    every(pollPeriod, [this] { drive(); });
     every(vmListPeriod, [this] { readVms(); });
     every(probePeriod, [this] { probeWanted(); });
     readVms();
@@ -46,12 +46,6 @@
     std::visit([this](auto& it) { on(it); }, message);
 }
 
-void CellTask::poll()
-{
-    drive();
-    tell();
-}
-
 void CellTask::drive()
 {
     auto request = m_membership->next(now());
--- a/src/node/internal/celltask.h
+++ b/src/node/internal/celltask.h
@@ -32,7 +32,6 @@
     void on(LookNow&);
     void on(Leave&);
 
-    void poll();
     void drive();
     void readVms();
     void probeWanted();
--- a/src/partition/partitiontypes.h
+++ b/src/partition/partitiontypes.h
@@ -38,7 +38,7 @@
 
 //! Times that do not depend on the preset.
 struct Times {
-    core::Duration heartbeat = std::chrono::milliseconds(500); //!< between exchanges with a worker at rest
+    core::Duration heartbeat = std::chrono::seconds(1); //!< between exchanges with a worker at rest
     core::Duration workerPatience = std::chrono::seconds(4); //!< failing exchanges until a worker is left alone
     core::Duration workerLease = std::chrono::seconds(10); //!< longest lease that a worker may have
     core::Duration leaseMargin = std::chrono::seconds(1); //!< for clocks that run at different rates
