--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -3,8 +3,10 @@
 #include "codec/json.h"
 #include "core/hashing.h"
 #include "partition/partition.h"
+#include "platform/platformcodec.h"
 #include "platform/testing/fakestore.h"
 #include "platform/testing/fakeworker.h"
+#include "protocol/messagecodec.h"
 
 #include <deque>
 #include <map>
@@ -206,6 +208,8 @@
 
     Policy policy;
     Record record;
+    std::vector<std::string> transcript; //!< messages and orders, one a line
+    bool keepsTranscript = false;
     const core::NodeId caller { "caller" };
 
 private:
@@ -303,8 +307,31 @@
             carryOut(partition, machine, isFormer, it);
     }
 
+    void write(std::uint32_t partition, bool isFormer, const std::string& text)
+    {
+        if (!keepsTranscript)
+            return;
+        const auto ms = (m_now.time_since_epoch() - std::chrono::hours(1)) / std::chrono::milliseconds(1);
+        transcript.push_back(std::to_string(ms) + " p" + std::to_string(partition) + (isFormer ? " (former) " : " ") + text);
+    }
+
+    void writeEffect(std::uint32_t partition, bool isFormer, const Effect& effect)
+    {
+        if (const auto* it = std::get_if<SendMessage>(&effect)) {
+            const std::string name = protocol::methodOf(it->envelope.message);
+            write(partition, isFormer, name + " " + codec::writeJson(protocol::encodeParams(it->envelope)));
+        }
+        if (const auto* it = std::get_if<SyncWorker>(&effect))
+            write(partition, isFormer, "sync " + it->worker.value() + " " + platform::encodeSync(it->sync));
+        if (const auto* it = std::get_if<CommitToStore>(&effect))
+            write(partition, isFormer, "commit " + it->transaction.writes[0].key);
+        if (const auto* it = std::get_if<ReadStore>(&effect))
+            write(partition, isFormer, "read " + it->prefix);
+    }
+
     void carryOut(std::uint32_t partition, Partition& machine, bool isFormer, Effect& effect)
     {
+        writeEffect(partition, isFormer, effect);
         if (auto* it = std::get_if<SendMessage>(&effect))
             sendOn(isFormer ? -1 : int(partition), it->envelope);
         if (auto* it = std::get_if<SyncWorker>(&effect))
--- /dev/null
+++ b/tests/docs_tests.py
@@ -0,0 +1,56 @@
+"""The pages name the same metrics, keys, commands and calls as the code, and the other way round."""
+
+import os
+import re
+import unittest
+
+SOURCE = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+def read(path):
+    with open(os.path.join(SOURCE, path)) as text:
+        return text.read()
+
+
+class Pages(unittest.TestCase):
+    def compare(self, code, page, what):
+        self.assertTrue(code, what)
+        self.assertEqual(sorted(code - page), [], what + " that the page lacks")
+        self.assertEqual(sorted(page - code), [], what + " that the code lacks")
+
+    def test_metrics(self):
+        code = set(re.findall(r'"(sardinerun_[a-z_]+)"', read("src/telemetry/internal/metrics.cpp")))
+        page = set(re.findall(r"^\| `(sardinerun_[a-z_]+)`", read("docs/OPERATIONS.md"), re.M))
+        self.compare(code, page, "metrics")
+
+    def keys(self, path):
+        readers = r'(?:name|text|textOr|texts|integer|integerOr|flagOr|object|objectOr|objects|readMs|readAddress|readNamed)'
+        return set(re.findall(readers + r'\((?:reader, )?"([A-Za-z]+)"', read(path)))
+
+    def test_settings(self):
+        section = read("docs/OPERATIONS.md").split("## Settings of a node")[1].split("\n## ")[0]
+        page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
+        code = self.keys("src/settings/internal/nodesettings.cpp") - {"callers", "membership", "workers", "log", "retention"}
+        self.compare(code, page, "settings")
+
+    def test_configuration(self):
+        section = read("docs/OPERATIONS.md").split("## Configuration of all nodes")[1].split("\n## ")[0]
+        page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
+        code = self.keys("src/configuration/internal/readconfiguration.cpp") - {"services", "teams", "presets", "routes", "tokens",
+                                                                                "usage", "requests"}
+        page -= {"urgent", "normal", "low"}
+        self.compare(code, page, "configuration keys")
+
+    def test_commands(self):
+        code = set(re.findall(r'^        \{ "([a-z-]+)", "', read("src/app/internal/commands.cpp"), re.M))
+        page = set(re.findall(r"^\| `sardinerun ([a-z-]+)", read("docs/OPERATIONS.md"), re.M))
+        self.compare(code, page, "commands")
+
+    def test_calls(self):
+        code = set(re.findall(r'\{ "([A-Z]+)", "(/[^"]*)"', read("src/api/internal/api.cpp")))
+        page = {(m, p.split("?")[0]) for m, p in re.findall(r"^\| `([A-Z]+) (/[^`]*)`", read("docs/API.md"), re.M)}
+        self.compare(code, page, "calls")
+
+
+if __name__ == "__main__":
+    unittest.main()
