Never pass on a chunked answer that was cut short

Cause: the new test of answers cut short found that the library reports the end of the connection as the end of a chunked body, so a cut answer went to the caller as whole. Ruled out: our own framing check (the length and the missing header are caught). Before: 'taken as whole' for a chunked answer without its last chunk.

--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <map>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 extern "C" {
 #include <h2o.h>
@@ -36,6 +37,13 @@
     return buf + request.body;
 }
 
+//! True when the other side has closed the connection and nothing is left to read.
+bool isAtEnd(h2o_socket_t* socket)
+{
+    char c = 0;
+    return recv(h2o_socket_get_fd(socket), &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 class H2oClient;
 
 //! One request from its sending to its answer.
@@ -50,6 +58,7 @@
     std::size_t maxBytes = 0;
     bool isHead = false;
     bool isSent = false;
+    bool isChunked = false;
 };
 
 class H2oClient : public IHttpClient, public std::enable_shared_from_this<H2oClient> {
@@ -150,6 +159,7 @@
             std::string name(headers[n].name->base, headers[n].name->len);
             for (char& c : name)
                 c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+            call->isChunked = call->isChunked || name == "transfer-encoding";
             isFramed = isFramed || name == "content-length" || name == "transfer-encoding";
             call->response.headers.push_back({ name, std::string(headers[n].value.base, headers[n].value.len) });
         }
@@ -179,8 +189,15 @@
             call->owner->fail(call, ClientError::Code::TooLarge, "answer too large");
             return -1; // the library then closes the connection
         }
-        if (isWhole)
-            call->owner->finish(call, std::move(call->response));
+        if (!isWhole)
+            return 0;
+        // The library takes the end of the connection for the end of a chunked body. Only when the connection is
+        // still open has the last chunk certainly come.
+        if (call->isChunked && isAtEnd(client->sock)) {
+            call->owner->fail(call, ClientError::Code::Broken, "chunked answer cut short");
+            return -1;
+        }
+        call->owner->finish(call, std::move(call->response));
         return 0;
     }
 
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -2,8 +2,12 @@
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace sardinerun;
 using namespace std::chrono_literals;
@@ -104,3 +108,67 @@
     BOOST_TEST(http::queryParameter("a=1&b=x%20y", "b").value() == "x y");
     BOOST_TEST(!http::queryParameter("a=1", "b"));
 }
+
+namespace {
+
+//! Answers one connection with raw bytes, then closes it.
+class RawServer {
+public:
+    explicit RawServer(std::string bytes)
+    {
+        m_fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t n = sizeof address;
+        bind(m_fd, reinterpret_cast<sockaddr*>(&address), n);
+        getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &n);
+        port = ntohs(address.sin_port);
+        listen(m_fd, 1);
+        m_thread = std::thread([this, bytes = std::move(bytes)] {
+            const int fd = accept(m_fd, nullptr, nullptr);
+            char buf[4096];
+            if (read(fd, buf, sizeof buf) > 0 && write(fd, bytes.data(), bytes.size()) >= 0)
+                close(fd);
+        });
+    }
+    ~RawServer()
+    {
+        m_thread.join();
+        close(m_fd);
+    }
+    std::uint16_t port = 0;
+
+private:
+    int m_fd = -1;
+    std::thread m_thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(anAnswerThatIsCutShortIsAnError, Fixture)
+{
+    for (const char* bytes : { "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this",
+             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", "HTTP/1.1 200 OK\r\n" }) {
+        RawServer raw(bytes);
+        auto request = to("/");
+        request.to.port = raw.port;
+        const auto result = call(request);
+        if (result) {
+            BOOST_ERROR(std::string("taken as whole: ") + bytes);
+            continue;
+        }
+        BOOST_TEST((result.error().code == http::ClientError::Code::Broken));
+        BOOST_TEST(result.error().mayBeSent);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(anAnswerWithoutALengthIsAnError, Fixture)
+{
+    RawServer raw("HTTP/1.1 200 OK\r\n\r\nno length, so its end cannot be told from a cut");
+    auto request = to("/");
+    request.to.port = raw.port;
+    const auto result = call(request);
+    BOOST_REQUIRE(!result);
+    BOOST_TEST((result.error().code == http::ClientError::Code::NotFramed));
+}
--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -140,8 +140,8 @@
         deliver();
         for (auto& [id, it] : m_owners)
             run(id, *it.machine, false);
-        for (std::size_t n = 0; n < m_former.size(); ++n)
-            run(m_former[n].partition, *m_former[n].machine, true);
+        for (const Former& it : m_former)
+            run(it.partition, *it.machine, true);
         if (++m_steps % 10 == 0)
             shareHints();
         check();
@@ -312,7 +312,8 @@
         if (!keepsTranscript)
             return;
         const auto ms = (m_now.time_since_epoch() - std::chrono::hours(1)) / std::chrono::milliseconds(1);
-        transcript.push_back(std::to_string(ms) + " p" + std::to_string(partition) + (isFormer ? " (former) " : " ") + text);
+        transcript.push_back(
+            std::to_string(ms) + " p" + std::to_string(partition) + (isFormer ? " (former) " : " ") + text);
     }
 
     void writeEffect(std::uint32_t partition, bool isFormer, const Effect& effect)
@@ -350,7 +351,7 @@
         using Code = platform::WorkerError::Code;
         if (cutWorkers.contains(it.worker))
             return core::Failure { platform::WorkerError { Code::Unreachable, "cut" } };
-        const platform::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
+        platform::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
         if (muteWorkers.contains(it.worker))
             return core::Failure { platform::WorkerError { Code::Unknown, "mute" } };
         return result;
