--- /dev/null
+++ b/fuzz/decoders.cpp
@@ -0,0 +1,66 @@
+//! Feeds each decoder that takes bytes from outside. The first byte chooses the decoder.
+
+#include "api/internal/jobbody.h"
+#include "codec/json.h"
+#include "codec/yaml.h"
+#include "configuration/configuration.h"
+#include "membership/cellcodec.h"
+#include "platform/platformcodec.h"
+#include "protocol/messagecodec.h"
+#include "protocol/rpccodec.h"
+#include "settings/nodesettings.h"
+#include "telemetry/trace.h"
+
+#include <array>
+#include <cstdint>
+
+using namespace sardinerun;
+
+namespace {
+
+void batch(const std::string& text)
+{
+    for (const protocol::RpcCall& it : protocol::decodeBatch(text, protocol::allMethods()))
+        protocol::decodeParams(it.method, it.params);
+}
+
+void params(const std::string& text)
+{
+    const Json::Value value = codec::parseJson(text);
+    for (const char* it : protocol::allMethods()) {
+        try {
+            protocol::decodeParams(it, value);
+        } catch (const codec::DecodeError&) {
+            continue;
+        }
+    }
+}
+
+constexpr std::array<void (*)(const std::string&), 10> decoders {
+    [](const std::string& it) { settings::readNodeSettings(it, "f"); },
+    [](const std::string& it) { configuration::readConfiguration(it, "f"); },
+    [](const std::string& it) { api::readSubmission(it, core::WallTime(0)); },
+    [](const std::string& it) { batch(it); },
+    [](const std::string& it) { params(it); },
+    [](const std::string& it) { platform::decodeReport(it); },
+    [](const std::string& it) { platform::decodeVms(it); },
+    [](const std::string& it) { membership::decodeCell(platform::decodeRows(it)); },
+    [](const std::string& it) { platform::decodeTransaction(it); },
+    [](const std::string& it) { telemetry::TraceContext::parse(it); },
+};
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    if (size == 0)
+        return 0;
+    const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+    try {
+        decoders[data[0] % decoders.size()](text);
+    } catch (const codec::DecodeError&) {
+    } catch (const codec::YamlError&) {
+    } catch (const protocol::RpcError&) {
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/api/internal/jobcalls.cpp
@@ -0,0 +1,242 @@
+//! Calls about jobs.
+
+#include "api/internal/answers.h"
+#include "api/internal/api.h"
+#include "api/internal/jobbody.h"
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace sardinerun::api {
+
+namespace {
+
+constexpr core::Duration submitTimeout = std::chrono::seconds(5);
+constexpr core::Duration readTimeout = std::chrono::seconds(2);
+constexpr core::Duration waitPause = std::chrono::milliseconds(150);
+constexpr std::int64_t longestWaitMs = 30'000;
+constexpr std::uint32_t defaultPage = 100;
+constexpr std::uint32_t maxPage = 1000;
+constexpr std::size_t maxKey = 200;
+
+} // namespace
+
+void Api::submit(const CallPtr& call)
+{
+    if (refuseWithoutPartitions(call))
+        return;
+    if (m_isStopping) {
+        call->responder.send(problem(503, "stopping", "This node is stopping", Ran::No, "", std::chrono::seconds(1)));
+        return;
+    }
+    const auto header = http::findHeader(call->request.headers, "idempotency-key");
+    const auto key = header ? std::optional<std::string>(*header) : std::nullopt;
+    jobs::JobSpec spec;
+    try {
+        spec = readSubmission(call->request.body, loop()->wallNow());
+    } catch (const codec::DecodeError& it) {
+        call->responder.send(problem(400, "bad-job", "The job cannot be read", Ran::No, it.what()));
+        return;
+    }
+    if ((key && (key->empty() || key->size() > maxKey)) || (!key && !spec.isRepeatable)) {
+        call->responder.send(problem(
+            400, "key-missing", "A job that may not be repeated needs an Idempotency-Key of 1 to 200 bytes", Ran::No));
+        return;
+    }
+    spec.team = call->who.team;
+    spec.id = jobIdOf(spec.team, key);
+    const core::PartitionId home = core::partitionOf(spec.id.value(), partitionCount());
+    const auto row = m_news->view->partitions.find(home);
+    if (row == m_news->view->partitions.end() || row->second.owner.isNobody()) {
+        call->responder.send(
+            problem(503, "no-owner", "The job's partition has no owner now", Ran::No, "", std::chrono::seconds(1)));
+        return;
+    }
+    const auto make = [&spec](const protocol::Asker& asker) { return protocol::SubmitJob { asker, spec }; };
+    m_ports.desk->ask(home, make, submitTimeout,
+        [this, call, id = spec.id](const std::optional<protocol::Message>& answer) { onSubmitted(call, id, answer); });
+}
+
+void Api::onSubmitted(const CallPtr& call, const core::JobId& id, const std::optional<protocol::Message>& answer)
+{
+    const auto* it = answer ? std::get_if<protocol::SubmitAnswer>(&*answer) : nullptr;
+    const protocol::SubmitOutcome outcome = it ? it->outcome : protocol::SubmitOutcome::Unknown;
+    telemetry::LogLine(telemetry::Severity::Info, "submit")
+        .with("job", id.value())
+        .with("outcome", std::int64_t(outcome));
+    if (outcome == protocol::SubmitOutcome::Accepted) {
+        Json::Value body(Json::objectValue);
+        body["id"] = id.value();
+        http::Response response = json(202, body);
+        response.headers.push_back({ "location", "/v1/jobs/" + id.value() });
+        call->responder.send(std::move(response));
+        return;
+    }
+    if (outcome == protocol::SubmitOutcome::Conflict) {
+        call->responder.send(problem(422, "key-mismatch", "The Idempotency-Key was used for another job", Ran::No));
+        return;
+    }
+    if (outcome == protocol::SubmitOutcome::Unknown) {
+        call->responder.send(problem(504, "outcome-unknown",
+            "The job may have been accepted; ask for it or send it again with the same key", Ran::Unknown, id.value(),
+            std::chrono::seconds(1)));
+        return;
+    }
+    const bool mayTryAgain = it->refusal.retryAfter.has_value();
+    call->responder.send(problem(mayTryAgain ? 503 : 422, admission::nameOf(it->refusal.reason),
+        "The job is refused and will not run", Ran::No, it->refusal.detail, it->refusal.retryAfter));
+}
+
+void Api::ask(const core::JobId& job, const CallPtr& call, const std::function<void(const jobs::JobStatus&)>& found)
+{
+    const core::PartitionId home = core::partitionOf(job.value(), partitionCount());
+    const auto make = [&](const protocol::Asker& asker) {
+        return protocol::ReadJobs { asker, call->visibleTeam(), job, {}, 1 };
+    };
+    m_ports.desk->askUntilAnswered(
+        home, make, readTimeout, [call, found](const std::optional<protocol::Message>& answer) {
+            const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
+            if (!it)
+                call->responder.send(problem(503, "no-owner", "The job's partition does not answer now", Ran::Unknown,
+                    "", std::chrono::seconds(1)));
+            else if (it->jobs.empty())
+                call->responder.send(problem(404, "not-found", "No such job is known", Ran::Unknown));
+            else
+                found(it->jobs[0]);
+        });
+}
+
+void Api::readJob(const CallPtr& call)
+{
+    if (!refuseWithoutPartitions(call))
+        ask(core::JobId(call->id), call,
+            [call](const jobs::JobStatus& it) { call->responder.send(json(200, writeJob(it))); });
+}
+
+void Api::waitJob(const CallPtr& call)
+{
+    if (refuseWithoutPartitions(call))
+        return;
+    const std::string text = http::queryParameter(call->request.query, "ms").value_or("10000");
+    const bool isNumber = !text.empty() && text.size() < 8 && text.find_first_not_of("0123456789") == std::string::npos;
+    const std::int64_t ms = isNumber ? std::min<std::int64_t>(std::stoll(text), longestWaitMs) : 0;
+    waitOn(call, now() + std::chrono::milliseconds(ms));
+}
+
+void Api::waitOn(const CallPtr& call, core::TimePoint until)
+{
+    auto self = weak_from_this();
+    ask(core::JobId(call->id), call, [this, self, call, until](const jobs::JobStatus& it) {
+        if (jobs::isEnded(it.state) || now() + waitPause > until) {
+            call->responder.send(json(200, writeJob(it)));
+            return;
+        }
+        loop()->callAfter(waitPause, [this, self, call, until] {
+            if (auto keep = self.lock())
+                waitOn(call, until);
+        });
+    });
+}
+
+void Api::listJobs(const CallPtr& call)
+{
+    if (refuseWithoutPartitions(call))
+        return;
+    const std::string text = http::queryParameter(call->request.query, "limit").value_or(std::to_string(defaultPage));
+    const bool isNumber = !text.empty() && text.size() < 6 && text.find_first_not_of("0123456789") == std::string::npos;
+    const std::uint32_t limit = isNumber ? static_cast<std::uint32_t>(std::stoul(text)) : 0;
+    if (limit < 1 || limit > maxPage) {
+        call->responder.send(problem(400, "bad-limit", "limit must be from 1 to 1000", Ran::No));
+        return;
+    }
+    const core::JobId after(http::queryParameter(call->request.query, "after").value_or(""));
+    auto gathered = std::make_shared<Gathered>();
+    gathered->missing = partitionCount();
+    for (std::uint32_t n = 0; n < partitionCount(); ++n) {
+        const auto make = [&](const protocol::Asker& asker) {
+            return protocol::ReadJobs { asker, call->visibleTeam(), {}, after, limit };
+        };
+        m_ports.desk->askUntilAnswered(core::PartitionId(n), make, readTimeout,
+            [call, gathered, limit](const std::optional<protocol::Message>& answer) {
+                const auto* it = answer ? std::get_if<protocol::JobsAnswer>(&*answer) : nullptr;
+                gathered->isWhole = gathered->isWhole && it;
+                if (it)
+                    gathered->jobs.insert(gathered->jobs.end(), it->jobs.begin(), it->jobs.end());
+                if (--gathered->missing > 0)
+                    return;
+                auto& all = gathered->jobs;
+                std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.spec.id < b.spec.id; });
+                Json::Value body(Json::objectValue);
+                body["jobs"] = Json::Value(Json::arrayValue);
+                body["complete"] = gathered->isWhole;
+                for (std::size_t k = 0; k < std::min<std::size_t>(limit, all.size()); ++k)
+                    body["jobs"].append(writeJob(all[k]));
+                if (all.size() >= limit)
+                    body["next"] = all[limit - 1].spec.id.value();
+                call->responder.send(json(200, body));
+            });
+    }
+}
+
+void Api::cancelJob(const CallPtr& call)
+{
+    if (refuseWithoutPartitions(call))
+        return;
+    const core::JobId id(call->id);
+    cancelAt(call, { { core::partitionOf(id.value(), partitionCount()), { id } } }, "");
+}
+
+void Api::cancelJobs(const CallPtr& call)
+{
+    if (refuseWithoutPartitions(call))
+        return;
+    std::map<core::PartitionId, std::vector<core::JobId>> byHome;
+    std::string workload;
+    try {
+        const Json::Value value = codec::parseJson(call->request.body);
+        codec::ObjectReader reader(value);
+        for (const std::string& it : reader.texts("jobs", 10'000, 64))
+            byHome[core::partitionOf(it, partitionCount())].emplace_back(it);
+        workload = reader.textOr("workload", 64, "");
+        reader.finish();
+    } catch (const codec::DecodeError& it) {
+        call->responder.send(problem(400, "bad-request", "The list cannot be read", Ran::No, it.what()));
+        return;
+    }
+    for (std::uint32_t n = 0; n < partitionCount() && !workload.empty(); ++n)
+        byHome[core::PartitionId(n)];
+    cancelAt(call, byHome, workload);
+}
+
+void Api::cancelAt(const CallPtr& call, const std::map<core::PartitionId, std::vector<core::JobId>>& byHome,
+    const std::string& workload)
+{
+    auto gathered = std::make_shared<Gathered>();
+    gathered->missing = byHome.size();
+    if (byHome.empty()) {
+        call->responder.send(problem(400, "bad-request", "Name jobs or a workload", Ran::No));
+        return;
+    }
+    for (const auto& it : byHome) {
+        const core::PartitionId home = it.first;
+        const std::vector<core::JobId>& ids = it.second;
+        const auto make = [&](const protocol::Asker& asker) {
+            return protocol::CancelJobs { asker, call->visibleTeam(), ids, workload };
+        };
+        // Cancelling is idempotent, so it is sent again until it is answered.
+        m_ports.desk->askUntilAnswered(
+            home, make, submitTimeout, [call, gathered](const std::optional<protocol::Message>& answer) {
+                const auto* it = answer ? std::get_if<protocol::CancelAnswer>(&*answer) : nullptr;
+                gathered->isWhole = gathered->isWhole && it;
+                gathered->cancelled += it ? it->cancelled : 0;
+                if (--gathered->missing > 0)
+                    return;
+                Json::Value body(Json::objectValue);
+                body["cancelled"] = gathered->cancelled;
+                body["complete"] = gathered->isWhole;
+                call->responder.send(json(gathered->isWhole ? 200 : 504, body));
+            });
+    }
+}
+
+} // namespace sardinerun::api
--- /dev/null
+++ b/src/api/internal/operatorcalls.cpp
@@ -0,0 +1,205 @@
+//! Calls of operators: configuration, presets, nodes, workers, partitions.
+
+#include "api/internal/answers.h"
+#include "api/internal/api.h"
+#include "codec/yaml.h"
+#include "partition/partition.h"
+#include "platform/platformcodec.h"
+
+namespace sardinerun::api {
+
+void Api::readConfig(const CallPtr& call)
+{
+    Json::Value body(Json::objectValue);
+    if (m_news->view) {
+        body["version"] = Json::UInt64(m_news->view->config.version.value());
+        body["inForce"] = Json::UInt64(m_news->view->active.version.value());
+        body["preset"] = m_news->view->config.preset.value();
+        body["document"] = m_news->view->config.document;
+    }
+    call->responder.send(json(200, body));
+}
+
+void Api::readPreset(const CallPtr& call)
+{
+    const bool isActing = m_news->standing.actsUnder.value() > 0 && now() < m_news->standing.certainUntil;
+    Json::Value body(Json::objectValue);
+    body["here"] = isActing ? m_news->acting.name.value() : configuration::noPreset;
+    if (m_news->view) {
+        body["accepted"] = m_news->view->config.preset.value();
+        body["version"] = Json::UInt64(m_news->view->config.version.value());
+        body["inForce"] = Json::UInt64(m_news->view->active.version.value());
+    }
+    call->responder.send(json(200, body));
+}
+
+void Api::configure(const CallPtr& call, node::Configure message)
+{
+    message.reply = replyHere<node::ConfigureResult>([call](const node::ConfigureResult& result) {
+        using Outcome = node::ConfigureOutcome;
+        Json::Value body(Json::objectValue);
+        body["version"] = Json::UInt64(result.version.value());
+        const std::string version = "version " + std::to_string(result.version.value()) + " stands: ";
+        switch (result.outcome) {
+        case Outcome::Accepted:
+            call->responder.send(json(200, body));
+            break;
+        case Outcome::Conflict:
+            call->responder.send(
+                problem(409, "version-conflict", "Another change came first", Ran::No, version + result.detail));
+            break;
+        case Outcome::Invalid:
+            call->responder.send(
+                problem(422, "bad-configuration", "The configuration is wrong", Ran::No, result.detail));
+            break;
+        case Outcome::StoreDown:
+            call->responder.send(problem(503, "store-down", "The platform's store does not answer", Ran::No,
+                result.detail, std::chrono::seconds(5)));
+            break;
+        case Outcome::Unknown:
+            call->responder.send(
+                problem(504, "outcome-unknown", "The change may have been accepted", Ran::Unknown, result.detail));
+            break;
+        }
+    });
+    m_ports.toCell(std::move(message));
+}
+
+std::optional<core::ConfigVersion> expectedVersion(const http::Request& request)
+{
+    const auto text = http::queryParameter(request.query, "expected");
+    if (!text || text->empty() || text->size() > 15 || text->find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return core::ConfigVersion(std::stoull(*text));
+}
+
+void Api::changeConfig(const CallPtr& call)
+{
+    node::Configure message;
+    message.expected = expectedVersion(call->request);
+    message.document = call->request.body;
+    if (const auto preset = http::queryParameter(call->request.query, "preset"))
+        message.preset = core::PresetName(*preset);
+    configure(call, std::move(message));
+}
+
+void Api::changePreset(const CallPtr& call)
+{
+    node::Configure message;
+    message.expected = expectedVersion(call->request);
+    try {
+        const Json::Value value = codec::parseJson(call->request.body);
+        codec::ObjectReader reader(value);
+        message.preset = core::PresetName(reader.text("preset", 64));
+        reader.finish();
+    } catch (const codec::DecodeError& it) {
+        call->responder.send(problem(400, "bad-request", "The preset cannot be read", Ran::No, it.what()));
+        return;
+    }
+    configure(call, std::move(message));
+}
+
+void Api::checkConfig(const CallPtr& call)
+{
+    try {
+        configuration::readConfiguration(call->request.body, "configuration");
+        call->responder.send(json(200, Json::Value(Json::objectValue)));
+    } catch (const codec::YamlError& it) {
+        call->responder.send(problem(422, "bad-configuration", "The configuration is wrong", Ran::No, it.what()));
+    }
+}
+
+void Api::readTeams(const CallPtr& call)
+{
+    Json::Value body(Json::objectValue);
+    body["teams"] = Json::Value(Json::arrayValue);
+    const std::vector<configuration::Team> none;
+    for (const configuration::Team& it : m_news->configuration ? m_news->configuration->teams : none) {
+        Json::Value team(Json::objectValue);
+        team["name"] = it.id.value();
+        team["weight"] = it.weight;
+        team["tokens"] = Json::UInt64(it.tokens.size());
+        body["teams"].append(team);
+    }
+    call->responder.send(json(200, body));
+}
+
+void Api::readNodes(const CallPtr& call)
+{
+    Json::Value body(Json::objectValue);
+    body["nodes"] = Json::Value(Json::arrayValue);
+    body["self"] = m_news->standing.self.node.value();
+    if (!m_news->view) {
+        call->responder.send(json(200, body));
+        return;
+    }
+    for (const membership::Member& it : m_news->view->members) {
+        Json::Value node(Json::objectValue);
+        node["node"] = it.run.node.value();
+        node["incarnation"] = it.run.incarnation.value();
+        node["address"] = it.address.text();
+        node["failureDomain"] = it.failureDomain.value();
+        node["confirmed"] = Json::UInt64(it.confirmed.value());
+        node["leaving"] = it.isLeaving;
+        node["partitions"] = Json::Value(Json::arrayValue);
+        for (const auto& [id, row] : m_news->view->partitions) {
+            if (row.owner == it.run)
+                node["partitions"].append(id.value());
+        }
+        body["nodes"].append(node);
+    }
+    call->responder.send(json(200, body));
+}
+
+void Api::forgetNode(const CallPtr& call)
+{
+    m_ports.toCell(node::ForgetNode { core::NodeId(call->id) });
+    call->responder.send(json(202, Json::Value(Json::objectValue)));
+}
+
+void Api::readWorkers(const CallPtr& call)
+{
+    Json::Value body(Json::objectValue);
+    body["vms"] = Json::Value(Json::arrayValue);
+    const std::vector<platform::VmInfo> none;
+    for (const platform::VmInfo& it : m_news->vms ? *m_news->vms : none) {
+        Json::Value vm(Json::objectValue);
+        vm["id"] = it.id.value();
+        vm["role"] = it.role == platform::VmRole::Worker ? "worker" : "runner";
+        vm["state"] = it.state == platform::VmState::Live ? "live" : "leaving";
+        vm["rack"] = it.rack.value();
+        vm["failureDomain"] = it.failureDomain.value();
+        vm["address"] = it.address.text();
+        if (it.role == platform::VmRole::Worker && partitionCount() > 0)
+            vm["partition"] = partition::Partition::partitionOf(it.id, partitionCount()).value();
+        body["vms"].append(vm);
+    }
+    call->responder.send(json(200, body));
+}
+
+void Api::readPartitions(const CallPtr& call)
+{
+    m_ports.readPartitions(
+        replyHere<std::vector<partition::PartitionView>>([call](const std::vector<partition::PartitionView>& views) {
+            Json::Value body(Json::objectValue);
+            body["partitions"] = Json::Value(Json::arrayValue);
+            for (const partition::PartitionView& it : views) {
+                Json::Value view(Json::objectValue);
+                view["partition"] = it.id.value();
+                view["epoch"] = Json::UInt64(it.epoch.value());
+                view["recovered"] = it.isRecovered;
+                view["jobs"] = Json::UInt64(it.jobs);
+                view["attempts"] = Json::UInt64(it.attempts);
+                view["workers"] = Json::UInt64(it.workers);
+                view["readyWorkers"] = Json::UInt64(it.readyWorkers);
+                view["setAsideWorkers"] = Json::UInt64(it.setAsideWorkers);
+                view["total"] = platform::encodeResources(it.total);
+                view["committed"] = platform::encodeResources(it.committed);
+                view["storeHealthy"] = it.isStoreHealthy;
+                body["partitions"].append(view);
+            }
+            call->responder.send(json(200, body));
+        }));
+}
+
+} // namespace sardinerun::api
--- /dev/null
+++ b/src/partition/internal/capacityworkers.cpp
@@ -0,0 +1,129 @@
+//! The part of a capacity that follows its workers.
+
+#include "core/hashing.h"
+#include "partition/internal/capacity.h"
+#include "partition/internal/label.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+namespace {
+
+//! Time between two looks at the usage of one attempt.
+constexpr core::Duration usageInterval = std::chrono::seconds(5);
+
+} // namespace
+
+void Capacity::onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at, Effects& effects)
+{
+    const auto it = m_links.find(worker);
+    if (it == m_links.end())
+        return;
+    const LinkNews news = it->second->onResult(result, m_isCertain, at.now);
+    if (news.isDeposed) {
+        m_isDeposed = true;
+        return;
+    }
+    for (const platform::AttemptReport& report : news.reports)
+        takeReport(report, worker, at, effects);
+    for (const core::AttemptId& id : news.vanished)
+        endAttempt(id, platform::AttemptState::Stopped, true, at, effects);
+    if (result)
+        relieve(worker, news.reports, at, effects);
+    openOrClose(worker, at.now);
+    if (m_states[worker] == platform::VmState::Leaving)
+        moveServices(worker, at, effects);
+    noteRecovery(effects);
+}
+
+void Capacity::takeReport(const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects)
+{
+    if (m_ends.contains(report.id))
+        return;
+    if (m_tombstones.contains(report.id)) {
+        m_links.at(worker)->acknowledge(report.id);
+        return;
+    }
+    if (!m_attempts.contains(report.id))
+        adopt(report, worker, at);
+    if (report.state == platform::AttemptState::Running)
+        learnUsage(report, m_attempts.at(report.id), at);
+    else
+        endAttempt(report.id, report.state, false, at, effects);
+}
+
+void Capacity::adopt(const platform::AttemptReport& report, const core::VmId& worker, Moment at)
+{
+    const AttemptLabel label = readLabel(report.label);
+    m_attempts.emplace(report.id,
+        Attempt { worker, report.workload, report.resources, label.kind, label.urgency, label.isPreemptible, at.now });
+    m_ledger.commit(report.id, { worker, report.resources, label.urgency, label.isPreemptible, false });
+    if (label.kind == jobs::JobKind::Service)
+        countSpread(report.id.job, worker, 1);
+}
+
+void Capacity::learnUsage(const platform::AttemptReport& report, Attempt& attempt, Moment at)
+{
+    const bool isReported = report.used.cpu.value() > 0 || report.used.memory.value() > 0;
+    if (!isReported || at.now < attempt.usageReportedAt + usageInterval)
+        return;
+    attempt.usageReportedAt = at.now;
+    m_usage.report(attempt.workload, attempt.declared, report.used);
+    m_ledger.resize(
+        report.id, m_usage.toCommitRunning(attempt.workload, attempt.declared, report.used, m_policy.usage));
+}
+
+void Capacity::relieve(
+    const core::VmId& worker, const std::vector<platform::AttemptReport>& reports, Moment at, Effects& effects)
+{
+    const placement::Worker* it = m_ledger.worker(worker);
+    if (!it)
+        return;
+    core::MebiBytes used;
+    const platform::AttemptReport* victim = nullptr;
+    const auto rank = [this](const core::AttemptId& id) {
+        const Attempt& attempt = m_attempts.at(id);
+        return std::pair(attempt.urgency, attempt.startedAt);
+    };
+    for (const platform::AttemptReport& report : reports) {
+        used += report.used.memory;
+        const auto attempt = m_attempts.find(report.id);
+        if (attempt == m_attempts.end() || !attempt->second.isPreemptible)
+            continue;
+        if (!victim || rank(report.id) > rank(victim->id))
+            victim = &report;
+    }
+    // Memory cannot be shared by turns as processors can: one task has to go before the worker fails them all.
+    if (victim && used > it->capacity.memory)
+        stopAttempt(victim->id, at, effects);
+}
+
+void Capacity::moveServices(const core::VmId& worker, Moment at, Effects& effects)
+{
+    for (const core::AttemptId& it : m_ledger.attemptsOn(worker)) {
+        const auto attempt = m_attempts.find(it);
+        if (attempt != m_attempts.end() && attempt->second.kind == jobs::JobKind::Service)
+            stopAttempt(it, at, effects);
+    }
+}
+
+void Capacity::loseWorker(const core::VmId& worker, Moment at, Effects& effects)
+{
+    WorkerLink& link = *m_links.at(worker);
+    const std::vector<core::AttemptId> sentList = link.sentAttempts();
+    const std::set<core::AttemptId> sent(sentList.begin(), sentList.end());
+    std::vector<core::AttemptId> all;
+    for (const auto& [id, attempt] : m_attempts) {
+        if (attempt.worker == worker)
+            all.push_back(id);
+    }
+    for (const core::AttemptId& it : all) {
+        const bool isLost = sent.contains(it);
+        endAttempt(
+            it, isLost ? platform::AttemptState::Stopped : platform::AttemptState::NotStarted, isLost, at, effects);
+    }
+    link.dropAll();
+}
+
+} // namespace sardinerun::partition
--- /dev/null
+++ b/src/partition/internal/homeends.cpp
@@ -0,0 +1,121 @@
+//! The part of a home that follows attempts to their ends.
+
+#include "partition/internal/home.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+using jobs::TaskState;
+
+namespace {
+
+//! A worker that cannot start a task is not the task's fault, so more such failures are borne.
+constexpr std::uint32_t startFailuresPerAttempt = 5;
+
+} // namespace
+
+TaskState Home::stateAfter(Job& job, TaskRecord& task, const protocol::AttemptEnded& message) const
+{
+    using State = platform::AttemptState;
+    const jobs::JobSpec& spec = job.spec();
+    const bool isService = spec.kind == jobs::JobKind::Service;
+    if (message.state == State::Succeeded && !isService)
+        return TaskState::Succeeded;
+    if (job.isCancelled())
+        return TaskState::Cancelled;
+    if (message.state == State::NotStarted) {
+        ++task.startFailures;
+        return task.startFailures < startFailuresPerAttempt * spec.maxAttempts ? TaskState::Waiting : TaskState::Failed;
+    }
+    if (message.state == State::Stopped)
+        return spec.isRepeatable ? TaskState::Waiting : TaskState::Unknown;
+    ++task.failures;
+    if (isService)
+        return TaskState::Waiting;
+    return spec.isRepeatable && task.failures < spec.maxAttempts ? TaskState::Waiting : TaskState::Failed;
+}
+
+void Home::onAttemptEnded(const protocol::AttemptEnded& message, Moment at, Effects& effects)
+{
+    const auto it = m_jobs.find(message.id.job);
+    if (it == m_jobs.end() || !it->second.hasTask(message.id.task)) {
+        sendEndKept(message.id.job, message, effects);
+        return;
+    }
+    Job& job = it->second;
+    const TaskRecord& task = job.task(message.id.task);
+    // While inventories are awaited the newest attempt is not known yet: any attempt counts.
+    const bool isNewest = task.attempt == message.id.attempt && task.state != TaskState::Waiting;
+    if (!jobs::isEnded(task.state) && (isNewest || job.isRecovered))
+        applyEnd(job, message, at, effects);
+    sendEndKept(message.id.job, message, effects);
+}
+
+void Home::applyEnd(Job& job, const protocol::AttemptEnded& message, Moment at, Effects& effects)
+{
+    TaskRecord& task = job.mutableTask(message.id.task);
+    task.attempt = std::max(task.attempt, message.id.attempt);
+    const TaskState state = stateAfter(job, task, message);
+    changeState(job, message.id.task, state);
+    if (state == TaskState::Succeeded) {
+        ++m_counters.tasksSucceeded;
+        m_runTimes.report(job.spec().workload, job.spec().runTime, message.ran);
+    }
+    if (state == TaskState::Failed)
+        ++m_counters.tasksFailed;
+    if (message.isLost)
+        ++m_counters.attemptsLost;
+    if (jobs::isEnded(state))
+        keep(job, false);
+    else
+        job.refusedBy.clear();
+    afterChange(job, at, effects);
+    const bool isFault
+        = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
+    if (state == TaskState::Waiting && isFault && m_queue.contains(job.spec().id))
+        defer(job, at.now);
+}
+
+void Home::loseAttempt(Job& job, core::TaskIndex task, Moment at, Effects& effects)
+{
+    protocol::AttemptEnded end;
+    end.from = job.task(task).where;
+    end.home = m_id;
+    end.id = { job.spec().id, task, job.task(task).attempt };
+    end.state = platform::AttemptState::Stopped;
+    end.isLost = true;
+    applyEnd(job, end, at, effects);
+}
+
+void Home::afterChange(Job& job, Moment at, Effects& effects)
+{
+    if (job.isEnded()) {
+        m_queue.remove(job.spec().id);
+        m_endedJobs.emplace_back(at.now, job.spec().id);
+        return;
+    }
+    if (job.waiting().empty() || job.isRecovered)
+        return;
+    if (job.spec().kind != jobs::JobKind::AllAtOnce) {
+        enqueue(job);
+        return;
+    }
+    // Tasks that start together also start again together.
+    const bool isAtRest = job.count(TaskState::Running) + job.count(TaskState::Placing) == 0;
+    if (isAtRest) {
+        m_stopping.erase(job.spec().id); // or the next attempt would be stopped as well
+        enqueue(job);
+    } else if (job.count(TaskState::Running) > 0 && !m_allAtOnce.contains(job.spec().id)) {
+        stopJob(job, effects);
+    }
+}
+
+void Home::stopJob(const Job& job, Effects& effects)
+{
+    m_stopping.insert(job.spec().id);
+    for (const core::PartitionId it : job.places())
+        effects.push_back(SendMessage { { it, protocol::StopJobs { stamp(), it, { job.spec().id } } } });
+}
+
+} // namespace sardinerun::partition
--- /dev/null
+++ b/src/partition/internal/homeplacing.cpp
@@ -0,0 +1,237 @@
+//! The part of a home that asks for room.
+
+#include "core/hashing.h"
+#include "partition/internal/home.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+using jobs::TaskState;
+
+namespace {
+
+constexpr core::Duration hintAge = std::chrono::seconds(4);
+constexpr core::Duration firstDeferral = std::chrono::milliseconds(50);
+constexpr int maxDeferralDoublings = 5;
+//! Refusals in a row after which a class waits until room is freed.
+constexpr int maxRefusalsInRow = 32;
+constexpr core::Duration blockedTime = std::chrono::milliseconds(250);
+constexpr int maxPicksPerPump = 256;
+constexpr std::size_t maxTasksPerRequest = 256;
+
+} // namespace
+
+void Home::changeState(Job& job, core::TaskIndex task, TaskState state)
+{
+    const TaskState before = job.task(task).state;
+    if (before == state)
+        return;
+    const core::Resources& each = job.spec().each;
+    auto& waiting = m_waitingResources[jobs::indexOf(job.spec().urgency)];
+    auto& running = m_teamRunning[job.spec().team];
+    if (before == TaskState::Waiting)
+        waiting = waiting - each;
+    if (state == TaskState::Waiting)
+        waiting = waiting + each;
+    if (before == TaskState::Running)
+        running = running - each;
+    if (state == TaskState::Running)
+        running = running + each;
+    job.setState(task, state);
+}
+
+void Home::enqueue(const Job& job)
+{
+    if (!job.isAccepted || job.isCancelled() || job.waiting().empty() || job.isRecovered)
+        return;
+    const jobs::JobSpec& spec = job.spec();
+    m_queue.push({ spec.id, spec.team, spec.urgency, spec.deadline, job.since() });
+}
+
+admission::ShareView Home::shareView(core::TimePoint now) const
+{
+    admission::ShareView view;
+    view.byUrgency = m_fleet.shares;
+    for (const jobs::Urgency it : jobs::allUrgencies)
+        view.isBlocked[jobs::indexOf(it)] = now < m_blockedUntil[jobs::indexOf(it)];
+    view.ofTeam = [this](const core::TeamId& team) {
+        const auto running = m_teamRunning.find(team);
+        const auto weight = m_policy.teamWeights.find(team);
+        const double cpu = running == m_teamRunning.end() ? 0 : static_cast<double>(running->second.cpu.value());
+        return cpu / (weight == m_policy.teamWeights.end() ? 1 : weight->second);
+    };
+    return view;
+}
+
+void Home::pump(Moment at, Effects& effects)
+{
+    if (std::exchange(m_isRoomFreed, false)) {
+        m_queue.wakeAll();
+        m_blockedUntil = {};
+    }
+    for (int n = 0; n < maxPicksPerPump; ++n) {
+        const auto id = m_queue.pick(at.now, m_policy.shares, shareView(at.now));
+        if (!id)
+            return;
+        place(m_jobs.at(*id), at, effects);
+    }
+}
+
+void Home::place(Job& job, Moment at, Effects& effects)
+{
+    if (job.spec().kind == jobs::JobKind::AllAtOnce) {
+        beginAllAtOnce(job, at, effects);
+        return;
+    }
+    if (const auto target = targetFor(job, at.now))
+        sendPlace(job, *target, at, effects);
+    else
+        defer(job, at.now);
+}
+
+bool Home::hasHintedRoom(core::PartitionId partition, const core::Resources& need, core::TimePoint now) const
+{
+    const auto it = m_hints.find(partition);
+    return it != m_hints.end() && now - it->second.at < hintAge && need.fitsIn(it->second.message.largest)
+        && ownerOf(partition) == it->second.message.fromEpoch;
+}
+
+std::optional<core::PartitionId> Home::targetFor(const Job& job, core::TimePoint now) const
+{
+    if (!job.refusedBy.contains(m_id))
+        return m_id;
+    std::optional<core::PartitionId> best;
+    core::MilliCpu most;
+    for (const auto& [partition, hint] : m_hints) {
+        const bool isUsable
+            = partition != m_id && !job.refusedBy.contains(partition) && hasHintedRoom(partition, job.spec().each, now);
+        if (isUsable && (!best || hint.message.room.cpu > most)) {
+            best = partition;
+            most = hint.message.room.cpu;
+        }
+    }
+    return best;
+}
+
+core::AttemptNumber Home::newAttempt(TaskRecord& task) const
+{
+    const core::AttemptNumber first = firstAttemptOf(m_epoch);
+    task.attempt = task.attempt < first ? first : core::AttemptNumber(task.attempt.value() + 1);
+    return task.attempt;
+}
+
+void Home::sendPlace(Job& job, core::PartitionId target, Moment at, Effects& effects)
+{
+    protocol::PlaceTasks message;
+    message.from = stamp();
+    message.to = target;
+    message.toEpoch = ownerOf(target);
+    message.id = protocol::PlacementId(++m_lastPlacement);
+    message.spec = job.spec();
+    while (!job.waiting().empty() && message.tasks.size() < maxTasksPerRequest) {
+        const core::TaskIndex task = *job.waiting().begin();
+        TaskRecord& record = job.mutableTask(task);
+        record.where = target;
+        message.tasks.push_back({ task, newAttempt(record) });
+        changeState(job, task, TaskState::Placing);
+    }
+    if (job.waiting().empty())
+        m_queue.remove(job.spec().id);
+    Outstanding outstanding { message, std::nullopt, at.now };
+    // A start that may not be repeated is recorded before it can happen, for the case that this owner ends.
+    if (!job.spec().isRepeatable)
+        outstanding.awaits = keep(job, false);
+    else
+        effects.push_back(SendMessage { { target, message } });
+    m_outstanding.emplace(message.id, std::move(outstanding));
+}
+
+void Home::defer(Job& job, core::TimePoint now)
+{
+    const int doublings = std::min<int>(static_cast<int>(job.deferrals++), maxDeferralDoublings);
+    const core::Duration base = firstDeferral * (1 << doublings);
+    const auto jitter
+        = core::stableHash(job.spec().id.value(), job.deferrals) % static_cast<std::uint64_t>(base.count());
+    job.refusedBy.clear();
+    m_queue.defer(job.spec().id, now + base / 2 + core::Duration(static_cast<std::int64_t>(jitter)));
+    noteRefusal(job.spec().urgency, now);
+}
+
+void Home::noteRefusal(jobs::Urgency urgency, core::TimePoint now)
+{
+    int& n = m_refusalsInRow[jobs::indexOf(urgency)];
+    if (++n < maxRefusalsInRow)
+        return;
+    n = 0;
+    m_blockedUntil[jobs::indexOf(urgency)] = now + blockedTime;
+}
+
+void Home::notePlaced(Job& job, Moment at)
+{
+    job.deferrals = 0;
+    m_refusalsInRow[jobs::indexOf(job.spec().urgency)] = 0;
+    if (std::exchange(job.isFirstPlaced, true))
+        return;
+    ++m_counters.jobsPlaced;
+    m_counters.waitSecondsSum += std::chrono::duration<double>(at.now - job.since()).count();
+}
+
+bool Home::isStaleCapacity(core::PartitionId from, core::Epoch epoch)
+{
+    const auto it = m_capacityEpochs.find(from);
+    if (it == m_capacityEpochs.end() || epoch >= it->second)
+        return false;
+    ++m_counters.staleMessages;
+    return true;
+}
+
+void Home::onPlaceAnswer(const protocol::PlaceAnswer& message, Moment at, Effects& effects)
+{
+    if (message.to != stamp() || isStaleCapacity(message.from, message.fromEpoch))
+        return;
+    const auto job = m_jobs.find(message.job);
+    if (const auto it = m_allAtOnce.find(message.job); it != m_allAtOnce.end() && job != m_jobs.end()) {
+        applyStep(job->second, it->second.onPlaceAnswer(message), at, effects);
+        return;
+    }
+    const auto outstanding = m_outstanding.find(message.id);
+    if (outstanding == m_outstanding.end() || job == m_jobs.end())
+        return;
+    const std::vector<protocol::TaskAttempt> tasks = std::move(outstanding->second.message.tasks);
+    m_outstanding.erase(outstanding);
+    Job& it = job->second;
+    const std::set<protocol::TaskAttempt> taken(message.taken.begin(), message.taken.end());
+    for (const protocol::TaskAttempt& task : tasks) {
+        const TaskRecord& record = it.task(task.task);
+        if (record.state != TaskState::Placing || record.attempt != task.attempt)
+            continue;
+        const TaskState other = it.isCancelled() ? TaskState::Cancelled : TaskState::Waiting;
+        changeState(it, task.task, taken.contains(task) ? TaskState::Running : other);
+    }
+    if (taken.size() < tasks.size()) {
+        it.refusedBy.insert(message.from);
+        enqueue(it);
+        // The record says that it may have started; the refusal takes that back.
+        if (!it.spec().isRepeatable)
+            keep(it, false);
+    }
+    if (!taken.empty())
+        notePlaced(it, at);
+    // A cancellation may have crossed the request.
+    if (it.isCancelled()) {
+        if (!taken.empty())
+            stopJob(it, effects);
+        keep(it, false);
+    }
+    afterChange(it, at, effects);
+}
+
+void Home::onHint(const protocol::RoomHint& message, core::TimePoint now)
+{
+    if (message.from == m_id)
+        return;
+    m_hints[message.from] = { message, now };
+}
+
+} // namespace sardinerun::partition
--- /dev/null
+++ b/src/partition/internal/homerecovery.cpp
@@ -0,0 +1,188 @@
+//! The part of a home that takes over from an earlier owner, and what it does from time to time.
+
+#include "partition/internal/home.h"
+
+#include <algorithm>
+
+namespace sardinerun::partition {
+
+using jobs::TaskState;
+
+void Home::recover(std::vector<jobs::JobSnapshot> snapshots, Moment at, Effects& effects)
+{
+    for (jobs::JobSnapshot& it : snapshots) {
+        const core::JobId id = it.spec.id;
+        const auto age = std::chrono::milliseconds(std::max<std::int64_t>(0, at.wall.value() - it.acceptedAt.value()));
+        Job job(std::move(it), at.now - age);
+        job.isAccepted = true;
+        job.isRecovered = !job.isEnded();
+        auto& waiting = m_waitingResources[jobs::indexOf(job.spec().urgency)];
+        waiting = waiting + job.spec().each * job.count(TaskState::Waiting);
+        if (job.isEnded())
+            m_endedJobs.emplace_back(at.now, id);
+        m_jobs.emplace(id, std::move(job));
+    }
+    for (std::uint32_t n = 0; n < m_partitionCount; ++n)
+        m_awaitedInventories.insert(core::PartitionId(n));
+    m_capacityEpochs = m_fleet.owners;
+    m_nextResend = at.now + m_times.resend;
+    askInventories(effects);
+}
+
+void Home::askInventories(Effects& effects) const
+{
+    std::set<core::PartitionId> asked = m_awaitedInventories;
+    // A partition with a new owner may have lost attempts with the former one.
+    for (const auto& [partition, epoch] : m_fleet.owners) {
+        const auto known = m_capacityEpochs.find(partition);
+        if (partition != m_id && (known == m_capacityEpochs.end() || known->second < epoch))
+            asked.insert(partition);
+    }
+    for (const core::PartitionId it : asked)
+        effects.push_back(SendMessage { { it, protocol::AskInventory { stamp(), it } } });
+}
+
+void Home::onInventory(const protocol::Inventory& message, Moment at, Effects& effects)
+{
+    if (message.to != stamp() || isStaleCapacity(message.from, message.fromEpoch))
+        return;
+    m_capacityEpochs[message.from] = message.fromEpoch;
+    std::set<core::JobId> unwanted;
+    for (const core::AttemptId& it : message.attempts) {
+        if (!adopt(it, message.from))
+            unwanted.insert(it.job);
+    }
+    if (!unwanted.empty()) {
+        protocol::StopJobs stop { stamp(), message.from, { unwanted.begin(), unwanted.end() } };
+        effects.push_back(SendMessage { { message.from, std::move(stop) } });
+    }
+    loseMissing(message, at, effects);
+    if (m_awaitedInventories.erase(message.from) > 0 && m_awaitedInventories.empty())
+        finishRecovery(at, effects);
+}
+
+//! Takes an attempt that runs as the task's newest one; false when nobody wants it.
+bool Home::adopt(const core::AttemptId& id, core::PartitionId where)
+{
+    const auto it = m_jobs.find(id.job);
+    if (it == m_jobs.end() || !it->second.hasTask(id.task))
+        return false;
+    Job& job = it->second;
+    if (job.isCancelled())
+        return false;
+    TaskRecord& task = job.mutableTask(id.task);
+    if (!job.isRecovered || jobs::isEnded(task.state) || id.attempt <= task.attempt)
+        return true; // known already, or over: its end will be told
+    task.attempt = id.attempt;
+    task.where = where;
+    changeState(job, id.task, TaskState::Running);
+    return true;
+}
+
+void Home::loseMissing(const protocol::Inventory& message, Moment at, Effects& effects)
+{
+    const std::set<core::AttemptId> present(message.attempts.begin(), message.attempts.end());
+    std::vector<core::AttemptId> missing;
+    for (const auto& [id, job] : m_jobs) {
+        for (std::uint32_t n = 0; n < job.taskCount() && job.count(TaskState::Running) > 0; ++n) {
+            const TaskRecord& task = job.task(core::TaskIndex(n));
+            const core::AttemptId attempt { id, core::TaskIndex(n), task.attempt };
+            if (task.state == TaskState::Running && task.where == message.from && !present.contains(attempt))
+                missing.push_back(attempt);
+        }
+    }
+    for (const core::AttemptId& it : missing)
+        loseAttempt(m_jobs.at(it.job), it.task, at, effects);
+}
+
+void Home::finishRecovery(Moment at, Effects& effects)
+{
+    std::vector<core::JobId> recovered;
+    for (auto& [id, job] : m_jobs) {
+        if (std::exchange(job.isRecovered, false))
+            recovered.push_back(id);
+    }
+    for (const core::JobId& id : recovered) {
+        Job& job = m_jobs.at(id);
+        bool isChanged = false;
+        for (std::uint32_t n = 0; n < job.taskCount(); ++n) {
+            const core::TaskIndex task(n);
+            const TaskState state = job.task(task).state;
+            // Its start may have been sent, and no partition knows of it: it may have run and be lost.
+            const bool isLost = state == TaskState::Placing;
+            const bool isCancelled = job.isCancelled() && (isLost || state == TaskState::Waiting);
+            if (!isLost && !isCancelled)
+                continue;
+            changeState(job, task, isCancelled && !isLost ? TaskState::Cancelled : TaskState::Unknown);
+            isChanged = true;
+        }
+        if (isChanged)
+            keep(job, false);
+        afterChange(job, at, effects);
+    }
+}
+
+void Home::tick(Moment at, Effects& effects)
+{
+    forgetOld(at);
+    if (at.now < m_nextResend)
+        return;
+    m_nextResend = at.now + m_times.resend / 2;
+    askInventories(effects);
+    resend(at, effects);
+}
+
+void Home::resend(Moment at, Effects& effects)
+{
+    for (auto& [id, it] : m_outstanding) {
+        if (it.awaits || at.now < it.sentAt + m_times.resend)
+            continue;
+        // An attempt whose end is known must not be asked for again: a new owner would start it once more.
+        const Job& job = m_jobs.at(it.message.spec.id);
+        std::erase_if(it.message.tasks, [&job](const protocol::TaskAttempt& task) {
+            const TaskRecord& record = job.task(task.task);
+            return record.state != TaskState::Placing || record.attempt != task.attempt;
+        });
+        it.sentAt = at.now;
+        it.message.isResend = true;
+        if (!it.message.tasks.empty())
+            effects.push_back(SendMessage { { it.message.to, it.message } });
+    }
+    std::erase_if(m_outstanding, [](const auto& it) { return it.second.message.tasks.empty(); });
+    for (const core::JobId& id : std::set<core::JobId>(m_stopping)) {
+        const auto job = m_jobs.find(id);
+        const bool isStopped = job == m_jobs.end() || job->second.places().empty();
+        if (isStopped)
+            m_stopping.erase(id);
+        else
+            stopJob(job->second, effects);
+    }
+    for (const auto& [id, it] : m_allAtOnce) {
+        if (m_unkept.contains(id))
+            continue;
+        for (const AllAtOnceRequest& request : it.unanswered())
+            sendRequest(m_jobs.at(id), request, true, effects);
+    }
+}
+
+void Home::forgetOld(Moment at)
+{
+    while (!m_endedJobs.empty() && at.now - m_endedJobs.front().first > m_times.jobRetention) {
+        const core::JobId id = m_endedJobs.front().second;
+        m_endedJobs.pop_front();
+        if (m_unkept.contains(id)) {
+            // Its end is not in the table yet; without it a later owner would run the job again.
+            m_endedJobs.emplace_back(at.now, id);
+            continue;
+        }
+        const auto it = m_jobs.find(id);
+        if (it == m_jobs.end() || !it->second.isEnded())
+            continue;
+        m_jobs.erase(it);
+        m_unkept.erase(id);
+        m_afterKept.erase(id);
+        m_log.forget(itemOf(id));
+    }
+}
+
+} // namespace sardinerun::partition
