Let the program meet the node's tasks through an interface

Cause: the program included internal headers of the node's tasks. Change: node/tasks.h has the tasks' interface, their hooks and factories; classes stay internal.

--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -5,9 +5,7 @@
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
 #include "node/askdesk.h"
-#include "node/internal/celltask.h"
-#include "node/internal/partitionstask.h"
-#include "node/internal/peerstask.h"
+#include "node/tasks.h"
 #include "platform/httpplatform.h"
 #include "runtime/eventloop.h"
 #include "telemetry/log.h"
@@ -76,9 +74,9 @@
     telemetry::MetricsPtr metrics = telemetry::Metrics::create();
     runtime::EventLoopPtr front; //!< serves callers
     runtime::EventLoopPtr control; //!< decides
-    std::shared_ptr<node::CellTask> cell;
-    std::shared_ptr<node::PartitionsTask> partitions;
-    std::shared_ptr<node::PeersTask> peers;
+    node::ICellTaskPtr cell;
+    node::IPartitionsTaskPtr partitions;
+    node::IPeersTaskPtr peers;
     node::AskDeskPtr desk;
     routing::IRouterPtr router;
     api::IApiPtr api;
@@ -123,43 +121,44 @@
 
     node::PeersHooks peersHooks;
     peersHooks.toPartition = [this](core::PartitionId id, protocol::Message message) {
-        partitions->address().send(node::ForPartition { id, std::move(message) });
+        partitions->taskAddress().send(node::ForPartition { id, std::move(message) });
     };
     peersHooks.toAsker = [this](protocol::Message message) { desk->address().send(std::move(message)); };
-    peersHooks.toHints = [this](const protocol::RoomHint& hint) { partitions->address().send(hint); };
-    peersHooks.lookNow = [this] { cell->address().send(node::LookNow {}); };
-    peers = std::make_shared<node::PeersTask>(control, client, settings.innerSecret, metrics, std::move(peersHooks));
+    peersHooks.toHints = [this](const protocol::RoomHint& hint) { partitions->taskAddress().send(hint); };
+    peersHooks.lookNow = [this] { cell->taskAddress().send(node::LookNow {}); };
+    peers = node::createPeersTask(control, client, settings.innerSecret, metrics, std::move(peersHooks));
 
     node::PartitionsHooks partitionsHooks;
-    partitionsHooks.send = [this](protocol::Envelope it) { peers->address().send(node::Outgoing { std::move(it) }); };
+    partitionsHooks.send
+        = [this](protocol::Envelope it) { peers->taskAddress().send(node::Outgoing { std::move(it) }); };
     partitionsHooks.stoppedActing = [this](node::ActingTask task, core::ConfigVersion under) {
-        cell->address().send(node::StoppedActing { task, under });
+        cell->taskAddress().send(node::StoppedActing { task, under });
     };
     partitionsHooks.atRest = [this](core::PartitionId id, bool isRecovered) {
-        cell->address().send(node::PartitionAtRest { id, isRecovered });
+        cell->taskAddress().send(node::PartitionAtRest { id, isRecovered });
     };
-    partitions = std::make_shared<node::PartitionsTask>(
-        control, store, workers, settings.partition, metrics, std::move(partitionsHooks));
+    partitions
+        = node::createPartitionsTask(control, store, workers, settings.partition, metrics, std::move(partitionsHooks));
 
     node::CellHooks cellHooks;
     cellHooks.news = [this](const node::CellNewsPtr& news) { onNews(news); };
     cellHooks.pokePeers = [this] {
         for (const membership::Member& it : lastNews->view->members)
-            peers->address().send(node::Outgoing { { it.run.node, protocol::LookNow {} } });
+            peers->taskAddress().send(node::Outgoing { { it.run.node, protocol::LookNow {} } });
     };
     cellHooks.left = [this] {
         if (!std::exchange(isLeftTold, true))
             left.set_value();
     };
-    cell = std::make_shared<node::CellTask>(control, membership::Membership::create(membershipOptions(settings)), store,
-        vms, node::createPortProbe(control), metrics, std::move(cellHooks));
+    cell = node::createCellTask(control, membership::Membership::create(membershipOptions(settings)), store, vms,
+        node::createPortProbe(control), metrics, std::move(cellHooks));
 }
 
 void Node::Parts::onNews(const node::CellNewsPtr& news)
 {
     lastNews = news;
-    peers->address().send(news);
-    partitions->address().send(news);
+    peers->taskAddress().send(news);
+    partitions->taskAddress().send(news);
     front->post([this, news] { takeNewsInFront(news); });
 }
 
@@ -174,13 +173,13 @@
 void Node::Parts::makeFront()
 {
     desk = node::AskDesk::create(front, settings.node, metrics,
-        [this](protocol::Envelope it) { peers->address().send(node::Outgoing { std::move(it) }); });
+        [this](protocol::Envelope it) { peers->taskAddress().send(node::Outgoing { std::move(it) }); });
     routing::RouterHooks hooks;
     hooks.newsTaken = [this] {
         if (confirming.value() > 0)
-            cell->address().send(node::StoppedActing { node::ActingTask::Router, confirming });
+            cell->taskAddress().send(node::StoppedActing { node::ActingTask::Router, confirming });
     };
-    hooks.shareIdle = [this](core::PartitionId id) { cell->address().send(node::SlotsIdle { id }); };
+    hooks.shareIdle = [this](core::PartitionId id) { cell->taskAddress().send(node::SlotsIdle { id }); };
     hooks.idle = [this] {
         if (!std::exchange(isRouterIdleTold, true))
             routerIdle.set_value();
@@ -192,9 +191,9 @@
     ports.desk = desk;
     ports.router = router->routerAddress();
     ports.metrics = metrics;
-    ports.toCell = [this](node::CellMessage message) { cell->address().send(std::move(message)); };
+    ports.toCell = [this](node::CellMessage message) { cell->taskAddress().send(std::move(message)); };
     ports.readPartitions = [this](runtime::Reply<std::vector<partition::PartitionView>> reply) {
-        partitions->address().send(node::ReadPartitions { std::move(reply) });
+        partitions->taskAddress().send(node::ReadPartitions { std::move(reply) });
     };
     api = api::createApi(front, std::move(ports), { settings.mayAdministerFromLoopback });
 }
@@ -210,7 +209,7 @@
         metrics->add(
             telemetry::Metric::InnerMessages, { { "direction", "in" } }, double(read.incoming->envelopes.size()));
         metrics->add(telemetry::Metric::InnerBytes, { { "direction", "in" } }, double(request.body.size()));
-        peers->address().send(std::move(*read.incoming));
+        peers->taskAddress().send(std::move(*read.incoming));
     }
     responder.send({ read.status, {}, "" });
 }
@@ -305,7 +304,7 @@
         });
     });
     parts.routerIdle.get_future().wait_until(until);
-    parts.cell->address().send(node::Leave {});
+    parts.cell->taskAddress().send(node::Leave {});
     parts.left.get_future().wait_until(until);
     telemetry::LogLine(telemetry::Severity::Info, "stopped").with("node", parts.settings.node.value());
 }
--- a/src/node/internal/celltask.cpp
+++ b/src/node/internal/celltask.cpp
@@ -309,4 +309,12 @@
     });
 }
 
+ICellTaskPtr createCellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership,
+    platform::ITableStorePtr store, platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
+    CellHooks hooks)
+{
+    return std::make_shared<CellTask>(std::move(loop), std::move(membership), std::move(store), std::move(vms),
+        std::move(probe), std::move(metrics), std::move(hooks));
+}
+
 } // namespace sardinerun::node
--- a/src/node/internal/celltask.h
+++ b/src/node/internal/celltask.h
@@ -1,26 +1,16 @@
 #pragma once
 
-#include "node/internal/portprobe.h"
-#include "node/nodetypes.h"
-#include "platform/itablestore.h"
-#include "platform/ivmlist.h"
-#include "telemetry/metrics.h"
+#include "node/tasks.h"
 
 namespace sardinerun::node {
 
-//! Told when the cell task has something to say.
-struct CellHooks {
-    std::function<void(CellNewsPtr)> news = [](const CellNewsPtr&) {};
-    std::function<void()> pokePeers = [] {}; //!< other nodes should read the rows now
-    std::function<void()> left = [] {};
-};
-
 //! Runs the membership against the store, reads the VM list, and takes operators' changes.
-class CellTask : public runtime::Task<CellMessage> {
+class CellTask : public runtime::Task<CellMessage>, public ITask<CellMessage> {
 public:
     CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
         platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks);
-    void start();
+    void start() override;
+    runtime::Address<CellMessage> taskAddress() override { return address(); }
     void receive(CellMessage message) override;
 
 private:
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -375,4 +375,11 @@
     m_metrics->set(Metric::CapacityMilliCpu, { { "state", "committed" } }, double(committed.cpu.value()));
 }
 
+IPartitionsTaskPtr createPartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store,
+    platform::IWorkerPortPtr workers, partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks)
+{
+    return std::make_shared<PartitionsTask>(
+        std::move(loop), std::move(store), std::move(workers), times, std::move(metrics), std::move(hooks));
+}
+
 } // namespace sardinerun::node
--- a/src/node/internal/partitionstask.h
+++ b/src/node/internal/partitionstask.h
@@ -1,25 +1,17 @@
 #pragma once
 
-#include "node/nodetypes.h"
+#include "node/tasks.h"
 #include "partition/partition.h"
-#include "platform/itablestore.h"
-#include "platform/iworkerport.h"
-#include "telemetry/metrics.h"
 
 namespace sardinerun::node {
 
-struct PartitionsHooks {
-    std::function<void(protocol::Envelope)> send = [](const protocol::Envelope&) {};
-    std::function<void(ActingTask, core::ConfigVersion)> stoppedActing = [](ActingTask, core::ConfigVersion) {};
-    std::function<void(core::PartitionId, bool isRecovered)> atRest = [](core::PartitionId, bool) {};
-};
-
 //! Owns the machines of the partitions that this node owns, and carries out their effects.
-class PartitionsTask : public runtime::Task<PartitionsMessage> {
+class PartitionsTask : public runtime::Task<PartitionsMessage>, public ITask<PartitionsMessage> {
 public:
     PartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store, platform::IWorkerPortPtr workers,
         partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks);
-    void start();
+    void start() override;
+    runtime::Address<PartitionsMessage> taskAddress() override { return address(); }
     void receive(PartitionsMessage message) override;
 
 private:
--- a/src/node/internal/peerstask.cpp
+++ b/src/node/internal/peerstask.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+// Headers of a batch.
+constexpr const char* fromNodeHeader = "x-sardinerun-node";
+constexpr const char* fromIncarnationHeader = "x-sardinerun-incarnation";
+constexpr const char* sequenceHeader = "x-sardinerun-sequence";
+
 constexpr std::size_t maxBatch = 500;
 constexpr std::size_t maxQueue = 50'000;
 constexpr std::size_t maxKnownRuns = 1000;
@@ -204,4 +209,11 @@
     return { 200, std::move(incoming) };
 }
 
+IPeersTaskPtr createPeersTask(runtime::ILoopPtr loop, http::IHttpClientPtr client, std::string secret,
+    telemetry::MetricsPtr metrics, PeersHooks hooks)
+{
+    return std::make_shared<PeersTask>(
+        std::move(loop), std::move(client), std::move(secret), std::move(metrics), std::move(hooks));
+}
+
 } // namespace sardinerun::node
--- a/src/node/internal/peerstask.h
+++ b/src/node/internal/peerstask.h
@@ -1,30 +1,21 @@
 #pragma once
 
-#include "http/ihttpclient.h"
-#include "node/nodetypes.h"
-#include "telemetry/metrics.h"
+#include "node/tasks.h"
 
 #include <deque>
 
 namespace sardinerun::node {
 
-struct PeersHooks {
-    std::function<void(core::PartitionId, protocol::Message)> toPartition
-        = [](core::PartitionId, const protocol::Message&) {};
-    std::function<void(protocol::Message)> toAsker = [](const protocol::Message&) {}; //!< answers for this node
-    std::function<void(protocol::RoomHint)> toHints = [](const protocol::RoomHint&) {};
-    std::function<void()> lookNow = [] {};
-};
-
 //! Knows where each message goes. Owns the links to other nodes.
 //!
 //! A link sends one batch at a time and sends it again until it is taken, so messages arrive in order and at most
 //! once while both ends live. What waits for a run that is gone is dropped; its sender asks again.
-class PeersTask : public runtime::Task<PeersMessage> {
+class PeersTask : public runtime::Task<PeersMessage>, public ITask<PeersMessage> {
 public:
     PeersTask(runtime::ILoopPtr loop, http::IHttpClientPtr client, std::string secret, telemetry::MetricsPtr metrics,
         PeersHooks hooks);
-    void start();
+    void start() override;
+    runtime::Address<PeersMessage> taskAddress() override { return address(); }
     void receive(PeersMessage message) override;
 
 private:
@@ -55,16 +46,4 @@
     std::map<membership::NodeRun, std::uint64_t> m_received; //!< newest sequence taken from each run
 };
 
-//! Headers of a batch.
-inline constexpr const char* fromNodeHeader = "x-sardinerun-node";
-inline constexpr const char* fromIncarnationHeader = "x-sardinerun-incarnation";
-inline constexpr const char* sequenceHeader = "x-sardinerun-sequence";
-
-//! Reads a batch as it came over HTTP. Nothing when it is not one, or when its secret is wrong.
-struct BatchRead {
-    int status = 200;
-    std::optional<Incoming> incoming;
-};
-BatchRead readBatch(const http::Request& request, const std::string& secret);
-
 } // namespace sardinerun::node
--- a/src/node/internal/portprobe.cpp
+++ b/src/node/internal/portprobe.cpp
@@ -1,4 +1,4 @@
-#include "node/internal/portprobe.h"
+#include "node/iportprobe.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
