Give each owner sixteen million numbers for attempts

Ruled out: a limit on restarts (a service restarts as long as it is wanted). Before: number 64 of epoch 7 equals number 0 of epoch 8.

--- a/src/partition/partitiontypes.h
+++ b/src/partition/partitiontypes.h
@@ -91,12 +91,13 @@
     Counters operator+(const Counters& other) const;
 };
 
-//! Number of a new attempt: the owner's epoch comes first, so no later owner gives a number twice.
-constexpr std::uint32_t attemptsPerEpoch = 64;
+//! Number of a new attempt: the owner's epoch comes first, so no later owner gives a number twice. A task that is
+//! preempted or restarted all the time needs many numbers in one epoch.
+constexpr std::uint64_t attemptsPerEpoch = std::uint64_t(1) << 24;
 
 constexpr core::AttemptNumber firstAttemptOf(core::Epoch epoch)
 {
-    return core::AttemptNumber(static_cast<std::uint32_t>(epoch.value()) * attemptsPerEpoch);
+    return core::AttemptNumber(epoch.value() * attemptsPerEpoch);
 }
 
 } // namespace sardinerun::partition
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -34,6 +34,14 @@
     BOOST_TEST(startsOf(cell, "a") == 5);
 }
 
+BOOST_AUTO_TEST_CASE(numbersOfAttemptsAreNotUsedAgainByALaterOwner)
+{
+    // With 64 numbers to an epoch, a task that was preempted more often ran into the numbers of the next owner.
+    constexpr std::uint64_t manyRestarts = 1'000'000;
+    const std::uint64_t last = firstAttemptOf(core::Epoch(7)).value() + manyRestarts;
+    BOOST_TEST(last < firstAttemptOf(core::Epoch(8)).value());
+}
+
 BOOST_AUTO_TEST_CASE(aJobThatCanNeverRunIsRefusedAndDoesNotRun)
 {
     SmallCell cell(2, 4, workerSize);
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -176,7 +176,7 @@
     Json::Value value(Json::objectValue);
     value["job"] = it.job.value();
     value["task"] = it.task.value();
-    value["attempt"] = it.attempt.value();
+    value["attempt"] = Json::UInt64(it.attempt.value());
     return value;
 }
 
@@ -185,7 +185,7 @@
     core::AttemptId it;
     it.job = decodeName<core::JobId>(reader, "job");
     it.task = core::TaskIndex(static_cast<std::uint32_t>(reader.integer("task", 0, UINT32_MAX)));
-    it.attempt = core::AttemptNumber(static_cast<std::uint32_t>(reader.integer("attempt", 0, UINT32_MAX)));
+    it.attempt = core::AttemptNumber(decodeCount(reader, "attempt"));
     return it;
 }
 
