--- a/src/admission/internal/workqueue.cpp
+++ b/src/admission/internal/workqueue.cpp
@@ -23,10 +23,12 @@
     if (it == m_places.end())
         return;
     const Place& place = it->second;
-    if (place.deferredUntil)
-        m_deferred.erase({ *place.deferredUntil, job });
-    else
+    if (place.asideUntil) {
+        m_deferred.erase({ *place.asideUntil, job });
+        m_paused.erase({ *place.asideUntil, job });
+    } else {
         eraseReady(place);
+    }
     --m_classSizes[jobs::indexOf(place.item.urgency)];
     if (--m_teamSizes[place.item.team] == 0)
         m_teamSizes.erase(place.item.team);
@@ -35,26 +37,36 @@
 }
 
 void WorkQueue::defer(const core::JobId& job, core::TimePoint until)
+{
+    setAside(job, until, m_deferred);
+}
+
+void WorkQueue::pause(const core::JobId& job, core::TimePoint until)
+{
+    setAside(job, until, m_paused);
+}
+
+void WorkQueue::setAside(const core::JobId& job, core::TimePoint until, Aside& aside)
 {
     const auto it = m_places.find(job);
-    if (it == m_places.end() || it->second.deferredUntil)
+    if (it == m_places.end() || it->second.asideUntil)
         return;
     eraseReady(it->second);
-    it->second.deferredUntil = until;
-    m_deferred.emplace(until, job);
+    it->second.asideUntil = until;
+    aside.emplace(until, job);
 }
 
 void WorkQueue::wakeAll()
 {
-    wakeDue(core::TimePoint::max());
+    wakeDue(m_deferred, core::TimePoint::max());
 }
 
-void WorkQueue::wakeDue(core::TimePoint now)
+void WorkQueue::wakeDue(Aside& aside, core::TimePoint now)
 {
-    while (!m_deferred.empty() && m_deferred.begin()->first <= now) {
-        Place& place = m_places.at(m_deferred.begin()->second);
-        m_deferred.erase(m_deferred.begin());
-        place.deferredUntil.reset();
+    while (!aside.empty() && aside.begin()->first <= now) {
+        Place& place = m_places.at(aside.begin()->second);
+        aside.erase(aside.begin());
+        place.asideUntil.reset();
         insertReady(place);
     }
 }
@@ -90,7 +102,8 @@
 std::optional<core::JobId> WorkQueue::pick(
     core::TimePoint now, const placement::GuaranteedShares& shares, const ShareView& view)
 {
-    wakeDue(now);
+    wakeDue(m_deferred, now);
+    wakeDue(m_paused, now);
     const Rank* fallback = nullptr;
     for (const jobs::Urgency it : jobs::allUrgencies) {
         const std::size_t n = jobs::indexOf(it);
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -84,6 +84,19 @@
     BOOST_TEST(queue.sizeOf(jobs::Urgency::Normal) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aPausedJobIsNotWokenByRoom)
+{
+    WorkQueue queue;
+    queue.push(item("a", jobs::Urgency::Normal));
+    queue.pause(core::JobId("a"), start + 1s);
+    queue.wakeAll();
+    BOOST_TEST(!queue.pick(start, shares, {}));
+    BOOST_TEST(bool(queue.pick(start + 1s, shares, {})));
+    queue.pause(core::JobId("a"), start + 5s);
+    queue.remove(core::JobId("a"));
+    BOOST_TEST(queue.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(whatNoWorkerCanEverHoldIsRefusedAtOnce)
 {
     const std::vector<WorkerShape> fleet { { { core::MilliCpu(4000), core::MebiBytes(100), {} }, 3 } };
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -29,7 +29,9 @@
 
     //! Sets a job aside until `until`, since there is no room for it now.
     void defer(const core::JobId& job, core::TimePoint until);
-    //! Makes all deferred jobs ready, since room was freed.
+    //! Sets a job aside until `until` whatever room is freed, since its last try ended in a fault.
+    void pause(const core::JobId& job, core::TimePoint until);
+    //! Makes all deferred jobs ready, since room was freed; not those that were paused.
     void wakeAll();
 
     //! Next job to try, or nothing. The job stays in the queue.
@@ -53,19 +55,22 @@
     struct Place {
         QueueItem item;
         Rank rank;
-        std::optional<core::TimePoint> deferredUntil;
+        std::optional<core::TimePoint> asideUntil; //!< in `m_deferred` or `m_paused`
     };
+    using Aside = std::set<std::pair<core::TimePoint, core::JobId>>;
     using TeamQueue = std::set<Rank>;
     using ClassQueue = std::map<core::TeamId, TeamQueue>;
 
     void insertReady(const Place& place);
     void eraseReady(const Place& place);
-    void wakeDue(core::TimePoint now);
+    void setAside(const core::JobId& job, core::TimePoint until, Aside& aside);
+    void wakeDue(Aside& aside, core::TimePoint now);
     const Rank* firstOf(const ClassQueue& queue, const ShareView& view) const;
 
     jobs::ByUrgency<ClassQueue> m_ready;
     std::unordered_map<core::JobId, Place> m_places;
-    std::set<std::pair<core::TimePoint, core::JobId>> m_deferred;
+    Aside m_deferred; //!< for want of room
+    Aside m_paused; //!< after a fault
     jobs::ByUrgency<std::size_t> m_classSizes {};
     jobs::ByUrgency<std::set<std::pair<core::TimePoint, core::JobId>>> m_byAge;
     std::map<core::TeamId, std::size_t> m_teamSizes;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -69,7 +69,8 @@
 using IdempotencyKey = Strong<struct IdempotencyKeyTag, std::string>;
 using PartitionId = Strong<struct PartitionTag, std::uint32_t>;
 using TaskIndex = Strong<struct TaskTag, std::uint32_t>; //!< index of a task in its job
-using AttemptNumber = Strong<struct AttemptTag, std::uint64_t>; //!< grows over all attempts of a task, also across owners
+using AttemptNumber
+    = Strong<struct AttemptTag, std::uint64_t>; //!< grows over all attempts of a task, also across owners
 using Epoch = Strong<struct EpochTag, std::uint64_t>; //!< grows with each change of a partition's owner
 using RowVersion = Strong<struct RowVersionTag, std::uint64_t>; //!< 0 means that the row does not exist
 using ConfigVersion = Strong<struct ConfigVersionTag, std::uint64_t>; //!< 0 means no configuration yet
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -128,10 +128,13 @@
 
 void Membership::noteSightings(core::TimePoint now)
 {
+    // While nobody could read, nobody could be seen to renew either: that time does not count against a member.
+    const bool wasBlind = now - m_lookedAt > m_options.times.lease / 2;
+    m_lookedAt = now;
     std::map<core::NodeId, Sighting> sightings;
     for (const Member& it : m_view.members) {
         const auto known = m_sightings.find(it.run.node);
-        const bool isSame = known != m_sightings.end() && known->second.row == it.row;
+        const bool isSame = !wasBlind && known != m_sightings.end() && known->second.row == it.row;
         sightings[it.run.node] = isSame ? known->second : Sighting { it.row, now };
         m_addresses[it.run] = it.address;
     }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -127,6 +127,7 @@
     core::TimePoint m_renewedAt {};
     core::TimePoint m_renewAt {};
     core::TimePoint m_lookAt {};
+    core::TimePoint m_lookedAt {}; //!< rows were read last
     std::map<core::NodeId, Sighting> m_sightings;
     std::map<NodeRun, core::TimePoint> m_goneSince;
     std::map<NodeRun, core::TimePoint> m_missingSince;
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -270,6 +270,26 @@
     BOOST_TEST(shares == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(anOutageOfTheStoreDropsNobody)
+{
+    // The first node back took the others as lapsed, since their rows had not changed while nobody could write.
+    Nodes nodes(3);
+    nodes.run(3s);
+    std::map<int, NodeRun> before;
+    for (auto& [n, it] : nodes.nodes) {
+        before[n] = it.machine->standing(nodes.now).self;
+        it.fault = FakeStore::Fault::Down;
+    }
+    nodes.run(10s);
+    for (auto& [n, it] : nodes.nodes) {
+        it.fault = FakeStore::Fault::None;
+        nodes.run(200ms); // they are back one after the other
+    }
+    nodes.run(5s);
+    for (auto& [n, it] : nodes.nodes)
+        BOOST_TEST((it.machine->standing(nodes.now).self == before[n]));
+}
+
 BOOST_AUTO_TEST_CASE(aPlannedStopHandsEverythingOver)
 {
     Nodes nodes(2);
--- a/src/node/tasks.h
+++ b/src/node/tasks.h
@@ -12,8 +12,7 @@
 namespace sardinerun::node {
 
 //! A task as others see it.
-template <class Message>
-class ITask {
+template <class Message> class ITask {
 public:
     virtual ~ITask() = default;
     virtual void start() = 0; //!< on the task's loop
@@ -31,8 +30,9 @@
     std::function<void()> left = [] {};
 };
 
-ICellTaskPtr createCellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
-    platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks);
+ICellTaskPtr createCellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership,
+    platform::ITableStorePtr store, platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
+    CellHooks hooks);
 
 //! Told what the partitions' machines ask for.
 struct PartitionsHooks {
--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -94,7 +94,10 @@
     void sendPlace(Job& job, core::PartitionId target, Moment at, Effects& effects);
     std::optional<core::PartitionId> targetFor(const Job& job, core::TimePoint now) const;
     bool hasHintedRoom(core::PartitionId partition, const core::Resources& need, core::TimePoint now) const;
+    //! Sets the job aside for want of room, longer each time in a row.
     void defer(Job& job, core::TimePoint now);
+    //! Sets the job aside after a fault of one of its tasks, longer with each fault.
+    void pause(Job& job, std::uint32_t faults, core::TimePoint now);
     void noteRefusal(jobs::Urgency urgency, core::TimePoint now);
     void notePlaced(Job& job, Moment at);
     admission::ShareView shareView(core::TimePoint now) const;
--- a/src/partition/internal/homeends.cpp
+++ b/src/partition/internal/homeends.cpp
@@ -66,15 +66,17 @@
         ++m_counters.tasksFailed;
     if (message.isLost)
         ++m_counters.attemptsLost;
+    const bool isFault
+        = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
     if (jobs::isEnded(state))
         keep(job, false);
     else
         job.refusedBy.clear();
     afterChange(job, at, effects);
-    const bool isFault
-        = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
-    if (state == TaskState::Waiting && isFault && m_queue.contains(job.spec().id))
-        defer(job, at.now);
+    if (state != TaskState::Waiting || !isFault || !m_queue.contains(job.spec().id))
+        return;
+    pause(job, task.failures + task.startFailures, at.now);
+    job.refusedBy.insert(message.from); // the fault may be its worker's
 }
 
 void Home::loseAttempt(Job& job, core::TaskIndex task, Moment at, Effects& effects)
--- a/src/partition/internal/homeplacing.cpp
+++ b/src/partition/internal/homeplacing.cpp
@@ -14,6 +14,9 @@
 constexpr core::Duration hintAge = std::chrono::seconds(4);
 constexpr core::Duration firstDeferral = std::chrono::milliseconds(50);
 constexpr int maxDeferralDoublings = 5;
+//! Pause after a fault, doubled with each fault of the task: a worker that fails for a while must not use them all up.
+constexpr core::Duration firstFaultPause = std::chrono::milliseconds(50);
+constexpr std::uint32_t maxFaultDoublings = 6;
 //! Refusals in a row after which a class waits until room is freed.
 constexpr int maxRefusalsInRow = 32;
 constexpr core::Duration blockedTime = std::chrono::milliseconds(250);
@@ -147,17 +150,31 @@
     m_outstanding.emplace(message.id, std::move(outstanding));
 }
 
+namespace {
+
+//! Between half and one and a half of `base`, so that jobs set aside together come back apart.
+core::Duration withJitter(core::Duration base, const Job& job)
+{
+    const auto span = static_cast<std::uint64_t>(base.count());
+    const auto jitter = core::stableHash(job.spec().id.value(), job.deferrals) % span;
+    return base / 2 + core::Duration(static_cast<std::int64_t>(jitter));
+}
+
+} // namespace
+
 void Home::defer(Job& job, core::TimePoint now)
 {
     const int doublings = std::min<int>(static_cast<int>(job.deferrals++), maxDeferralDoublings);
-    const core::Duration base = firstDeferral * (1 << doublings);
-    const auto jitter
-        = core::stableHash(job.spec().id.value(), job.deferrals) % static_cast<std::uint64_t>(base.count());
     job.refusedBy.clear();
-    m_queue.defer(job.spec().id, now + base / 2 + core::Duration(static_cast<std::int64_t>(jitter)));
+    m_queue.defer(job.spec().id, now + withJitter(firstDeferral * (1 << doublings), job));
     noteRefusal(job.spec().urgency, now);
 }
 
+void Home::pause(Job& job, std::uint32_t faults, core::TimePoint now)
+{
+    m_queue.pause(job.spec().id, now + withJitter(firstFaultPause * (1 << std::min(faults, maxFaultDoublings)), job));
+}
+
 void Home::noteRefusal(jobs::Urgency urgency, core::TimePoint now)
 {
     int& n = m_refusalsInRow[jobs::indexOf(urgency)];
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -197,6 +197,34 @@
     BOOST_TEST(cell.view(0).setAsideWorkers == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(aTaskThatCouldNotStartIsTriedInAnotherPartition)
+{
+    // With one worker to a partition a failing one cannot be set aside, and the job went to it until it failed.
+    SmallCell cell(2, 4, workerSize);
+    cell.run(1s);
+    const core::PartitionId home = core::partitionOf("a", 2);
+    for (int n = 0; n < 4; ++n) {
+        const core::VmId id("w" + std::to_string(n));
+        cell.worker(id).failsStarts = Partition::partitionOf(id, 2) == home;
+    }
+    cell.submit(jobSpec("a", 1));
+    BOOST_TEST(cell.runUntilDone(10s));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatFailsForAWhileDoesNotFailTheJob)
+{
+    // Seen by processes: each start that was taken made the pause short again, and 15 tries were over in a second.
+    SmallCell cell(1, 1, workerSize);
+    cell.run(1s);
+    cell.worker(core::VmId("w0")).failsStarts = true;
+    cell.submit(jobSpec("a", 1));
+    cell.run(9s);
+    cell.worker(core::VmId("w0")).failsStarts = false;
+    BOOST_TEST(cell.runUntilDone(10s));
+    BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
+}
+
 BOOST_AUTO_TEST_CASE(urgentWorkTakesBackWhatWasBorrowed)
 {
     SmallCell cell(1, 4, workerSize);
