--- /dev/null
+++ b/src/membership/tests/session_tests.cpp
@@ -0,0 +1,103 @@
+#include "core/testing/golden.h"
+#include "membership/tests/nodes.h"
+
+#include <boost/test/unit_test.hpp>
+
+//! Whole sessions of the cell's rows, write by write, against files. SARDINERUN_RECORD=1 writes the files anew.
+
+using namespace sardinerun;
+using namespace sardinerun::membership;
+using namespace sardinerun::membership::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+//! The writes of all nodes, with the runs of the processes numbered in the order they appear.
+class Session {
+public:
+    explicit Session(Nodes& nodes)
+        : m_nodes(nodes)
+    {
+        nodes.committed = [this](int n, const platform::Transaction& it) { note(n, it); };
+    }
+
+    void note(const std::string& line) { m_text += line + "\n"; }
+
+    void compare(const std::string& name) const
+    {
+        const std::string path = std::string(SARDINERUN_TESTS_DIR) + "/golden/" + name + ".txt";
+        BOOST_TEST(core::testing::isGolden(path, m_text), name << " differs from " << path);
+    }
+
+private:
+    void note(int n, const platform::Transaction& transaction)
+    {
+        if (isRenewalOnly(transaction))
+            return;
+        note("n" + std::to_string(n));
+        for (const platform::RowCheck& it : transaction.checks)
+            note("  checks " + it.key);
+        for (const platform::RowWrite& it : transaction.writes)
+            note("  writes " + it.key + " " + (it.value ? numberRuns(*it.value) : "(nothing)"));
+    }
+
+    bool isRenewalOnly(const platform::Transaction& transaction)
+    {
+        const platform::RowWrite& first = transaction.writes.front();
+        const bool isMember = first.key.starts_with("cell/member/") && transaction.writes.size() == 1;
+        const bool isSame = isMember && first.value && m_members[first.key] == *first.value;
+        if (isMember)
+            m_members[first.key] = first.value.value_or("");
+        return isSame;
+    }
+
+    std::string numberRuns(std::string text)
+    {
+        static const std::string mark = "\"incarnation\":\"";
+        for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1)) {
+            const std::size_t begin = at + mark.size();
+            const std::size_t length = text.find('"', begin) - begin;
+            const std::string run = text.substr(begin, length);
+            const auto known = m_runs.try_emplace(run, "run" + std::to_string(m_runs.size() + 1)).first;
+            if (!run.empty())
+                text.replace(begin, length, known->second);
+        }
+        return text;
+    }
+
+    Nodes& m_nodes;
+    std::string m_text;
+    std::map<std::string, std::string> m_members;
+    std::map<std::string, std::string> m_runs;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sessionOfAHandOver)
+{
+    Nodes nodes(2);
+    nodes.run(3s);
+    Session session(nodes);
+    session.note("n0 is told to stop");
+    nodes.nodes[0].machine->leave();
+    nodes.run(6s);
+    BOOST_TEST(nodes.nodes[0].machine->hasLeft());
+    session.compare("handover");
+}
+
+BOOST_AUTO_TEST_CASE(sessionOfAChangeOfPreset)
+{
+    Nodes nodes(3);
+    nodes.configure("ordinary");
+    nodes.run(4s);
+    Session session(nodes);
+    session.note("an operator changes the preset to peak");
+    nodes.configure("peak");
+    nodes.run(4s);
+    session.note("an operator changes the preset to maintenance, and n2 is lost");
+    nodes.configure("maintenance");
+    nodes.nodes.erase(2);
+    nodes.run(4s);
+    BOOST_TEST((nodes.inForce(0) == core::ConfigVersion(3)));
+    session.compare("presetchange");
+}
--- a/src/partition/tests/golden_tests.cpp
+++ b/src/partition/tests/golden_tests.cpp
@@ -1,10 +1,8 @@
 #define BOOST_TEST_MODULE golden
+#include "core/testing/golden.h"
 #include "partition/tests/smallcell.h"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
-#include <fstream>
-#include <sstream>
 
 //! Whole sessions, message by message, against files. SARDINERUN_RECORD=1 writes the files anew.
 
@@ -23,13 +21,7 @@
     std::string text;
     for (const std::string& it : cell.transcript)
         text += it + "\n";
-    if (std::getenv("SARDINERUN_RECORD")) {
-        std::ofstream(path) << text;
-        return;
-    }
-    std::ostringstream expected;
-    expected << std::ifstream(path).rdbuf();
-    BOOST_TEST(text == expected.str(), name << " differs from " << path);
+    BOOST_TEST(core::testing::isGolden(path, text), name << " differs from " << path);
 }
 
 } // namespace
