Refuse at once what would wait too long for its class

Cause: after a tenfold flood the class that flooded needed about a minute: its queue was bounded by a number of jobs only, and what was accepted had to run first. Ruled out: a shorter queue by number, since the right number depends on the run times and on what the class holds; the class's measured rate of starts, since it is far too high in the first second of a flood. Change: presets.queues.maxWaitMs by class. The gate reckons the wait from what the class has waiting, the part of the home partition that it holds or could have, and the mean run time (Little's law); beyond the limit the job is refused as waitTooLong. The protocol's count of refusal reasons is tested by its last one; the test failed before the count was raised.

--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -83,9 +83,12 @@
     int refused = 0;
 };
 
+//! Longest expected waits, as in the example's preset for peaks.
+const jobs::ByUrgency<core::Duration> peakWaits { 3500ms, 8s, 8s };
+
 class Trial {
 public:
-    Trial(bool hasShares, unsigned seed)
+    Trial(bool hasShares, unsigned seed, const jobs::ByUrgency<core::Duration>& maxWait = {})
         : m_cell(1, workers, workerSize)
         , m_random(seed)
         , m_hasShares(hasShares)
@@ -93,6 +96,7 @@
         Policy policy;
         if (hasShares)
             policy.shares = { { 30, 30, 10 } };
+        policy.queues.maxWait = maxWait;
         policy.queues.jobs = { 2000, 2000, 2000 };
         policy.queues.jobsPerTeam = 6000;
         m_cell.setPolicy(policy);
@@ -190,7 +194,7 @@
     for (const bool hasShares : { true, false }) {
         for (const std::size_t flooding : { std::size_t(2), std::size_t(0) }) {
             for (const unsigned seed : { 1U, 2U }) {
-                Trial trial(hasShares, seed);
+                Trial trial(hasShares, seed, hasShares ? peakWaits : jobs::ByUrgency<core::Duration> {});
                 // The others ask for less than their guaranteed shares cover.
                 std::array<double, 3> rates { 8, 8, 2.5 };
                 trial.run(rates, 20s, "before");
--- a/src/admission/admissiontypes.h
+++ b/src/admission/admissiontypes.h
@@ -23,6 +23,7 @@
     TeamQueueFull, //!< too much of this team waits already
     NeverFits, //!< no worker, or not enough workers, could ever hold it
     DeadlineMissed, //!< it could not end in time
+    WaitTooLong, //!< it would wait longer than its class allows
     StoreDown, //!< it cannot be kept now
     NotOwned, //!< this node does not decide about it now
     ShuttingDown
@@ -41,6 +42,7 @@
 struct QueueLimits {
     jobs::ByUrgency<std::uint32_t> jobs { 20'000, 20'000, 20'000 };
     std::uint32_t jobsPerTeam = 10'000;
+    jobs::ByUrgency<core::Duration> maxWait {}; //!< longest expected wait of a new job; zero: no limit
     bool operator==(const QueueLimits&) const = default;
 };
 
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -17,6 +17,9 @@
     const std::vector<WorkerShape>* fleet = nullptr; //!< all workers, of all partitions
     core::Resources roomOfHome; //!< total of the home partition
     core::Resources waiting; //!< needed by all that waits in the home partition, in its class or a more urgent one
+    core::Resources waitingOfClass; //!< needed by all of its class that waits in the home partition
+    double shareOfClass = 1; //!< part of the home partition that its class has or could have, 0 to 1
+    core::Duration runTimeOfClass {}; //!< of what waits in its class, on the mean
     core::WallTime now;
 };
 
@@ -39,6 +42,8 @@
     std::optional<Refusal> refuseByDeadline(
         const jobs::JobSpec& spec, const RunTimeBook& runTimes, const GateView& view) const;
 
+    std::optional<Refusal> refuseByWait(const jobs::JobSpec& spec, const GateView& view) const;
+
     QueueLimits m_limits;
 };
 
--- a/src/admission/internal/gate.cpp
+++ b/src/admission/internal/gate.cpp
@@ -8,17 +8,19 @@
 namespace {
 
 constexpr core::Duration retryWhenFull = std::chrono::seconds(2);
+constexpr double leastShare = 0.01; //!< of a class that has nothing
 
 struct ReasonName {
     RefusalReason reason;
     const char* name;
 };
 
-constexpr std::array<ReasonName, 7> reasonNames { {
+constexpr std::array<ReasonName, 8> reasonNames { {
     { RefusalReason::QueueFull, "queueFull" },
     { RefusalReason::TeamQueueFull, "teamQueueFull" },
     { RefusalReason::NeverFits, "neverFits" },
     { RefusalReason::DeadlineMissed, "deadlineMissed" },
+    { RefusalReason::WaitTooLong, "waitTooLong" },
     { RefusalReason::StoreDown, "storeDown" },
     { RefusalReason::NotOwned, "notOwned" },
     { RefusalReason::ShuttingDown, "shuttingDown" },
@@ -62,6 +64,8 @@
         return it;
     if (auto it = refuseByQueue(spec, queue))
         return it;
+    if (auto it = refuseByWait(spec, view))
+        return it;
     return refuseByDeadline(spec, runTimes, view);
 }
 
@@ -91,6 +95,20 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> Gate::refuseByWait(const jobs::JobSpec& spec, const GateView& view) const
+{
+    const core::Duration limit = m_limits.maxWait[jobs::indexOf(spec.urgency)];
+    if (limit == core::Duration(0))
+        return std::nullopt;
+    // By Little's law: what waits, divided by the rate at which the class ends its work.
+    const double rounds = dominantRatio(view.waitingOfClass, view.roomOfHome) / std::max(view.shareOfClass, leastShare);
+    const auto wait = std::chrono::duration_cast<core::Duration>(view.runTimeOfClass * rounds);
+    if (wait <= limit)
+        return std::nullopt;
+    const std::string detail = "it would wait about " + std::to_string(wait / std::chrono::milliseconds(1)) + " ms";
+    return Refusal { RefusalReason::WaitTooLong, detail, std::max(retryWhenFull, wait - limit) };
+}
+
 std::optional<Refusal> Gate::refuseByDeadline(
     const jobs::JobSpec& spec, const RunTimeBook& runTimes, const GateView& view) const
 {
--- a/src/admission/internal/runtimebook.cpp
+++ b/src/admission/internal/runtimebook.cpp
@@ -42,4 +42,11 @@
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(expected));
 }
 
+void RunTimeBook::onTaken(jobs::Urgency urgency, core::Duration expected)
+{
+    constexpr int weight = 32; // jobs that the mean looks back on, about
+    core::Duration& mean = m_means[jobs::indexOf(urgency)];
+    mean = mean == core::Duration(0) ? expected : mean + (expected - mean) / weight;
+}
+
 } // namespace sardinerun::admission
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -129,6 +129,28 @@
     BOOST_TEST(!gate.refuse(it, {}, runTimes, view));
 }
 
+BOOST_AUTO_TEST_CASE(whatWouldWaitTooLongForItsClassIsRefusedAtOnce)
+{
+    QueueLimits limits;
+    limits.maxWait = { 3500ms, 0ms, 0ms };
+    const Gate gate { limits };
+    GateView view;
+    view.roomOfHome = { core::MilliCpu(1000), core::MebiBytes(1000), {} };
+    view.waitingOfClass = { core::MilliCpu(300), core::MebiBytes(0), {} };
+    view.runTimeOfClass = 10s;
+    view.shareOfClass = 1;
+    jobs::JobSpec it = spec(10, 1);
+    it.urgency = jobs::Urgency::Urgent;
+    BOOST_TEST(!gate.refuse(it, {}, {}, view)); // three seconds
+    view.shareOfClass = 0.5;
+    const auto refusal = gate.refuse(it, {}, {}, view); // six
+    BOOST_REQUIRE(bool(refusal));
+    BOOST_TEST((refusal->reason == RefusalReason::WaitTooLong));
+    BOOST_TEST((refusal->retryAfter >= 2s));
+    it.urgency = jobs::Urgency::Low;
+    BOOST_TEST(!gate.refuse(it, {}, {}, view)); // no limit
+}
+
 BOOST_AUTO_TEST_CASE(queuesAreBounded)
 {
     QueueLimits limits;
--- a/src/configuration/internal/readconfiguration.cpp
+++ b/src/configuration/internal/readconfiguration.cpp
@@ -116,6 +116,12 @@
         limit = static_cast<std::uint32_t>(reader.integerOr(jobs::nameOf(urgency), 1, most, limit));
     }
     it.jobsPerTeam = static_cast<std::uint32_t>(reader.integerOr("perTeam", 1, most, it.jobsPerTeam));
+    constexpr std::int64_t longestMs = 24LL * 3600 * 1000;
+    YamlReader waits = reader.objectOr("maxWaitMs");
+    for (const jobs::Urgency urgency : jobs::allUrgencies)
+        it.maxWait[jobs::indexOf(urgency)]
+            = std::chrono::milliseconds(waits.integerOr(jobs::nameOf(urgency), 0, longestMs, 0));
+    waits.finish();
     reader.finish();
     return it;
 }
--- a/src/partition/internal/home.cpp
+++ b/src/partition/internal/home.cpp
@@ -159,9 +159,22 @@
         if (it <= spec.urgency)
             view.waiting = view.waiting + m_waitingResources[jobs::indexOf(it)];
     }
+    view.waitingOfClass = m_waitingResources[jobs::indexOf(spec.urgency)];
+    view.shareOfClass = reachableShare(spec.urgency);
+    view.runTimeOfClass = m_runTimes.meanOf(spec.urgency);
     return m_gate.refuse(spec, m_queue, m_runTimes, view);
 }
 
+double Home::reachableShare(jobs::Urgency urgency) const
+{
+    double free = 1;
+    for (const double it : m_fleet.shares)
+        free -= it;
+    const double guaranteed = m_policy.shares.percent[jobs::indexOf(urgency)] / 100.0;
+    const double held = m_fleet.shares[jobs::indexOf(urgency)] + (m_policy.mayBorrow ? std::max(free, 0.0) : 0.0);
+    return std::max(guaranteed, held);
+}
+
 void Home::onSubmit(const protocol::SubmitJob& message, Moment at, Effects& effects)
 {
     if (const auto known = m_jobs.find(message.spec.id); known != m_jobs.end()) {
@@ -180,6 +193,7 @@
     auto& job = m_jobs.emplace(message.spec.id, Job(std::move(snapshot), at.now)).first->second;
     auto& waiting = m_waitingResources[jobs::indexOf(message.spec.urgency)];
     waiting = waiting + message.spec.each * message.spec.taskCount;
+    m_runTimes.onTaken(message.spec.urgency, m_runTimes.expect(message.spec.workload, message.spec.runTime));
     m_submitters[message.spec.id].push_back(message.asker);
     keep(job, true);
 }
--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -87,6 +87,8 @@
 
     void answerKnown(const protocol::SubmitJob& message, Job& job, Effects& effects);
     std::optional<admission::Refusal> refusalOf(const jobs::JobSpec& spec, Moment at) const;
+    //! Part of the home partition that a class has, or could have now.
+    double reachableShare(jobs::Urgency urgency) const;
     void answerSubmit(const protocol::Asker& asker, const protocol::SubmitAnswer& answer, Effects& effects);
 
     void enqueue(const Job& job);
--- a/src/protocol/internal/fieldcodec.h
+++ b/src/protocol/internal/fieldcodec.h
@@ -65,7 +65,7 @@
 template <> inline constexpr int enumCount<SubmitOutcome> = 4;
 template <> inline constexpr int enumCount<PlaceMode> = 3;
 template <> inline constexpr int enumCount<platform::AttemptState> = 5;
-template <> inline constexpr int enumCount<admission::RefusalReason> = 7;
+template <> inline constexpr int enumCount<admission::RefusalReason> = 8;
 template <> inline constexpr int enumCount<once::ClaimResult> = 6;
 
 //! Reads the fields of a message from a JSON object; throws codec::DecodeError.
--- a/src/protocol/tests/protocol_tests.cpp
+++ b/src/protocol/tests/protocol_tests.cpp
@@ -49,7 +49,7 @@
     SubmitAnswer answer;
     answer.token = Token(7);
     answer.outcome = SubmitOutcome::Refused;
-    answer.refusal = { admission::RefusalReason::NeverFits, "too large", 1500ms };
+    answer.refusal = { admission::RefusalReason::ShuttingDown, "too large", 1500ms };
     const Envelope back = roundTrip({ core::NodeId("n1"), answer });
     const auto& it = std::get<SubmitAnswer>(back.message);
     BOOST_TEST((std::get<core::NodeId>(back.to) == core::NodeId("n1")));
--- a/src/routing/internal/exchanges.cpp
+++ b/src/routing/internal/exchanges.cpp
@@ -152,9 +152,8 @@
 {
     // The runner's slot stays taken to the end. How long that takes is the reader's doing, so the time to the head is
     // what counts for the runner.
-    auto ended = replyHere<http::BodyPart::State>([this, request, runner, took](http::BodyPart::State state) {
-        onPassedOn(request, runner, took, state);
-    });
+    auto ended = replyHere<http::BodyPart::State>(
+        [this, request, runner, took](http::BodyPart::State state) { onPassedOn(request, runner, took, state); });
     http::Response response { from.status, passedHeaders(from), from.body, from.rest };
     response.rest->source = std::make_shared<WatchedRest>(from.rest->source, std::move(ended));
     answer(request, std::move(response));
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -233,7 +233,7 @@
         }
         BOOST_TEST(client->sent.size() == 5U); // of six slots one is in use
         answer->rest->source->pull([](const http::BodyPart&) {});
-        rest->taken({ state, "" });
+        std::exchange(rest->taken, nullptr)({ state, "" });
         loop->runReady();
         BOOST_TEST(client->sent.size() == 6U);
         while (!client->sent.empty())
