Let room that was freed count for jobs that were refused before

Cause: a job refused by its own partition kept that refusal until its next deferral. When its preemption had freed room, it was woken, still taken as refused, set aside again, and the room went to the class that had borrowed: urgent work preempted one task after the other and started none of its own (4 tasks, 0 started in 6 s of paused time; transcript: stop low2, start low29, stop low29, start low27 ...). It showed when workers were looked at every 100 ms instead of 20: until then another tick came in between by luck, and urgentWorkTakesBackWhatWasBorrowed passed. Ruled out: the ledger (room and guarantee were there), the order of picking (urgent came first), withdrawn starts. Change: refusals for want of room count for the round in which they were given; rounds end when room is freed. A refusal after a fault stays, as more room does not change it.

--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -155,6 +155,7 @@
     jobs::ByUrgency<int> m_refusalsInRow {};
     jobs::ByUrgency<core::TimePoint> m_blockedUntil {};
     bool m_isRoomFreed = false;
+    std::uint64_t m_roomRound = 0; //!< grows when room is freed here; a refusal for room counts for its round only
     Counters m_counters;
 };
 
--- a/src/partition/internal/homeends.cpp
+++ b/src/partition/internal/homeends.cpp
@@ -3,6 +3,7 @@
 #include "partition/internal/home.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sardinerun::partition {
 
@@ -76,7 +77,9 @@
     if (state != TaskState::Waiting || !isFault || !m_queue.contains(job.spec().id))
         return;
     pause(job, task.failures + task.startFailures, at.now);
-    job.refusedBy.insert(message.from); // the fault may be its worker's
+    // The fault may be its worker's, and more room here does not change that.
+    job.refusedBy.insert(message.from);
+    job.refusedInRound = std::numeric_limits<std::uint64_t>::max();
 }
 
 void Home::loseAttempt(Job& job, core::TaskIndex task, Moment at, Effects& effects)
--- a/src/partition/internal/homeplacing.cpp
+++ b/src/partition/internal/homeplacing.cpp
@@ -70,6 +70,7 @@
 void Home::pump(Moment at, Effects& effects)
 {
     if (std::exchange(m_isRoomFreed, false)) {
+        ++m_roomRound;
         m_queue.wakeAll();
         m_blockedUntil = {};
     }
@@ -102,7 +103,8 @@
 
 std::optional<core::PartitionId> Home::targetFor(const Job& job, core::TimePoint now) const
 {
-    if (!job.refusedBy.contains(m_id))
+    const bool isRefusedHere = job.refusedBy.contains(m_id) && job.refusedInRound >= m_roomRound;
+    if (!isRefusedHere)
         return m_id;
     std::optional<core::PartitionId> best;
     core::MilliCpu most;
@@ -228,6 +230,7 @@
     }
     if (taken.size() < tasks.size()) {
         it.refusedBy.insert(message.from);
+        it.refusedInRound = m_roomRound;
         enqueue(it);
         // The record says that it may have started; the refusal takes that back.
         if (!it.spec().isRepeatable)
--- a/src/partition/internal/job.h
+++ b/src/partition/internal/job.h
@@ -47,6 +47,8 @@
     bool isFirstPlaced = false;
     std::uint32_t deferrals = 0; //!< in a row, for the backoff
     std::set<core::PartitionId> refusedBy; //!< partitions without room, since the last deferral
+    //! Round of room in which the home's own partition refused; see Home::m_roomRound.
+    std::uint64_t refusedInRound = 0;
 
 private:
     jobs::JobSnapshot m_snapshot;
