Leave turns to sockets and timers, and count released holds once a tick

Cause: in process_cases (all-at-once, run several at a time) a node stopped answering for seconds, lost its membership and its slots. A debugger on the spinning node showed the control loop in Partition::takeEffects -> hold: two partitions of one node took and gave back holds by turns, each release waking the other, and the library's queue went on calling back as long as work posted work, so neither timers nor sockets got a turn. Ruled out: the connections' pool (same failures without its change), crashes (all processes lived), lost wake-ups (TSan, and the stack). Change: posted work runs from the loop's own turn, one batch a turn, and the next turn does not sleep after work was done, since the library finds what work left for its sockets only then; room of a released hold counts from the next tick. Seen failing: workThatPostsWorkLeavesTurnsToTimers (5 s without its timer) before.

--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -51,6 +51,9 @@
     void tick(Moment at, Effects& effects);
     //! Room was freed in the own workers.
     void onRoomFreed() { m_isRoomFreed = true; }
+    //! Room that was held and not used counts from the next tick on, or those who wait for it would take and give it
+    //! back by turns, as fast as messages go.
+    void onHoldReleased() { m_isHoldReleased = true; }
 
     std::size_t queued(jobs::Urgency urgency) const { return m_queue.sizeOf(urgency); }
     core::Duration oldestWait(jobs::Urgency urgency, core::TimePoint now) const
@@ -155,6 +158,7 @@
     jobs::ByUrgency<int> m_refusalsInRow {};
     jobs::ByUrgency<core::TimePoint> m_blockedUntil {};
     bool m_isRoomFreed = false;
+    bool m_isHoldReleased = false;
     std::uint64_t m_roomRound = 0; //!< grows when room is freed here; a refusal for room counts for its round only
     Counters m_counters;
 };
--- a/src/partition/internal/homerecovery.cpp
+++ b/src/partition/internal/homerecovery.cpp
@@ -125,6 +125,8 @@
 void Home::tick(Moment at, Effects& effects)
 {
     forgetOld(at);
+    if (std::exchange(m_isHoldReleased, false))
+        onRoomFreed();
     if (at.now < m_nextResend)
         return;
     m_nextResend = at.now + m_times.resend / 2;
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -98,7 +98,7 @@
     void onRelease(const protocol::Message& it, Moment)
     {
         capacity.onRelease(std::get<protocol::ReleaseHeld>(it));
-        home.onRoomFreed();
+        home.onHoldReleased();
     }
     void onEndsKept(const protocol::Message& it, Moment at)
     {
--- a/src/runtime/eventloop.h
+++ b/src/runtime/eventloop.h
@@ -46,7 +46,9 @@
     EventLoop(std::string name, IClockPtr clock);
     bool open();
     void run();
-    void runDueTimers();
+    //! How long the loop may sleep, in milliseconds.
+    std::int32_t idleWait() const;
+    bool runDueTimers();
 
     std::string m_name;
     IClockPtr m_clock;
--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -44,13 +44,15 @@
 //! Work for the loop's thread. The library's queue carries one message that wakes the loop, however much is posted.
 struct EventLoop::Queue {
     void post(Work work);
-    void runAll();
+    //! Runs what was posted up to now; whether there was anything.
+    bool runAll();
     static void onWake(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
 
     h2o_multithread_receiver_t receiver {}; //!< first, since the library gives it back
     h2o_evloop_t* loop = nullptr;
     h2o_multithread_queue_t* queue = nullptr;
     h2o_multithread_message_t wake {};
+    bool isDue = false; //!< on the loop's thread: the wake-up came
     std::mutex mutex; //!< of what follows
     std::vector<Work> work;
     bool isWoken = false;
@@ -68,8 +70,12 @@
         h2o_multithread_send_message(&receiver, &wake);
 }
 
-void EventLoop::Queue::runAll()
+bool EventLoop::Queue::runAll()
 {
+    // Not from the library's callback: it would go on as long as work posts work, and starve sockets and timers. What
+    // is posted from here on waits for the next turn.
+    if (!std::exchange(isDue, false))
+        return false;
     std::vector<Work> taken;
     {
         const std::lock_guard lock(mutex);
@@ -78,13 +84,14 @@
     }
     for (Work& it : taken)
         it();
+    return true;
 }
 
 void EventLoop::Queue::onWake(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages)
 {
     while (!h2o_linklist_is_empty(messages))
         h2o_linklist_unlink(messages->next);
-    reinterpret_cast<Queue*>(receiver)->runAll();
+    reinterpret_cast<Queue*>(receiver)->isDue = true;
 }
 
 core::RetVal<EventLoopPtr, LoopError> EventLoop::create(std::string name, IClockPtr clock)
@@ -181,23 +188,34 @@
 
 void EventLoop::run()
 {
+    bool hasWorked = false;
     while (!m_isStopping) {
-        std::int32_t wait = idleWaitMs;
-        if (const auto at = m_timers.nextAt()) {
-            const auto left = std::chrono::ceil<std::chrono::milliseconds>(*at - now()).count();
-            wait = static_cast<std::int32_t>(std::clamp<std::int64_t>(left, 0, idleWaitMs));
-        }
-        h2o_evloop_run(m_queue->loop, wait);
-        runDueTimers();
+        // Work may have left the library something to do for its sockets, which it finds only on its next turn.
+        h2o_evloop_run(m_queue->loop, hasWorked ? 0 : idleWait());
+        hasWorked = m_queue->runAll();
+        hasWorked = runDueTimers() || hasWorked;
     }
 }
 
-void EventLoop::runDueTimers()
+std::int32_t EventLoop::idleWait() const
+{
+    const auto at = m_timers.nextAt();
+    if (!at)
+        return idleWaitMs;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*at - now()).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(left, 0, idleWaitMs));
+}
+
+bool EventLoop::runDueTimers()
 {
     // Timers set by these timers wait for the next turn, so that sockets are served in between.
     const core::TimePoint upTo = now();
-    while (auto due = m_timers.takeDue(upTo))
+    bool hasRun = false;
+    while (auto due = m_timers.takeDue(upTo)) {
         (*due)();
+        hasRun = true;
+    }
+    return hasRun;
 }
 
 } // namespace sardinerun::runtime
--- a/src/runtime/tests/runtime_tests.cpp
+++ b/src/runtime/tests/runtime_tests.cpp
@@ -3,7 +3,9 @@
 #include "runtime/manualloop.h"
 #include "runtime/task.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <future>
 
 using namespace sardinerun;
@@ -67,6 +69,26 @@
     loop->stop();
 }
 
+BOOST_AUTO_TEST_CASE(workThatPostsWorkLeavesTurnsToTimers)
+{
+    // Two machines that answered each other by messages kept a node from its sockets and timers until its lease lapsed.
+    auto loop = runtime::EventLoop::create("test", runtime::systemClock()).value();
+    loop->start();
+    std::atomic<bool> isOver = false;
+    std::promise<void> timerRan;
+    std::function<void()> again = [&] {
+        if (!isOver)
+            loop->post([&again] { again(); });
+    };
+    loop->post([&] {
+        loop->callAfter(20ms, [&timerRan] { timerRan.set_value(); });
+        again();
+    });
+    BOOST_TEST((timerRan.get_future().wait_for(5s) == std::future_status::ready));
+    isOver = true;
+    loop->stop();
+}
+
 BOOST_AUTO_TEST_CASE(loopsMadeByOneThreadDoNotShareTheLibrarysBuffers)
 {
     // Two loops that one thread had made corrupted its buffers once both read their queues.
