--- a/fuzz/decoders.cpp
+++ b/fuzz/decoders.cpp
@@ -5,7 +5,7 @@
 #include "codec/yaml.h"
 #include "configuration/configuration.h"
 #include "membership/cellcodec.h"
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 #include "protocol/messagecodec.h"
 #include "protocol/rpccodec.h"
 #include "settings/nodesettings.h"
@@ -42,10 +42,10 @@
     [](const std::string& it) { api::readSubmission(it, core::WallTime(0)); },
     [](const std::string& it) { batch(it); },
     [](const std::string& it) { params(it); },
-    [](const std::string& it) { platform::decodeReport(it); },
-    [](const std::string& it) { platform::decodeVms(it); },
-    [](const std::string& it) { membership::decodeCell(platform::decodeRows(it)); },
-    [](const std::string& it) { platform::decodeTransaction(it); },
+    [](const std::string& it) { services::decodeReport(it); },
+    [](const std::string& it) { services::decodeVms(it); },
+    [](const std::string& it) { membership::decodeCell(services::decodeRows(it)); },
+    [](const std::string& it) { services::decodeTransaction(it); },
     [](const std::string& it) { telemetry::TraceContext::parse(it); },
 };
 
--- a/src/acceptance/grouplog.h
+++ b/src/acceptance/grouplog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <deque>
 #include <map>
@@ -44,13 +44,13 @@
 class GroupLog {
 public:
     //! `fence` is the partition's row as this owner wrote it; it changes when another owner takes over.
-    GroupLog(core::PartitionId partition, platform::RowCheck fence, LogOptions options);
+    GroupLog(core::PartitionId partition, services::RowCheck fence, LogOptions options);
 
     //! Prefix of the rows of a partition's log.
     static std::string prefixOf(core::PartitionId partition);
 
     //! Takes over the rows that earlier owners wrote; gives the newest record of each item.
-    std::map<ItemId, std::string> recover(const std::vector<platform::Row>& rows);
+    std::map<ItemId, std::string> recover(const std::vector<services::Row>& rows);
 
     //! Queues a record. `isRefusable`: dropped when the group certainly fails; otherwise tried until it is kept.
     Revision append(const ItemId& item, std::string record, bool isRefusable);
@@ -59,13 +59,13 @@
 
     //! What to do now, if anything: a transaction to commit or a row to read.
     struct Action {
-        std::optional<platform::Transaction> commit;
+        std::optional<services::Transaction> commit;
         std::optional<std::string> readPrefix;
     };
     Action next(core::TimePoint now);
 
-    LogEvents onCommitted(const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now);
-    LogEvents onRead(const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, core::TimePoint now);
+    LogEvents onCommitted(const core::RetVal<core::RowVersion, services::StoreError>& result, core::TimePoint now);
+    LogEvents onRead(const core::RetVal<std::vector<services::Row>, services::StoreError>& result, core::TimePoint now);
 
     //! False while the store does not take groups: new work can then be refused before anything is sent.
     bool isHealthy() const { return m_isHealthy; }
@@ -84,7 +84,7 @@
         std::vector<ItemId> items;
     };
     struct Group {
-        platform::Transaction transaction;
+        services::Transaction transaction;
         std::map<ItemId, Waiting> items;
         std::string key;
         core::LogSequence sequence;
@@ -105,7 +105,7 @@
     void refuseGroup(LogEvents& events);
 
     core::PartitionId m_partition;
-    platform::RowCheck m_fence;
+    services::RowCheck m_fence;
     LogOptions m_options;
     std::map<ItemId, Waiting> m_waiting;
     std::map<core::LogSequence, StoredRow> m_rows;
--- a/src/acceptance/internal/grouplog.cpp
+++ b/src/acceptance/internal/grouplog.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-GroupLog::GroupLog(core::PartitionId partition, platform::RowCheck fence, LogOptions options)
+GroupLog::GroupLog(core::PartitionId partition, services::RowCheck fence, LogOptions options)
     : m_partition(partition)
     , m_fence(std::move(fence))
     , m_options(options)
@@ -66,9 +66,9 @@
     return prefixOf(m_partition) + buf.data();
 }
 
-std::map<ItemId, std::string> GroupLog::recover(const std::vector<platform::Row>& rows)
+std::map<ItemId, std::string> GroupLog::recover(const std::vector<services::Row>& rows)
 {
-    for (const platform::Row& row : rows) {
+    for (const services::Row& row : rows) {
         const core::LogSequence sequence = sequenceOf(row.key);
         StoredRow& stored = m_rows[sequence];
         stored.version = row.version;
@@ -157,7 +157,7 @@
     }
 }
 
-LogEvents GroupLog::onCommitted(const core::RetVal<core::RowVersion, platform::StoreError>& result, core::TimePoint now)
+LogEvents GroupLog::onCommitted(const core::RetVal<core::RowVersion, services::StoreError>& result, core::TimePoint now)
 {
     LogEvents events;
     m_isInFlight = false;
@@ -165,7 +165,7 @@
         finishGroup(result.value(), events);
         return events;
     }
-    using Code = platform::StoreError::Code;
+    using Code = services::StoreError::Code;
     const Code code = result.error().code;
     if (code == Code::Conflict) {
         // Either another owner has the partition, or an earlier try of this group took effect: the row tells.
@@ -182,7 +182,7 @@
 }
 
 LogEvents GroupLog::onRead(
-    const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, core::TimePoint now)
+    const core::RetVal<std::vector<services::Row>, services::StoreError>& result, core::TimePoint now)
 {
     LogEvents events;
     m_isInFlight = false;
@@ -192,7 +192,7 @@
         return events;
     }
     m_mustRead = false;
-    for (const platform::Row& row : result.value()) {
+    for (const services::Row& row : result.value()) {
         if (row.writeId == m_group->transaction.id) {
             finishGroup(row.version, events);
             return events;
--- a/src/acceptance/tests/grouplog_tests.cpp
+++ b/src/acceptance/tests/grouplog_tests.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE acceptance
 #include "acceptance/grouplog.h"
-#include "platform/testing/fakestore.h"
+#include "services/testing/fakestore.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -8,7 +8,7 @@
 using namespace sardinerun;
 using namespace sardinerun::acceptance;
 using namespace std::chrono_literals;
-using platform::testing::FakeStore;
+using services::testing::FakeStore;
 
 namespace {
 
--- a/src/api/internal/jobbody.cpp
+++ b/src/api/internal/jobbody.cpp
@@ -4,7 +4,7 @@
 #include "configuration/configuration.h"
 #include "core/hashing.h"
 #include "jobs/jobcodec.h"
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
 namespace sardinerun::api {
 
@@ -40,7 +40,7 @@
     it.kind = readNamed(reader, "kind", jobs::jobKindOf, jobs::JobKind::Batch, "batch, service, allAtOnce");
     it.urgency = readNamed(reader, "urgency", jobs::urgencyOf, jobs::Urgency::Normal, "urgent, normal, low");
     it.taskCount = static_cast<std::uint32_t>(reader.integerOr("tasks", 1, maxTasks, 1));
-    it.each = platform::decodeResources(reader.object("each"));
+    it.each = services::decodeResources(reader.object("each"));
     if (it.each.cpu.value() == 0 || it.each.memory.value() == 0)
         reader.fail("each", "needs cpuMilli and memoryMib above 0");
     it.runTime = std::chrono::milliseconds(reader.integerOr("runMs", 1, maxRunMs, 60'000));
@@ -68,7 +68,7 @@
     it["kind"] = jobs::nameOf(status.spec.kind);
     it["urgency"] = jobs::nameOf(status.spec.urgency);
     it["state"] = jobs::nameOf(status.state);
-    it["each"] = platform::encodeResources(status.spec.each);
+    it["each"] = services::encodeResources(status.spec.each);
     it["acceptedAtMs"] = Json::Int64(status.acceptedAt.value());
     if (status.spec.deadline)
         it["deadlineAtMs"] = Json::Int64(status.spec.deadline->value());
--- a/src/api/internal/operatorcalls.cpp
+++ b/src/api/internal/operatorcalls.cpp
@@ -4,7 +4,7 @@
 #include "api/internal/api.h"
 #include "codec/yaml.h"
 #include "partition/partition.h"
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
 namespace sardinerun::api {
 
@@ -161,16 +161,16 @@
 {
     Json::Value body(Json::objectValue);
     body["vms"] = Json::Value(Json::arrayValue);
-    const std::vector<platform::VmInfo> none;
-    for (const platform::VmInfo& it : m_news->vms ? *m_news->vms : none) {
+    const std::vector<services::VmInfo> none;
+    for (const services::VmInfo& it : m_news->vms ? *m_news->vms : none) {
         Json::Value vm(Json::objectValue);
         vm["id"] = it.id.value();
-        vm["role"] = it.role == platform::VmRole::Worker ? "worker" : "runner";
-        vm["state"] = it.state == platform::VmState::Live ? "live" : "leaving";
+        vm["role"] = it.role == services::VmRole::Worker ? "worker" : "runner";
+        vm["state"] = it.state == services::VmState::Live ? "live" : "leaving";
         vm["rack"] = it.rack.value();
         vm["failureDomain"] = it.failureDomain.value();
         vm["address"] = it.address.text();
-        if (it.role == platform::VmRole::Worker && partitionCount() > 0)
+        if (it.role == services::VmRole::Worker && partitionCount() > 0)
             vm["partition"] = partition::Partition::partitionOf(it.id, partitionCount()).value();
         body["vms"].append(vm);
     }
@@ -193,8 +193,8 @@
                 view["workers"] = Json::UInt64(it.workers);
                 view["readyWorkers"] = Json::UInt64(it.readyWorkers);
                 view["setAsideWorkers"] = Json::UInt64(it.setAsideWorkers);
-                view["total"] = platform::encodeResources(it.total);
-                view["committed"] = platform::encodeResources(it.committed);
+                view["total"] = services::encodeResources(it.total);
+                view["committed"] = services::encodeResources(it.committed);
                 view["storeHealthy"] = it.isStoreHealthy;
                 body["partitions"].append(view);
             }
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -6,7 +6,7 @@
 #include "http/h2oserver.h"
 #include "node/askdesk.h"
 #include "node/tasks.h"
-#include "platform/httpplatform.h"
+#include "services/httpservices.h"
 #include "runtime/eventloop.h"
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
@@ -38,9 +38,9 @@
 routing::RouterNews toRouterNews(const node::CellNews& news)
 {
     routing::RouterNews it;
-    const std::vector<platform::VmInfo> none;
-    for (const platform::VmInfo& vm : news.vms ? *news.vms : none) {
-        if (vm.role == platform::VmRole::Runner)
+    const std::vector<services::VmInfo> none;
+    for (const services::VmInfo& vm : news.vms ? *news.vms : none) {
+        if (vm.role == services::VmRole::Runner)
             it.runners.push_back(vm);
     }
     it.shares = news.standing.slots;
@@ -115,9 +115,9 @@
 void Node::Parts::makeControl()
 {
     const http::IHttpClientPtr client = http::createClient(control);
-    const auto store = platform::createTableStore(client, settings.platform, settings.timeouts);
-    const auto vms = platform::createVmList(client, settings.platform, settings.timeouts);
-    const auto workers = platform::createWorkerPort(client, settings.timeouts);
+    const auto store = services::createTableStore(client, settings.platform, settings.timeouts);
+    const auto vms = services::createVmList(client, settings.platform, settings.timeouts);
+    const auto workers = services::createWorkerPort(client, settings.timeouts);
 
     node::PeersHooks peersHooks;
     peersHooks.toPartition = [this](core::PartitionId id, protocol::Message message) {
--- a/src/jobs/internal/jobcodec.cpp
+++ b/src/jobs/internal/jobcodec.cpp
@@ -1,6 +1,6 @@
 #include "jobs/jobcodec.h"
 
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
 namespace sardinerun::jobs {
 
@@ -69,7 +69,7 @@
     value["kind"] = nameOf(it.kind);
     value["urgency"] = nameOf(it.urgency);
     value["tasks"] = it.taskCount;
-    value["each"] = platform::encodeResources(it.each);
+    value["each"] = services::encodeResources(it.each);
     value["runMs"] = Json::Int64(it.runTime / std::chrono::milliseconds(1));
     if (it.deadline)
         value["deadlineAt"] = Json::Int64(it.deadline->value());
@@ -87,7 +87,7 @@
     it.kind = decodeNamed<JobKind>(reader, "kind", jobKindOf);
     it.urgency = decodeNamed<Urgency>(reader, "urgency", urgencyOf);
     it.taskCount = static_cast<std::uint32_t>(reader.integer("tasks", 1, maxTasks));
-    it.each = platform::decodeResources(reader.object("each"));
+    it.each = services::decodeResources(reader.object("each"));
     it.runTime = std::chrono::milliseconds(reader.integer("runMs", 0, maxRunMs));
     if (reader.has("deadlineAt"))
         it.deadline = core::WallTime(reader.integer("deadlineAt", 0, maxWallMs));
--- a/src/membership/cellcodec.h
+++ b/src/membership/cellcodec.h
@@ -21,6 +21,6 @@
 std::string encodeActive(const ActiveRow& it);
 
 //! Throws codec::DecodeError.
-CellView decodeCell(const std::vector<platform::Row>& rows);
+CellView decodeCell(const std::vector<services::Row>& rows);
 
 } // namespace sardinerun::membership
--- a/src/membership/internal/cellcodec.cpp
+++ b/src/membership/internal/cellcodec.cpp
@@ -62,12 +62,12 @@
     return address;
 }
 
-void takeShape(CellView& view, const platform::Row&, codec::ObjectReader& reader)
+void takeShape(CellView& view, const services::Row&, codec::ObjectReader& reader)
 {
     view.partitionCount = static_cast<std::uint32_t>(reader.integer("partitions", 1, 99'999));
 }
 
-void takeMember(CellView& view, const platform::Row& row, codec::ObjectReader& reader)
+void takeMember(CellView& view, const services::Row& row, codec::ObjectReader& reader)
 {
     Member it;
     it.run = decodeRun(reader.object("run"));
@@ -80,7 +80,7 @@
     view.members.push_back(std::move(it));
 }
 
-void takePartition(CellView& view, const platform::Row& row, codec::ObjectReader& reader)
+void takePartition(CellView& view, const services::Row& row, codec::ObjectReader& reader)
 {
     PartitionRow it;
     it.owner = decodeRun(reader.object("owner"));
@@ -91,13 +91,13 @@
     view.partitions[numberOf(row.key)] = std::move(it);
 }
 
-void takeSlots(CellView& view, const platform::Row& row, codec::ObjectReader& reader)
+void takeSlots(CellView& view, const services::Row& row, codec::ObjectReader& reader)
 {
     const NodeRun holder = decodeRun(reader.object("holder"));
     view.slots[numberOf(row.key)] = { holder, decodeAddress(reader), row.version };
 }
 
-void takeConfig(CellView& view, const platform::Row& row, codec::ObjectReader& reader)
+void takeConfig(CellView& view, const services::Row& row, codec::ObjectReader& reader)
 {
     view.config.version = core::ConfigVersion(decodeNumber(reader, "version"));
     view.config.preset = core::PresetName(reader.text("preset", maxName));
@@ -106,14 +106,14 @@
     view.config.writeId = row.writeId;
 }
 
-void takeActive(CellView& view, const platform::Row& row, codec::ObjectReader& reader)
+void takeActive(CellView& view, const services::Row& row, codec::ObjectReader& reader)
 {
     view.active = { core::ConfigVersion(decodeNumber(reader, "version")), row.version };
 }
 
 struct RowKind {
     const char* prefix;
-    void (*take)(CellView& view, const platform::Row& row, codec::ObjectReader& reader);
+    void (*take)(CellView& view, const services::Row& row, codec::ObjectReader& reader);
 };
 
 constexpr std::array<RowKind, 6> rowKinds { {
@@ -221,10 +221,10 @@
     return codec::writeJson(value);
 }
 
-CellView decodeCell(const std::vector<platform::Row>& rows)
+CellView decodeCell(const std::vector<services::Row>& rows)
 {
     CellView view;
-    for (const platform::Row& row : rows) {
+    for (const services::Row& row : rows) {
         const Json::Value value = codec::parseJson(row.value);
         codec::ObjectReader reader(value, row.key);
         for (const RowKind& it : rowKinds) {
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -53,7 +53,7 @@
     return StoreRequest { true, std::nullopt };
 }
 
-void Membership::onLooked(const platform::RowsResult& result, core::TimePoint now)
+void Membership::onLooked(const services::RowsResult& result, core::TimePoint now)
 {
     m_isInFlight = false;
     m_isStoreDown = !result;
@@ -66,10 +66,10 @@
     }
 }
 
-void Membership::onCommitted(const platform::CommitResult& result, core::TimePoint now)
+void Membership::onCommitted(const services::CommitResult& result, core::TimePoint now)
 {
     m_isInFlight = false;
-    m_isStoreDown = !result && result.error().code != platform::StoreError::Code::Conflict;
+    m_isStoreDown = !result && result.error().code != services::StoreError::Code::Conflict;
     const bool isRenewal = !m_renewal.value().empty();
     if (result && isRenewal)
         noteRenewed(result.value(), m_sentAt);
--- a/src/membership/internal/membershipwrites.cpp
+++ b/src/membership/internal/membershipwrites.cpp
@@ -8,16 +8,16 @@
 //! The part of a membership that decides what to write.
 namespace sardinerun::membership {
 
-platform::Transaction Membership::begin() const
+services::Transaction Membership::begin() const
 {
-    platform::Transaction it;
+    services::Transaction it;
     it.id = core::WriteId(core::randomId());
     return it;
 }
 
-platform::Transaction Membership::beginAsMember() const
+services::Transaction Membership::beginAsMember() const
 {
-    platform::Transaction it = begin();
+    services::Transaction it = begin();
     it.checks.push_back({ memberKey(m_self.node), m_ownRow });
     return it;
 }
@@ -32,11 +32,11 @@
     return encodeMember(m_written);
 }
 
-std::optional<platform::Transaction> Membership::join(core::TimePoint now)
+std::optional<services::Transaction> Membership::join(core::TimePoint now)
 {
     if (m_isMember || m_isLeaving)
         return std::nullopt;
-    platform::Transaction it = begin();
+    services::Transaction it = begin();
     if (m_view.partitionCount == 0)
         it.writes.push_back({ shapeKey, core::RowVersion(0), encodeShape(m_options.partitionCount) });
     // It joins as one that confirms the newest configuration, so it never acts under an older one. The check
@@ -49,7 +49,7 @@
     return it;
 }
 
-std::optional<platform::Transaction> Membership::renew(core::TimePoint now)
+std::optional<services::Transaction> Membership::renew(core::TimePoint now)
 {
     if (!m_isMember)
         return std::nullopt;
@@ -64,12 +64,12 @@
     if (mustConfirm || mustSayLeaving)
         m_lookAt = now;
     m_renewAt = now + m_options.times.renew;
-    platform::Transaction it = begin();
+    services::Transaction it = begin();
     it.writes.push_back({ memberKey(m_self.node), m_ownRow, writeOwnRow() });
     return it;
 }
 
-std::optional<platform::Transaction> Membership::removeLapsed(core::TimePoint now)
+std::optional<services::Transaction> Membership::removeLapsed(core::TimePoint now)
 {
     if (!m_isMember)
         return std::nullopt;
@@ -79,14 +79,14 @@
             continue;
         if (now - sighting->second.firstSeen <= m_options.times.lease + m_options.times.margin)
             continue;
-        platform::Transaction transaction = beginAsMember();
+        services::Transaction transaction = beginAsMember();
         transaction.writes.push_back({ memberKey(it.run.node), it.row, std::nullopt });
         return transaction;
     }
     return std::nullopt;
 }
 
-std::optional<platform::Transaction> Membership::activate(core::TimePoint)
+std::optional<services::Transaction> Membership::activate(core::TimePoint)
 {
     const core::ConfigVersion newest = m_view.config.version;
     if (!m_isMember || newest <= m_view.active.version || m_confirmed < newest)
@@ -97,17 +97,17 @@
         if (it.confirmed < newest)
             return std::nullopt;
     }
-    platform::Transaction it = begin();
+    services::Transaction it = begin();
     it.checks.push_back({ configKey, m_view.config.row });
     it.writes.push_back({ activeKey, m_view.active.row, encodeActive({ newest, {} }) });
     return it;
 }
 
-std::optional<platform::Transaction> Membership::takePartitions(core::TimePoint)
+std::optional<services::Transaction> Membership::takePartitions(core::TimePoint)
 {
     if (!m_isMember || m_isLeaving)
         return std::nullopt;
-    platform::Transaction it = beginAsMember();
+    services::Transaction it = beginAsMember();
     for (const auto& [id, owner] : m_assignment) {
         if (owner != m_self.node)
             continue;
@@ -126,11 +126,11 @@
     return it;
 }
 
-std::optional<platform::Transaction> Membership::handOver(core::TimePoint)
+std::optional<services::Transaction> Membership::handOver(core::TimePoint)
 {
     if (!m_isMember)
         return std::nullopt;
-    platform::Transaction it = beginAsMember();
+    services::Transaction it = beginAsMember();
     for (const core::PartitionId id : handingOver()) {
         const auto atRest = m_atRest.find(id);
         if (atRest == m_atRest.end())
@@ -162,11 +162,11 @@
         && now - missing->second > times.slotsLease + times.longestRequest + times.margin;
 }
 
-std::optional<platform::Transaction> Membership::moveSlots(core::TimePoint now)
+std::optional<services::Transaction> Membership::moveSlots(core::TimePoint now)
 {
     if (!m_isMember)
         return std::nullopt;
-    platform::Transaction it = beginAsMember();
+    services::Transaction it = beginAsMember();
     const std::set<core::PartitionId> leaving = releasing();
     for (const core::PartitionId id : leaving) {
         if (!m_idleSlots.contains(id))
@@ -187,7 +187,7 @@
     return it;
 }
 
-std::optional<platform::Transaction> Membership::depart(core::TimePoint)
+std::optional<services::Transaction> Membership::depart(core::TimePoint)
 {
     if (!m_isLeaving || !m_isMember) {
         m_hasLeft = m_isLeaving && !m_isMember;
@@ -199,7 +199,7 @@
         || std::any_of(m_view.slots.begin(), m_view.slots.end(), isHeld))
         return std::nullopt;
     m_isDeparting = true; // once the row is gone a newer configuration may be in force
-    platform::Transaction it = begin();
+    services::Transaction it = begin();
     it.writes.push_back({ memberKey(m_self.node), m_ownRow, std::nullopt });
     return it;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -10,7 +10,7 @@
 //! What a node asks of the store.
 struct StoreRequest {
     bool isLook = false; //!< list all rows of the cell
-    std::optional<platform::Transaction> commit;
+    std::optional<services::Transaction> commit;
 };
 
 //! What a node may do at a moment, by what it knows.
@@ -43,8 +43,8 @@
 
     //! The next request to the store, or nothing; at most one is in progress.
     std::optional<StoreRequest> next(core::TimePoint now);
-    void onLooked(const platform::RowsResult& result, core::TimePoint now);
-    void onCommitted(const platform::CommitResult& result, core::TimePoint now);
+    void onLooked(const services::RowsResult& result, core::TimePoint now);
+    void onCommitted(const services::CommitResult& result, core::TimePoint now);
     //! Reads the rows as soon as possible: something has changed.
     void lookSoon() { m_lookAt = core::TimePoint(); }
 
@@ -79,24 +79,24 @@
 
 private:
     explicit Membership(Options options);
-    using Decision = std::optional<platform::Transaction> (Membership::*)(core::TimePoint now);
+    using Decision = std::optional<services::Transaction> (Membership::*)(core::TimePoint now);
 
     struct Sighting {
         core::RowVersion row;
         core::TimePoint firstSeen;
     };
 
-    std::optional<platform::Transaction> join(core::TimePoint now);
-    std::optional<platform::Transaction> renew(core::TimePoint now);
-    std::optional<platform::Transaction> removeLapsed(core::TimePoint now);
-    std::optional<platform::Transaction> activate(core::TimePoint now);
-    std::optional<platform::Transaction> takePartitions(core::TimePoint now);
-    std::optional<platform::Transaction> handOver(core::TimePoint now);
-    std::optional<platform::Transaction> moveSlots(core::TimePoint now);
-    std::optional<platform::Transaction> depart(core::TimePoint now);
-
-    platform::Transaction begin() const;
-    platform::Transaction beginAsMember() const;
+    std::optional<services::Transaction> join(core::TimePoint now);
+    std::optional<services::Transaction> renew(core::TimePoint now);
+    std::optional<services::Transaction> removeLapsed(core::TimePoint now);
+    std::optional<services::Transaction> activate(core::TimePoint now);
+    std::optional<services::Transaction> takePartitions(core::TimePoint now);
+    std::optional<services::Transaction> handOver(core::TimePoint now);
+    std::optional<services::Transaction> moveSlots(core::TimePoint now);
+    std::optional<services::Transaction> depart(core::TimePoint now);
+
+    services::Transaction begin() const;
+    services::Transaction beginAsMember() const;
     std::string writeOwnRow();
     void takeView(CellView view, core::TimePoint now);
     void noteOwnRow();
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/types.h"
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <map>
 #include <optional>
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -9,7 +9,7 @@
 using namespace sardinerun::membership;
 using namespace std::chrono_literals;
 using namespace membership::testing;
-using platform::testing::FakeStore;
+using services::testing::FakeStore;
 
 namespace {
 
--- a/src/membership/tests/nodes.h
+++ b/src/membership/tests/nodes.h
@@ -2,7 +2,7 @@
 
 #include "membership/cellcodec.h"
 #include "membership/membership.h"
-#include "platform/testing/fakestore.h"
+#include "services/testing/fakestore.h"
 
 #include <functional>
 #include <stdexcept>
@@ -24,7 +24,7 @@
 public:
     struct Node {
         MembershipPtr machine;
-        platform::testing::FakeStore::Fault fault = platform::testing::FakeStore::Fault::None;
+        services::testing::FakeStore::Fault fault = services::testing::FakeStore::Fault::None;
         bool isPaused = false;
         //! What the tasks of the node hold to be in force, as they were last told.
         Standing told;
@@ -117,20 +117,20 @@
             demand(n <= 1, "one holder of a share");
     }
 
-    platform::testing::FakeStore store;
+    services::testing::FakeStore store;
     std::map<int, Node> nodes;
     core::TimePoint now { std::chrono::hours(1) };
     core::ConfigVersion highest;
     int steps = 0;
 
     //! Told of each write of a node that took effect.
-    std::function<void(int node, const platform::Transaction& transaction)> committed
-        = [](int, const platform::Transaction&) {};
+    std::function<void(int node, const services::Transaction& transaction)> committed
+        = [](int, const services::Transaction&) {};
 
 private:
-    void commit(int n, Node& node, const platform::Transaction& transaction)
+    void commit(int n, Node& node, const services::Transaction& transaction)
     {
-        const platform::CommitResult result = store.commitNow(transaction, node.fault);
+        const services::CommitResult result = store.commitNow(transaction, node.fault);
         if (result)
             committed(n, transaction);
         node.machine->onCommitted(result, now);
--- a/src/membership/tests/session_tests.cpp
+++ b/src/membership/tests/session_tests.cpp
@@ -18,7 +18,7 @@
     explicit Session(Nodes& nodes)
         : m_nodes(nodes)
     {
-        nodes.committed = [this](int n, const platform::Transaction& it) { note(n, it); };
+        nodes.committed = [this](int n, const services::Transaction& it) { note(n, it); };
     }
 
     void note(const std::string& line) { m_text += line + "\n"; }
@@ -30,20 +30,20 @@
     }
 
 private:
-    void note(int n, const platform::Transaction& transaction)
+    void note(int n, const services::Transaction& transaction)
     {
         if (isRenewalOnly(transaction))
             return;
         note("n" + std::to_string(n));
-        for (const platform::RowCheck& it : transaction.checks)
+        for (const services::RowCheck& it : transaction.checks)
             note("  checks " + it.key);
-        for (const platform::RowWrite& it : transaction.writes)
+        for (const services::RowWrite& it : transaction.writes)
             note("  writes " + it.key + " " + (it.value ? numberRuns(*it.value) : "(nothing)"));
     }
 
-    bool isRenewalOnly(const platform::Transaction& transaction)
+    bool isRenewalOnly(const services::Transaction& transaction)
     {
-        const platform::RowWrite& first = transaction.writes.front();
+        const services::RowWrite& first = transaction.writes.front();
         const bool isMember = first.key.starts_with("cell/member/") && transaction.writes.size() == 1;
         const bool isSame = isMember && first.value && m_members[first.key] == *first.value;
         if (isMember)
--- a/src/node/internal/celltask.cpp
+++ b/src/node/internal/celltask.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-CellTask::CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
-    platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks)
+CellTask::CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, services::ITableStorePtr store,
+    services::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks)
     : Task(std::move(loop))
     , m_membership(std::move(membership))
     , m_store(std::move(store))
@@ -56,7 +56,7 @@
     }
     auto self = weak_from_this();
     if (request->isLook) {
-        m_store->list(membership::cellPrefix, [this, self](const platform::RowsResult& result) {
+        m_store->list(membership::cellPrefix, [this, self](const services::RowsResult& result) {
             auto keep = self.lock();
             if (!keep)
                 return;
@@ -67,7 +67,7 @@
         });
         return;
     }
-    m_store->commit(std::move(*request->commit), [this, self](const platform::CommitResult& result) {
+    m_store->commit(std::move(*request->commit), [this, self](const services::CommitResult& result) {
         auto keep = self.lock();
         if (!keep)
             return;
@@ -131,14 +131,14 @@
     if (std::exchange(m_isReadingVms, true))
         return;
     auto self = weak_from_this();
-    m_vmList->list([this, self](const platform::VmsResult& result) {
+    m_vmList->list([this, self](const services::VmsResult& result) {
         auto keep = self.lock();
         if (!keep)
             return;
         m_isReadingVms = false;
         if (!result)
             return; // the last list stays: what it says of workers is checked with each of them
-        m_vms = std::make_shared<const std::vector<platform::VmInfo>>(result.value());
+        m_vms = std::make_shared<const std::vector<services::VmInfo>>(result.value());
         tell();
     });
 }
@@ -220,7 +220,7 @@
 void CellTask::on(Configure& message)
 {
     auto self = weak_from_this();
-    m_store->list(membership::cellPrefix, [this, self, message](const platform::RowsResult& result) {
+    m_store->list(membership::cellPrefix, [this, self, message](const services::RowsResult& result) {
         auto keep = self.lock();
         if (!keep)
             return;
@@ -252,17 +252,17 @@
         reply.send({ ConfigureOutcome::Invalid, view.config.version, problem });
         return;
     }
-    platform::Transaction transaction;
+    services::Transaction transaction;
     transaction.id = core::WriteId(core::randomId());
     transaction.writes.push_back({ membership::configKey, view.config.row, membership::encodeConfig(row) });
     auto self = weak_from_this();
     m_store->commit(transaction,
-        [this, self, message, id = transaction.id, version = row.version](const platform::CommitResult& result) {
+        [this, self, message, id = transaction.id, version = row.version](const services::CommitResult& result) {
             auto keep = self.lock();
             if (!keep)
                 return;
             auto reply = message.reply;
-            using Code = platform::StoreError::Code;
+            using Code = services::StoreError::Code;
             if (result) {
                 reply.send({ ConfigureOutcome::Accepted, version, "" });
                 m_membership->lookSoon();
@@ -281,7 +281,7 @@
     const Configure& message, const core::WriteId& id, core::ConfigVersion version, int triesLeft)
 {
     auto self = weak_from_this();
-    m_store->list(membership::configKey, [=, this](const platform::RowsResult& result) {
+    m_store->list(membership::configKey, [=, this](const services::RowsResult& result) {
         auto keep = self.lock();
         if (!keep)
             return;
@@ -310,7 +310,7 @@
 }
 
 ICellTaskPtr createCellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership,
-    platform::ITableStorePtr store, platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
+    services::ITableStorePtr store, services::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
     CellHooks hooks)
 {
     return std::make_shared<CellTask>(std::move(loop), std::move(membership), std::move(store), std::move(vms),
--- a/src/node/internal/celltask.h
+++ b/src/node/internal/celltask.h
@@ -7,8 +7,8 @@
 //! Runs the membership against the store, reads the VM list, and takes operators' changes.
 class CellTask : public runtime::Task<CellMessage>, public ITask<CellMessage> {
 public:
-    CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, platform::ITableStorePtr store,
-        platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks);
+    CellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership, services::ITableStorePtr store,
+        services::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics, CellHooks hooks);
     void start() override;
     runtime::Address<CellMessage> taskAddress() override { return address(); }
     void receive(CellMessage message) override;
@@ -33,12 +33,12 @@
     std::string checkDocument(const std::string& document, const core::PresetName& preset) const;
 
     membership::MembershipPtr m_membership;
-    platform::ITableStorePtr m_store;
-    platform::IVmListPtr m_vmList;
+    services::ITableStorePtr m_store;
+    services::IVmListPtr m_vmList;
     IPortProbePtr m_probe;
     telemetry::MetricsPtr m_metrics;
     CellHooks m_hooks;
-    std::shared_ptr<const std::vector<platform::VmInfo>> m_vms;
+    std::shared_ptr<const std::vector<services::VmInfo>> m_vms;
     std::shared_ptr<const configuration::Configuration> m_configuration;
     configuration::Preset m_acting;
     configuration::Preset m_between;
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-PartitionsTask::PartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store, platform::IWorkerPortPtr workers,
+PartitionsTask::PartitionsTask(runtime::ILoopPtr loop, services::ITableStorePtr store, services::IWorkerPortPtr workers,
     partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks)
     : Task(std::move(loop))
     , m_store(std::move(store))
@@ -139,7 +139,7 @@
 void PartitionsTask::load(core::PartitionId id, core::Epoch epoch)
 {
     auto self = weak_from_this();
-    m_store->list(acceptance::GroupLog::prefixOf(id), [this, self, id, epoch](const platform::RowsResult& result) {
+    m_store->list(acceptance::GroupLog::prefixOf(id), [this, self, id, epoch](const services::RowsResult& result) {
         auto keep = self.lock();
         Owned* owned = keep ? find(id, epoch) : nullptr;
         if (!owned)
@@ -256,7 +256,7 @@
 {
     auto self = weak_from_this();
     m_workers->sync(effect.address, std::move(effect.sync),
-        [this, self, id, epoch, worker = effect.worker](const platform::SyncResult& result) {
+        [this, self, id, epoch, worker = effect.worker](const services::SyncResult& result) {
             auto keep = self.lock();
             if (Owned* owned = keep ? find(id, epoch) : nullptr) {
                 owned->machine->onWorker(worker, result, moment());
@@ -268,7 +268,7 @@
 void PartitionsTask::perform(core::PartitionId id, core::Epoch epoch, partition::CommitToStore& effect)
 {
     auto self = weak_from_this();
-    m_store->commit(std::move(effect.transaction), [this, self, id, epoch](const platform::CommitResult& result) {
+    m_store->commit(std::move(effect.transaction), [this, self, id, epoch](const services::CommitResult& result) {
         auto keep = self.lock();
         if (Owned* owned = keep ? find(id, epoch) : nullptr) {
             const core::RowVersion version = result ? result.value() : core::RowVersion();
@@ -281,7 +281,7 @@
 void PartitionsTask::perform(core::PartitionId id, core::Epoch epoch, partition::ReadStore& effect)
 {
     auto self = weak_from_this();
-    m_store->list(std::move(effect.prefix), [this, self, id, epoch](const platform::RowsResult& result) {
+    m_store->list(std::move(effect.prefix), [this, self, id, epoch](const services::RowsResult& result) {
         auto keep = self.lock();
         if (Owned* owned = keep ? find(id, epoch) : nullptr) {
             owned->machine->onRead(result, moment());
@@ -375,8 +375,8 @@
     m_metrics->set(Metric::CapacityMilliCpu, { { "state", "committed" } }, double(committed.cpu.value()));
 }
 
-IPartitionsTaskPtr createPartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store,
-    platform::IWorkerPortPtr workers, partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks)
+IPartitionsTaskPtr createPartitionsTask(runtime::ILoopPtr loop, services::ITableStorePtr store,
+    services::IWorkerPortPtr workers, partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks)
 {
     return std::make_shared<PartitionsTask>(
         std::move(loop), std::move(store), std::move(workers), times, std::move(metrics), std::move(hooks));
--- a/src/node/internal/partitionstask.h
+++ b/src/node/internal/partitionstask.h
@@ -8,7 +8,7 @@
 //! Owns the machines of the partitions that this node owns, and carries out their effects.
 class PartitionsTask : public runtime::Task<PartitionsMessage>, public ITask<PartitionsMessage> {
 public:
-    PartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store, platform::IWorkerPortPtr workers,
+    PartitionsTask(runtime::ILoopPtr loop, services::ITableStorePtr store, services::IWorkerPortPtr workers,
         partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks);
     void start() override;
     runtime::Address<PartitionsMessage> taskAddress() override { return address(); }
@@ -48,14 +48,14 @@
     void shareHints();
     void report();
 
-    platform::ITableStorePtr m_store;
-    platform::IWorkerPortPtr m_workers;
+    services::ITableStorePtr m_store;
+    services::IWorkerPortPtr m_workers;
     partition::Times m_times;
     telemetry::MetricsPtr m_metrics;
     PartitionsHooks m_hooks;
     CellNewsPtr m_news;
     std::map<core::PartitionId, Owned> m_owned;
-    std::shared_ptr<const std::vector<platform::VmInfo>> m_vms;
+    std::shared_ptr<const std::vector<services::VmInfo>> m_vms;
     bool m_wasActing = false;
     bool m_isFlushPosted = false;
 };
--- a/src/node/nodetypes.h
+++ b/src/node/nodetypes.h
@@ -26,7 +26,7 @@
     std::shared_ptr<const configuration::Configuration> configuration; //!< in force, or the last that was
     configuration::Preset acting; //!< in force until standing.certainUntil, if standing.actsUnder is not 0
     configuration::Preset between;
-    std::shared_ptr<const std::vector<platform::VmInfo>> vms; //!< null until the list was read
+    std::shared_ptr<const std::vector<services::VmInfo>> vms; //!< null until the list was read
     std::set<core::PartitionId> handingOver;
     std::set<core::PartitionId> releasing;
     std::set<core::PartitionId> formersGone; //!< owned partitions whose former owners have all ended
--- a/src/node/tasks.h
+++ b/src/node/tasks.h
@@ -3,9 +3,9 @@
 #include "http/ihttpclient.h"
 #include "node/iportprobe.h"
 #include "node/nodetypes.h"
-#include "platform/itablestore.h"
-#include "platform/ivmlist.h"
-#include "platform/iworkerport.h"
+#include "services/itablestore.h"
+#include "services/ivmlist.h"
+#include "services/iworkerport.h"
 #include "telemetry/metrics.h"
 
 //! The tasks of the control loop. Each is made once, started on its loop, and reached by its address.
@@ -31,7 +31,7 @@
 };
 
 ICellTaskPtr createCellTask(runtime::ILoopPtr loop, membership::MembershipPtr membership,
-    platform::ITableStorePtr store, platform::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
+    services::ITableStorePtr store, services::IVmListPtr vms, IPortProbePtr probe, telemetry::MetricsPtr metrics,
     CellHooks hooks);
 
 //! Told what the partitions' machines ask for.
@@ -41,8 +41,8 @@
     std::function<void(core::PartitionId, bool isRecovered)> atRest = [](core::PartitionId, bool) {};
 };
 
-IPartitionsTaskPtr createPartitionsTask(runtime::ILoopPtr loop, platform::ITableStorePtr store,
-    platform::IWorkerPortPtr workers, partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks);
+IPartitionsTaskPtr createPartitionsTask(runtime::ILoopPtr loop, services::ITableStorePtr store,
+    services::IWorkerPortPtr workers, partition::Times times, telemetry::MetricsPtr metrics, PartitionsHooks hooks);
 
 //! Told of messages for this node.
 struct PeersHooks {
--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -37,10 +37,10 @@
         m_homeEpochs[home] = std::max(m_homeEpochs[home], epoch);
 }
 
-void Capacity::setWorkers(const std::vector<platform::VmInfo>& workers, Moment at)
+void Capacity::setWorkers(const std::vector<services::VmInfo>& workers, Moment at)
 {
     m_hasWorkerList = true;
-    for (const platform::VmInfo& it : workers) {
+    for (const services::VmInfo& it : workers) {
         m_ledger.putWorker({ it.id, it.rack, it.failureDomain, it.capacity });
         auto& link = m_links[it.id];
         if (!link)
@@ -52,9 +52,9 @@
     // A worker that is not listed any more is closed and goes on being asked: the list lags, and only the worker
     // or the lapse of its lease says what became of its attempts.
     for (auto& [id, state] : m_states) {
-        const auto isListed = [&id = id](const platform::VmInfo& it) { return it.id == id; };
+        const auto isListed = [&id = id](const services::VmInfo& it) { return it.id == id; };
         if (std::none_of(workers.begin(), workers.end(), isListed)) {
-            state = platform::VmState::Leaving;
+            state = services::VmState::Leaving;
             openOrClose(id, at.now);
         }
     }
@@ -70,7 +70,7 @@
 {
     const auto link = m_links.find(worker);
     const bool isUsable = link != m_links.end() && link->second->isReady()
-        && m_states[worker] == platform::VmState::Live && !m_health.isSetAside(worker, now);
+        && m_states[worker] == services::VmState::Live && !m_health.isSetAside(worker, now);
     m_ledger.setOpen(worker, isUsable);
 }
 
@@ -160,7 +160,7 @@
 {
     const placement::Commitment* commitment = m_ledger.find(id);
     Attempt attempt { worker, spec.workload, spec.each, spec.kind, spec.urgency, commitment->isPreemptible, at.now };
-    platform::StartOrder order;
+    services::StartOrder order;
     order.id = id;
     order.resources = spec.each;
     order.runTime = spec.kind == jobs::JobKind::Service ? core::Duration(0) : spec.runTime;
@@ -267,14 +267,14 @@
     if (link == m_links.end())
         return;
     if (link->second->withdraw(id))
-        endAttempt(id, platform::AttemptState::Stopped, false, at, effects);
+        endAttempt(id, services::AttemptState::Stopped, false, at, effects);
     else
         link->second->stop(id);
     m_withOrders.insert(link->first);
 }
 
 void Capacity::endAttempt(
-    const core::AttemptId& id, platform::AttemptState state, bool isLost, Moment at, Effects& effects)
+    const core::AttemptId& id, services::AttemptState state, bool isLost, Moment at, Effects& effects)
 {
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end())
@@ -297,9 +297,9 @@
     m_ends.emplace(id, std::move(end));
 }
 
-void Capacity::judge(const core::AttemptId& id, const Attempt& attempt, platform::AttemptState state, Moment at)
+void Capacity::judge(const core::AttemptId& id, const Attempt& attempt, services::AttemptState state, Moment at)
 {
-    using State = platform::AttemptState;
+    using State = services::AttemptState;
     if (state == State::Succeeded)
         m_health.onSuccess(attempt.worker);
     if (state != State::Failed && state != State::NotStarted)
--- a/src/partition/internal/capacity.h
+++ b/src/partition/internal/capacity.h
@@ -18,7 +18,7 @@
 
     void setPolicy(const Policy& policy);
     //! Workers of this partition by the platform's list, live and leaving.
-    void setWorkers(const std::vector<platform::VmInfo>& workers, Moment at);
+    void setWorkers(const std::vector<services::VmInfo>& workers, Moment at);
     //! Owners of home partitions as of the takeover or later; older ones are ignored from now on.
     void setHomeEpochs(const std::map<core::PartitionId, core::Epoch>& epochs);
     //! The former owner has certainly ended.
@@ -32,7 +32,7 @@
     void onEndsKept(const protocol::EndsKept& message, core::TimePoint now);
     void onStop(const protocol::StopJobs& message, Moment at, Effects& effects);
     void onAskInventory(const protocol::AskInventory& message, Effects& effects);
-    void onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at, Effects& effects);
+    void onWorker(const core::VmId& worker, const services::SyncResult& result, Moment at, Effects& effects);
     //! Sends orders that have come up; call it after each batch of messages.
     void flush(Moment at, Effects& effects);
     //! Heartbeats, lapses and resends; call it every few tens of milliseconds.
@@ -83,13 +83,13 @@
     core::AttemptId attemptOf(const jobs::JobSpec& spec, const protocol::TaskAttempt& task) const;
     bool isKnown(const core::AttemptId& id) const;
     void stopAttempt(const core::AttemptId& id, Moment at, Effects& effects);
-    void endAttempt(const core::AttemptId& id, platform::AttemptState state, bool isLost, Moment at, Effects& effects);
-    void adopt(const platform::AttemptReport& report, const core::VmId& worker, Moment at);
-    void takeReport(const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects);
-    void learnUsage(const platform::AttemptReport& report, Attempt& attempt, Moment at);
+    void endAttempt(const core::AttemptId& id, services::AttemptState state, bool isLost, Moment at, Effects& effects);
+    void adopt(const services::AttemptReport& report, const core::VmId& worker, Moment at);
+    void takeReport(const services::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects);
+    void learnUsage(const services::AttemptReport& report, Attempt& attempt, Moment at);
     void relieve(
-        const core::VmId& worker, const std::vector<platform::AttemptReport>& reports, Moment at, Effects& effects);
-    void judge(const core::AttemptId& id, const Attempt& attempt, platform::AttemptState state, Moment at);
+        const core::VmId& worker, const std::vector<services::AttemptReport>& reports, Moment at, Effects& effects);
+    void judge(const core::AttemptId& id, const Attempt& attempt, services::AttemptState state, Moment at);
     void loseWorker(const core::VmId& worker, Moment at, Effects& effects);
     void visitWorkers(Moment at, Effects& effects);
     void openOrClose(const core::VmId& worker, core::TimePoint now);
@@ -110,7 +110,7 @@
     placement::UsageBook m_usage;
     placement::HealthBook m_health;
     std::map<core::VmId, std::unique_ptr<WorkerLink>> m_links;
-    std::map<core::VmId, platform::VmState> m_states;
+    std::map<core::VmId, services::VmState> m_states;
     std::unordered_map<core::AttemptId, Attempt> m_attempts;
     std::map<core::AttemptId, End> m_ends;
     std::set<core::AttemptId> m_tombstones; //!< ends that the home keeps; late duplicates meet them
--- a/src/partition/internal/capacityworkers.cpp
+++ b/src/partition/internal/capacityworkers.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-void Capacity::onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at, Effects& effects)
+void Capacity::onWorker(const core::VmId& worker, const services::SyncResult& result, Moment at, Effects& effects)
 {
     const auto it = m_links.find(worker);
     if (it == m_links.end())
@@ -25,21 +25,21 @@
         m_isDeposed = true;
         return;
     }
-    for (const platform::AttemptReport& report : news.reports)
+    for (const services::AttemptReport& report : news.reports)
         takeReport(report, worker, at, effects);
     for (const core::AttemptId& id : news.vanished)
-        endAttempt(id, platform::AttemptState::Stopped, true, at, effects);
+        endAttempt(id, services::AttemptState::Stopped, true, at, effects);
     if (result)
         relieve(worker, news.reports, at, effects);
     if (it->second->hasOrders())
         m_withOrders.insert(worker);
     openOrClose(worker, at.now);
-    if (m_states[worker] == platform::VmState::Leaving)
+    if (m_states[worker] == services::VmState::Leaving)
         moveServices(worker, at, effects);
     noteRecovery(effects);
 }
 
-void Capacity::takeReport(const platform::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects)
+void Capacity::takeReport(const services::AttemptReport& report, const core::VmId& worker, Moment at, Effects& effects)
 {
     if (m_ends.contains(report.id))
         return;
@@ -49,13 +49,13 @@
     }
     if (!m_attempts.contains(report.id))
         adopt(report, worker, at);
-    if (report.state == platform::AttemptState::Running)
+    if (report.state == services::AttemptState::Running)
         learnUsage(report, m_attempts.at(report.id), at);
     else
         endAttempt(report.id, report.state, false, at, effects);
 }
 
-void Capacity::adopt(const platform::AttemptReport& report, const core::VmId& worker, Moment at)
+void Capacity::adopt(const services::AttemptReport& report, const core::VmId& worker, Moment at)
 {
     const AttemptLabel label = readLabel(report.label);
     m_attempts.emplace(report.id,
@@ -65,7 +65,7 @@
         countSpread(report.id.job, worker, 1);
 }
 
-void Capacity::learnUsage(const platform::AttemptReport& report, Attempt& attempt, Moment at)
+void Capacity::learnUsage(const services::AttemptReport& report, Attempt& attempt, Moment at)
 {
     const bool isReported = report.used.cpu.value() > 0 || report.used.memory.value() > 0;
     if (!isReported || at.now < attempt.usageReportedAt + usageInterval)
@@ -77,18 +77,18 @@
 }
 
 void Capacity::relieve(
-    const core::VmId& worker, const std::vector<platform::AttemptReport>& reports, Moment at, Effects& effects)
+    const core::VmId& worker, const std::vector<services::AttemptReport>& reports, Moment at, Effects& effects)
 {
     const placement::Worker* it = m_ledger.worker(worker);
     if (!it)
         return;
     core::MebiBytes used;
-    const platform::AttemptReport* victim = nullptr;
+    const services::AttemptReport* victim = nullptr;
     const auto rank = [this](const core::AttemptId& id) {
         const Attempt& attempt = m_attempts.at(id);
         return std::pair(attempt.urgency, attempt.startedAt);
     };
-    for (const platform::AttemptReport& report : reports) {
+    for (const services::AttemptReport& report : reports) {
         used += report.used.memory;
         const auto attempt = m_attempts.find(report.id);
         if (attempt == m_attempts.end() || !attempt->second.isPreemptible)
@@ -123,7 +123,7 @@
     for (const core::AttemptId& it : all) {
         const bool isLost = sent.contains(it);
         endAttempt(
-            it, isLost ? platform::AttemptState::Stopped : platform::AttemptState::NotStarted, isLost, at, effects);
+            it, isLost ? services::AttemptState::Stopped : services::AttemptState::NotStarted, isLost, at, effects);
     }
     link.dropAll();
 }
--- a/src/partition/internal/homeends.cpp
+++ b/src/partition/internal/homeends.cpp
@@ -18,7 +18,7 @@
 
 TaskState Home::stateAfter(Job& job, TaskRecord& task, const protocol::AttemptEnded& message) const
 {
-    using State = platform::AttemptState;
+    using State = services::AttemptState;
     const jobs::JobSpec& spec = job.spec();
     const bool isService = spec.kind == jobs::JobKind::Service;
     if (message.state == State::Succeeded && !isService)
@@ -68,7 +68,7 @@
     if (message.isLost)
         ++m_counters.attemptsLost;
     const bool isFault
-        = message.state == platform::AttemptState::Failed || message.state == platform::AttemptState::NotStarted;
+        = message.state == services::AttemptState::Failed || message.state == services::AttemptState::NotStarted;
     if (jobs::isEnded(state))
         keep(job, false);
     else
@@ -88,7 +88,7 @@
     end.from = job.task(task).where;
     end.home = m_id;
     end.id = { job.spec().id, task, job.task(task).attempt };
-    end.state = platform::AttemptState::Stopped;
+    end.state = services::AttemptState::Stopped;
     end.isLost = true;
     applyEnd(job, end, at, effects);
 }
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -220,7 +220,7 @@
 
 Partition::~Partition() = default;
 
-void Partition::recover(const std::vector<platform::Row>& rows, Moment at)
+void Partition::recover(const std::vector<services::Row>& rows, Moment at)
 {
     State& it = *m_state;
     if (it.ownership.isFormerOwnerGone)
@@ -251,17 +251,17 @@
     return core::partitionOf(worker.value(), partitionCount);
 }
 
-void Partition::setWorkers(const std::vector<platform::VmInfo>& workers, Moment at)
+void Partition::setWorkers(const std::vector<services::VmInfo>& workers, Moment at)
 {
     State& it = *m_state;
-    std::vector<platform::VmInfo> own;
+    std::vector<services::VmInfo> own;
     it.fleet.shapes.clear();
-    for (const platform::VmInfo& worker : workers) {
-        if (worker.role != platform::VmRole::Worker)
+    for (const services::VmInfo& worker : workers) {
+        if (worker.role != services::VmRole::Worker)
             continue;
         if (partitionOf(worker.id, it.ownership.partitionCount) == it.ownership.id)
             own.push_back(worker);
-        if (worker.state != platform::VmState::Live)
+        if (worker.state != services::VmState::Live)
             continue;
         const auto isSame
             = [&worker](const admission::WorkerShape& shape) { return shape.capacity == worker.capacity; };
@@ -301,7 +301,7 @@
     (m_state.get()->*State::handlerOf(message))(message, at);
 }
 
-void Partition::onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at)
+void Partition::onWorker(const core::VmId& worker, const services::SyncResult& result, Moment at)
 {
     State& it = *m_state;
     const core::Resources before = it.capacity.ledger().committed();
@@ -313,14 +313,14 @@
         it.home.onRoomFreed();
 }
 
-void Partition::onCommitted(const platform::StoreError* error, core::RowVersion version, Moment at)
+void Partition::onCommitted(const services::StoreError* error, core::RowVersion version, Moment at)
 {
-    using Result = core::RetVal<core::RowVersion, platform::StoreError>;
+    using Result = core::RetVal<core::RowVersion, services::StoreError>;
     const Result result = error ? Result(core::Failure { *error }) : Result(version);
     m_state->onLogEvents(m_state->log.onCommitted(result, at.now), at);
 }
 
-void Partition::onRead(const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, Moment at)
+void Partition::onRead(const core::RetVal<std::vector<services::Row>, services::StoreError>& result, Moment at)
 {
     m_state->onLogEvents(m_state->log.onRead(result, at.now), at);
 }
--- a/src/partition/internal/workerlink.cpp
+++ b/src/partition/internal/workerlink.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-void WorkerLink::start(const platform::StartOrder& order)
+void WorkerLink::start(const services::StartOrder& order)
 {
     m_starts.emplace(order.id, order);
     m_nextAt = core::TimePoint();
@@ -36,11 +36,11 @@
     m_acknowledged.insert(attempt);
 }
 
-std::optional<platform::WorkerSync> WorkerLink::next(core::TimePoint now)
+std::optional<services::WorkerSync> WorkerLink::next(core::TimePoint now)
 {
     if (m_isInFlight || now < m_nextAt || m_state == State::Silent)
         return std::nullopt;
-    platform::WorkerSync sync;
+    services::WorkerSync sync;
     sync.order = { m_epoch, ++m_sequence };
     sync.session = m_session;
     // Without a session the worker would ignore starts: the first exchange only fences it.
@@ -59,7 +59,7 @@
     return sync;
 }
 
-LinkNews WorkerLink::onResult(const platform::SyncResult& result, bool mayTakeSession, core::TimePoint now)
+LinkNews WorkerLink::onResult(const services::SyncResult& result, bool mayTakeSession, core::TimePoint now)
 {
     LinkNews news;
     m_isInFlight = false;
@@ -83,10 +83,10 @@
     return news;
 }
 
-void WorkerLink::onReport(const platform::WorkerReport& report, LinkNews& news)
+void WorkerLink::onReport(const services::WorkerReport& report, LinkNews& news)
 {
     std::set<core::AttemptId> reported;
-    for (const platform::AttemptReport& it : report.attempts)
+    for (const services::AttemptReport& it : report.attempts)
         reported.insert(it.id);
     const bool isNewSession = report.session != m_session;
     for (const core::AttemptId& it : m_acknowledging)
@@ -112,8 +112,8 @@
         m_starts.erase(it);
         m_sent.erase(it);
     }
-    for (const platform::AttemptReport& it : report.attempts) {
-        if (it.state != platform::AttemptState::Running)
+    for (const services::AttemptReport& it : report.attempts) {
+        if (it.state != services::AttemptState::Running)
             m_stops.erase(it.id);
     }
     std::erase_if(m_stops, [&](const core::AttemptId& it) { return !reported.contains(it) && !m_starts.contains(it); });
@@ -125,9 +125,9 @@
     news.capacity = report.capacity;
 }
 
-void WorkerLink::onFailure(const platform::WorkerError& error, core::TimePoint now, LinkNews& news)
+void WorkerLink::onFailure(const services::WorkerError& error, core::TimePoint now, LinkNews& news)
 {
-    using Code = platform::WorkerError::Code;
+    using Code = services::WorkerError::Code;
     if (error.code == Code::Fenced) {
         news.isDeposed = true;
         return;
--- a/src/partition/internal/workerlink.h
+++ b/src/partition/internal/workerlink.h
@@ -12,7 +12,7 @@
 struct LinkNews {
     bool isFirst = false; //!< the worker is fenced now: no earlier owner can start anything on it
     bool isDeposed = false; //!< the worker has heard of a later owner
-    std::vector<platform::AttemptReport> reports;
+    std::vector<services::AttemptReport> reports;
     std::vector<core::AttemptId> vanished; //!< were sent, and are not there any more
     core::Resources capacity;
 };
@@ -25,17 +25,17 @@
 public:
     WorkerLink(core::HostPort address, core::Epoch epoch, const Times& times, core::TimePoint now);
 
-    void start(const platform::StartOrder& order);
+    void start(const services::StartOrder& order);
     void stop(const core::AttemptId& attempt);
     //! Takes back a start that was never sent; false when it may have been.
     bool withdraw(const core::AttemptId& attempt);
     void acknowledge(const core::AttemptId& attempt);
 
     //! The exchange that is due, or nothing.
-    std::optional<platform::WorkerSync> next(core::TimePoint now);
+    std::optional<services::WorkerSync> next(core::TimePoint now);
     //! `mayTakeSession`: the owner is certain that it still is one, so it may use a session that is new to it. A
     //! worker that starts anew has forgotten whom it was fenced by, so a former owner must not use it.
-    LinkNews onResult(const platform::SyncResult& result, bool mayTakeSession, core::TimePoint now);
+    LinkNews onResult(const services::SyncResult& result, bool mayTakeSession, core::TimePoint now);
 
     //! True once, when silence has lasted so long that nothing can run on the worker any more.
     //!
@@ -56,8 +56,8 @@
 private:
     enum class State { Fencing, Ready, Failing, Silent };
 
-    void onReport(const platform::WorkerReport& report, LinkNews& news);
-    void onFailure(const platform::WorkerError& error, core::TimePoint now, LinkNews& news);
+    void onReport(const services::WorkerReport& report, LinkNews& news);
+    void onFailure(const services::WorkerError& error, core::TimePoint now, LinkNews& news);
 
     core::HostPort m_address;
     core::Epoch m_epoch;
@@ -68,7 +68,7 @@
     std::uint64_t m_sequence = 0;
     std::string m_session;
     core::Duration m_lease;
-    std::map<core::AttemptId, platform::StartOrder> m_starts; //!< not yet reported by the worker
+    std::map<core::AttemptId, services::StartOrder> m_starts; //!< not yet reported by the worker
     std::set<core::AttemptId> m_sent; //!< in an exchange that the worker may have received
     std::set<core::AttemptId> m_present; //!< reported by the worker
     std::set<core::AttemptId> m_stops;
--- a/src/partition/partition.h
+++ b/src/partition/partition.h
@@ -11,7 +11,7 @@
     core::PartitionId id;
     core::Epoch epoch;
     std::uint32_t partitionCount = 1;
-    platform::RowCheck fence; //!< the partition's row as this owner wrote it
+    services::RowCheck fence; //!< the partition's row as this owner wrote it
     std::map<core::PartitionId, core::Epoch> owners; //!< epochs of all partitions, read after this one was taken
     bool isFormerOwnerGone = false; //!< it handed over, or is known to have ended
 };
@@ -49,20 +49,20 @@
     ~Partition();
 
     //! Starts with the rows of the partition's log. Throws codec::DecodeError when they cannot be read.
-    void recover(const std::vector<platform::Row>& rows, Moment at);
+    void recover(const std::vector<services::Row>& rows, Moment at);
 
     void setPolicy(const Policy& policy);
     //! All workers of the platform's list; the partition picks its own.
-    void setWorkers(const std::vector<platform::VmInfo>& workers, Moment at);
+    void setWorkers(const std::vector<services::VmInfo>& workers, Moment at);
     void setOwners(const std::map<core::PartitionId, core::Epoch>& owners);
     void setFormerOwnerGone(Moment at);
     //! Whether the node's membership is certain at this moment; without it no worker session is taken up.
     void setCertain(bool isCertain);
 
     void receive(const protocol::Message& message, Moment at);
-    void onWorker(const core::VmId& worker, const platform::SyncResult& result, Moment at);
-    void onCommitted(const platform::StoreError* error, core::RowVersion version, Moment at);
-    void onRead(const core::RetVal<std::vector<platform::Row>, platform::StoreError>& result, Moment at);
+    void onWorker(const core::VmId& worker, const services::SyncResult& result, Moment at);
+    void onCommitted(const services::StoreError* error, core::RowVersion version, Moment at);
+    void onRead(const core::RetVal<std::vector<services::Row>, services::StoreError>& result, Moment at);
     void tick(Moment at);
 
     //! Places what waits and gives everything that is to be done now.
--- a/src/partition/partitiontypes.h
+++ b/src/partition/partitiontypes.h
@@ -57,11 +57,11 @@
 struct SyncWorker {
     core::VmId worker;
     core::HostPort address;
-    platform::WorkerSync sync;
+    services::WorkerSync sync;
 };
 
 struct CommitToStore {
-    platform::Transaction transaction;
+    services::Transaction transaction;
 };
 
 struct ReadStore {
--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -3,9 +3,9 @@
 #include "codec/json.h"
 #include "core/hashing.h"
 #include "partition/partition.h"
-#include "platform/platformcodec.h"
-#include "platform/testing/fakestore.h"
-#include "platform/testing/fakeworker.h"
+#include "services/servicescodec.h"
+#include "services/testing/fakestore.h"
+#include "services/testing/fakeworker.h"
 #include "protocol/messagecodec.h"
 
 #include <deque>
@@ -16,8 +16,8 @@
 
 namespace sardinerun::partition::testing {
 
-using platform::testing::FakeStore;
-using platform::testing::FakeWorker;
+using services::testing::FakeStore;
+using services::testing::FakeWorker;
 
 //! A promise of the brief was broken.
 class Broken : public std::runtime_error {
@@ -228,11 +228,11 @@
     void addWorker(const std::string& name)
     {
         const core::VmId id(name);
-        platform::testing::WorkerEvents events;
+        services::testing::WorkerEvents events;
         events.started = [this](const core::AttemptId& it) { onStarted(it); };
-        events.ended = [this](const core::AttemptId& it, platform::AttemptState state) { onEnded(it, state); };
+        events.ended = [this](const core::AttemptId& it, services::AttemptState state) { onEnded(it, state); };
         m_workers[id] = std::make_unique<FakeWorker>(m_capacity, times().workerLease, name, events);
-        platform::VmInfo vm;
+        services::VmInfo vm;
         vm.id = id;
         vm.capacity = m_capacity;
         vm.rack = core::RackId("r" + std::to_string(m_list.size() / 2));
@@ -261,10 +261,10 @@
             throw Broken("refused work runs: " + id.job.value());
     }
 
-    void onEnded(const core::AttemptId& id, platform::AttemptState state)
+    void onEnded(const core::AttemptId& id, services::AttemptState state)
     {
         --record.running[{ id.job, id.task }];
-        if (state == platform::AttemptState::Succeeded) {
+        if (state == services::AttemptState::Succeeded) {
             ++record.successes[{ id.job, id.task }];
             record.lastSuccessAt[id.job] = m_now;
         }
@@ -323,7 +323,7 @@
             write(partition, isFormer, name + " " + codec::writeJson(protocol::encodeParams(it->envelope)));
         }
         if (const auto* it = std::get_if<SyncWorker>(&effect))
-            write(partition, isFormer, "sync " + it->worker.value() + " " + platform::encodeSync(it->sync));
+            write(partition, isFormer, "sync " + it->worker.value() + " " + services::encodeSync(it->sync));
         if (const auto* it = std::get_if<CommitToStore>(&effect))
             write(partition, isFormer, "commit " + it->transaction.writes[0].key);
         if (const auto* it = std::get_if<ReadStore>(&effect))
@@ -346,14 +346,14 @@
             machine.onRead(m_store.listNow(it->prefix, storeFault), moment());
     }
 
-    platform::SyncResult exchange(const SyncWorker& it)
+    services::SyncResult exchange(const SyncWorker& it)
     {
-        using Code = platform::WorkerError::Code;
+        using Code = services::WorkerError::Code;
         if (cutWorkers.contains(it.worker))
-            return core::Failure { platform::WorkerError { Code::Unreachable, "cut" } };
-        platform::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
+            return core::Failure { services::WorkerError { Code::Unreachable, "cut" } };
+        services::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
         if (muteWorkers.contains(it.worker))
-            return core::Failure { platform::WorkerError { Code::Unknown, "mute" } };
+            return core::Failure { services::WorkerError { Code::Unknown, "mute" } };
         return result;
     }
 
@@ -398,7 +398,7 @@
     int m_sent = 0;
     FakeStore m_store;
     std::map<core::VmId, std::unique_ptr<FakeWorker>> m_workers;
-    std::vector<platform::VmInfo> m_list;
+    std::vector<services::VmInfo> m_list;
     std::map<std::uint32_t, Owner> m_owners;
     std::vector<Former> m_former;
     std::map<Link, std::deque<protocol::Message>> m_links;
--- a/src/protocol/internal/fieldcodec.h
+++ b/src/protocol/internal/fieldcodec.h
@@ -2,7 +2,7 @@
 
 #include "jobs/jobcodec.h"
 #include "once/oncecodec.h"
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 #include "protocol/internal/describe.h"
 
 #include <type_traits>
@@ -50,8 +50,8 @@
     //! Decimal text: JSON numbers do not hold all 64 bits everywhere.
     static Json::Value encode(std::uint64_t& it) { return std::to_string(it); }
     static Json::Value encode(core::Duration& it) { return Json::Int64(it.count()); }
-    static Json::Value encode(core::Resources& it) { return platform::encodeResources(it); }
-    static Json::Value encode(core::AttemptId& it) { return platform::encodeAttemptId(it); }
+    static Json::Value encode(core::Resources& it) { return services::encodeResources(it); }
+    static Json::Value encode(core::AttemptId& it) { return services::encodeAttemptId(it); }
     static Json::Value encode(jobs::JobSpec& it) { return jobs::encodeSpec(it); }
     static Json::Value encode(jobs::JobStatus& it) { return jobs::encodeStatus(it); }
     static Json::Value encode(once::StoredAnswer& it) { return once::encodeAnswer(it); }
@@ -64,7 +64,7 @@
 template <class Enum> constexpr int enumCount = 0;
 template <> inline constexpr int enumCount<SubmitOutcome> = 4;
 template <> inline constexpr int enumCount<PlaceMode> = 3;
-template <> inline constexpr int enumCount<platform::AttemptState> = 5;
+template <> inline constexpr int enumCount<services::AttemptState> = 5;
 template <> inline constexpr int enumCount<admission::RefusalReason> = 8;
 template <> inline constexpr int enumCount<once::ClaimResult> = 6;
 
@@ -121,11 +121,11 @@
             return;
         it = core::Duration(m_reader.integer(name, 0, maxWireCount));
     }
-    void decode(const char* name, core::Resources& it) { it = platform::decodeResources(m_reader.object(name)); }
+    void decode(const char* name, core::Resources& it) { it = services::decodeResources(m_reader.object(name)); }
     void decode(const char* name, core::AttemptId& it)
     {
         codec::ObjectReader inner = m_reader.object(name);
-        it = platform::decodeAttemptId(inner);
+        it = services::decodeAttemptId(inner);
     }
     void decode(const char* name, jobs::JobSpec& it) { it = jobs::decodeSpec(m_reader.object(name)); }
     void decode(const char* name, once::StoredAnswer& it) { it = once::decodeAnswer(m_reader.object(name)); }
@@ -137,7 +137,7 @@
     void decode(const char* name, std::vector<core::AttemptId>& list)
     {
         for (codec::ObjectReader& it : m_reader.objects(name, maxListLength))
-            list.push_back(platform::decodeAttemptId(it));
+            list.push_back(services::decodeAttemptId(it));
     }
     void decode(const char* name, std::vector<jobs::JobStatus>& list)
     {
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -4,7 +4,7 @@
 #include "core/types.h"
 #include "jobs/jobtypes.h"
 #include "once/oncetypes.h"
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <optional>
 #include <variant>
@@ -143,7 +143,7 @@
     core::PartitionId from;
     core::PartitionId home;
     core::AttemptId id;
-    platform::AttemptState state = platform::AttemptState::Failed;
+    services::AttemptState state = services::AttemptState::Failed;
     bool isLost = false; //!< the worker is gone: the attempt may have run, and runs no more
     core::Duration ran {};
 };
--- a/src/routing/internal/exchanges.cpp
+++ b/src/routing/internal/exchanges.cpp
@@ -63,7 +63,7 @@
     return true;
 }
 
-void Router::send(const RequestPtr& request, const platform::VmInfo& runner)
+void Router::send(const RequestPtr& request, const services::VmInfo& runner)
 {
     const http::Request& in = request->in.request;
     http::ClientRequest out;
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -26,8 +26,8 @@
 void Router::on(RouterNews& message)
 {
     m_news = std::move(message);
-    std::map<core::ServiceId, std::vector<platform::VmInfo>> runners;
-    for (const platform::VmInfo& it : m_news.runners)
+    std::map<core::ServiceId, std::vector<services::VmInfo>> runners;
+    for (const services::VmInfo& it : m_news.runners)
         runners[it.service].push_back(it);
     for (auto& [id, state] : m_services)
         runners.try_emplace(id);
@@ -177,7 +177,7 @@
 void Router::askOwnWords()
 {
     for (auto& [id, state] : m_services) {
-        for (const platform::VmInfo& it : state.runners.own()) {
+        for (const services::VmInfo& it : state.runners.own()) {
             http::ClientRequest request;
             request.to = it.address;
             request.target = "/runner-state";
--- a/src/routing/internal/router.h
+++ b/src/routing/internal/router.h
@@ -73,7 +73,7 @@
     void admit(const RequestPtr& request);
     void startNext(ServiceState& state);
     bool start(const RequestPtr& request);
-    void send(const RequestPtr& request, const platform::VmInfo& runner);
+    void send(const RequestPtr& request, const services::VmInfo& runner);
     void onResult(
         const RequestPtr& request, const core::VmId& runner, core::TimePoint sentAt, const http::ClientResult& result);
     void settle(const RequestPtr& request, const core::VmId& runner, const Attempt& attempt, core::Duration took);
--- a/src/routing/internal/runnerbook.cpp
+++ b/src/routing/internal/runnerbook.cpp
@@ -16,7 +16,7 @@
 //! Runners of a service that may be set aside at the same time, so that a fault of all is not made worse.
 constexpr std::size_t maxSetAsidePercent = 30;
 
-core::PartitionId shareOfSlot(const platform::VmInfo& runner, std::int64_t slot, std::uint32_t partitionCount)
+core::PartitionId shareOfSlot(const services::VmInfo& runner, std::int64_t slot, std::uint32_t partitionCount)
 {
     const std::uint64_t n = core::stableHash(runner.id.value()) + static_cast<std::uint64_t>(slot);
     return core::PartitionId(static_cast<std::uint32_t>(n % partitionCount));
@@ -25,7 +25,7 @@
 } // namespace
 
 std::int64_t slotsOf(
-    const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount)
+    const services::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount)
 {
     std::int64_t n = 0;
     for (std::int64_t slot = 0; slot < runner.slots.value() && partitionCount > 0; ++slot)
@@ -33,12 +33,12 @@
     return n;
 }
 
-void RunnerBook::update(const std::vector<platform::VmInfo>& runners, const std::set<core::PartitionId>& shares,
+void RunnerBook::update(const std::vector<services::VmInfo>& runners, const std::set<core::PartitionId>& shares,
     std::uint32_t partitionCount)
 {
     for (auto& [id, it] : m_runners)
         it.isListed = false;
-    for (const platform::VmInfo& vm : runners) {
+    for (const services::VmInfo& vm : runners) {
         Runner& it = m_runners[vm.id];
         it.vm = vm;
         it.isListed = true;
@@ -49,7 +49,7 @@
 
 bool RunnerBook::isUsable(const Runner& runner, core::TimePoint now) const
 {
-    return runner.isListed && runner.vm.state == platform::VmState::Live && !runner.saysLeaving
+    return runner.isListed && runner.vm.state == services::VmState::Live && !runner.saysLeaving
         && runner.inUse < runner.slots && now >= runner.openUntil;
 }
 
@@ -120,7 +120,7 @@
         it->second.saysLeaving = isLeaving;
 }
 
-const platform::VmInfo* RunnerBook::find(const core::VmId& runner) const
+const services::VmInfo* RunnerBook::find(const core::VmId& runner) const
 {
     const auto it = m_runners.find(runner);
     return it == m_runners.end() ? nullptr : &it->second.vm;
@@ -142,15 +142,15 @@
     std::int64_t n = 0;
     for (const auto& [id, it] : m_runners) {
         const bool isOut
-            = !it.isListed || it.vm.state != platform::VmState::Live || it.saysLeaving || now < it.openUntil;
+            = !it.isListed || it.vm.state != services::VmState::Live || it.saysLeaving || now < it.openUntil;
         n += isOut ? 0 : it.slots;
     }
     return n;
 }
 
-std::vector<platform::VmInfo> RunnerBook::own() const
+std::vector<services::VmInfo> RunnerBook::own() const
 {
-    std::vector<platform::VmInfo> all;
+    std::vector<services::VmInfo> all;
     for (const auto& [id, it] : m_runners) {
         if (it.isListed && it.slots > 0)
             all.push_back(it.vm);
--- a/src/routing/internal/runnerbook.h
+++ b/src/routing/internal/runnerbook.h
@@ -9,12 +9,12 @@
 //! Slots of a runner that a node may use, by the shares that it holds: slot n of a runner belongs to the share
 //! (hash of the runner + n) modulo the number of partitions. Every node reckons the same, without a message.
 std::int64_t slotsOf(
-    const platform::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount);
+    const services::VmInfo& runner, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount);
 
 //! The runners of one service as one node may use them.
 class RunnerBook {
 public:
-    void update(const std::vector<platform::VmInfo>& runners, const std::set<core::PartitionId>& shares,
+    void update(const std::vector<services::VmInfo>& runners, const std::set<core::PartitionId>& shares,
         std::uint32_t partitionCount);
 
     //! The usable runner that should answer soonest, with one slot taken; nothing when all slots are in use.
@@ -23,7 +23,7 @@
     //! The runner itself said whether it is leaving.
     void setOwnWord(const core::VmId& runner, bool isLeaving);
 
-    const platform::VmInfo* find(const core::VmId& runner) const;
+    const services::VmInfo* find(const core::VmId& runner) const;
     //! Requests do not belong to one share: a share is idle when those on each runner fit into the other ones.
     bool isShareIdle(
         core::PartitionId share, const std::set<core::PartitionId>& shares, std::uint32_t partitionCount) const;
@@ -31,11 +31,11 @@
     //! Slots that can be used now.
     std::int64_t usableSlots(core::TimePoint now) const;
     //! Runners on which this node has slots.
-    std::vector<platform::VmInfo> own() const;
+    std::vector<services::VmInfo> own() const;
 
 private:
     struct Runner {
-        platform::VmInfo vm;
+        services::VmInfo vm;
         std::int64_t slots = 0;
         std::int64_t inUse = 0;
         bool isListed = true;
--- a/src/routing/irouter.h
+++ b/src/routing/irouter.h
@@ -43,7 +43,7 @@
 
 //! What the router works by, as of now.
 struct RouterNews {
-    std::vector<platform::VmInfo> runners; //!< of all services
+    std::vector<services::VmInfo> runners; //!< of all services
     std::set<core::PartitionId> shares; //!< of the runners' slots
     std::set<core::PartitionId> releasing; //!< shares to be given up once they are idle
     core::TimePoint sharesUntil {};
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -4,7 +4,7 @@
 #include "core/types.h"
 #include "http/problem.h"
 #include "once/oncetypes.h"
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <functional>
 #include <optional>
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -88,9 +88,9 @@
         news.acting.shares = { { 30, 30, 10 } };
         news.actingUntil = loop->now() + 1h;
         for (int n = 0; n < 3; ++n) {
-            platform::VmInfo vm;
+            services::VmInfo vm;
             vm.id = core::VmId("r" + std::to_string(n));
-            vm.role = platform::VmRole::Runner;
+            vm.role = services::VmRole::Runner;
             vm.service = core::ServiceId("labdesk");
             vm.slots = core::Slots(2);
             vm.address = { "127.0.0.1", static_cast<std::uint16_t>(n + 1) };
@@ -339,7 +339,7 @@
 
 BOOST_AUTO_TEST_CASE(theSharesOfAllNodesMakeUpEachRunner)
 {
-    platform::VmInfo runner;
+    services::VmInfo runner;
     runner.slots = core::Slots(8);
     for (int n = 0; n < 50; ++n) {
         runner.id = core::VmId("r" + std::to_string(n));
--- a/src/platform/httpplatform.h
+++ b/src/services/httpservices.h
@@ -1,21 +1,21 @@
 #pragma once
 
 #include "http/ihttpclient.h"
-#include "platform/itablestore.h"
-#include "platform/ivmlist.h"
-#include "platform/iworkerport.h"
+#include "services/itablestore.h"
+#include "services/ivmlist.h"
+#include "services/iworkerport.h"
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 //! Timeouts of the exchanges with the platform.
-struct PlatformTimeouts {
+struct ServiceTimeouts {
     core::Duration store = std::chrono::milliseconds(1500);
     core::Duration worker = std::chrono::milliseconds(1000);
 };
 
 //! Adapters for the protocols in docs/PLATFORM.md.
-ITableStorePtr createTableStore(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts);
-IVmListPtr createVmList(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts);
-IWorkerPortPtr createWorkerPort(http::IHttpClientPtr client, PlatformTimeouts timeouts);
+ITableStorePtr createTableStore(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts);
+IVmListPtr createVmList(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts);
+IWorkerPortPtr createWorkerPort(http::IHttpClientPtr client, ServiceTimeouts timeouts);
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/services/internal/httpservices.cpp
@@ -1,8 +1,8 @@
-#include "platform/httpplatform.h"
+#include "services/httpservices.h"
 
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 namespace {
 
@@ -49,7 +49,7 @@
 
 class HttpTableStore : public ITableStore {
 public:
-    HttpTableStore(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+    HttpTableStore(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts)
         : m_client(std::move(client))
         , m_platform(std::move(platform))
         , m_timeouts(timeouts)
@@ -84,12 +84,12 @@
 private:
     http::IHttpClientPtr m_client;
     core::HostPort m_platform;
-    PlatformTimeouts m_timeouts;
+    ServiceTimeouts m_timeouts;
 };
 
 class HttpVmList : public IVmList, public std::enable_shared_from_this<HttpVmList> {
 public:
-    HttpVmList(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+    HttpVmList(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts)
         : m_client(std::move(client))
         , m_platform(std::move(platform))
         , m_timeouts(timeouts)
@@ -128,7 +128,7 @@
 
     http::IHttpClientPtr m_client;
     core::HostPort m_platform;
-    PlatformTimeouts m_timeouts;
+    ServiceTimeouts m_timeouts;
     std::vector<VmInfo> m_last;
     std::string m_tag;
 };
@@ -153,7 +153,7 @@
 
 class HttpWorkerPort : public IWorkerPort {
 public:
-    HttpWorkerPort(http::IHttpClientPtr client, PlatformTimeouts timeouts)
+    HttpWorkerPort(http::IHttpClientPtr client, ServiceTimeouts timeouts)
         : m_client(std::move(client))
         , m_timeouts(timeouts)
     {
@@ -173,24 +173,24 @@
 
 private:
     http::IHttpClientPtr m_client;
-    PlatformTimeouts m_timeouts;
+    ServiceTimeouts m_timeouts;
 };
 
 } // namespace
 
-ITableStorePtr createTableStore(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+ITableStorePtr createTableStore(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts)
 {
     return std::make_shared<HttpTableStore>(std::move(client), std::move(platform), timeouts);
 }
 
-IVmListPtr createVmList(http::IHttpClientPtr client, core::HostPort platform, PlatformTimeouts timeouts)
+IVmListPtr createVmList(http::IHttpClientPtr client, core::HostPort platform, ServiceTimeouts timeouts)
 {
     return std::make_shared<HttpVmList>(std::move(client), std::move(platform), timeouts);
 }
 
-IWorkerPortPtr createWorkerPort(http::IHttpClientPtr client, PlatformTimeouts timeouts)
+IWorkerPortPtr createWorkerPort(http::IHttpClientPtr client, ServiceTimeouts timeouts)
 {
     return std::make_shared<HttpWorkerPort>(std::move(client), timeouts);
 }
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/services/internal/servicescodec.cpp
@@ -1,8 +1,8 @@
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
 #include <array>
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 namespace {
 
@@ -337,4 +337,4 @@
     return it;
 }
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/itablestore.h
+++ b/src/services/itablestore.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <functional>
 #include <memory>
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 //! The platform's transactional table. Callbacks run on the loop that the store was made for.
 class ITableStore {
@@ -21,4 +21,4 @@
 
 using ITableStorePtr = std::shared_ptr<ITableStore>;
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/ivmlist.h
+++ b/src/services/ivmlist.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <functional>
 #include <memory>
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 //! The platform's list of live and leaving VMs, which lags behind the truth.
 class IVmList {
@@ -16,4 +16,4 @@
 
 using IVmListPtr = std::shared_ptr<IVmList>;
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/iworkerport.h
+++ b/src/services/iworkerport.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <functional>
 #include <memory>
 
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 //! Speaks with workers. Whether a worker fences by epoch or by time is hidden behind this port.
 class IWorkerPort {
@@ -16,4 +16,4 @@
 
 using IWorkerPortPtr = std::shared_ptr<IWorkerPort>;
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/platformcodec.h
+++ b/src/services/servicescodec.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "codec/json.h"
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 //! JSON of the platform's protocols. Decoders throw codec::DecodeError.
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 Json::Value encodeResources(const core::Resources& it);
 core::Resources decodeResources(codec::ObjectReader reader);
@@ -24,4 +24,4 @@
 std::string encodeReport(const WorkerReport& it);
 WorkerReport decodeReport(std::string_view text);
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/platformtypes.h
+++ b/src/services/servicestypes.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 //! What the platform gives: its table service, its list of VMs, and its workers.
-namespace sardinerun::platform {
+namespace sardinerun::services {
 
 //! One row of the table service.
 struct Row {
@@ -130,4 +130,4 @@
 using VmsResult = core::RetVal<std::vector<VmInfo>, StoreError>;
 using SyncResult = core::RetVal<WorkerReport, WorkerError>;
 
-} // namespace sardinerun::platform
+} // namespace sardinerun::services
--- a/src/platform/testing/fakestore.h
+++ b/src/services/testing/fakestore.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/itablestore.h"
+#include "services/itablestore.h"
 
 #include <map>
 #include <utility>
 
 //! Small fakes of the platform for tests; not part of the shipped binary.
-namespace sardinerun::platform::testing {
+namespace sardinerun::services::testing {
 
 //! Table in memory that fails as told.
 class FakeStore {
@@ -92,4 +92,4 @@
     std::uint64_t m_commits = 0;
 };
 
-} // namespace sardinerun::platform::testing
+} // namespace sardinerun::services::testing
--- a/src/platform/testing/fakeworker.h
+++ b/src/services/testing/fakeworker.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
 
-namespace sardinerun::platform::testing {
+namespace sardinerun::services::testing {
 
 //! What a fake worker did, for checks.
 struct WorkerEvents {
@@ -186,4 +186,4 @@
     std::map<core::AttemptId, Attempt> m_attempts;
 };
 
-} // namespace sardinerun::platform::testing
+} // namespace sardinerun::services::testing
--- a/src/platform/tests/platformcodec_tests.cpp
+++ b/src/services/tests/servicescodec_tests.cpp
@@ -1,5 +1,5 @@
-#define BOOST_TEST_MODULE platform
-#include "platform/platformcodec.h"
+#define BOOST_TEST_MODULE services
+#include "services/servicescodec.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,12 +8,12 @@
 
 BOOST_AUTO_TEST_CASE(aSyncSurvivesTheWire)
 {
-    platform::WorkerSync sync;
+    services::WorkerSync sync;
     sync.order = { core::Epoch(7), 42 };
     const core::AttemptId id { core::JobId("j-1"), core::TaskIndex(3), core::AttemptNumber(2) };
     sync.starts.push_back({ id, { core::MilliCpu(500), core::MebiBytes(64), {} }, 1500ms, "glaze-run" });
     sync.stops.push_back(id);
-    const platform::WorkerSync back = platform::decodeSync(platform::encodeSync(sync));
+    const services::WorkerSync back = services::decodeSync(services::encodeSync(sync));
     BOOST_TEST(back.order.epoch.value() == 7U);
     BOOST_TEST((back.starts.at(0).id == id));
     BOOST_TEST((back.starts.at(0).runTime == core::Duration(1500ms)));
@@ -22,18 +22,18 @@
 
 BOOST_AUTO_TEST_CASE(aVmInAStateUnknownToUsIsTreatedAsLeaving)
 {
-    platform::VmInfo vm;
+    services::VmInfo vm;
     vm.id = core::VmId("w1");
     vm.address = { "127.0.0.1", 1000 };
-    std::string text = platform::encodeVms({ vm });
+    std::string text = services::encodeVms({ vm });
     text.replace(text.find("live"), 4, "odd!");
-    BOOST_TEST((platform::decodeVms(text).at(0).state == platform::VmState::Leaving));
+    BOOST_TEST((services::decodeVms(text).at(0).state == services::VmState::Leaving));
 }
 
 BOOST_AUTO_TEST_CASE(transactionsKeepDeletesApartFromEmptyValues)
 {
-    platform::Transaction transaction { core::WriteId("w"), {}, { { "a", core::RowVersion(1), "" }, { "b", {}, {} } } };
-    const auto back = platform::decodeTransaction(platform::encodeTransaction(transaction));
+    services::Transaction transaction { core::WriteId("w"), {}, { { "a", core::RowVersion(1), "" }, { "b", {}, {} } } };
+    const auto back = services::decodeTransaction(services::encodeTransaction(transaction));
     BOOST_TEST(back.writes.at(0).value.has_value());
     BOOST_TEST(!back.writes.at(1).value.has_value());
 }
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -4,7 +4,7 @@
 #include "http/h2oserver.h"
 #include "membership/membershiptypes.h"
 #include "partition/partitiontypes.h"
-#include "platform/httpplatform.h"
+#include "services/httpservices.h"
 
 #include <optional>
 #include <string>
@@ -31,7 +31,7 @@
     core::Duration stopWithin = std::chrono::seconds(35); //!< for a planned stop
     membership::MembershipTimes membership;
     partition::Times partition;
-    platform::PlatformTimeouts timeouts;
+    services::ServiceTimeouts timeouts;
 };
 
 //! Reads and checks a settings file's text. Throws codec::YamlError, which names the place.
--- a/standins/control.cpp
+++ b/standins/control.cpp
@@ -1,7 +1,7 @@
 #include "standins/control.h"
 
 #include "http/h2oserver.h"
-#include "platform/platformcodec.h"
+#include "services/servicescodec.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -34,13 +34,13 @@
 }
 
 void announce(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const core::HostPort& platform,
-    const std::vector<platform::VmInfo>& vms)
+    const std::vector<services::VmInfo>& vms)
 {
     http::ClientRequest request;
     request.to = platform;
     request.method = "POST";
     request.target = "/control/vms";
-    request.body = platform::encodeVms(vms);
+    request.body = services::encodeVms(vms);
     client->send(request, [=](const http::ClientResult& result) {
         if (!result || result.value().status != 200)
             loop->callAfter(announcePause, [=] { announce(loop, client, platform, vms); });
--- a/standins/control.h
+++ b/standins/control.h
@@ -3,7 +3,7 @@
 #include "codec/json.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
-#include "platform/platformtypes.h"
+#include "services/servicestypes.h"
 #include "runtime/eventloop.h"
 
 #include <string>
@@ -18,6 +18,6 @@
 
 //! Tells the platform stand-in of VMs, again and again until it has taken them.
 void announce(const runtime::EventLoopPtr& loop, const http::IHttpClientPtr& client, const core::HostPort& platform,
-    const std::vector<platform::VmInfo>& vms);
+    const std::vector<services::VmInfo>& vms);
 
 } // namespace sardinerun::standins
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -1,7 +1,7 @@
 #include "standins/platformstandin.h"
 
-#include "platform/platformcodec.h"
-#include "platform/testing/fakestore.h"
+#include "services/servicescodec.h"
+#include "services/testing/fakestore.h"
 
 #include <algorithm>
 #include <map>
@@ -10,7 +10,7 @@
 
 namespace {
 
-using Fault = platform::testing::FakeStore::Fault;
+using Fault = services::testing::FakeStore::Fault;
 
 } // namespace
 
@@ -25,7 +25,7 @@
 
 private:
     struct Listed {
-        platform::VmInfo vm;
+        services::VmInfo vm;
         core::TimePoint since;
     };
 
@@ -72,8 +72,8 @@
     http::Response commit(const std::string& body)
     {
         ++m_writes;
-        const platform::Transaction transaction = platform::decodeTransaction(body);
-        const platform::CommitResult result = m_store.commitNow(transaction);
+        const services::Transaction transaction = services::decodeTransaction(body);
+        const services::CommitResult result = m_store.commitNow(transaction);
         if (!result)
             return { 409, {}, result.error().detail };
         Json::Value value(Json::objectValue);
@@ -86,20 +86,20 @@
         ++m_reads;
         const std::string prefix = http::queryParameter(request.query, "prefix").value_or("");
         return { 200, { { "content-type", "application/json" } },
-            platform::encodeRows(m_store.listNow(prefix).value()) };
+            services::encodeRows(m_store.listNow(prefix).value()) };
     }
 
     http::Response vms(const http::Request& request)
     {
         ++m_reads;
-        std::vector<platform::VmInfo> visible;
+        std::vector<services::VmInfo> visible;
         for (const auto& [id, it] : m_vms) {
             if (m_loop->now() >= it.since + m_listLag)
                 visible.push_back(it.vm);
             else if (const auto former = m_formerVms.find(id); former != m_formerVms.end())
                 visible.push_back(former->second);
         }
-        const std::string body = platform::encodeVms(visible);
+        const std::string body = services::encodeVms(visible);
         const std::string tag = std::to_string(std::hash<std::string>()(body));
         if (http::findHeader(request.headers, "if-none-match") == tag)
             return { 304, { { "etag", tag } }, "" };
@@ -122,7 +122,7 @@
 
     http::Response putVms(const std::string& body)
     {
-        for (const platform::VmInfo& it : platform::decodeVms(body)) {
+        for (const services::VmInfo& it : services::decodeVms(body)) {
             if (const auto former = m_vms.find(it.id); former != m_vms.end())
                 m_formerVms[it.id] = former->second.vm;
             m_vms[it.id] = { it, m_loop->now() };
@@ -141,9 +141,9 @@
 
     runtime::EventLoopPtr m_loop;
     http::IHttpServerPtr m_server;
-    platform::testing::FakeStore m_store;
+    services::testing::FakeStore m_store;
     std::map<core::VmId, Listed> m_vms;
-    std::map<core::VmId, platform::VmInfo> m_formerVms;
+    std::map<core::VmId, services::VmInfo> m_formerVms;
     std::vector<http::Responder> m_lost;
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
--- a/standins/runnerstandin.cpp
+++ b/standins/runnerstandin.cpp
@@ -14,7 +14,7 @@
         , m_client(std::move(client))
         , m_options(options)
     {
-        std::vector<platform::VmInfo> vms;
+        std::vector<services::VmInfo> vms;
         vms.reserve(static_cast<std::size_t>(options.count));
         for (int n = 0; n < options.count; ++n)
             vms.push_back(addRunner(n));
@@ -23,7 +23,7 @@
 
 private:
     struct Hosted {
-        platform::VmInfo vm;
+        services::VmInfo vm;
         http::IHttpServerPtr server;
         std::int64_t inUse = 0;
         bool isLeaving = false;
@@ -34,11 +34,11 @@
         core::Duration lastTakenWhileLeaving {};
     };
 
-    platform::VmInfo addRunner(int n)
+    services::VmInfo addRunner(int n)
     {
         auto it = std::make_unique<Hosted>();
         it->vm.id = core::VmId(m_options.service.value() + "-" + std::to_string(n));
-        it->vm.role = platform::VmRole::Runner;
+        it->vm.role = services::VmRole::Runner;
         it->vm.service = m_options.service;
         it->vm.slots = m_options.slots;
         it->vm.failureDomain = core::FailureDomainId(
@@ -50,7 +50,7 @@
                   handle(hosted, request, std::move(responder));
               });
         it->vm.address = { "127.0.0.1", it->server->port() };
-        platform::VmInfo vm = it->vm;
+        services::VmInfo vm = it->vm;
         m_runners.push_back(std::move(it));
         return vm;
     }
--- a/standins/workerstandin.cpp
+++ b/standins/workerstandin.cpp
@@ -1,7 +1,7 @@
 #include "standins/workerstandin.h"
 
-#include "platform/platformcodec.h"
-#include "platform/testing/fakeworker.h"
+#include "services/servicescodec.h"
+#include "services/testing/fakeworker.h"
 
 #include <map>
 #include <set>
@@ -20,7 +20,7 @@
     WorkersStandin(runtime::EventLoopPtr loop, const http::IHttpClientPtr& client, const WorkersOptions& options)
         : m_loop(std::move(loop))
     {
-        std::vector<platform::VmInfo> vms;
+        std::vector<services::VmInfo> vms;
         vms.reserve(static_cast<std::size_t>(options.count));
         for (int n = 0; n < options.count; ++n)
             vms.push_back(addWorker(n, options));
@@ -30,30 +30,30 @@
 
 private:
     struct Hosted {
-        std::unique_ptr<platform::testing::FakeWorker> worker;
+        std::unique_ptr<services::testing::FakeWorker> worker;
         http::IHttpServerPtr server;
         bool isFrozen = false; //!< takes nothing and answers nothing
         bool losesAnswers = false;
         std::vector<std::pair<std::string, http::Responder>> held; //!< while frozen
     };
 
-    platform::VmInfo addWorker(int n, const WorkersOptions& options)
+    services::VmInfo addWorker(int n, const WorkersOptions& options)
     {
-        platform::VmInfo vm;
+        services::VmInfo vm;
         vm.id = core::VmId(options.prefix + "-" + std::to_string(n));
-        vm.role = platform::VmRole::Worker;
+        vm.role = services::VmRole::Worker;
         vm.rack = core::RackId("rack-" + std::to_string(n / options.perRack));
         vm.failureDomain = core::FailureDomainId(
             options.failureDomains[static_cast<std::size_t>(n) % options.failureDomains.size()]);
         vm.capacity = options.capacity;
-        platform::testing::WorkerEvents events;
+        services::testing::WorkerEvents events;
         events.started = [this](const core::AttemptId& it) { onStarted(it); };
-        events.ended = [this](const core::AttemptId& it, platform::AttemptState state) { onEnded(it, state); };
+        events.ended = [this](const core::AttemptId& it, services::AttemptState state) { onEnded(it, state); };
         auto hosted = std::make_unique<Hosted>();
         // A name that no earlier process used, so that its sessions differ.
         const std::string session = vm.id.value() + "-" + std::to_string(m_loop->now().time_since_epoch().count());
         hosted->worker
-            = std::make_unique<platform::testing::FakeWorker>(options.capacity, options.lease, session, events);
+            = std::make_unique<services::testing::FakeWorker>(options.capacity, options.lease, session, events);
         hosted->worker->usedPercent = options.usedPercent;
         Hosted& it = *hosted;
         const auto port = static_cast<std::uint16_t>(options.firstPort == 0 ? 0 : options.firstPort + n);
@@ -91,8 +91,8 @@
         ++m_syncs;
         http::Response response;
         try {
-            const platform::SyncResult result = it.worker->sync(platform::decodeSync(body), m_loop->now());
-            response = result ? http::Response { 200, {}, platform::encodeReport(result.value()) }
+            const services::SyncResult result = it.worker->sync(services::decodeSync(body), m_loop->now());
+            response = result ? http::Response { 200, {}, services::encodeReport(result.value()) }
                               : http::Response { 409, {}, result.error().detail };
         } catch (const codec::DecodeError& error) {
             response = { 400, {}, error.what() };
@@ -139,11 +139,11 @@
             ++m_twice;
     }
 
-    void onEnded(const core::AttemptId& id, platform::AttemptState state)
+    void onEnded(const core::AttemptId& id, services::AttemptState state)
     {
         const Task task { id.job, id.task };
         --m_running[task];
-        if (state == platform::AttemptState::Succeeded)
+        if (state == services::AttemptState::Succeeded)
             ++m_succeeded[task];
     }
 
