--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/commands.h"
 
+#include "app/dispatchnode.h"
 #include "app/internal/nodeclient.h"
 #include "app/internal/output.h"
 #include "app/node.h"
@@ -126,31 +127,75 @@
 
 // --- Commands
 
-int serve(const Arguments& arguments)
+//! Blocks the signals that end or reload a node, for this thread and those that it starts from here on.
+sigset_t blockSignals()
 {
-    options::options_description description("Options");
-    description.add_options()("help", "show this")(
-        "config", options::value<std::string>()->required(), "the node's settings file");
-    const Parsed it = parse("serve", arguments, description);
-    const std::string file = it.text("config");
-    const settings::NodeSettings settings = settings::readNodeSettings(readFile(file), file);
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr); // threads started from here on inherit it
-    telemetry::startLogging("sardinerun");
-    auto node = Node::start(settings);
+    for (const int it : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, it);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+//! Runs a node until a signal asks it to stop; SIGHUP calls `reload`.
+template <class NodePtr> int runUntilStopped(NodePtr node, const sigset_t& signals, const std::function<void()>& reload)
+{
     if (!node) {
         std::cerr << "cannot start: " << node.error().detail << "\n";
         return ExitCode::Failed;
     }
     int number = 0;
-    sigwait(&signals, &number);
+    while (sigwait(&signals, &number) == 0 && number == SIGHUP)
+        reload();
     node.value()->stop();
     return ExitCode::Ok;
 }
 
+int serve(const Arguments& arguments)
+{
+    options::options_description description("Options");
+    description.add_options()("help", "show this")(
+        "config", options::value<std::string>()->required(), "the node's settings file");
+    const Parsed it = parse("serve", arguments, description);
+    const std::string file = it.text("config");
+    const settings::NodeSettings settings = settings::readNodeSettings(readFile(file), file);
+    const sigset_t signals = blockSignals();
+    telemetry::startLogging("sardinerun");
+    return runUntilStopped(Node::start(settings), signals, [&file] {
+        telemetry::LogLine(telemetry::Severity::Info, "reload").with("file", file).with("outcome", "needs a restart");
+    });
+}
+
+//! Says what a changed settings file would mean; addresses and times take effect with the next start.
+void checkReload(const std::string& file)
+{
+    telemetry::LogLine line(telemetry::Severity::Info, "reload");
+    line.with("file", file);
+    try {
+        settings::readDispatchSettings(readFile(file), file);
+        line.with("outcome", "right; in force from the next start");
+    } catch (const std::exception& error) {
+        line.with("outcome", "refused").with("why", error.what());
+    }
+}
+
+int dispatch(const Arguments& arguments)
+{
+    options::options_description description("Options");
+    description.add_options()("help", "show this")("config", options::value<std::string>(),
+        "the node's settings file; else the one that SARDINERUN_SETTINGS names");
+    const Parsed it = parse("dispatch", arguments, description);
+    const char* fromEnvironment = std::getenv("SARDINERUN_SETTINGS");
+    const std::string file = it.has("config") ? it.text("config") : fromEnvironment ? fromEnvironment : "";
+    if (file.empty())
+        throw UsageError("name the settings file with --config or SARDINERUN_SETTINGS");
+    const settings::DispatchSettings settings = settings::readDispatchSettings(readFile(file), file);
+    const sigset_t signals = blockSignals();
+    telemetry::startLogging("sardinerun");
+    return runUntilStopped(DispatchNode::start(settings), signals, [&file] { checkReload(file); });
+}
+
 int checkConfig(const Arguments& arguments)
 {
     options::options_description description("Options");
@@ -163,8 +208,11 @@
         try {
             const std::string text = readFile(file);
             const bool isForAll = codec::YamlReader::parse(text, file).has("presets");
+            const bool isDispatch = !isForAll && codec::YamlReader::parse(text, file).has("readiness");
             if (isForAll)
                 configuration::readConfiguration(text, file);
+            else if (isDispatch)
+                settings::readDispatchSettings(text, file);
             else
                 settings::readNodeSettings(text, file);
             std::cout << file << ": right (" << (isForAll ? "configuration of all nodes" : "settings of one node")
@@ -385,6 +433,8 @@
 {
     static const std::vector<Command> all {
         { "serve", "Run a node", "sardinerun serve --config /etc/sardinerun/node.yaml", serve },
+        { "dispatch", "Run a node that dispatches workflows on the users' platform",
+            "sardinerun dispatch --config examples/dispatch.yaml", dispatch },
         { "check-config", "Check settings and configuration files", "sardinerun check-config node.yaml cell.yaml",
             checkConfig },
         { "submit", "Submit a job", "sardinerun submit glaze-run.json --key run-1207 --wait", submit },
--- /dev/null
+++ b/src/app/internal/dispatchnode.cpp
@@ -0,0 +1,290 @@
+#include "app/dispatchnode.h"
+
+#include "app/internal/processreport.h"
+#include "dispatch/leadtask.h"
+#include "dispatch/lender.h"
+#include "dispatch/workdesk.h"
+#include "codec/json.h"
+#include "http/h2oclient.h"
+#include "http/h2oserver.h"
+#include "platform/frontcalls.h"
+#include "platform/platformports.h"
+#include "runtime/eventloop.h"
+#include "telemetry/log.h"
+#include "telemetry/metrics.h"
+
+#include <algorithm>
+#include <future>
+
+namespace sardinerun::app {
+
+namespace {
+
+using telemetry::LogLine;
+using telemetry::Severity;
+
+constexpr std::size_t maxInnerBodyBytes = std::size_t(8) << 20;
+constexpr core::Duration logFlushPeriod = std::chrono::milliseconds(250);
+constexpr core::Duration processReportPeriod = std::chrono::seconds(2);
+//! The balancer asks once a second and takes a node out after two misses.
+constexpr core::Duration balancerPause = std::chrono::milliseconds(2300);
+constexpr core::Duration idleCheckPeriod = std::chrono::milliseconds(50);
+//! Kept free before the platform kills the process.
+constexpr core::Duration stopMargin = std::chrono::milliseconds(700);
+//! A VM with a full core is preferred as leader over one with a tenth of it by this much.
+constexpr core::Duration longestHandicap = std::chrono::milliseconds(600);
+
+core::Duration handicapOf(double processorShare)
+{
+    const double lack = std::clamp(1 - processorShare, 0.0, 1.0);
+    return core::Duration(std::int64_t(double(longestHandicap.count()) * lack));
+}
+
+} // namespace
+
+struct DispatchNode::Parts {
+    settings::DispatchSettings settings;
+    telemetry::MetricsPtr metrics = telemetry::Metrics::create();
+    runtime::EventLoopPtr loop;
+    http::IHttpClientPtr client;
+    store::IRowStorePtr store;
+    workflow::IConfigSourcePtr configSource;
+    workflow::QueueConfigPtr config;
+    dispatch::LeadTaskPtr lead;
+    dispatch::WorkDeskPtr desk;
+    dispatch::LenderPtr lender;
+    http::IHttpServerPtr callersServer;
+    http::IHttpServerPtr readinessServer;
+    http::IHttpServerPtr innerServer;
+    std::promise<void> idle;
+    bool isStopping = false;
+    bool isIdleTold = false;
+
+    core::Ret<StartError> makeLoop();
+    void makeTasks();
+    core::Ret<StartError> listen();
+    core::Ret<StartError> listenAt(const core::HostPort& at, std::size_t maxBodyBytes, http::Handler handler,
+        http::IHttpServerPtr& server, const char* name);
+    void onNews(const dispatch::LeaderNews& news);
+    void onConfig(const workflow::QueueConfigPtr& news);
+    void handleInner(const http::Request& request, http::Responder responder);
+    void handleWork(const http::Request& request, http::Responder responder);
+    void handleLend(const http::Request& request, http::Responder responder);
+    void handleLeading(const http::Request& request, http::Responder responder);
+    void flushForever();
+    void reportForever();
+    void checkIdle();
+};
+
+core::Ret<StartError> DispatchNode::Parts::makeLoop()
+{
+    auto made = runtime::EventLoop::create("node", runtime::systemClock());
+    if (!made)
+        return core::Failure { StartError { "no event loop can be made" } };
+    loop = made.value();
+    return {};
+}
+
+void DispatchNode::Parts::makeTasks()
+{
+    client = http::createClient(loop);
+    store = platform::createRowStore(loop, client, settings.store);
+    configSource = platform::createConfigSource(loop, store);
+    dispatch::LeadParts leadParts;
+    leadParts.store = store;
+    leadParts.orders = platform::createWorkerOrders(client, settings.scheduling.orderPatience);
+    leadParts.makeRegister = [this] { return platform::createWorkerRegister(loop, store); };
+    leadParts.client = client;
+    leadParts.metrics = metrics;
+    leadParts.self = settings.node;
+    leadParts.address = settings.inner;
+    leadParts.handicap = handicapOf(settings.processorShare);
+    leadParts.times = settings.scheduling;
+    leadParts.leadTimes = settings.lead;
+    leadParts.news = [this](const dispatch::LeaderNews& news) { onNews(news); };
+    lead = dispatch::LeadTask::create(loop, std::move(leadParts));
+    desk = dispatch::WorkDesk::create(loop, client, lead->address());
+    if (settings.advice.port > 0)
+        lender = dispatch::Lender::create(
+            loop, client, lead->address(), platform::createAdvicePort(client, settings.advice), settings.node);
+}
+
+void DispatchNode::Parts::onNews(const dispatch::LeaderNews& news)
+{
+    desk->address().send(news);
+    if (lender)
+        lender->address().send(news);
+}
+
+void DispatchNode::Parts::onConfig(const workflow::QueueConfigPtr& news)
+{
+    config = news;
+    metrics->set(telemetry::Metric::ConfigVersion, {}, double(news->version.value()));
+    lead->address().send(news);
+}
+
+core::Ret<StartError> DispatchNode::Parts::listenAt(const core::HostPort& at, std::size_t maxBodyBytes,
+    http::Handler handler, http::IHttpServerPtr& server, const char* name)
+{
+    http::ServerOptions options;
+    options.listen = at;
+    options.maxBodyBytes = maxBodyBytes;
+    auto made = http::createServer(loop, options, std::move(handler));
+    if (!made)
+        return core::Failure { StartError { std::string(name) + ": " + made.error().detail } };
+    server = made.value();
+    return {};
+}
+
+core::Ret<StartError> DispatchNode::Parts::listen()
+{
+    const auto ask = [this](workflow::WorkCall call, std::function<void(const workflow::WorkAnswer&)> answered) {
+        desk->address().send(dispatch::AskWork {
+            std::move(call), runtime::Reply<workflow::WorkAnswer>(loop, std::move(answered)) });
+    };
+    auto front = platform::createFrontHandler([this] { return config; }, ask);
+    if (auto ret = listenAt(settings.callers, settings.maxBodyBytes, std::move(front), callersServer, "callers"); !ret)
+        return ret;
+    auto readiness = platform::createReadinessHandler([this] { return config && !isStopping; });
+    if (auto ret = listenAt(settings.readiness, settings.maxBodyBytes, std::move(readiness), readinessServer, "readiness");
+        !ret)
+        return ret;
+    return listenAt(
+        settings.inner, maxInnerBodyBytes,
+        [this](const http::Request& request, http::Responder responder) { handleInner(request, std::move(responder)); },
+        innerServer, "inner");
+}
+
+void DispatchNode::Parts::handleInner(const http::Request& request, http::Responder responder)
+{
+    using Handle = void (Parts::*)(const http::Request&, http::Responder);
+    static const std::map<std::string, Handle> handlers { { protocol::workCallPath, &Parts::handleWork },
+        { protocol::lendPath, &Parts::handleLend }, { protocol::leadingPath, &Parts::handleLeading } };
+    if (request.path == "/metrics") {
+        responder.send({ 200, { { "content-type", "text/plain; version=0.0.4" } }, metrics->text(), {} });
+        return;
+    }
+    const auto it = handlers.find(request.path);
+    if (it == handlers.end()) {
+        responder.send({ 404, {}, "", {} });
+        return;
+    }
+    try {
+        (this->*it->second)(request, responder);
+    } catch (const codec::DecodeError& error) {
+        LogLine(Severity::Warning, "inner-unreadable").with("path", request.path).with("why", error.what());
+        responder.send({ 400, {}, "", {} });
+    }
+}
+
+void DispatchNode::Parts::handleWork(const http::Request& request, http::Responder responder)
+{
+    auto reply = [responder](const workflow::WorkAnswer& answer) mutable {
+        responder.send({ 200, {}, protocol::encodeAnswer(answer), {} });
+    };
+    lead->address().send(dispatch::AskWork {
+        protocol::decodeCall(request.body), runtime::Reply<workflow::WorkAnswer>(loop, std::move(reply)) });
+}
+
+void DispatchNode::Parts::handleLend(const http::Request& request, http::Responder responder)
+{
+    auto reply = [responder](const protocol::LentTurn& turn) mutable {
+        responder.send({ 200, {}, protocol::encodeLent(turn), {} });
+    };
+    lead->address().send(dispatch::OfferTurn {
+        protocol::decodeLend(request.body), runtime::Reply<protocol::LentTurn>(loop, std::move(reply)) });
+}
+
+void DispatchNode::Parts::handleLeading(const http::Request& request, http::Responder responder)
+{
+    const std::string text = http::queryParameter(request.query, "term").value_or("");
+    const bool isNumber = !text.empty() && text.size() < 19 && text.find_first_not_of("0123456789") == std::string::npos;
+    if (!isNumber) {
+        responder.send({ 400, {}, "", {} });
+        return;
+    }
+    auto reply = [responder](bool leads) mutable { responder.send({ 200, {}, leads ? "1" : "0", {} }); };
+    lead->address().send(
+        dispatch::TermSeen { core::Epoch(std::stoull(text)), runtime::Reply<bool>(loop, std::move(reply)) });
+}
+
+void DispatchNode::Parts::flushForever()
+{
+    telemetry::flushLog();
+    loop->callAfter(logFlushPeriod, [this] { flushForever(); });
+}
+
+void DispatchNode::Parts::reportForever()
+{
+    reportProcess(*metrics);
+    metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
+    loop->callAfter(processReportPeriod, [this] { reportForever(); });
+}
+
+void DispatchNode::Parts::checkIdle()
+{
+    if (callersServer->inProgress() == 0 && !std::exchange(isIdleTold, true)) {
+        idle.set_value();
+        return;
+    }
+    loop->callAfter(idleCheckPeriod, [this] { checkIdle(); });
+}
+
+core::RetVal<DispatchNodePtr, StartError> DispatchNode::start(const settings::DispatchSettings& settings)
+{
+    DispatchNodePtr node(new DispatchNode(std::make_unique<Parts>()));
+    Parts& parts = *node->m_parts;
+    parts.settings = settings;
+    if (auto ret = parts.makeLoop(); !ret)
+        return core::Failure { ret.error() };
+    parts.makeTasks();
+    if (auto ret = parts.listen(); !ret)
+        return core::Failure { ret.error() };
+    parts.loop->post([&parts] {
+        parts.configSource->start([&parts](const workflow::QueueConfigPtr& news) { parts.onConfig(news); });
+        parts.lead->start();
+        parts.flushForever();
+        parts.reportForever();
+    });
+    parts.loop->start();
+    LogLine(Severity::Info, "started")
+        .with("node", settings.node.value())
+        .with("callers", settings.callers.text())
+        .with("inner", settings.inner.text())
+        .with("store", settings.store.text());
+    return node;
+}
+
+DispatchNode::DispatchNode(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts))
+{
+}
+
+DispatchNode::~DispatchNode()
+{
+    if (m_parts->loop)
+        m_parts->loop->stop();
+}
+
+void DispatchNode::stop()
+{
+    Parts& parts = *m_parts;
+    LogLine(Severity::Info, "stopping").with("node", parts.settings.node.value());
+    const auto until = std::chrono::steady_clock::now() + parts.settings.stopWithin - stopMargin;
+    parts.loop->post([&parts] {
+        parts.isStopping = true;
+        parts.lead->address().send(dispatch::Retire { runtime::Reply<bool>(parts.loop, [](bool) {}) });
+    });
+    // The balancer is given time to see that the node is not ready; what comes until then is still served.
+    parts.loop->post([&parts] {
+        parts.loop->callAfter(balancerPause, [&parts] {
+            parts.callersServer->drain();
+            parts.checkIdle();
+        });
+    });
+    parts.idle.get_future().wait_until(until);
+    LogLine(Severity::Info, "stopped").with("node", parts.settings.node.value());
+    telemetry::flushLog();
+}
+
+} // namespace sardinerun::app
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -1,6 +1,7 @@
 #include "app/node.h"
 
 #include "api/iapi.h"
+#include "app/internal/processreport.h"
 #include "core/hashing.h"
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
@@ -11,10 +12,7 @@
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
-#include <fstream>
 #include <future>
-#include <sys/resource.h>
-#include <unistd.h>
 
 namespace sardinerun::app {
 
@@ -53,20 +51,6 @@
     return it;
 }
 
-void reportProcess(telemetry::Metrics& metrics)
-{
-    rusage usage {};
-    getrusage(RUSAGE_SELF, &usage);
-    const double cpu = double(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
-        + double(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
-    metrics.set(telemetry::Metric::ProcessCpuSeconds, {}, cpu);
-    std::ifstream statm("/proc/self/statm");
-    std::int64_t pages = 0;
-    std::int64_t resident = 0;
-    statm >> pages >> resident;
-    metrics.set(telemetry::Metric::ProcessMemoryBytes, {}, double(resident) * double(sysconf(_SC_PAGESIZE)));
-}
-
 } // namespace
 
 struct Node::Parts {
@@ -243,6 +227,8 @@
 void Node::Parts::reportForever()
 {
     reportProcess(*metrics);
+    metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
+    telemetry::flushLog();
     control->callAfter(processReport, [this] { reportForever(); });
 }
 
@@ -307,6 +293,7 @@
     parts.cell->taskAddress().send(node::Leave {});
     parts.left.get_future().wait_until(until);
     telemetry::LogLine(telemetry::Severity::Info, "stopped").with("node", parts.settings.node.value());
+    telemetry::flushLog();
 }
 
 } // namespace sardinerun::app
--- a/src/codec/internal/yaml.cpp
+++ b/src/codec/internal/yaml.cpp
@@ -103,6 +103,18 @@
     return has(key) ? integer(key, min, max) : fallback;
 }
 
+double YamlReader::numberOr(const char* key, double min, double max, double fallback)
+{
+    m_asked.insert(key);
+    if (!has(key))
+        return fallback;
+    const YAML::Node it = member(key);
+    double value = 0;
+    if (!it.IsScalar() || !YAML::convert<double>::decode(it, value) || !(value >= min && value <= max))
+        failAt(it, pathOf(key), "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
+    return value;
+}
+
 bool YamlReader::flagOr(const char* key, bool fallback)
 {
     m_asked.insert(key);
--- a/src/codec/yaml.h
+++ b/src/codec/yaml.h
@@ -42,6 +42,7 @@
     std::string name(const char* key);
     std::int64_t integer(const char* key, std::int64_t min, std::int64_t max);
     std::int64_t integerOr(const char* key, std::int64_t min, std::int64_t max, std::int64_t fallback);
+    double numberOr(const char* key, double min, double max, double fallback);
     bool flagOr(const char* key, bool fallback);
     YamlReader object(const char* key);
     //! An empty mapping when the key is missing.
--- /dev/null
+++ b/src/dispatch/internal/leadtask.cpp
@@ -0,0 +1,215 @@
+#include "dispatch/leadtask.h"
+
+#include "codec/json.h"
+#include "telemetry/log.h"
+
+namespace sardinerun::dispatch {
+
+namespace {
+
+using telemetry::LogLine;
+using telemetry::Severity;
+
+constexpr core::Duration formerRetry = std::chrono::milliseconds(400);
+constexpr core::Duration formerPatience = std::chrono::milliseconds(500);
+
+} // namespace
+
+LeadTaskPtr LeadTask::create(runtime::ILoopPtr loop, LeadParts parts)
+{
+    return std::make_shared<LeadTask>(std::move(loop), std::move(parts));
+}
+
+LeadTask::LeadTask(runtime::ILoopPtr loop, LeadParts parts)
+    : Task(std::move(loop))
+    , m_parts(std::move(parts))
+{
+}
+
+void LeadTask::start()
+{
+    const auto self = std::static_pointer_cast<LeadTask>(shared_from_this());
+    lead::ElectionHooks hooks;
+    hooks.leaderSeen = [weak = std::weak_ptr(self)](const std::optional<lead::LeaderRow>& leader) {
+        if (const auto it = weak.lock())
+            it->onLeader(leader);
+    };
+    hooks.won = [weak = std::weak_ptr(self)](const lead::Won& won) {
+        if (const auto it = weak.lock())
+            it->onWon(won);
+    };
+    m_election = lead::Election::create(loop(), m_parts.store, m_parts.self, m_parts.address, m_parts.leadTimes,
+        m_parts.handicap, std::move(hooks));
+    m_election->start();
+}
+
+void LeadTask::receive(LeadMessage message)
+{
+    std::visit([this](auto& it) { take(std::move(it)); }, message);
+}
+
+void LeadTask::onLeader(const std::optional<lead::LeaderRow>& leader)
+{
+    const bool isOther = leader && (!m_engine || leader->term > m_term);
+    const bool isNew = !leader || !m_leader || leader->term != m_leader->term
+        || leader->isReleased != m_leader->isReleased;
+    if (m_engine && leader && leader->term > m_term)
+        onDeposed("the row names " + leader->node.value());
+    if (isNew)
+        LogLine(Severity::Info, "leader")
+            .with("node", leader ? leader->node.value() : "")
+            .with("term", leader ? std::int64_t(leader->term.value()) : 0)
+            .with("released", std::int64_t(leader && leader->isReleased));
+    m_leader = leader;
+    if (isNew && (isOther || !leader))
+        m_parts.news({ leader && !leader->isReleased ? leader : std::nullopt, false });
+}
+
+void LeadTask::onWon(const lead::Won& won)
+{
+    LogLine(Severity::Info, "lead-won")
+        .with("term", std::int64_t(won.leader.term.value()))
+        .with("formerReleased", std::int64_t(won.isFormerReleased));
+    m_parts.metrics->set(telemetry::Metric::Leading, {}, 1);
+    m_term = won.leader.term;
+    m_advice = scheduling::AdviceDesk::create(loop());
+    scheduling::EngineParts parts { loop(), m_parts.store, m_parts.orders, m_advice, m_parts.metrics, m_parts.times,
+        m_parts.leadTimes };
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
+    m_engine = scheduling::Engine::create(std::move(parts), won, [weak, term = m_term](const std::string& why) {
+        const auto it = weak.lock();
+        if (!it)
+            return;
+        // Not from within the engine, which ends with this.
+        it->loop()->post([weak, term, why] {
+            const auto it = weak.lock();
+            if (it && it->m_engine && it->m_term == term)
+                it->onDeposed(why);
+        });
+    });
+    if (m_config)
+        m_engine->setConfig(m_config);
+    m_engine->start();
+    m_register = m_parts.makeRegister();
+    m_register->start([weak, term = m_term](const std::vector<fleet::WorkerEntry>& entries) {
+        const auto it = weak.lock();
+        if (it && it->m_engine && it->m_term == term)
+            it->m_engine->setWorkers(entries);
+    });
+    m_parts.news({ won.leader, true });
+    if (won.hadFormer && !won.isFormerReleased)
+        askFormer(won.formerAddress, m_term);
+}
+
+void LeadTask::askFormer(const core::HostPort& former, core::Epoch term)
+{
+    if (former == m_parts.address) {
+        m_engine->setFormerGone();
+        return;
+    }
+    http::ClientRequest request;
+    request.to = former;
+    request.target = std::string(protocol::leadingPath) + "?term=" + std::to_string(term.value());
+    request.timeout = formerPatience;
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
+    m_parts.client->send(std::move(request), [weak, former, term](const http::ClientResult& result) {
+        const auto it = weak.lock();
+        if (!it || !it->m_engine || it->m_term != term)
+            return;
+        if (result && result.value().status == 200 && result.value().body == "0") {
+            LogLine(Severity::Info, "former-leader-gone").with("address", former.text());
+            it->m_engine->setFormerGone();
+            return;
+        }
+        it->loop()->callAfter(formerRetry, [weak, former, term] {
+            const auto it = weak.lock();
+            if (it && it->m_engine && it->m_term == term)
+                it->askFormer(former, term);
+        });
+    });
+}
+
+void LeadTask::onDeposed(const std::string& why)
+{
+    LogLine(Severity::Warning, "lead-lost").with("term", std::int64_t(m_term.value())).with("why", why);
+    endLeadership();
+    m_election->resume();
+}
+
+void LeadTask::endLeadership()
+{
+    m_parts.metrics->set(telemetry::Metric::Leading, {}, 0);
+    if (m_register)
+        m_register->stop();
+    m_register.reset();
+    m_engine.reset();
+    m_advice.reset();
+    m_parts.news({ std::nullopt, false });
+}
+
+void LeadTask::take(AskWork message)
+{
+    if (!m_engine) {
+        workflow::WorkAnswer answer;
+        answer.reason = "not-leading";
+        message.reply.send(answer);
+        return;
+    }
+    auto reply = std::make_shared<runtime::Reply<workflow::WorkAnswer>>(std::move(message.reply));
+    m_engine->handle(message.call, [reply](const workflow::WorkAnswer& answer) { reply->send(answer); });
+}
+
+void LeadTask::take(OfferTurn message)
+{
+    if (!m_engine || message.turn.term != m_term) {
+        message.reply.send({});
+        return;
+    }
+    if (message.turn.question > 0 && message.turn.result)
+        m_advice->answer(message.turn.question, *message.turn.result);
+    auto reply = std::make_shared<runtime::Reply<protocol::LentTurn>>(std::move(message.reply));
+    m_advice->lend(message.turn.node,
+        [reply](scheduling::AdviceDesk::QuestionId id, const fleet::AdviceQuestion& question) {
+            reply->send({ id, question });
+        });
+}
+
+void LeadTask::take(workflow::QueueConfigPtr config)
+{
+    m_config = std::move(config);
+    if (m_engine)
+        m_engine->setConfig(m_config);
+}
+
+void LeadTask::take(Retire message)
+{
+    m_election->retire();
+    if (!m_engine) {
+        message.reply.send(true);
+        return;
+    }
+    auto reply = std::make_shared<runtime::Reply<bool>>(std::move(message.reply));
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
+    m_engine->release([weak, reply] {
+        const auto it = weak.lock();
+        if (!it)
+            return;
+        // Not from within the engine, which ends with this.
+        it->loop()->post([weak, reply] {
+            if (const auto it = weak.lock()) {
+                LogLine(Severity::Info, "lead-released").with("term", std::int64_t(it->m_term.value()));
+                it->endLeadership();
+            }
+            reply->send(true);
+        });
+    });
+}
+
+void LeadTask::take(TermSeen message)
+{
+    if (m_engine && message.term > m_term)
+        onDeposed("another node has won a later term");
+    message.leads.send(m_engine != nullptr);
+}
+
+} // namespace sardinerun::dispatch
--- /dev/null
+++ b/src/dispatch/leadtask.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "dispatch/dispatchtypes.h"
+#include "fleet/iworkerorders.h"
+#include "fleet/iworkerregister.h"
+#include "http/ihttpclient.h"
+#include "scheduling/engine.h"
+
+#include <functional>
+
+namespace sardinerun::dispatch {
+
+struct LeadParts {
+    store::IRowStorePtr store;
+    fleet::IWorkerOrdersPtr orders;
+    std::function<fleet::IWorkerRegisterPtr()> makeRegister;
+    http::IHttpClientPtr client; //!< for other nodes
+    telemetry::MetricsPtr metrics;
+    core::NodeId self;
+    core::HostPort address; //!< for other nodes
+    core::Duration handicap {}; //!< of this node in elections
+    scheduling::SchedulingTimes times;
+    lead::LeadTimes leadTimes;
+    std::function<void(const LeaderNews&)> news;
+};
+
+//! Takes part in the election; owns the engine and the watch of the register while this node leads.
+class LeadTask : public runtime::Task<LeadMessage> {
+public:
+    static std::shared_ptr<LeadTask> create(runtime::ILoopPtr loop, LeadParts parts);
+    LeadTask(runtime::ILoopPtr loop, LeadParts parts);
+
+    void start();
+    void receive(LeadMessage message) override;
+
+private:
+    void onLeader(const std::optional<lead::LeaderRow>& leader);
+    void onWon(const lead::Won& won);
+    void onDeposed(const std::string& why);
+    void endLeadership();
+    void askFormer(const core::HostPort& former, core::Epoch term);
+    void take(AskWork message);
+    void take(OfferTurn message);
+    void take(workflow::QueueConfigPtr config);
+    void take(Retire message);
+    void take(TermSeen message);
+
+    LeadParts m_parts;
+    lead::ElectionPtr m_election;
+    scheduling::EnginePtr m_engine;
+    scheduling::AdviceDeskPtr m_advice;
+    fleet::IWorkerRegisterPtr m_register;
+    workflow::QueueConfigPtr m_config;
+    std::optional<lead::LeaderRow> m_leader; //!< the last one that was seen
+    core::Epoch m_term; //!< of this node's leadership
+};
+
+using LeadTaskPtr = std::shared_ptr<LeadTask>;
+
+} // namespace sardinerun::dispatch
--- /dev/null
+++ b/src/lead/election.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "lead/leadtypes.h"
+#include "runtime/iloop.h"
+#include "store/tablewatch.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinerun::lead {
+
+//! A leadership that was just won.
+struct Won {
+    LeaderRow leader;
+    core::RowVersion leaderVersion;
+    core::RowVersion headVersion;
+    core::TimePoint formerSeenAt; //!< when the former leader's last beat was seen here
+    bool hadFormer = false;
+    core::HostPort formerAddress;
+    bool isFormerReleased = false; //!< it had said that it has stopped
+};
+
+struct ElectionHooks {
+    //! Another node leads, or nobody that is known.
+    std::function<void(const std::optional<LeaderRow>&)> leaderSeen;
+    std::function<void(const Won&)> won;
+};
+
+//! Watches the leader's row, and takes it when the leader is silent or has stopped.
+class Election : public std::enable_shared_from_this<Election> {
+public:
+    //! `handicap` delays this node's candidacy, so that better suited nodes come first.
+    static std::shared_ptr<Election> create(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self,
+        core::HostPort address, LeadTimes times, core::Duration handicap, ElectionHooks hooks);
+
+    void start();
+    //! The leadership of this node is over; it may take part again.
+    void resume();
+    //! Takes no leadership any more.
+    void retire() { m_isRetired = true; }
+
+private:
+    Election(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self, core::HostPort address,
+        LeadTimes times, core::Duration handicap, ElectionHooks hooks);
+    void onRows(const std::vector<store::StoredRow>& rows, bool isWhole);
+    void see(const store::StoredRow* row);
+    void check();
+    bool mayFollow() const;
+    void claim();
+    void onClaimed(const store::CommitResult& result, const LeaderRow& claimed);
+
+    runtime::ILoopPtr m_loop;
+    store::IRowStorePtr m_store;
+    core::NodeId m_self;
+    core::HostPort m_address;
+    LeadTimes m_times;
+    core::Duration m_handicap;
+    ElectionHooks m_hooks;
+    store::TableWatchPtr m_watch;
+    std::optional<LeaderRow> m_row;
+    core::RowVersion m_version;
+    core::RowVersion m_headVersion;
+    core::TimePoint m_seenAt {}; //!< when the row last changed here
+    bool m_isRead = false;
+    bool m_isClaiming = false;
+    bool m_isLeading = false;
+    bool m_isRetired = false;
+};
+
+using ElectionPtr = std::shared_ptr<Election>;
+
+} // namespace sardinerun::lead
--- /dev/null
+++ b/src/lead/internal/election.cpp
@@ -0,0 +1,144 @@
+#include "lead/election.h"
+
+#include "core/hashing.h"
+
+namespace sardinerun::lead {
+
+namespace {
+
+constexpr core::Duration checkPeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
+ElectionPtr Election::create(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self,
+    core::HostPort address, LeadTimes times, core::Duration handicap, ElectionHooks hooks)
+{
+    return ElectionPtr(new Election(std::move(loop), std::move(store), std::move(self), std::move(address), times,
+        handicap, std::move(hooks)));
+}
+
+Election::Election(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self, core::HostPort address,
+    LeadTimes times, core::Duration handicap, ElectionHooks hooks)
+    : m_loop(std::move(loop))
+    , m_store(std::move(store))
+    , m_self(std::move(self))
+    , m_address(std::move(address))
+    , m_times(times)
+    , m_handicap(handicap)
+    , m_hooks(std::move(hooks))
+{
+    const std::uint64_t hash = core::stableHash(m_self.value() + m_address.text());
+    m_handicap += core::Duration(std::int64_t(hash % std::uint64_t(times.spread.count())));
+}
+
+void Election::start()
+{
+    store::WatchHooks hooks;
+    hooks.replaced = [self = weak_from_this()](const std::vector<store::StoredRow>& rows) {
+        if (const auto it = self.lock())
+            it->onRows(rows, true);
+    };
+    hooks.changed = [self = weak_from_this()](const std::vector<store::StoredRow>& rows) {
+        if (const auto it = self.lock())
+            it->onRows(rows, false);
+    };
+    store::TableWatch::Options options;
+    options.table = leaderTable;
+    options.wait = m_times.silence;
+    m_watch = store::TableWatch::create(m_loop, m_store, options, std::move(hooks));
+    m_watch->start();
+    check();
+}
+
+void Election::resume()
+{
+    m_isLeading = false;
+    m_seenAt = m_loop->now();
+}
+
+void Election::onRows(const std::vector<store::StoredRow>& rows, bool isWhole)
+{
+    const store::StoredRow* found = nullptr;
+    for (const store::StoredRow& it : rows) {
+        if (it.key == leaderKey())
+            found = &it;
+    }
+    if (found || isWhole)
+        see(found);
+    m_isRead = true;
+}
+
+void Election::see(const store::StoredRow* row)
+{
+    if (row && row->version <= m_version)
+        return; // an older state than the one known
+    m_version = row ? row->version : core::RowVersion();
+    m_row = row && !row->isDropped ? decodeLeaderRow(row->value) : std::nullopt;
+    m_seenAt = m_loop->now();
+    m_hooks.leaderSeen(m_row);
+}
+
+bool Election::mayFollow() const
+{
+    if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired)
+        return false;
+    const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self;
+    const core::Duration patience = isFree ? m_handicap : m_times.silence + m_handicap;
+    return m_loop->now() - m_seenAt >= patience;
+}
+
+void Election::check()
+{
+    if (mayFollow())
+        claim();
+    m_loop->callAfter(checkPeriod, [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->check();
+    });
+}
+
+void Election::claim()
+{
+    m_isClaiming = true;
+    LeaderRow claimed;
+    claimed.node = m_self;
+    claimed.address = m_address;
+    claimed.term = core::Epoch((m_row ? m_row->term.value() : 0) + 1);
+    store::RowTransaction transaction;
+    transaction.conditions = { { leaderKey(), m_version } };
+    transaction.updates = { { leaderKey(), encodeLeaderRow(claimed) },
+        { headKey(), std::to_string(claimed.term.value()) + ".0" } };
+    m_store->commit(std::move(transaction), [self = weak_from_this(), claimed](store::CommitResult result) {
+        if (const auto it = self.lock())
+            it->onClaimed(result, claimed);
+    });
+}
+
+void Election::onClaimed(const store::CommitResult& result, const LeaderRow& claimed)
+{
+    m_isClaiming = false;
+    if (!result) {
+        // A conflict shows the present row. After a lost answer the row names this node, and it claims once more.
+        for (const store::StoredRow& it : result.error().present) {
+            if (it.key == leaderKey())
+                see(&it);
+        }
+        return;
+    }
+    Won won;
+    won.leader = claimed;
+    won.leaderVersion = result.value();
+    won.headVersion = result.value();
+    won.formerSeenAt = m_seenAt;
+    won.hadFormer = m_row.has_value();
+    won.formerAddress = m_row ? m_row->address : core::HostPort();
+    won.isFormerReleased = m_row && m_row->isReleased;
+    m_isLeading = true;
+    m_version = result.value();
+    m_row = claimed;
+    m_seenAt = m_loop->now();
+    m_hooks.leaderSeen(m_row);
+    m_hooks.won(won);
+}
+
+} // namespace sardinerun::lead
--- /dev/null
+++ b/src/lead/internal/leaderlog.cpp
@@ -0,0 +1,228 @@
+#include "lead/leaderlog.h"
+
+#include <algorithm>
+
+namespace sardinerun::lead {
+
+namespace {
+
+//! Rows of one transaction; the store takes 100 entries, and the fence needs four of them.
+constexpr std::size_t maxGroupRows = 90;
+//! Bytes of values in one transaction; the store takes 1 MB, and encoding them for transport adds a third.
+constexpr std::size_t maxGroupBytes = 600'000;
+
+} // namespace
+
+LeaderLogPtr LeaderLog::create(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
+    core::RowVersion leaderVersion, core::RowVersion headVersion, LeadTimes times, LeaderLogHooks hooks)
+{
+    return LeaderLogPtr(new LeaderLog(
+        std::move(loop), std::move(store), std::move(leader), leaderVersion, headVersion, times, std::move(hooks)));
+}
+
+LeaderLog::LeaderLog(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
+    core::RowVersion leaderVersion, core::RowVersion headVersion, LeadTimes times, LeaderLogHooks hooks)
+    : m_loop(std::move(loop))
+    , m_store(std::move(store))
+    , m_leader(std::move(leader))
+    , m_leaderVersion(leaderVersion)
+    , m_headVersion(headVersion)
+    , m_times(times)
+    , m_hooks(std::move(hooks))
+    , m_beatAt(m_loop->now())
+    , m_provenAt(m_loop->now())
+{
+}
+
+void LeaderLog::start()
+{
+    wake(core::Duration(0));
+}
+
+LogRevision LeaderLog::put(store::RowKey key, std::optional<std::string> value)
+{
+    if (const auto it = m_pendingByKey.find(key); it != m_pendingByKey.end()) {
+        it->second->value = std::move(value);
+        return it->second->revision;
+    }
+    const LogRevision revision(++m_lastRevision);
+    m_pending.push_back({ key, std::move(value), revision });
+    m_pendingByKey[std::move(key)] = std::prev(m_pending.end());
+    wake(core::Duration(0));
+    return revision;
+}
+
+bool LeaderLog::withdraw(const store::RowKey& key)
+{
+    const bool isSent = std::any_of(m_group.begin(), m_group.end(), [&key](const Pending& it) { return it.key == key; });
+    if (const auto it = m_pendingByKey.find(key); it != m_pendingByKey.end()) {
+        m_pending.erase(it->second);
+        m_pendingByKey.erase(it);
+    }
+    return !isSent;
+}
+
+void LeaderLog::release(std::function<void()> done)
+{
+    m_released = std::move(done);
+    m_leader.isReleased = true;
+    wake(core::Duration(0));
+}
+
+bool LeaderLog::isBeatDue() const
+{
+    return m_leader.isReleased ? m_pending.empty() : m_loop->now() >= m_beatAt;
+}
+
+void LeaderLog::wake(core::Duration delay)
+{
+    if (m_isInFlight || m_isStopped || std::exchange(m_isWakeSet, true))
+        return;
+    const core::Duration spacing = m_sentAt + m_times.groupInterval - m_loop->now();
+    m_loop->callAfter(std::max({ delay, spacing, core::Duration(0) }), [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->onWake();
+    });
+}
+
+void LeaderLog::onWake()
+{
+    m_isWakeSet = false;
+    if (m_isStopped || m_isInFlight)
+        return;
+    if (!m_isGroupOpen) {
+        if (m_pending.empty() && !isBeatDue()) {
+            wake(m_beatAt - m_loop->now());
+            return;
+        }
+        takeGroup();
+    }
+    sendGroup();
+}
+
+void LeaderLog::takeGroup()
+{
+    std::size_t bytes = 0;
+    while (!m_pending.empty() && m_group.size() < maxGroupRows && bytes < maxGroupBytes) {
+        Pending& it = m_pending.front();
+        bytes += it.value ? it.value->size() : 0;
+        m_pendingByKey.erase(it.key);
+        m_group.push_back(std::move(it));
+        m_pending.pop_front();
+    }
+    m_groupHasBeat = isBeatDue();
+    if (m_groupHasBeat)
+        ++m_leader.beat;
+    ++m_sequence;
+    m_isGroupOpen = true;
+    m_mayBeWritten = false;
+}
+
+std::string LeaderLog::headValue() const
+{
+    return std::to_string(m_leader.term.value()) + "." + std::to_string(m_sequence);
+}
+
+void LeaderLog::sendGroup()
+{
+    store::RowTransaction transaction;
+    transaction.conditions = { { leaderKey(), m_leaderVersion }, { headKey(), m_headVersion } };
+    transaction.updates.push_back({ headKey(), headValue() });
+    if (m_groupHasBeat)
+        transaction.updates.push_back({ leaderKey(), encodeLeaderRow(m_leader) });
+    for (const Pending& it : m_group)
+        transaction.updates.push_back({ it.key, it.value });
+    m_isInFlight = true;
+    m_sentAt = m_loop->now();
+    m_store->commit(std::move(transaction), [self = weak_from_this(), sentAt = m_sentAt](store::CommitResult result) {
+        const auto it = self.lock();
+        if (it && !it->m_isStopped)
+            it->onResult(result, sentAt);
+    });
+}
+
+void LeaderLog::onResult(const store::CommitResult& result, core::TimePoint sentAt)
+{
+    m_isInFlight = false;
+    if (result)
+        onCommitted(result.value(), sentAt);
+    else if (result.error().code == store::StoreFailure::Code::Conflict)
+        onConflict(result.error(), sentAt);
+    else
+        onFailure(result.error());
+}
+
+void LeaderLog::onCommitted(core::RowVersion version, core::TimePoint sentAt)
+{
+    m_headVersion = version;
+    if (m_groupHasBeat) {
+        m_leaderVersion = version;
+        m_beatAt = sentAt + m_times.beat;
+    }
+    m_provenAt = std::max(m_provenAt, sentAt);
+    m_isGroupOpen = false;
+    if (!std::exchange(m_isUp, true))
+        m_hooks.availability(true);
+    const std::vector<Pending> group = std::exchange(m_group, {});
+    if (m_groupHasBeat && m_leader.isReleased) {
+        m_isStopped = true;
+        if (m_released)
+            m_released();
+        return;
+    }
+    wake(m_pending.empty() ? m_beatAt - m_loop->now() : core::Duration(0));
+    if (!group.empty())
+        m_hooks.kept(LogRevision(m_pending.empty() ? m_lastRevision : m_pending.front().revision.value() - 1));
+}
+
+void LeaderLog::onConflict(const store::StoreFailure& failure, core::TimePoint sentAt)
+{
+    std::string head;
+    core::RowVersion headVersion;
+    core::RowVersion leaderVersion;
+    std::optional<LeaderRow> leader;
+    for (const store::StoredRow& it : failure.present) {
+        if (it.key == headKey()) {
+            head = it.value;
+            headVersion = it.version;
+        } else if (it.key == leaderKey()) {
+            leader = decodeLeaderRow(it.value);
+            leaderVersion = it.version;
+        }
+    }
+    const bool isStillLeader = leader && leader->term == m_leader.term && leader->node == m_leader.node;
+    if (isStillLeader && m_mayBeWritten && head == headValue()) {
+        // The write whose answer was lost took effect.
+        m_leaderVersion = leaderVersion;
+        onCommitted(headVersion, sentAt);
+        m_headVersion = headVersion;
+        return;
+    }
+    m_isStopped = true;
+    m_hooks.deposed(leader ? leader->node.value() : "unreadable leader row");
+}
+
+void LeaderLog::onFailure(const store::StoreFailure& failure)
+{
+    m_mayBeWritten = m_mayBeWritten || failure.code == store::StoreFailure::Code::Unknown
+        || failure.code == store::StoreFailure::Code::BadAnswer;
+    if (!m_mayBeWritten) {
+        // Without effect: what was to be written may be withdrawn or replaced meanwhile.
+        for (auto it = m_group.rbegin(); it != m_group.rend(); ++it) {
+            // A newer value takes the place of the older one, or the older one's revision would count as kept too early.
+            if (const auto newer = m_pendingByKey.find(it->key); newer != m_pendingByKey.end()) {
+                it->value = std::move(newer->second->value);
+                m_pending.erase(newer->second);
+            }
+            m_pending.push_front(std::move(*it));
+            m_pendingByKey[m_pending.front().key] = m_pending.begin();
+        }
+        m_group.clear();
+        m_isGroupOpen = false;
+    }
+    if (std::exchange(m_isUp, false))
+        m_hooks.availability(false);
+    wake(m_times.retryPause);
+}
+
+} // namespace sardinerun::lead
--- /dev/null
+++ b/src/lead/internal/leadtypes.cpp
@@ -0,0 +1,49 @@
+#include "lead/leadtypes.h"
+
+#include "codec/json.h"
+
+namespace sardinerun::lead {
+
+const char* const leaderTable = "leader";
+
+std::string encodeLeaderRow(const LeaderRow& it)
+{
+    Json::Value to(Json::objectValue);
+    to["node"] = it.node.value();
+    to["host"] = it.address.host;
+    to["port"] = it.address.port;
+    to["term"] = Json::UInt64(it.term.value());
+    to["beat"] = Json::UInt64(it.beat);
+    to["released"] = it.isReleased;
+    return codec::writeJson(to);
+}
+
+std::optional<LeaderRow> decodeLeaderRow(std::string_view text)
+{
+    try {
+        const Json::Value value = codec::parseJson(text);
+        codec::ObjectReader reader(value);
+        LeaderRow it;
+        it.node = core::NodeId(reader.text("node", 200));
+        it.address.host = reader.text("host", 64);
+        it.address.port = static_cast<std::uint16_t>(reader.integer("port", 1, 65535));
+        it.term = core::Epoch(static_cast<std::uint64_t>(reader.integer("term", 1, INT64_MAX)));
+        it.beat = static_cast<std::uint64_t>(reader.integer("beat", 0, INT64_MAX));
+        it.isReleased = reader.flagOr("released", false);
+        return it;
+    } catch (const codec::DecodeError&) {
+        return std::nullopt; // the caller says so in its log
+    }
+}
+
+store::RowKey leaderKey()
+{
+    return { leaderTable, "", "leader" };
+}
+
+store::RowKey headKey()
+{
+    return { "leaderhead", "", "head" };
+}
+
+} // namespace sardinerun::lead
--- /dev/null
+++ b/src/protocol/internal/workcodec.cpp
@@ -0,0 +1,160 @@
+#include "protocol/workcodec.h"
+
+#include "codec/json.h"
+#include "workflow/workflowcodec.h"
+
+namespace sardinerun::protocol {
+
+const char* const workCallPath = "/inner/work";
+const char* const lendPath = "/inner/lend";
+const char* const leadingPath = "/inner/leading";
+
+namespace {
+
+using workflow::WorkAnswer;
+using workflow::WorkCall;
+
+constexpr std::size_t maxName = 4096;
+constexpr std::size_t maxWorkers = 1000;
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+std::uint64_t unsignedOf(codec::ObjectReader& reader, const char* name)
+{
+    return static_cast<std::uint64_t>(reader.integerOr(name, 0, INT64_MAX, 0));
+}
+
+template <class Enum> Enum enumOf(codec::ObjectReader& reader, const char* name, Enum last)
+{
+    return static_cast<Enum>(reader.integer(name, 0, std::int64_t(last)));
+}
+
+} // namespace
+
+std::string encodeCall(const WorkCall& it)
+{
+    Json::Value to(Json::objectValue);
+    to["kind"] = Json::Int64(it.kind);
+    to["host"] = it.host;
+    to["path"] = it.path;
+    to["spec"] = workflow::encodeSpec(it.spec);
+    to["patienceMs"] = Json::Int64(ms(it.patience));
+    to["seen"] = Json::UInt64(it.seen.value());
+    return codec::writeJson(to);
+}
+
+WorkCall decodeCall(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    WorkCall it;
+    it.kind = enumOf(reader, "kind", workflow::CallKind::CountPending);
+    it.host = reader.text("host", maxName);
+    it.path = reader.text("path", maxName);
+    it.spec = workflow::decodeSpec(reader.raw("spec"));
+    it.patience = std::chrono::milliseconds(reader.integerOr("patienceMs", 0, 86'400'000, 0));
+    it.seen = core::ConfigVersion(unsignedOf(reader, "seen"));
+    return it;
+}
+
+std::string encodeAnswer(const WorkAnswer& it)
+{
+    Json::Value to(Json::objectValue);
+    to["outcome"] = Json::Int64(it.outcome);
+    to["state"] = Json::Int64(it.state);
+    to["pending"] = Json::UInt64(it.pending);
+    to["retryAfterMs"] = Json::Int64(ms(it.retryAfter));
+    to["reason"] = it.reason;
+    return codec::writeJson(to);
+}
+
+WorkAnswer decodeAnswer(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    WorkAnswer it;
+    it.outcome = enumOf(reader, "outcome", workflow::WorkOutcome::Uncertain);
+    it.state = enumOf(reader, "state", workflow::JobState::Cancelled);
+    it.pending = unsignedOf(reader, "pending");
+    it.retryAfter = std::chrono::milliseconds(reader.integerOr("retryAfterMs", 0, 86'400'000, 0));
+    it.reason = reader.textOr("reason", maxName, "");
+    return it;
+}
+
+std::string encodeLend(const LendTurn& it)
+{
+    Json::Value to(Json::objectValue);
+    to["node"] = it.node.value();
+    to["term"] = Json::UInt64(it.term.value());
+    to["question"] = Json::UInt64(it.question);
+    if (it.result && *it.result) {
+        to["allowed"] = Json::Value(Json::arrayValue);
+        for (const fleet::Ticket& ticket : it.result->value().allowed) {
+            Json::Value row(Json::arrayValue);
+            row.append(ticket.worker.value());
+            row.append(ticket.text);
+            to["allowed"].append(row);
+        }
+    }
+    return codec::writeJson(to);
+}
+
+LendTurn decodeLend(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    LendTurn it;
+    it.node = core::NodeId(reader.text("node", maxName));
+    it.term = core::Epoch(unsignedOf(reader, "term"));
+    it.question = unsignedOf(reader, "question");
+    if (it.question == 0)
+        return it;
+    if (!reader.has("allowed")) {
+        it.result = fleet::AdviceResult(core::Failure { fleet::AdviceFailure::Unreachable });
+        return it;
+    }
+    fleet::Advice advice;
+    for (const Json::Value& row : reader.raw("allowed")) {
+        if (!row.isArray() || row.size() != 2 || !row[0].isString() || !row[1].isString())
+            reader.fail("allowed", "must be pairs of a worker and a ticket");
+        advice.allowed.push_back({ core::VmId(row[0].asString()), row[1].asString() });
+    }
+    it.result = fleet::AdviceResult(std::move(advice));
+    return it;
+}
+
+std::string encodeLent(const LentTurn& it)
+{
+    Json::Value to(Json::objectValue);
+    to["question"] = Json::UInt64(it.question);
+    if (it.question == 0)
+        return codec::writeJson(to);
+    to["job"] = it.asked.job.value();
+    to["occurrence"] = it.asked.occurrence;
+    to["step"] = it.asked.step;
+    to["workers"] = Json::Value(Json::arrayValue);
+    for (const core::VmId& worker : it.asked.workers)
+        to["workers"].append(worker.value());
+    return codec::writeJson(to);
+}
+
+LentTurn decodeLent(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    LentTurn it;
+    it.question = unsignedOf(reader, "question");
+    if (it.question == 0)
+        return it;
+    it.asked.job = core::JobId(reader.text("job", maxName));
+    it.asked.occurrence = static_cast<std::uint32_t>(reader.integerOr("occurrence", 0, UINT32_MAX, 0));
+    it.asked.step = static_cast<std::uint32_t>(reader.integerOr("step", 0, UINT32_MAX, 0));
+    for (const std::string& worker : reader.texts("workers", maxWorkers, maxName))
+        it.asked.workers.emplace_back(worker);
+    return it;
+}
+
+} // namespace sardinerun::protocol
--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -56,10 +56,18 @@
     std::mutex mutex; //!< of what follows
     std::vector<Work> work;
     bool isWoken = false;
+    std::thread::id owner; //!< the loop's thread, set before others may post
 };
 
 void EventLoop::Queue::post(Work it)
 {
+    // The loop's own thread runs what it posts on its next turn, so no system call is needed to wake it.
+    if (std::this_thread::get_id() == owner) {
+        const std::lock_guard lock(mutex);
+        work.push_back(std::move(it));
+        isDue = true;
+        return;
+    }
     bool mustWake = false;
     {
         const std::lock_guard lock(mutex);
@@ -117,6 +125,7 @@
 bool EventLoop::open()
 {
     pthread_setname_np(pthread_self(), m_name.substr(0, 15).c_str());
+    m_queue->owner = std::this_thread::get_id();
     m_queue->loop = h2o_evloop_create();
     if (!m_queue->loop)
         return false;
@@ -191,7 +200,7 @@
     bool hasWorked = false;
     while (!m_isStopping) {
         // Work may have left the library something to do for its sockets, which it finds only on its next turn.
-        h2o_evloop_run(m_queue->loop, hasWorked ? 0 : idleWait());
+        h2o_evloop_run(m_queue->loop, hasWorked || m_queue->isDue ? 0 : idleWait());
         hasWorked = m_queue->runAll();
         hasWorked = runDueTimers() || hasWorked;
     }
--- /dev/null
+++ b/src/scheduling/internal/engine.cpp
@@ -0,0 +1,108 @@
+#include "scheduling/engine.h"
+
+#include "scheduling/internal/engineimpl.h"
+#include "telemetry/log.h"
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+
+//! A worker that fails what several jobs start there in a row is left alone for a few seconds, as callers wait seconds.
+placement::HealthPolicy healthPolicy()
+{
+    placement::HealthPolicy policy;
+    policy.distinctJobs = 2;
+    policy.setAsideFor = std::chrono::seconds(4);
+    policy.maxSetAside = std::chrono::seconds(16);
+    policy.quickFailure = std::chrono::seconds(30);
+    return policy;
+}
+
+} // namespace
+
+EnginePtr Engine::create(EngineParts parts, const lead::Won& won, Deposed deposed)
+{
+    return std::make_shared<EngineImpl>(std::move(parts), won, std::move(deposed));
+}
+
+EngineImpl::EngineImpl(EngineParts parts, const lead::Won& won, Deposed deposed)
+    : m_parts(std::move(parts))
+    , m_won(won)
+    , m_deposed(std::move(deposed))
+    , m_health(healthPolicy())
+    , m_arrivalsAt(m_parts.loop->now())
+    , m_wonAt(m_parts.loop->now())
+{
+    if (!won.hadFormer)
+        return;
+    // A former leader that lives on may renew leases until its authority ends.
+    const core::TimePoint authorityEnd
+        = won.isFormerReleased ? m_wonAt : won.formerSeenAt + m_parts.leadTimes.authority;
+    m_priorLeaseUntil = std::max(authorityEnd, m_wonAt) + m_parts.times.lease * 11 / 10;
+}
+
+void EngineImpl::start()
+{
+    lead::LeaderLogHooks hooks;
+    hooks.kept = [self = weak_from_this()](lead::LogRevision revision) {
+        if (const auto it = self.lock())
+            it->onKept(revision);
+    };
+    hooks.availability = [self = weak_from_this()](bool isUp) {
+        if (const auto it = self.lock())
+            it->onStore(isUp);
+    };
+    hooks.deposed = [self = weak_from_this()](const std::string& why) {
+        const auto it = self.lock();
+        if (!it || std::exchange(it->m_isOver, true))
+            return;
+        it->m_deposed(why);
+    };
+    m_log = lead::LeaderLog::create(m_parts.loop, m_parts.store, m_won.leader, m_won.leaderVersion, m_won.headVersion,
+        m_parts.leadTimes, std::move(hooks));
+    m_log->start();
+    readTable("jobs", "");
+    tick();
+}
+
+void EngineImpl::setConfig(workflow::QueueConfigPtr config)
+{
+    m_config = std::move(config);
+    answerHeld();
+    pumpSoon();
+}
+
+void EngineImpl::setFormerGone()
+{
+    m_priorLeaseUntil = std::min(m_priorLeaseUntil, m_parts.loop->now() + m_parts.times.lease * 11 / 10);
+}
+
+void EngineImpl::release(std::function<void()> done)
+{
+    m_isReleasing = true;
+    m_log->release([self = weak_from_this(), done = std::move(done)] {
+        if (const auto it = self.lock())
+            it->m_isOver = true;
+        done();
+    });
+}
+
+void EngineImpl::tick()
+{
+    if (m_isOver)
+        return;
+    answerHeld();
+    forgetOldJobs();
+    sweepWorkers();
+    for (const auto& [id, job] : std::map(m_active))
+        openStages(job);
+    pumpSoon();
+    m_parts.loop->callAfter(tickPeriod, [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->tick();
+    });
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -0,0 +1,379 @@
+//! Calls about jobs and queues, and what of them is kept.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include "telemetry/log.h"
+#include "workflow/workflowcodec.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using telemetry::LogLine;
+using telemetry::Severity;
+using workflow::JobState;
+using workflow::WorkAnswer;
+using workflow::WorkOutcome;
+
+//! Until a call that came too early is told to come back.
+constexpr core::Duration longestHold = std::chrono::milliseconds(1200);
+constexpr core::Duration notNowRetry = std::chrono::milliseconds(400);
+//! Time over which arrivals are averaged: some seconds, as bursts last.
+constexpr double arrivalsSeconds = 6;
+
+WorkAnswer answerOf(WorkOutcome outcome, std::string reason = "")
+{
+    WorkAnswer it;
+    it.outcome = outcome;
+    it.reason = std::move(reason);
+    return it;
+}
+
+WorkAnswer notNow(std::string reason)
+{
+    WorkAnswer it = answerOf(WorkOutcome::NotNow, std::move(reason));
+    it.retryAfter = notNowRetry;
+    return it;
+}
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+store::RowKey jobKey(const core::JobId& id)
+{
+    return { "jobs", "", id.value() };
+}
+
+store::RowKey progressKey(const core::JobId& id)
+{
+    return { "progress", "", id.value() };
+}
+
+} // namespace
+
+bool EngineImpl::mayAnswer(const workflow::WorkCall& call) const
+{
+    return m_areTablesRead && m_config && m_config->version >= call.seen && m_entries;
+}
+
+void EngineImpl::handle(const workflow::WorkCall& call, Answered answered)
+{
+    if (m_isOver || m_isReleasing) {
+        answered(notNow("the leader is stopping"));
+        return;
+    }
+    if (!mayAnswer(call)) {
+        m_held.push_back({ call, std::move(answered), m_parts.loop->now() + longestHold });
+        return;
+    }
+    // In the order of workflow::CallKind.
+    static constexpr std::array<CallHandler, 4> handlers { &EngineImpl::submit, &EngineImpl::read, &EngineImpl::cancel,
+        &EngineImpl::countPending };
+    (this->*handlers[static_cast<std::size_t>(call.kind)])(call, answered);
+}
+
+void EngineImpl::answerHeld()
+{
+    std::deque<HeldCall> held = std::exchange(m_held, {});
+    for (HeldCall& it : held) {
+        if (mayAnswer(it.call))
+            handle(it.call, std::move(it.answered));
+        else if (m_parts.loop->now() >= it.until)
+            it.answered(notNow("the leader is taking over"));
+        else
+            m_held.push_back(std::move(it));
+    }
+}
+
+void EngineImpl::submit(const workflow::WorkCall& call, const Answered& answered)
+{
+    const workflow::QueuePolicy* queue = m_config->find(call.host, call.path);
+    if (!queue) {
+        answered(answerOf(WorkOutcome::NoQueue));
+        return;
+    }
+    if (const JobPtr known = jobOf(call.spec.id)) {
+        answerKnown(*known, answered);
+        return;
+    }
+    if (!m_log->isUp()) {
+        answered(notNow("the store does not answer"));
+        return;
+    }
+    const IntakeView view = intakeView(call, *queue);
+    const auto refusal = refusalOf(call.spec, *queue, view);
+    LogLine(Severity::Info, "intake")
+        .with("job", call.spec.id.value())
+        .with("queue", queue->name)
+        .with("config", std::int64_t(m_config->version.value()))
+        .with("aheadCoreSeconds", std::int64_t(view.coreSecondsAhead))
+        .with("workers", view.workers)
+        .with("adviceWaitMs", ms(view.adviceWait))
+        .with("outcome", refusal ? "refused" : "taken")
+        .with("why", refusal ? refusal->reason : "");
+    if (refusal) {
+        m_parts.metrics->add(telemetry::Metric::WorkRefused, { { "queue", queue->name } });
+        WorkAnswer answer = answerOf(WorkOutcome::Refused, refusal->reason);
+        answer.retryAfter = refusal->retryAfter.value_or(core::Duration(0));
+        answered(answer);
+        return;
+    }
+    accept(call, *queue, answered);
+}
+
+void EngineImpl::answerKnown(Job& job, const Answered& answered)
+{
+    if (job.isKept)
+        answered(answerOf(WorkOutcome::Accepted));
+    else
+        job.submitters.push_back(answered);
+}
+
+void EngineImpl::accept(
+    const workflow::WorkCall& call, const workflow::QueuePolicy& queue, const Answered& answered)
+{
+    workflow::JobRecord record;
+    record.spec = call.spec;
+    record.queue = queue;
+    record.acceptedAt = m_parts.loop->wallNow();
+    for (std::size_t n = 0; n < workflow::stageCount(call.spec); ++n) {
+        const std::size_t count = call.spec.steps[n % call.spec.steps.size()].count;
+        record.stages.push_back({ std::vector<bool>(count, false), std::vector<std::uint32_t>(count, 0),
+            std::vector<std::int64_t>(count, 0) });
+    }
+    const JobPtr job = std::make_shared<Job>(makeJob(std::move(record)));
+    job->acceptedAt = m_parts.loop->now();
+    job->objectiveAt = job->acceptedAt + objectiveOf(call.spec, queue);
+    job->submitters.push_back(answered);
+    m_jobs[call.spec.id] = job;
+    m_active[call.spec.id] = job;
+    noteArrival(queue.priority, coreSecondsOf(call.spec));
+    const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), workflow::encodeJob(job->record));
+    whenKept(revision, [this, job] { onAccepted(job); });
+    const core::Duration patience = call.patience > core::Duration(0) ? call.patience : m_parts.times.callPatience;
+    m_parts.loop->callAfter(std::min(patience, m_parts.times.callPatience),
+        [self = weak_from_this(), id = call.spec.id] {
+            if (const auto it = self.lock())
+                it->onSubmitPatienceOver(id);
+        });
+    // Advice may be asked for meanwhile; tasks start only once the record is kept.
+    openStages(job);
+    pumpSoon();
+}
+
+void EngineImpl::onAccepted(const JobPtr& job)
+{
+    if (std::exchange(job->isKept, true))
+        return;
+    m_parts.metrics->add(telemetry::Metric::WorkAccepted, { { "queue", job->record.queue.name } });
+    m_parts.metrics->observe(telemetry::Metric::WorkAcceptSeconds, {},
+        std::chrono::duration<double>(m_parts.loop->now() - job->acceptedAt).count());
+    for (const Answered& it : std::exchange(job->submitters, {}))
+        it(answerOf(WorkOutcome::Accepted));
+    pumpSoon();
+}
+
+void EngineImpl::onSubmitPatienceOver(const core::JobId& id)
+{
+    const JobPtr job = jobOf(id);
+    if (!job || job->isKept || m_isOver)
+        return;
+    if (withdrawUnkept(job, "the store does not answer in time"))
+        return;
+    for (const Answered& it : std::exchange(job->submitters, {}))
+        it(answerOf(WorkOutcome::Uncertain, "the store has not answered"));
+}
+
+bool EngineImpl::withdrawUnkept(const JobPtr& job, const char* why)
+{
+    const core::JobId id = job->record.spec.id;
+    if (!m_log->withdraw(jobKey(id)))
+        return false;
+    LogLine(Severity::Warning, "withdrawn").with("job", id.value()).with("why", why);
+    m_jobs.erase(id);
+    m_active.erase(id);
+    job->record.state = JobState::Cancelled;
+    for (const Answered& it : std::exchange(job->submitters, {}))
+        it(notNow(why));
+    return true;
+}
+
+void EngineImpl::read(const workflow::WorkCall& call, const Answered& answered)
+{
+    const JobPtr job = jobOf(call.spec.id);
+    if (!job || !job->isKept) {
+        answered(answerOf(WorkOutcome::NoJob));
+        return;
+    }
+    WorkAnswer answer = answerOf(WorkOutcome::Found);
+    answer.state = job->shown;
+    answered(answer);
+}
+
+void EngineImpl::cancel(const workflow::WorkCall& call, const Answered& answered)
+{
+    const JobPtr job = jobOf(call.spec.id);
+    if (!job) {
+        answered(answerOf(WorkOutcome::NoJob));
+        return;
+    }
+    if (!job->isOver())
+        endJob(job, JobState::Cancelled, "a caller cancelled it");
+    if (job->shown == job->record.state) {
+        answered(answerOf(WorkOutcome::Cancelled));
+        return;
+    }
+    const lead::LogRevision revision = m_log->put(progressKey(call.spec.id), workflow::encodeProgress(job->record));
+    whenKept(revision, [answered] { answered(answerOf(WorkOutcome::Cancelled)); });
+}
+
+void EngineImpl::countPending(const workflow::WorkCall& call, const Answered& answered)
+{
+    const workflow::QueuePolicy* queue = m_config->find(call.host, call.path);
+    if (!queue) {
+        answered(answerOf(WorkOutcome::NoQueue));
+        return;
+    }
+    WorkAnswer answer = answerOf(WorkOutcome::Counted);
+    answer.pending = static_cast<std::uint64_t>(std::count_if(m_active.begin(), m_active.end(), [queue](const auto& it) {
+        return it.second->isKept && !it.second->hasStarted && it.second->record.queue.name == queue->name;
+    }));
+    answered(answer);
+}
+
+IntakeView EngineImpl::intakeView(const workflow::WorkCall& call, const workflow::QueuePolicy& queue) const
+{
+    IntakeView view;
+    const core::TimePoint now = m_parts.loop->now();
+    for (const auto& [id, worker] : m_workers) {
+        const fleet::WorkerEntry& entry = worker->entry();
+        if (entry.service != queue.service || !worker->isListed() || entry.isDraining)
+            continue;
+        ++view.workers;
+        view.largestWorker.cpu = std::max(view.largestWorker.cpu, entry.capacity.cpu);
+        view.largestWorker.memory = std::max(view.largestWorker.memory, entry.capacity.memory);
+        view.largestWorker.accelerators = std::max(view.largestWorker.accelerators, entry.capacity.accelerators);
+        if (worker->isReachable() && !m_health.isSetAside(id, now))
+            view.cores += double(entry.capacity.cpu.value()) / 1000;
+    }
+    const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::longestChain(call.spec);
+    for (const auto& [id, job] : m_active) {
+        const int priority = job->record.queue.priority;
+        const bool isAhead = priority < queue.priority
+            || (priority == queue.priority && job->objectiveAt - job->chainLeft() <= startBy);
+        if (isAhead)
+            view.coreSecondsAhead += job->coreSecondsWaiting();
+    }
+    double higher = 0;
+    const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
+    for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n)
+        higher += m_arrivals[n] * decay;
+    view.higherShare = view.cores > 0 ? higher / view.cores : 0;
+    if (queue.advice)
+        view.adviceWait = queue.advice->costOf(std::min<std::size_t>(30, std::size_t(view.workers)));
+    return view;
+}
+
+void EngineImpl::noteArrival(int priority, double coreSeconds)
+{
+    const core::TimePoint now = m_parts.loop->now();
+    const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
+    for (double& it : m_arrivals)
+        it *= decay;
+    m_arrivalsAt = now;
+    const std::size_t n = std::min<std::size_t>(static_cast<std::size_t>(std::max(priority, 0)), m_arrivals.size() - 1);
+    m_arrivals[n] += coreSeconds / arrivalsSeconds;
+}
+
+// --- Keeping
+
+lead::LogRevision EngineImpl::keepProgress(Job& job)
+{
+    return m_log->put(progressKey(job.record.spec.id), workflow::encodeProgress(job.record));
+}
+
+void EngineImpl::whenKept(lead::LogRevision revision, std::function<void()> action)
+{
+    m_afterKept.emplace(revision, std::move(action));
+}
+
+void EngineImpl::onKept(lead::LogRevision revision)
+{
+    const auto end = m_afterKept.upper_bound(revision);
+    std::vector<std::function<void()>> due;
+    for (auto it = m_afterKept.begin(); it != end; ++it)
+        due.push_back(std::move(it->second));
+    m_afterKept.erase(m_afterKept.begin(), end);
+    for (const auto& it : due)
+        it();
+}
+
+void EngineImpl::onStore(bool isUp)
+{
+    LogLine(isUp ? Severity::Info : Severity::Warning, isUp ? "store-regained" : "store-lost");
+    m_parts.metrics->set(telemetry::Metric::StoreUp, {}, isUp ? 1 : 0);
+    if (isUp)
+        return;
+    std::vector<JobPtr> unkept;
+    for (const auto& [id, job] : m_active) {
+        if (!job->isKept)
+            unkept.push_back(job);
+    }
+    for (const JobPtr& it : unkept)
+        withdrawUnkept(it, "the store does not answer");
+}
+
+void EngineImpl::endJob(const JobPtr& job, JobState state, const char* why)
+{
+    const core::JobId id = job->record.spec.id;
+    LogLine(Severity::Info, "job-ended")
+        .with("job", id.value())
+        .with("queue", job->record.queue.name)
+        .with("state", workflow::nameOf(state))
+        .with("ageMs", ms(m_parts.loop->now() - job->acceptedAt))
+        .with("late", std::int64_t(m_parts.loop->now() > job->objectiveAt))
+        .with("why", why);
+    job->record.state = state;
+    job->endedAt = m_parts.loop->now();
+    m_active.erase(id);
+    for (const Stage& stage : job->stages)
+        stopLive(*job, stage);
+    const lead::LogRevision revision = keepProgress(*job);
+    m_log->put(jobKey(id), std::nullopt);
+    whenKept(revision, [this, job, state] {
+        job->shown = state;
+        job->isKept = true;
+        m_parts.metrics->observe(telemetry::Metric::WorkJobSeconds,
+            { { "queue", job->record.queue.name }, { "state", workflow::nameOf(state) } },
+            std::chrono::duration<double>(m_parts.loop->now() - job->acceptedAt).count());
+        // The answers to callers need no more than the state.
+        job->record.spec.steps.clear();
+        job->record.spec.payload.clear();
+        job->record.stages.clear();
+        job->stages.clear();
+        m_ended.push_back(job->record.spec.id);
+    });
+    pumpSoon();
+}
+
+void EngineImpl::forgetOldJobs()
+{
+    const core::TimePoint before = m_parts.loop->now() - m_parts.times.jobRetention;
+    while (!m_ended.empty()) {
+        const JobPtr job = jobOf(m_ended.front());
+        if (job && job->endedAt > before)
+            return;
+        m_ended.pop_front();
+        if (!job)
+            continue;
+        m_log->put(progressKey(job->record.spec.id), std::nullopt);
+        m_jobs.erase(job->record.spec.id);
+    }
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/engineimpl.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "placement/healthbook.h"
+#include "scheduling/engine.h"
+#include "scheduling/internal/jobs.h"
+#include "scheduling/internal/worker.h"
+#include "scheduling/intake.h"
+#include "scheduling/placer.h"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace sardinerun::scheduling {
+
+class EngineImpl : public Engine, public std::enable_shared_from_this<EngineImpl> {
+public:
+    EngineImpl(EngineParts parts, const lead::Won& won, Deposed deposed);
+
+    void start() override;
+    void setConfig(workflow::QueueConfigPtr config) override;
+    void setWorkers(const std::vector<fleet::WorkerEntry>& entries) override;
+    void handle(const workflow::WorkCall& call, Answered answered) override;
+    void release(std::function<void()> done) override;
+    void setFormerGone() override;
+
+private:
+    using JobPtr = std::shared_ptr<Job>;
+    using CallHandler = void (EngineImpl::*)(const workflow::WorkCall& call, const Answered& answered);
+    struct HeldCall {
+        workflow::WorkCall call;
+        Answered answered;
+        core::TimePoint until {};
+    };
+    //! A step whose tasks wait, with what decides its turn.
+    struct Turn {
+        JobPtr job;
+        Stage* stage = nullptr;
+        bool isLate = false;
+        int priority = 0;
+        core::TimePoint startBy {};
+    };
+
+    // Calls.
+    bool mayAnswer(const workflow::WorkCall& call) const;
+    void answerHeld();
+    void submit(const workflow::WorkCall& call, const Answered& answered);
+    void answerKnown(Job& job, const Answered& answered);
+    void accept(const workflow::WorkCall& call, const workflow::QueuePolicy& queue, const Answered& answered);
+    void onAccepted(const JobPtr& job);
+    void onSubmitPatienceOver(const core::JobId& id);
+    bool withdrawUnkept(const JobPtr& job, const char* why);
+    void read(const workflow::WorkCall& call, const Answered& answered);
+    void cancel(const workflow::WorkCall& call, const Answered& answered);
+    void countPending(const workflow::WorkCall& call, const Answered& answered);
+    IntakeView intakeView(const workflow::WorkCall& call, const workflow::QueuePolicy& queue) const;
+    void noteArrival(int priority, double coreSeconds);
+
+    // Keeping.
+    lead::LogRevision keepProgress(Job& job);
+    void whenKept(lead::LogRevision revision, std::function<void()> action);
+    void onKept(lead::LogRevision revision);
+    void onStore(bool isUp);
+    void endJob(const JobPtr& job, workflow::JobState state, const char* why);
+    void forgetOldJobs();
+
+    // Recovery and workers.
+    void readTable(const std::string& table, const std::string& after);
+    void takeRow(const std::string& table, const store::StoredRow& row);
+    void onTablesRead();
+    void takeRoster(const std::string& value);
+    void keepRoster();
+    void addWorker(const fleet::WorkerEntry& entry, bool isListed);
+    WorkerHooks workerHooks();
+    void sweepWorkers(); //!< drops those that have left and run nothing
+    void removeWorker(const core::VmId& id);
+    bool isBarrierOver();
+    void repairGangs();
+
+    // Runs.
+    std::optional<core::Resources> adopt(Worker& worker, const fleet::RunningRun& run);
+    void onRunning(Worker& worker, const fleet::RunName& run);
+    void onEnded(Worker& worker, const fleet::EndedRun& end);
+    void onOver(Worker& worker, const fleet::RunName& run, const RunOver& over);
+    void onListed(Worker& worker);
+    void checkStall(Worker& worker, const fleet::RunName& name, const WorkerRun& run);
+    void markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end);
+    void markTaskDone(Stage& stage, std::uint32_t index);
+    void countFailure(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker);
+    void breakUp(const JobPtr& job, Stage& stage);
+    void stopLive(const Job& job, const Stage& stage);
+    void openStages(const JobPtr& job);
+    JobPtr jobOf(const core::JobId& id) const;
+
+    // Placing.
+    void pumpSoon();
+    void pump();
+    std::vector<Turn> turns(core::TimePoint now);
+    void placeStage(const Turn& turn, core::TimePoint now);
+    std::vector<Candidate> candidatesFor(const Job& job, const Stage& stage, core::TimePoint now, bool needsTicket);
+    Demand demandOf(const Job& job, const Stage& stage) const;
+    void askAdvice(const Turn& turn, core::TimePoint now);
+    std::vector<core::VmId> workersToName(const Job& job, const Stage& stage, core::TimePoint now);
+    void onAdvice(const JobPtr& job, std::size_t stage, const std::vector<core::VmId>& named,
+        const core::TimePoint& askedAt, const fleet::AdviceResult& result);
+    void startTasks(const JobPtr& job, Stage& stage, const std::vector<core::VmId>& chosen);
+    void startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker,
+        fleet::RunNumber run, const std::string& checkpoint);
+    void reserveFor(const Turn& turn, std::vector<Candidate> candidates, const Demand& demand);
+    void tick();
+
+    EngineParts m_parts;
+    lead::Won m_won;
+    Deposed m_deposed;
+    lead::LeaderLogPtr m_log;
+    workflow::QueueConfigPtr m_config;
+    std::unordered_map<core::JobId, JobPtr> m_jobs;
+    std::map<core::JobId, JobPtr> m_active; //!< those that are not over
+    std::map<core::VmId, WorkerPtr> m_workers;
+    std::set<core::VmId> m_rostered; //!< workers that a later leader will know of
+    std::multimap<lead::LogRevision, std::function<void()>> m_afterKept;
+    std::deque<HeldCall> m_held; //!< calls that wait for the recovery or for a configuration
+    std::deque<core::JobId> m_ended; //!< in order of their end
+    placement::HealthBook m_health;
+    std::map<std::string, double> m_goodShare; //!< by queue: workers that advice allows, of those named
+    std::set<core::VmId> m_reserved; //!< kept for a gang in this round
+    std::array<double, 8> m_arrivals {}; //!< core-seconds a second by priority, decaying
+    core::TimePoint m_arrivalsAt {};
+    std::optional<std::vector<fleet::WorkerEntry>> m_entries; //!< the register, once it was read
+    std::vector<std::pair<std::string, std::string>> m_readProgress; //!< key and value, until all is read
+    std::string m_readRoster;
+    core::TimePoint m_priorLeaseUntil {};
+    core::TimePoint m_wonAt {};
+    bool m_areTablesRead = false;
+    bool m_isBarrierOver = false;
+    bool m_isPumpSet = false;
+    bool m_isReleasing = false;
+    bool m_isOver = false;
+};
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -0,0 +1,304 @@
+//! Whose turn it is, where its tasks go, and when the advice service is asked.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using telemetry::LogLine;
+using telemetry::Severity;
+
+//! Events come in groups; what they free is given out together.
+constexpr core::Duration pumpPause = std::chrono::milliseconds(2);
+constexpr core::Duration adviceRetry = std::chrono::milliseconds(150);
+//! When advice allowed nobody who has room, until it is asked about others.
+constexpr core::Duration nobodyRetry = std::chrono::milliseconds(1000);
+//! The advice service takes at most so many workers in one question.
+constexpr std::size_t mostNamed = 100;
+constexpr std::size_t leastNamed = 24;
+//! Share of the named workers that advice allows, until it is learnt.
+constexpr double firstGoodShare = 0.4;
+constexpr double goodShareGain = 0.1;
+//! More workers are named than are needed, since advice varies about its mean.
+constexpr double namedMargin = 1.6;
+//! A gang that has waited so long gets workers kept for it.
+constexpr core::Duration gangWait = std::chrono::milliseconds(250);
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+} // namespace
+
+void EngineImpl::pumpSoon()
+{
+    if (m_isOver || std::exchange(m_isPumpSet, true))
+        return;
+    m_parts.loop->callAfter(pumpPause, [self = weak_from_this()] {
+        const auto it = self.lock();
+        if (!it)
+            return;
+        it->m_isPumpSet = false;
+        it->pump();
+    });
+}
+
+void EngineImpl::pump()
+{
+    const core::TimePoint now = m_parts.loop->now();
+    if (m_isOver || m_isReleasing || !m_areTablesRead || !m_entries || !m_config || now >= m_log->authorityUntil())
+        return;
+    isBarrierOver();
+    m_reserved.clear();
+    for (const Turn& it : turns(now))
+        placeStage(it, now);
+}
+
+std::vector<EngineImpl::Turn> EngineImpl::turns(core::TimePoint now)
+{
+    std::vector<Turn> all;
+    for (const auto& [id, job] : m_active) {
+        if (job->isRecovered && !m_isBarrierOver)
+            continue;
+        const bool isLate = now > job->objectiveAt;
+        const core::TimePoint startBy = job->objectiveAt - job->chainLeft();
+        for (Stage& stage : job->stages) {
+            const bool isReady = stage.isOpen && stage.waiting > 0 && now >= stage.notBefore
+                && (!job->stepOf(stage).isGang || stage.live == 0);
+            if (isReady)
+                all.push_back({ job, &stage, isLate, job->record.queue.priority, startBy });
+        }
+    }
+    // What is late already earns little, whoever waits for it, so it comes after all that can still be in time.
+    std::sort(all.begin(), all.end(), [](const Turn& a, const Turn& b) {
+        return std::tie(a.isLate, a.priority, a.startBy) < std::tie(b.isLate, b.priority, b.startBy);
+    });
+    return all;
+}
+
+Demand EngineImpl::demandOf(const Job& job, const Stage& stage) const
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    Demand demand;
+    demand.need = roomOf(step);
+    demand.count = static_cast<std::uint32_t>(stage.waiting);
+    demand.maxPerWorker = step.maxPerWorker;
+    demand.dataRack = step.dataRack;
+    demand.isAllOrNothing = step.isGang;
+    demand.mustShareRack = step.mustShareRack;
+    return demand;
+}
+
+std::vector<Candidate> EngineImpl::candidatesFor(
+    const Job& job, const Stage& stage, core::TimePoint now, bool needsTicket)
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    std::set<core::VmId> avoided;
+    std::map<core::VmId, std::uint32_t> ofStep;
+    for (const TaskProgress& it : stage.tasks) {
+        if (it.state == TaskProgress::State::Waiting && !it.avoided.value().empty())
+            avoided.insert(it.avoided);
+        if (it.state == TaskProgress::State::Live)
+            ++ofStep[it.worker];
+    }
+    std::vector<Candidate> candidates;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker->entry().service != job.record.queue.service || !worker->takesStarts(now))
+            continue;
+        if (!m_rostered.contains(id) || m_health.isSetAside(id, now) || m_reserved.contains(id))
+            continue;
+        if (!step.requiredLabel.empty() && !worker->entry().labels.contains(step.requiredLabel))
+            continue;
+        if (needsTicket) {
+            const auto ticket = stage.advice.tickets.find(id);
+            if (ticket == stage.advice.tickets.end() || ticket->second.validUntil < now + m_parts.times.adviceReserve)
+                continue;
+        } else if (stage.advice.denied.contains(id)) {
+            continue;
+        }
+        const auto running = ofStep.find(id);
+        candidates.push_back({ id, worker->room(), worker->entry().capacity, worker->rack(),
+            running == ofStep.end() ? 0 : running->second, avoided.contains(id) });
+    }
+    return candidates;
+}
+
+void EngineImpl::placeStage(const Turn& turn, core::TimePoint now)
+{
+    Stage& stage = *turn.stage;
+    const bool needsTicket = turn.job->record.queue.advice.has_value();
+    if (needsTicket)
+        askAdvice(turn, now);
+    if (!turn.job->isKept)
+        return;
+    std::vector<Candidate> candidates = candidatesFor(*turn.job, stage, now, needsTicket);
+    if (candidates.empty())
+        return;
+    const Demand demand = demandOf(*turn.job, stage);
+    const std::vector<Candidate> untouched = candidates;
+    const std::vector<core::VmId> chosen
+        = place(demand, candidates, placement::strategyOf(placement::StrategyKind::DominantFit));
+    if (!chosen.empty())
+        startTasks(turn.job, stage, chosen);
+    else if (demand.isAllOrNothing && !turn.isLate && now - stage.openedAt > gangWait)
+        reserveFor(turn, untouched, demand);
+}
+
+void EngineImpl::reserveFor(const Turn& turn, std::vector<Candidate> candidates, const Demand& demand)
+{
+    // Workers that will have room soonest are kept for it, as many as it needs; others may not fill them meanwhile.
+    std::sort(candidates.begin(), candidates.end(), [&demand](const Candidate& a, const Candidate& b) {
+        return slotsIn(a.room, demand.need) > slotsIn(b.room, demand.need);
+    });
+    std::int64_t slots = 0;
+    for (const Candidate& it : candidates) {
+        if (slots >= std::int64_t(demand.count))
+            break;
+        slots += slotsIn(it.capacity, demand.need);
+        m_reserved.insert(it.worker);
+    }
+    if (slots < std::int64_t(demand.count))
+        m_reserved.clear(); // keeping them would not be enough
+    (void)turn;
+}
+
+std::vector<core::VmId> EngineImpl::workersToName(const Job& job, const Stage& stage, core::TimePoint now)
+{
+    const Demand demand = demandOf(job, stage);
+    std::vector<Candidate> candidates = candidatesFor(job, stage, now, false);
+    std::erase_if(candidates, [&](const Candidate& it) { return !demand.need.fitsIn(it.capacity); });
+    std::stable_sort(candidates.begin(), candidates.end(), [&demand](const Candidate& a, const Candidate& b) {
+        return slotsIn(a.room, demand.need) > slotsIn(b.room, demand.need);
+    });
+    std::int64_t slots = 0;
+    for (const Candidate& it : candidates)
+        slots += std::min<std::int64_t>(slotsIn(it.room, demand.need), demand.maxPerWorker > 0 ? demand.maxPerWorker : INT32_MAX);
+    const std::int64_t least = demand.isAllOrNothing ? demand.count : 1;
+    if (slots < least)
+        return {}; // there is no room now, and a ticket would lapse before there is
+    const auto known = m_goodShare.find(job.record.queue.name);
+    const double goodShare = known == m_goodShare.end() ? firstGoodShare : known->second;
+    const std::size_t wanted = static_cast<std::size_t>(namedMargin * double(demand.count) / goodShare);
+    const std::size_t most = std::clamp(wanted, leastNamed, mostNamed);
+    std::vector<core::VmId> named;
+    for (const Candidate& it : candidates) {
+        if (named.size() >= most)
+            break;
+        named.push_back(it.worker);
+    }
+    return named;
+}
+
+void EngineImpl::askAdvice(const Turn& turn, core::TimePoint now)
+{
+    Stage& stage = *turn.stage;
+    AdviceState& advice = stage.advice;
+    if (advice.isAsked || now < advice.askAgainAt)
+        return;
+    const bool isTicketLeft = std::any_of(advice.tickets.begin(), advice.tickets.end(),
+        [&](const auto& it) { return it.second.validUntil > now + m_parts.times.adviceReserve; });
+    if (isTicketLeft)
+        return;
+    const workflow::AdviceTerms& terms = *turn.job->record.queue.advice;
+    if (m_parts.advice->freeNodes(terms.perQuestion) == 0 && turn.priority > 0)
+        return; // its turn is decided anew when a node is free
+    const std::vector<core::VmId> named = workersToName(*turn.job, stage, now);
+    if (named.empty())
+        return;
+    advice.isAsked = true;
+    fleet::AdviceQuestion question;
+    question.job = turn.job->record.spec.id;
+    question.occurrence = stage.occurrence;
+    question.step = stage.step;
+    question.workers = named;
+    const AdviceRank rank { turn.priority, turn.startBy, terms.costOf(named.size()) };
+    const std::size_t number = stage.occurrence * turn.job->record.spec.steps.size() + stage.step;
+    m_parts.advice->ask(std::move(question), rank,
+        [self = weak_from_this(), job = turn.job, number, named, now](const fleet::AdviceResult& result) {
+            if (const auto it = self.lock())
+                it->onAdvice(job, number, named, now, result);
+        });
+}
+
+void EngineImpl::onAdvice(const JobPtr& job, std::size_t number, const std::vector<core::VmId>& named,
+    const core::TimePoint& askedAt, const fleet::AdviceResult& result)
+{
+    if (job->isOver() || number >= job->stages.size())
+        return;
+    const core::TimePoint now = m_parts.loop->now();
+    Stage& stage = job->stages[number];
+    AdviceState& advice = stage.advice;
+    advice.isAsked = false;
+    pumpSoon();
+    LogLine(Severity::Info, "advice")
+        .with("job", job->record.spec.id.value())
+        .with("stage", std::int64_t(number))
+        .with("named", std::int64_t(named.size()))
+        .with("allowed", result ? std::int64_t(result.value().allowed.size()) : -1)
+        .with("tookMs", ms(now - askedAt));
+    if (!result) {
+        advice.askAgainAt = now + adviceRetry;
+        return;
+    }
+    const workflow::AdviceTerms& terms = *job->record.queue.advice;
+    advice.denied.insert(named.begin(), named.end());
+    for (const fleet::Ticket& it : result.value().allowed) {
+        advice.denied.erase(it.worker);
+        advice.tickets[it.worker] = { it.text, now + terms.validity };
+    }
+    double& share = m_goodShare.try_emplace(job->record.queue.name, firstGoodShare).first->second;
+    share += goodShareGain * (double(result.value().allowed.size()) / double(named.size()) - share);
+    if (result.value().allowed.empty())
+        advice.askAgainAt = now + (advice.denied.size() < m_workers.size() ? adviceRetry : nobodyRetry);
+}
+
+void EngineImpl::startTasks(const JobPtr& job, Stage& stage, const std::vector<core::VmId>& chosen)
+{
+    const bool isGang = job->stepOf(stage).isGang;
+    const fleet::RunNumber gangRun(stage.newestRun.value() + 1);
+    std::string checkpoint;
+    for (const TaskProgress& it : stage.tasks)
+        checkpoint = std::max(checkpoint, it.checkpoint);
+    std::size_t n = 0;
+    for (std::uint32_t index = 0; index < stage.tasks.size() && n < chosen.size(); ++index) {
+        if (stage.tasks[index].state != TaskProgress::State::Waiting)
+            continue;
+        const fleet::RunNumber run = isGang ? gangRun : fleet::RunNumber(stage.newestRun.value() + 1);
+        startTask(job, stage, index, chosen[n], run, isGang ? checkpoint : stage.tasks[index].checkpoint);
+        ++n;
+    }
+}
+
+void EngineImpl::startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker,
+    fleet::RunNumber run, const std::string& checkpoint)
+{
+    TaskProgress& task = stage.tasks[index];
+    task.state = TaskProgress::State::Live;
+    task.run = run;
+    task.worker = worker;
+    stage.newestRun = std::max(stage.newestRun, run);
+    --stage.waiting;
+    ++stage.live;
+    fleet::StartOrder order;
+    order.run = { { job->record.spec.id, stage.occurrence, stage.step, index }, run };
+    order.payload = job->record.spec.payload;
+    order.checkpoint = checkpoint;
+    if (const auto ticket = stage.advice.tickets.find(worker); ticket != stage.advice.tickets.end())
+        order.ticket = ticket->second.text;
+    LogLine(Severity::Info, "start")
+        .with("task", fleet::textOf(order.run.task))
+        .with("run", run.value())
+        .with("worker", worker.value())
+        .with("waitedMs", ms(m_parts.loop->now() - stage.openedAt));
+    m_parts.metrics->add(telemetry::Metric::WorkStarts, {});
+    m_workers[worker]->startRun(order, roomOf(job->stepOf(stage)));
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/engineruns.cpp
@@ -0,0 +1,313 @@
+//! Runs of tasks: what workers report of them, and what follows.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using fleet::EndKind;
+using telemetry::LogLine;
+using telemetry::Severity;
+
+constexpr core::Duration failurePause = std::chrono::milliseconds(30);
+constexpr core::Duration refusalPause = std::chrono::milliseconds(80);
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+} // namespace
+
+WorkerHooks EngineImpl::workerHooks()
+{
+    // A worker never outlives the engine's use of it: `retire` stops its callbacks.
+    const std::weak_ptr<EngineImpl> self = weak_from_this();
+    WorkerHooks hooks;
+    hooks.running = [self](Worker& worker, const fleet::RunName& run) {
+        if (const auto it = self.lock())
+            it->onRunning(worker, run);
+    };
+    hooks.over = [self](Worker& worker, const fleet::RunName& run, const RunOver& over) {
+        if (const auto it = self.lock())
+            it->onOver(worker, run, over);
+    };
+    hooks.adopt = [self](Worker& worker, const fleet::RunningRun& run) -> std::optional<core::Resources> {
+        const auto it = self.lock();
+        return it ? it->adopt(worker, run) : std::nullopt;
+    };
+    hooks.ended = [self](Worker& worker, const fleet::EndedRun& end, bool) {
+        if (const auto it = self.lock())
+            it->onEnded(worker, end);
+    };
+    hooks.listed = [self](Worker& worker) {
+        if (const auto it = self.lock())
+            it->onListed(worker);
+    };
+    hooks.lifeOver = [self](Worker& worker) {
+        if (const auto it = self.lock())
+            it->m_parts.loop->post([self, id = worker.id()] {
+                if (const auto it = self.lock())
+                    it->removeWorker(id);
+            });
+    };
+    hooks.fenced = [self](Worker& worker) {
+        const auto it = self.lock();
+        if (it && !std::exchange(it->m_isOver, true))
+            it->m_deposed("worker " + worker.id().value() + " knows a later leader");
+    };
+    return hooks;
+}
+
+EngineImpl::JobPtr EngineImpl::jobOf(const core::JobId& id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second;
+}
+
+std::optional<core::Resources> EngineImpl::adopt(Worker& worker, const fleet::RunningRun& run)
+{
+    const JobPtr job = jobOf(run.name.task.job);
+    Stage* stage = job && !job->isOver() ? job->find(run.name.task) : nullptr;
+    const bool isKnown = stage && stage->tasks[run.name.task.index].state == TaskProgress::State::Waiting;
+    const bool fitsGang = stage && (!job->stepOf(*stage).isGang || stage->live == 0 || stage->newestRun == run.name.run);
+    const bool isAdopted = isKnown && fitsGang && !m_isBarrierOver;
+    LogLine(Severity::Info, isAdopted ? "adopted" : "stopped-unknown")
+        .with("task", fleet::textOf(run.name.task))
+        .with("run", run.name.run.value())
+        .with("worker", worker.id().value());
+    if (stage)
+        stage->newestRun = std::max(stage->newestRun, run.name.run);
+    if (!isAdopted)
+        return std::nullopt;
+    TaskProgress& task = stage->tasks[run.name.task.index];
+    task.state = TaskProgress::State::Live;
+    task.run = run.name.run;
+    task.worker = worker.id();
+    task.checkpoint = run.checkpoint;
+    --stage->waiting;
+    ++stage->live;
+    job->hasStarted = true;
+    return roomOf(job->stepOf(*stage));
+}
+
+void EngineImpl::onRunning(Worker&, const fleet::RunName& run)
+{
+    const JobPtr job = jobOf(run.task.job);
+    if (!job || job->isOver())
+        return;
+    if (!std::exchange(job->hasStarted, true)) {
+        m_parts.metrics->observe(telemetry::Metric::WorkStartSeconds, { { "queue", job->record.queue.name } },
+            std::chrono::duration<double>(m_parts.loop->now() - job->acceptedAt).count());
+        if (job->shown == workflow::JobState::Pending)
+            job->shown = workflow::JobState::Running;
+    }
+}
+
+void EngineImpl::onEnded(Worker& worker, const fleet::EndedRun& end)
+{
+    const JobPtr job = jobOf(end.name.task.job);
+    Stage* stage = job && !job->isOver() ? job->find(end.name.task) : nullptr;
+    LogLine(Severity::Info, "run-ended")
+        .with("task", fleet::textOf(end.name.task))
+        .with("run", end.name.run.value())
+        .with("worker", worker.id().value())
+        .with("how", fleet::nameOf(end.kind))
+        .with("number", end.number.value());
+    if (!stage) {
+        worker.settle(end.number);
+        return;
+    }
+    stage->newestRun = std::max(stage->newestRun, end.name.run);
+    if (end.kind == EndKind::Done && !job->stepOf(*stage).isLongRunning) {
+        m_health.onSuccess(worker.id());
+        markDone(job, *stage, end);
+    } else if (end.kind == EndKind::Failed) {
+        countFailure(job, *stage, end, worker.id());
+    } else {
+        worker.settle(end.number);
+        return;
+    }
+    // Only what is kept may be forgotten by the worker.
+    const lead::LogRevision revision = keepProgress(*job);
+    whenKept(revision, [self = worker.weak_from_this(), number = end.number] {
+        if (const auto it = self.lock())
+            it->settle(number);
+    });
+}
+
+void EngineImpl::markTaskDone(Stage& stage, std::uint32_t index)
+{
+    TaskProgress& task = stage.tasks[index];
+    if (task.state == TaskProgress::State::Done)
+        return;
+    if (task.state == TaskProgress::State::Live)
+        --stage.live;
+    else
+        --stage.waiting;
+    task.state = TaskProgress::State::Done;
+    ++stage.done;
+}
+
+void EngineImpl::markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end)
+{
+    const std::size_t number = stage.occurrence * job->record.spec.steps.size() + stage.step;
+    workflow::StageProgress& kept = job->record.stages[number];
+    const bool isGang = job->stepOf(stage).isGang;
+    const std::uint32_t first = isGang ? 0 : end.name.task.index;
+    const std::uint32_t last = isGang ? static_cast<std::uint32_t>(stage.tasks.size()) - 1 : first;
+    for (std::uint32_t n = first; n <= last; ++n) {
+        TaskProgress& task = stage.tasks[n];
+        const bool runsElsewhere = task.state == TaskProgress::State::Live && task.run != end.name.run;
+        const auto worker = m_workers.find(task.worker);
+        if (runsElsewhere && worker != m_workers.end())
+            worker->second->stopRun({ { job->record.spec.id, stage.occurrence, stage.step, n }, task.run });
+        markTaskDone(stage, n);
+        kept.done[n] = true;
+    }
+    if (!stage.isDone())
+        return;
+    openStages(job);
+    const bool isAll = std::all_of(job->stages.begin(), job->stages.end(), [](const Stage& it) { return it.isDone(); });
+    if (isAll)
+        endJob(job, workflow::JobState::Completed, "all tasks are done");
+}
+
+void EngineImpl::countFailure(
+    const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker)
+{
+    const workflow::StepSpec& step = job->stepOf(stage);
+    const std::uint32_t index = step.isGang ? 0 : end.name.task.index;
+    const std::size_t number = stage.occurrence * job->record.spec.steps.size() + stage.step;
+    workflow::StageProgress& kept = job->record.stages[number];
+    if (kept.failedRun[index] >= end.name.run.value())
+        return; // counted before, perhaps by a former leader
+    kept.failedRun[index] = end.name.run.value();
+    stage.tasks[end.name.task.index].avoided = worker;
+    if (m_health.onFailure(worker, job->record.spec.id, core::Duration(0), m_workers.size(), m_parts.loop->now()))
+        LogLine(Severity::Warning, "worker-set-aside").with("worker", worker.value()).with("why", "failures in a row");
+    if (step.isLongRunning)
+        return;
+    if (++kept.failures[index] >= job->record.queue.maxAttempts)
+        endJob(job, workflow::JobState::Failed, "a task has failed too often");
+}
+
+void EngineImpl::onOver(Worker& worker, const fleet::RunName& run, const RunOver& over)
+{
+    pumpSoon();
+    const JobPtr job = jobOf(run.task.job);
+    Stage* stage = job && !job->isOver() ? job->find(run.task) : nullptr;
+    if (!stage)
+        return;
+    TaskProgress& task = stage->tasks[run.task.index];
+    const bool isNewest
+        = task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker.id();
+    if (!isNewest)
+        return;
+    const core::TimePoint now = m_parts.loop->now();
+    if (over.why != RunOver::Why::Ended)
+        LogLine(Severity::Info, "run-over")
+            .with("task", fleet::textOf(run.task))
+            .with("run", run.run.value())
+            .with("worker", worker.id().value())
+            .with("why", over.why == RunOver::Why::Lost ? "lost" : "not started")
+            .with("ranMs", ms(over.ran));
+    task.state = TaskProgress::State::Waiting;
+    if (!over.checkpoint.empty())
+        task.checkpoint = over.checkpoint;
+    --stage->live;
+    ++stage->waiting;
+    const bool isRefused = over.why == RunOver::Why::NotStarted;
+    stage->notBefore = now + (isRefused ? refusalPause : failurePause);
+    if (isRefused && over.refusal == fleet::OrderFailure::Code::BadTicket)
+        stage->advice.tickets.erase(worker.id());
+    if (job->stepOf(*stage).isGang)
+        breakUp(job, *stage);
+}
+
+void EngineImpl::breakUp(const JobPtr& job, Stage& stage)
+{
+    // The checkpoint of any member is valid for all, and all must start from the same one.
+    std::string checkpoint;
+    for (const TaskProgress& it : stage.tasks)
+        checkpoint = std::max(checkpoint, it.checkpoint);
+    for (TaskProgress& it : stage.tasks)
+        it.checkpoint = checkpoint;
+    stopLive(*job, stage);
+}
+
+void EngineImpl::stopLive(const Job& job, const Stage& stage)
+{
+    for (std::uint32_t n = 0; n < stage.tasks.size(); ++n) {
+        const TaskProgress& task = stage.tasks[n];
+        if (task.state != TaskProgress::State::Live)
+            continue;
+        const auto worker = m_workers.find(task.worker);
+        if (worker != m_workers.end())
+            worker->second->stopRun({ { job.record.spec.id, stage.occurrence, stage.step, n }, task.run });
+    }
+}
+
+void EngineImpl::openStages(const JobPtr& job)
+{
+    const workflow::JobSpec& spec = job->record.spec;
+    const std::size_t steps = spec.steps.size();
+    for (Stage& stage : job->stages) {
+        if (stage.isOpen)
+            continue;
+        const auto& after = spec.steps[stage.step].after;
+        const bool isTurn = std::all_of(after.begin(), after.end(),
+            [&](std::uint32_t n) { return job->stages[stage.occurrence * steps + n].isDone(); });
+        if (!isTurn)
+            continue;
+        if (spec.occurrences > 0) {
+            const std::int64_t due = spec.firstDueAt.value() + stage.occurrence * ms(spec.interval);
+            if (m_parts.loop->wallNow().value() < due)
+                continue;
+        }
+        stage.isOpen = true;
+        stage.openedAt = m_parts.loop->now();
+        pumpSoon();
+    }
+}
+
+void EngineImpl::onListed(Worker& worker)
+{
+    if (!m_isBarrierOver)
+        pumpSoon();
+    const std::map<fleet::RunName, WorkerRun> runs = worker.runs();
+    for (const auto& [name, run] : runs)
+        checkStall(worker, name, run);
+}
+
+void EngineImpl::checkStall(Worker& worker, const fleet::RunName& name, const WorkerRun& run)
+{
+    const core::TimePoint now = m_parts.loop->now();
+    const core::Duration patience
+        = m_parts.times.stall + (run.checkpoint.empty() ? core::Duration(0) : m_parts.times.restore);
+    if (run.state != WorkerRun::State::Running || now - run.progressAt < patience)
+        return;
+    const JobPtr job = jobOf(name.task.job);
+    Stage* stage = job && !job->isOver() ? job->find(name.task) : nullptr;
+    if (!stage || job->stepOf(*stage).isLongRunning)
+        return;
+    LogLine(Severity::Warning, "run-stalled")
+        .with("task", fleet::textOf(name.task))
+        .with("run", name.run.value())
+        .with("worker", worker.id().value())
+        .with("percent", run.percent)
+        .with("sinceMs", ms(now - run.progressAt));
+    stage->tasks[name.task.index].avoided = worker.id();
+    const bool isGang = job->stepOf(*stage).isGang;
+    // Of a gang all members stand still, whichever of them is the cause; only a single task speaks against its worker.
+    if (!isGang)
+        m_health.onFailure(worker.id(), job->record.spec.id, core::Duration(0), m_workers.size(), now);
+    worker.stopRun(name);
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/intake.cpp
@@ -0,0 +1,84 @@
+#include "scheduling/intake.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+//! Workers named in a question when its cost is reckoned for an objective.
+constexpr std::size_t workersAQuestion = 30;
+//! Share of the fleet that packing can use; the rest is lost between tasks of unlike shapes.
+constexpr double usableShare = 0.92;
+//! More urgent work may not take all of the reckoning: its share is an average of unlike moments.
+constexpr double mostHigherShare = 0.8;
+constexpr core::Duration shortestRetry = std::chrono::milliseconds(300);
+constexpr core::Duration longestRetry = std::chrono::seconds(10);
+
+core::Duration seconds(double it)
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(it));
+}
+
+bool fitsSomewhere(const workflow::JobSpec& spec, const core::Resources& largest)
+{
+    return std::all_of(spec.steps.begin(), spec.steps.end(), [&largest](const workflow::StepSpec& it) {
+        core::Resources need = it.need;
+        if (it.usesLeftOverCpu)
+            need.cpu = {};
+        return need.fitsIn(largest);
+    });
+}
+
+} // namespace
+
+double coreSecondsOf(const workflow::JobSpec& spec)
+{
+    double sum = 0;
+    for (const workflow::StepSpec& it : spec.steps) {
+        const double cores = double(it.need.cpu.value()) / 1000;
+        sum += it.count * cores * std::chrono::duration<double>(it.estimate).count();
+    }
+    return sum;
+}
+
+core::Duration objectiveOf(const workflow::JobSpec& spec, const workflow::QueuePolicy& queue)
+{
+    core::Duration chain = workflow::longestChain(spec);
+    if (queue.advice) {
+        std::vector<std::int64_t> depth;
+        std::int64_t deepest = 0;
+        for (const workflow::StepSpec& step : spec.steps) {
+            std::int64_t n = 1;
+            for (const std::uint32_t it : step.after)
+                n = std::max(n, it < depth.size() ? depth[it] + 1 : 1);
+            depth.push_back(n);
+            deepest = std::max(deepest, n);
+        }
+        chain += queue.advice->costOf(workersAQuestion) * deepest;
+    }
+    return seconds(std::chrono::duration<double>(chain).count() * queue.stretch) + queue.latencyTarget;
+}
+
+std::optional<IntakeRefusal> refusalOf(
+    const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, const IntakeView& view)
+{
+    if (view.workers == 0)
+        return IntakeRefusal { "no worker is known for the queue", std::chrono::seconds(1) };
+    if (!fitsSomewhere(spec, view.largestWorker))
+        return IntakeRefusal { "no worker can hold its largest task", std::nullopt };
+    if (spec.occurrences > 0 || std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& it) {
+            return it.isLongRunning;
+        }))
+        return std::nullopt; // due later, or without end: the present load does not decide
+    const double usable = view.cores * usableShare * (1 - std::min(view.higherShare, mostHigherShare));
+    const core::Duration wait = seconds(view.coreSecondsAhead / std::max(usable, 0.001)) + view.adviceWait;
+    const core::Duration chain = workflow::longestChain(spec);
+    const core::Duration objective = objectiveOf(spec, queue);
+    if (wait + chain <= objective)
+        return std::nullopt;
+    return IntakeRefusal { "it would end after its objective",
+        std::clamp(wait + chain - objective, shortestRetry, longestRetry) };
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/jobs.cpp
@@ -0,0 +1,77 @@
+#include "scheduling/internal/jobs.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+Stage* Job::find(const fleet::TaskName& name)
+{
+    const std::size_t steps = record.spec.steps.size();
+    const std::size_t n = name.occurrence * steps + name.step;
+    if (name.step >= steps || n >= stages.size() || name.index >= stages[n].tasks.size())
+        return nullptr;
+    return &stages[n];
+}
+
+double Job::coreSecondsWaiting() const
+{
+    double sum = 0;
+    for (const Stage& it : stages) {
+        const workflow::StepSpec& step = stepOf(it);
+        if (step.isLongRunning)
+            continue;
+        const double cores = double(roomOf(step).cpu.value()) / 1000;
+        const double each = cores * std::chrono::duration<double>(step.estimate).count();
+        sum += each * double(it.waiting);
+    }
+    return sum;
+}
+
+core::Duration Job::chainLeft() const
+{
+    std::vector<core::Duration> ends;
+    core::Duration longest {};
+    const std::size_t steps = record.spec.steps.size();
+    for (std::size_t n = 0; n < stages.size() && n < steps; ++n) {
+        const workflow::StepSpec& step = record.spec.steps[n];
+        core::Duration begin {};
+        for (const std::uint32_t it : step.after)
+            begin = std::max(begin, it < ends.size() ? ends[it] : core::Duration());
+        const bool isLeft = stages[n].waiting > 0;
+        ends.push_back(stages[n].isDone() ? core::Duration() : begin + (isLeft ? step.estimate : step.estimate / 2));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+Job makeJob(workflow::JobRecord record)
+{
+    Job job;
+    job.record = std::move(record);
+    const std::size_t steps = job.record.spec.steps.size();
+    for (std::size_t n = 0; n < job.record.stages.size(); ++n) {
+        const workflow::StageProgress& progress = job.record.stages[n];
+        Stage stage;
+        stage.occurrence = static_cast<std::uint32_t>(n / steps);
+        stage.step = static_cast<std::uint32_t>(n % steps);
+        stage.tasks.resize(progress.done.size());
+        for (std::size_t k = 0; k < progress.done.size(); ++k) {
+            if (progress.done[k])
+                stage.tasks[k].state = TaskProgress::State::Done;
+            stage.done += progress.done[k] ? 1 : 0;
+        }
+        stage.waiting = stage.tasks.size() - stage.done;
+        job.stages.push_back(std::move(stage));
+    }
+    return job;
+}
+
+core::Resources roomOf(const workflow::StepSpec& step)
+{
+    core::Resources room = step.need;
+    if (step.usesLeftOverCpu)
+        room.cpu = {};
+    return room;
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/placer.cpp
@@ -0,0 +1,99 @@
+#include "scheduling/placer.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+//! Scores of a strategy lie between -3 and 1, so these come before any of them.
+constexpr double lastChoicePenalty = 100;
+constexpr double farPenalty = 10;
+
+bool mayTake(const Demand& demand, const Candidate& it)
+{
+    return demand.need.fitsIn(it.room) && (demand.maxPerWorker == 0 || it.ofStep < demand.maxPerWorker);
+}
+
+double scoreOf(const Demand& demand, const Candidate& it, const placement::IStrategy& strategy)
+{
+    double score = strategy.score(it.room - demand.need, it.capacity);
+    if (it.isLastChoice)
+        score -= lastChoicePenalty;
+    if (!demand.dataRack.empty() && demand.dataRack != it.rack)
+        score -= farPenalty;
+    return score;
+}
+
+std::vector<core::VmId> placeAnywhere(
+    const Demand& demand, std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
+{
+    std::vector<core::VmId> chosen;
+    while (chosen.size() < demand.count) {
+        Candidate* best = nullptr;
+        double bestScore = -std::numeric_limits<double>::infinity();
+        for (Candidate& it : candidates) {
+            if (!mayTake(demand, it))
+                continue;
+            const double score = scoreOf(demand, it, strategy);
+            if (score > bestScore) {
+                best = &it;
+                bestScore = score;
+            }
+        }
+        if (!best)
+            break;
+        best->room = best->room - demand.need;
+        ++best->ofStep;
+        chosen.push_back(best->worker);
+    }
+    if (demand.isAllOrNothing && chosen.size() < demand.count)
+        chosen.clear();
+    return chosen;
+}
+
+//! All on one rack if there is one with room for all.
+std::vector<core::VmId> placeOnOneRack(
+    const Demand& demand, const std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
+{
+    std::map<std::string, std::vector<Candidate>> byRack;
+    for (const Candidate& it : candidates)
+        byRack[it.rack].push_back(it);
+    Demand whole = demand;
+    whole.isAllOrNothing = true;
+    for (auto& it : byRack) {
+        const std::vector<core::VmId> chosen = placeAnywhere(whole, it.second, strategy);
+        if (!chosen.empty())
+            return chosen;
+    }
+    return {};
+}
+
+} // namespace
+
+std::int64_t slotsIn(const core::Resources& room, const core::Resources& need)
+{
+    std::int64_t n = std::numeric_limits<std::int32_t>::max();
+    if (need.cpu.value() > 0)
+        n = std::min(n, room.cpu.value() / need.cpu.value());
+    if (need.memory.value() > 0)
+        n = std::min(n, room.memory.value() / need.memory.value());
+    if (need.accelerators.value() > 0)
+        n = std::min(n, room.accelerators.value() / need.accelerators.value());
+    return std::max<std::int64_t>(n, 0);
+}
+
+std::vector<core::VmId> place(
+    const Demand& demand, std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
+{
+    if (demand.mustShareRack) {
+        std::vector<core::VmId> chosen = placeOnOneRack(demand, candidates, strategy);
+        if (!chosen.empty())
+            return chosen;
+    }
+    return placeAnywhere(demand, candidates, strategy);
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/worker.cpp
@@ -0,0 +1,432 @@
+#include "scheduling/internal/worker.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using fleet::OrderFailure;
+
+//! Ends that wait to be kept are asked about again after this time at the latest.
+constexpr core::Duration unsettledPause = std::chrono::milliseconds(400);
+constexpr core::Duration unhealthyPause = std::chrono::milliseconds(800);
+constexpr core::Duration stopRetry = std::chrono::milliseconds(150);
+//! Time for what is on its way between a worker's clock and this one's reading of it.
+constexpr core::Duration clockMargin = std::chrono::milliseconds(100);
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+} // namespace
+
+WorkerPtr Worker::create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
+    core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks)
+{
+    return WorkerPtr(new Worker(
+        std::move(loop), std::move(orders), std::move(entry), fence, priorLeaseUntil, times, std::move(hooks)));
+}
+
+Worker::Worker(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry, core::Epoch fence,
+    core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks)
+    : m_loop(std::move(loop))
+    , m_orders(std::move(orders))
+    , m_entry(std::move(entry))
+    , m_fence(fence)
+    , m_priorLeaseUntil(priorLeaseUntil)
+    , m_times(times)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void Worker::begin()
+{
+    hold();
+}
+
+void Worker::retire()
+{
+    m_isRetired = true;
+}
+
+void Worker::setEntry(fleet::WorkerEntry entry)
+{
+    m_entry = std::move(entry);
+}
+
+bool Worker::takesStarts(core::TimePoint now) const
+{
+    return isReachable() && m_isListed && !m_entry.isDraining && now >= m_avoidUntil;
+}
+
+fleet::WorkerClock Worker::clockNow() const
+{
+    return m_clock + fleet::WorkerClock(ms(m_loop->now() - m_clockAt) + 1);
+}
+
+core::TimePoint Worker::lapsesAt() const
+{
+    core::TimePoint at = m_priorLeaseUntil;
+    if (m_leaseUntil.value() > 0) {
+        const double left = double(m_leaseUntil.value() - m_clock.value()) / (1 - clockTolerance);
+        at = std::max(at, m_clockAt + std::chrono::milliseconds(std::int64_t(left)) + clockMargin);
+    }
+    return at;
+}
+
+void Worker::noteClock(fleet::WorkerClock clock)
+{
+    if (m_hasClock && clock < m_clock)
+        return; // an answer that was overtaken
+    m_hasClock = true;
+    m_clock = clock;
+    m_clockAt = m_loop->now();
+}
+
+void Worker::noteLease(fleet::WorkerClock until)
+{
+    m_leaseUntil = std::max(m_leaseUntil, until);
+}
+
+void Worker::holdSoon(core::Duration delay)
+{
+    if (m_isRetired || m_isHolding)
+        return;
+    if (m_isHoldSet)
+        m_loop->cancel(m_holdTimer);
+    m_isHoldSet = true;
+    m_holdTimer = m_loop->callAfter(delay, [self = weak_from_this()] {
+        const auto it = self.lock();
+        if (!it)
+            return;
+        it->m_isHoldSet = false;
+        it->hold();
+    });
+}
+
+void Worker::hold()
+{
+    if (m_isRetired || m_isHolding)
+        return;
+    fleet::HoldOrder order;
+    order.fence = m_fence;
+    order.forgetUpTo = m_forgetUpTo;
+    if (m_hasClock) {
+        order.leaseUntil = clockNow() + fleet::WorkerClock(ms(m_times.lease));
+        noteLease(*order.leaseUntil);
+    }
+    const bool mayWait = m_hasAnswered && m_failures == 0 && !hasUnsettledEnds();
+    order.wait = mayWait ? m_times.holdWait : core::Duration(0);
+    m_isHolding = true;
+    m_orders->hold(address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
+        const auto it = self.lock();
+        if (it && !it->m_isRetired)
+            it->onHeld(result, sentAt);
+    });
+}
+
+void Worker::onHeld(const fleet::HoldResult& result, core::TimePoint sentAt)
+{
+    m_isHolding = false;
+    if (!result) {
+        onHoldFailed(result.error());
+        return;
+    }
+    if (m_failures > 0)
+        telemetry::LogLine(telemetry::Severity::Info, "worker-regained").with("worker", id().value());
+    m_failures = 0;
+    takeReport(result.value(), sentAt);
+    if (m_isRetired)
+        return;
+    holdSoon(hasUnsettledEnds() ? unsettledPause : core::Duration(0));
+}
+
+void Worker::onHoldFailed(const OrderFailure& failure)
+{
+    if (++m_failures == 1)
+        telemetry::LogLine(telemetry::Severity::Warning, "worker-lost")
+            .with("worker", id().value())
+            .with("why", fleet::nameOf(failure.code))
+            .with("detail", failure.detail);
+    if (failure.code == OrderFailure::Code::Fenced) {
+        m_hooks.fenced(*this);
+        return;
+    }
+    if (failure.code == OrderFailure::Code::OtherLife) {
+        endLife();
+        return;
+    }
+    checkLapse();
+    holdSoon(m_times.holdRetry);
+}
+
+void Worker::takeReport(const fleet::WorkerReport& report, core::TimePoint sentAt)
+{
+    const bool isReborn = report.born.value() > 0 && m_entry.born.value() > 0 && report.born != m_entry.born;
+    if (isReborn) {
+        // The same name, another life: nothing of before runs there, and its ends are numbered anew.
+        loseAll();
+        m_entry.born = report.born;
+        m_forgetUpTo = {};
+        m_lastEnd = {};
+        m_settled.clear();
+        m_hasClock = false;
+        m_leaseUntil = {};
+    } else if (report.born.value() > 0) {
+        m_entry.born = report.born;
+    }
+    noteClock(report.clock);
+    std::set<fleet::RunName> listed;
+    takeRunning(report, listed);
+    takeEnds(report);
+    m_hasAnswered = true;
+    dropUnlisted(listed, sentAt);
+    m_hooks.listed(*this);
+}
+
+void Worker::takeRunning(const fleet::WorkerReport& report, std::set<fleet::RunName>& listed)
+{
+    const core::TimePoint now = m_loop->now();
+    for (const fleet::RunningRun& entry : report.running) {
+        listed.insert(entry.name);
+        auto found = m_runs.find(entry.name);
+        if (found == m_runs.end()) {
+            const auto taken = m_hooks.adopt(*this, entry);
+            WorkerRun run;
+            run.state = taken ? WorkerRun::State::Running : WorkerRun::State::Stopping;
+            run.taken = taken.value_or(core::Resources());
+            run.since = now;
+            run.settledAt = now;
+            run.progressAt = now;
+            found = m_runs.emplace(entry.name, run).first;
+            m_taken = m_taken + run.taken;
+            if (!taken)
+                sendStop(entry.name);
+        }
+        WorkerRun& run = found->second;
+        if (run.firstPercent < 0) {
+            run.firstPercent = entry.percent;
+            run.firstListedAt = now;
+        }
+        if (entry.percent != run.percent) {
+            run.percent = entry.percent;
+            run.progressAt = now;
+        }
+        run.load = entry.load;
+        if (!entry.checkpoint.empty())
+            run.checkpoint = entry.checkpoint;
+    }
+}
+
+void Worker::takeEnds(const fleet::WorkerReport& report)
+{
+    // What comes before the first end that is listed was forgotten, perhaps on a former leader's word.
+    if (!report.ended.empty())
+        m_forgetUpTo = std::max(m_forgetUpTo, fleet::EndNumber(report.ended.front().number.value() - 1));
+    for (const fleet::EndedRun& end : report.ended) {
+        if (end.number <= m_lastEnd)
+            continue;
+        m_lastEnd = end.number;
+        const auto it = m_runs.find(end.name);
+        m_hooks.ended(*this, end, it != m_runs.end());
+        if (it == m_runs.end())
+            continue;
+        RunOver over;
+        over.why = RunOver::Why::Ended;
+        over.end = end.kind;
+        over.checkpoint = end.checkpoint.empty() ? it->second.checkpoint : end.checkpoint;
+        finish(end.name, over);
+    }
+}
+
+void Worker::dropUnlisted(const std::set<fleet::RunName>& listed, core::TimePoint sentAt)
+{
+    std::vector<fleet::RunName> gone;
+    for (const auto& [name, run] : m_runs) {
+        const bool mustBeListed = run.state != WorkerRun::State::Ordered && run.settledAt != core::TimePoint()
+            && sentAt > run.settledAt && !run.isStopInFlight;
+        if (mustBeListed && !listed.contains(name))
+            gone.push_back(name);
+    }
+    for (const fleet::RunName& name : gone) {
+        RunOver over;
+        over.why = m_runs[name].state == WorkerRun::State::Closing ? RunOver::Why::NotStarted : RunOver::Why::Lost;
+        over.checkpoint = m_runs[name].checkpoint;
+        finish(name, over);
+    }
+}
+
+void Worker::startRun(const fleet::StartOrder& order, const core::Resources& taken)
+{
+    WorkerRun run;
+    run.taken = taken;
+    run.since = m_loop->now();
+    run.progressAt = run.since;
+    run.checkpoint = order.checkpoint;
+    m_runs[order.run] = run;
+    m_taken = m_taken + taken;
+    fleet::StartOrder sent = order;
+    sent.fence = m_fence;
+    sent.leaseUntil = clockNow() + fleet::WorkerClock(ms(m_times.lease));
+    noteLease(sent.leaseUntil);
+    m_orders->start(address(), sent, [self = weak_from_this(), name = order.run](const fleet::OrderResult& result) {
+        const auto it = self.lock();
+        if (it && !it->m_isRetired)
+            it->onStarted(name, result);
+    });
+}
+
+void Worker::onStarted(const fleet::RunName& name, const fleet::OrderResult& result)
+{
+    if (result)
+        noteClock(result.value());
+    const auto found = m_runs.find(name);
+    if (found == m_runs.end())
+        return; // its end was listed before
+    WorkerRun& run = found->second;
+    if (result) {
+        run.settledAt = m_loop->now();
+        if (run.state == WorkerRun::State::Ordered) {
+            run.state = WorkerRun::State::Running;
+            m_hooks.running(*this, name);
+        }
+        return;
+    }
+    const OrderFailure::Code code = result.error().code;
+    telemetry::LogLine(telemetry::Severity::Info, "start-failed")
+        .with("task", fleet::textOf(name.task))
+        .with("run", name.run.value())
+        .with("worker", id().value())
+        .with("why", fleet::nameOf(code));
+    if (code == OrderFailure::Code::Unknown) {
+        run.state = WorkerRun::State::Closing;
+        run.settledAt = {};
+        sendStop(name);
+        return;
+    }
+    if (code == OrderFailure::Code::Unhealthy)
+        avoidUntil(m_loop->now() + unhealthyPause);
+    RunOver over;
+    over.why = RunOver::Why::NotStarted;
+    over.refusal = code;
+    over.checkpoint = run.checkpoint;
+    finish(name, over);
+    if (code == OrderFailure::Code::Fenced)
+        m_hooks.fenced(*this);
+    else if (code == OrderFailure::Code::OtherLife)
+        endLife();
+}
+
+void Worker::stopRun(const fleet::RunName& name)
+{
+    const auto it = m_runs.find(name);
+    if (it == m_runs.end() || it->second.state == WorkerRun::State::Closing
+        || it->second.state == WorkerRun::State::Stopping)
+        return;
+    it->second.state = WorkerRun::State::Stopping;
+    it->second.settledAt = {};
+    sendStop(name);
+}
+
+void Worker::sendStop(const fleet::RunName& name)
+{
+    const auto it = m_runs.find(name);
+    if (it == m_runs.end() || it->second.isStopInFlight || m_isRetired)
+        return;
+    it->second.isStopInFlight = true;
+    m_orders->stop(address(), { name, m_fence }, [self = weak_from_this(), name](const fleet::OrderResult& result) {
+        const auto it = self.lock();
+        if (it && !it->m_isRetired)
+            it->onStopped(name, result);
+    });
+}
+
+void Worker::onStopped(const fleet::RunName& name, const fleet::OrderResult& result)
+{
+    const auto it = m_runs.find(name);
+    if (it == m_runs.end())
+        return;
+    it->second.isStopInFlight = false;
+    if (result) {
+        noteClock(result.value());
+        it->second.settledAt = m_loop->now();
+        return;
+    }
+    const OrderFailure::Code code = result.error().code;
+    if (code == OrderFailure::Code::Fenced) {
+        m_hooks.fenced(*this);
+        return;
+    }
+    if (code == OrderFailure::Code::OtherLife) {
+        endLife();
+        return;
+    }
+    if (code == OrderFailure::Code::Outdated) {
+        it->second.settledAt = m_loop->now(); // it has ended or was stopped before
+        return;
+    }
+    m_loop->callAfter(stopRetry, [self = weak_from_this(), name] {
+        if (const auto it = self.lock())
+            it->sendStop(name);
+    });
+}
+
+void Worker::pace(const fleet::RunName& run, int percent)
+{
+    m_orders->pace(address(), { run, percent, m_fence }, [](const fleet::OrderResult&) {});
+}
+
+void Worker::settle(fleet::EndNumber number)
+{
+    if (number <= m_forgetUpTo)
+        return;
+    m_settled.insert(number);
+    while (!m_settled.empty() && m_settled.begin()->value() == m_forgetUpTo.value() + 1) {
+        m_forgetUpTo = *m_settled.begin();
+        m_settled.erase(m_settled.begin());
+    }
+    if (!hasUnsettledEnds() && m_failures == 0 && m_hasAnswered)
+        holdSoon(core::Duration(0));
+}
+
+void Worker::finish(const fleet::RunName& name, RunOver over)
+{
+    const auto it = m_runs.find(name);
+    over.ran = m_loop->now() - it->second.since;
+    m_taken = m_taken - it->second.taken;
+    m_runs.erase(it);
+    m_hooks.over(*this, name, over);
+}
+
+void Worker::loseAll()
+{
+    while (!m_runs.empty()) {
+        RunOver over;
+        over.checkpoint = m_runs.begin()->second.checkpoint;
+        finish(m_runs.begin()->first, over);
+    }
+}
+
+void Worker::checkLapse()
+{
+    if (m_loop->now() >= lapsesAt() && !m_runs.empty()) {
+        telemetry::LogLine(telemetry::Severity::Warning, "worker-lapsed")
+            .with("worker", id().value())
+            .with("runs", std::int64_t(m_runs.size()));
+        loseAll();
+    }
+}
+
+void Worker::endLife()
+{
+    const WorkerPtr keep = shared_from_this();
+    loseAll();
+    m_isRetired = true;
+    m_hooks.lifeOver(*this);
+}
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/internal/worker.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "fleet/iworkerorders.h"
+#include "runtime/iloop.h"
+#include "scheduling/schedulingtypes.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace sardinerun::scheduling {
+
+//! How a run came to its end, as far as the worker or the lack of it tells.
+struct RunOver {
+    enum class Why {
+        Ended, //!< the worker lists its end
+        NotStarted, //!< it never ran
+        Lost //!< with the worker's lease or life
+    };
+    Why why = Why::Lost;
+    fleet::EndKind end = fleet::EndKind::Failed; //!< when it ended
+    fleet::OrderFailure::Code refusal = fleet::OrderFailure::Code::Unknown; //!< when it was not started
+    std::string checkpoint; //!< newest known
+    core::Duration ran {}; //!< since its start
+};
+
+//! One run that holds room on a worker.
+struct WorkerRun {
+    enum class State {
+        Ordered, //!< the start is on its way
+        Running,
+        Stopping, //!< a stop was ordered
+        Closing //!< the answer to its start was lost; a stop settles whether it runs
+    };
+    State state = State::Ordered;
+    core::Resources taken;
+    core::TimePoint since {}; //!< when it was ordered
+    core::TimePoint settledAt {}; //!< answer to its start or stop; later holds must list it
+    core::TimePoint progressAt {}; //!< when its percent last changed
+    int percent = 0;
+    int firstPercent = -1; //!< when it was first listed
+    core::TimePoint firstListedAt {};
+    std::int64_t load = 0;
+    std::string checkpoint;
+    bool isStopInFlight = false;
+};
+
+class Worker;
+using WorkerPtr = std::shared_ptr<Worker>;
+
+//! What a worker tells its owner.
+struct WorkerHooks {
+    std::function<void(Worker&, const fleet::RunName&)> running; //!< a start was confirmed
+    std::function<void(Worker&, const fleet::RunName&, const RunOver&)> over;
+    //! Something runs that was not ordered here: its room when it is to be kept, nothing when it is to be stopped.
+    std::function<std::optional<core::Resources>(Worker&, const fleet::RunningRun&)> adopt;
+    //! An end is listed; `Worker::settle` must be called once it may be forgotten. Comes before `over`.
+    std::function<void(Worker&, const fleet::EndedRun&, bool isKnown)> ended;
+    std::function<void(Worker&)> listed; //!< a report was taken in
+    std::function<void(Worker&)> lifeOver; //!< another worker answers at its address, or it was born again
+    std::function<void(Worker&)> fenced; //!< another leader has a higher fence
+};
+
+//! One worker as its leader sees it: its room, its runs, its lease, and the exchange with it.
+//!
+//! A run holds its room from its order until its end is certain.
+class Worker : public std::enable_shared_from_this<Worker> {
+public:
+    static WorkerPtr create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
+        core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks);
+
+    void begin(); //!< starts the exchange
+    void retire(); //!< ends it
+    void setEntry(fleet::WorkerEntry entry);
+    void setListed(bool isListed) { m_isListed = isListed; }
+
+    const fleet::WorkerEntry& entry() const { return m_entry; }
+    const core::VmId& id() const { return m_entry.id; }
+    core::Resources room() const { return m_entry.capacity - m_taken; }
+    const std::map<fleet::RunName, WorkerRun>& runs() const { return m_runs; }
+    const std::string& rack() const { return m_entry.rack; }
+
+    bool isListed() const { return m_isListed; } //!< in the register
+    bool hasAnswered() const { return m_hasAnswered; } //!< under this leader's fence
+    bool isReachable() const { return m_hasAnswered && m_failures == 0; }
+    bool takesStarts(core::TimePoint now) const;
+    //! When all that may run there has certainly ended, if the worker stays silent.
+    core::TimePoint lapsesAt() const;
+    //! Nothing of a former leader can run there unseen.
+    bool isSettled(core::TimePoint now) const { return m_hasAnswered || now >= lapsesAt(); }
+
+    void startRun(const fleet::StartOrder& order, const core::Resources& taken);
+    void stopRun(const fleet::RunName& run);
+    void pace(const fleet::RunName& run, int percent);
+    void settle(fleet::EndNumber number); //!< this end may be forgotten
+    void avoidUntil(core::TimePoint until) { m_avoidUntil = std::max(m_avoidUntil, until); }
+
+    //! Upper estimate of the worker's clock.
+    fleet::WorkerClock clockNow() const;
+
+private:
+    Worker(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry, core::Epoch fence,
+        core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks);
+    fleet::WorkerAddress address() const { return { m_entry.id, m_entry.address }; }
+    void holdSoon(core::Duration delay);
+    void hold();
+    void onHeld(const fleet::HoldResult& result, core::TimePoint sentAt);
+    void onHoldFailed(const fleet::OrderFailure& failure);
+    void takeReport(const fleet::WorkerReport& report, core::TimePoint sentAt);
+    void takeEnds(const fleet::WorkerReport& report);
+    void takeRunning(const fleet::WorkerReport& report, std::set<fleet::RunName>& listed);
+    void dropUnlisted(const std::set<fleet::RunName>& listed, core::TimePoint sentAt);
+    void noteClock(fleet::WorkerClock clock);
+    void noteLease(fleet::WorkerClock until);
+    void onStarted(const fleet::RunName& run, const fleet::OrderResult& result);
+    void sendStop(const fleet::RunName& run);
+    void onStopped(const fleet::RunName& run, const fleet::OrderResult& result);
+    void finish(const fleet::RunName& run, RunOver over);
+    void loseAll();
+    void checkLapse();
+    void endLife();
+    bool hasUnsettledEnds() const { return m_lastEnd.value() > m_forgetUpTo.value(); }
+
+    runtime::ILoopPtr m_loop;
+    fleet::IWorkerOrdersPtr m_orders;
+    fleet::WorkerEntry m_entry;
+    core::Epoch m_fence;
+    core::TimePoint m_priorLeaseUntil; //!< a former leader's lease ends by then
+    SchedulingTimes m_times;
+    WorkerHooks m_hooks;
+    std::map<fleet::RunName, WorkerRun> m_runs;
+    core::Resources m_taken;
+    fleet::WorkerClock m_clock; //!< newest reading
+    core::TimePoint m_clockAt {}; //!< when it arrived
+    fleet::WorkerClock m_leaseUntil; //!< latest that was sent
+    fleet::EndNumber m_lastEnd; //!< highest listed
+    fleet::EndNumber m_forgetUpTo;
+    std::set<fleet::EndNumber> m_settled; //!< above m_forgetUpTo
+    core::TimePoint m_avoidUntil {};
+    int m_failures = 0; //!< of holds in a row
+    bool m_hasAnswered = false;
+    bool m_hasClock = false;
+    bool m_isListed = true;
+    bool m_isHolding = false;
+    bool m_isHoldSet = false;
+    bool m_isRetired = false;
+    runtime::TimerId m_holdTimer;
+};
+
+} // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/settings/internal/dispatchsettings.cpp
@@ -0,0 +1,72 @@
+#include "settings/dispatchsettings.h"
+
+#include "codec/yaml.h"
+#include "settings/nodesettings.h"
+
+#include <algorithm>
+
+namespace sardinerun::settings {
+
+namespace {
+
+using codec::YamlReader;
+
+constexpr double longestSeconds = 3600;
+
+core::HostPort addressOf(YamlReader& reader, const char* key)
+{
+    const auto address = parseHostPort(reader.text(key));
+    if (!address)
+        reader.fail(key, "must be an IP address and port, such as 10.0.0.1:8080");
+    return *address;
+}
+
+core::Duration secondsOr(YamlReader& reader, const char* key, core::Duration fallback)
+{
+    const double seconds = reader.numberOr(key, 0, longestSeconds, std::chrono::duration<double>(fallback).count());
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+core::Duration millisOr(YamlReader& reader, const char* key, core::Duration fallback)
+{
+    const double ms = reader.numberOr(key, 0, longestSeconds * 1000, double(fallback / std::chrono::milliseconds(1)));
+    return core::Duration(std::int64_t(ms * 1000));
+}
+
+void readWorkers(YamlReader reader, scheduling::SchedulingTimes& times)
+{
+    times.longestLease = millisOr(reader, "longestLeaseMs", times.longestLease);
+    times.lease = std::min(millisOr(reader, "leaseMs", times.lease), times.longestLease);
+    times.stopGrace = millisOr(reader, "stopGraceMs", times.stopGrace);
+    times.restore = millisOr(reader, "restoreMs", times.restore);
+    times.gangPatience = millisOr(reader, "gangPatienceMs", times.gangPatience);
+    times.jobRetention = secondsOr(reader, "jobRetentionS", times.jobRetention);
+    reader.finish();
+    if (times.holdWait * 2 > times.lease)
+        reader.fail("leaseMs", "must be at least twice the wait of an exchange, which is 1000 ms");
+}
+
+} // namespace
+
+DispatchSettings readDispatchSettings(const std::string& text, const std::string& file)
+{
+    YamlReader reader = YamlReader::parse(text, file);
+    DispatchSettings it;
+    it.node = core::NodeId(reader.name("node"));
+    it.failureDomain = core::FailureDomainId(reader.name("failureDomain"));
+    it.callers = addressOf(reader, "callers");
+    it.readiness = addressOf(reader, "readiness");
+    it.inner = addressOf(reader, "inner");
+    it.store = addressOf(reader, "store");
+    if (!reader.textOr("advice", "").empty())
+        it.advice = addressOf(reader, "advice");
+    it.processorShare = reader.numberOr("processorShare", 0.01, 1024, it.processorShare);
+    it.stopWithin = secondsOr(reader, "stopWithinS", it.stopWithin);
+    it.maxBodyBytes = static_cast<std::size_t>(
+        reader.integerOr("maxBodyBytes", 1024, std::int64_t(64) << 20, std::int64_t(it.maxBodyBytes)));
+    readWorkers(reader.objectOr("workers"), it.scheduling);
+    reader.finish();
+    return it;
+}
+
+} // namespace sardinerun::settings
--- /dev/null
+++ b/src/store/internal/tablewatch.cpp
@@ -0,0 +1,128 @@
+#include "store/tablewatch.h"
+
+#include <algorithm>
+
+namespace sardinerun::store {
+
+const char* nameOf(StoreFailure::Code it)
+{
+    switch (it) {
+    case StoreFailure::Code::Unavailable:
+        return "unavailable";
+    case StoreFailure::Code::Throttled:
+        return "throttled";
+    case StoreFailure::Code::Unknown:
+        return "unknown";
+    case StoreFailure::Code::Conflict:
+        return "conflict";
+    case StoreFailure::Code::HistoryGone:
+        return "history-gone";
+    case StoreFailure::Code::BadAnswer:
+        return "bad-answer";
+    }
+    return "unknown";
+}
+
+TableWatchPtr TableWatch::create(runtime::ILoopPtr loop, IRowStorePtr store, Options options, WatchHooks hooks)
+{
+    return TableWatchPtr(new TableWatch(std::move(loop), std::move(store), std::move(options), std::move(hooks)));
+}
+
+TableWatch::TableWatch(runtime::ILoopPtr loop, IRowStorePtr store, Options options, WatchHooks hooks)
+    : m_loop(std::move(loop))
+    , m_store(std::move(store))
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_pause(m_options.retryPause)
+{
+}
+
+void TableWatch::start()
+{
+    readAll({}, "", m_loop->now());
+}
+
+void TableWatch::later(const std::function<void()>& step)
+{
+    m_loop->callAfter(m_pause, [self = weak_from_this(), step] {
+        const auto keep = self.lock();
+        if (keep && !keep->m_isStopped)
+            step();
+    });
+    m_pause = std::min(m_pause * 2, m_options.longestPause);
+}
+
+void TableWatch::noteFailure(const StoreFailure&)
+{
+    if (std::exchange(m_isUp, false))
+        m_hooks.availability(false);
+}
+
+void TableWatch::noteSuccess()
+{
+    m_pause = m_options.retryPause;
+    if (!std::exchange(m_isUp, true))
+        m_hooks.availability(true);
+}
+
+void TableWatch::readAll(std::vector<StoredRow> gathered, const std::string& after, core::TimePoint startedAt)
+{
+    m_store->read(m_options.table, "", after,
+        [self = weak_from_this(), gathered = std::move(gathered), after, startedAt](PageResult result) mutable {
+            const auto it = self.lock();
+            if (!it || it->m_isStopped)
+                return;
+            if (!result) {
+                it->noteFailure(result.error());
+                it->later([raw = it.get()] { raw->readAll({}, "", raw->m_loop->now()); });
+                return;
+            }
+            it->noteSuccess();
+            RowPage& page = result.value();
+            // Changes are asked for from the first page on, so what changed while later pages were read comes again.
+            if (after.empty())
+                it->m_firstVersion = page.version;
+            std::move(page.rows.begin(), page.rows.end(), std::back_inserter(gathered));
+            if (page.hasMore && !gathered.empty()) {
+                const std::string last = gathered.back().key.key;
+                it->readAll(std::move(gathered), last, startedAt);
+                return;
+            }
+            it->m_version = it->m_firstVersion;
+            it->m_hooks.replaced(gathered);
+            it->m_hooks.confirmed(startedAt);
+            it->askChanges();
+        });
+}
+
+void TableWatch::askChanges()
+{
+    if (m_isStopped)
+        return;
+    const core::TimePoint startedAt = m_loop->now();
+    m_store->changes(
+        m_options.table, m_version, m_options.wait, [self = weak_from_this(), startedAt](PageResult result) {
+            const auto it = self.lock();
+            if (!it || it->m_isStopped)
+                return;
+            if (!result) {
+                it->noteFailure(result.error());
+                const bool isGone = result.error().code == StoreFailure::Code::HistoryGone;
+                it->later([raw = it.get(), isGone] {
+                    if (isGone)
+                        raw->readAll({}, "", raw->m_loop->now());
+                    else
+                        raw->askChanges();
+                });
+                return;
+            }
+            it->noteSuccess();
+            it->m_version = std::max(it->m_version, result.value().version);
+            if (!result.value().rows.empty())
+                it->m_hooks.changed(result.value().rows);
+            it->m_hooks.confirmed(startedAt);
+            it->askChanges();
+        });
+}
+
+} // namespace sardinerun::store
--- /dev/null
+++ b/src/store/irowstore.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "store/storetypes.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardinerun::store {
+
+//! Reads and changes rows. Callbacks run on the loop of the caller, never before the call has returned.
+class IRowStore {
+public:
+    virtual ~IRowStore() = default;
+
+    virtual void commit(RowTransaction transaction, std::function<void(CommitResult)> callback) = 0;
+    //! Rows of a part in ascending order of their keys, after the key `after` (empty: from the first).
+    virtual void read(const std::string& table, const std::string& part, const std::string& after,
+        std::function<void(PageResult)> callback)
+        = 0;
+    //! Rows of a table that changed after a version, as soon as there is one, or none when `wait` is over.
+    virtual void changes(const std::string& table, core::RowVersion after, core::Duration wait,
+        std::function<void(PageResult)> callback)
+        = 0;
+};
+
+using IRowStorePtr = std::shared_ptr<IRowStore>;
+
+} // namespace sardinerun::store
--- a/src/telemetry/internal/log.cpp
+++ b/src/telemetry/internal/log.cpp
@@ -1,89 +1,147 @@
 #include "telemetry/log.h"
 
-#include "codec/json.h"
+#include "telemetry/logbuffer.h"
 
 #include <array>
 #include <cstdio>
 #include <ctime>
 #include <glog/logging.h>
+#include <memory>
+#include <string_view>
+#include <sys/time.h>
+#include <unistd.h>
 
 namespace sardinerun::telemetry {
 
 namespace {
 
-//! Writes what glog passes on as one JSON line each.
-class JsonSink : public google::LogSink {
+std::unique_ptr<LogBuffer>& buffer()
+{
+    static std::unique_ptr<LogBuffer> it;
+    return it;
+}
+
+const char* nameOf(Severity it)
+{
+    static constexpr std::array<const char*, 3> names { "INFO", "WARNING", "ERROR" };
+    return names[static_cast<std::size_t>(it)];
+}
+
+void appendQuoted(std::string& to, std::string_view text)
+{
+    to += '"';
+    for (const char c : text) {
+        const auto it = static_cast<unsigned char>(c);
+        if (it >= 0x20 && c != '"' && c != '\\') {
+            to += c;
+            continue;
+        }
+        std::array<char, 8> buf {};
+        std::snprintf(buf.data(), buf.size(), "\\u%04x", it);
+        to += buf.data();
+    }
+    to += '"';
+}
+
+//! Date and time in UTC; the part down to seconds is kept, since most lines share it.
+void appendTime(std::string& to)
+{
+    thread_local time_t lastSecond = 0;
+    thread_local std::array<char, 32> text {};
+    timeval now {};
+    gettimeofday(&now, nullptr);
+    if (now.tv_sec != lastSecond) {
+        lastSecond = now.tv_sec;
+        tm parts {};
+        gmtime_r(&now.tv_sec, &parts);
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    }
+    std::array<char, 16> fraction {};
+    std::snprintf(fraction.data(), fraction.size(), ".%06ldZ", static_cast<long>(now.tv_usec % 1'000'000));
+    to += text.data();
+    to += fraction.data();
+}
+
+//! Takes what libraries write through glog.
+class LibrarySink : public google::LogSink {
 public:
-    void send(google::LogSeverity severity, const char*, const char* file, int line, const google::LogMessageTime& time,
+    void send(google::LogSeverity severity, const char*, const char*, int, const google::LogMessageTime&,
         const char* message, std::size_t length) override
     {
-        const std::string text(message, length);
-        Json::Value fields(Json::objectValue);
-        if (text.starts_with('{'))
-            fields = codec::parseJson(text);
-        else
-            fields["event"] = text;
-        std::array<char, 96> buf {};
-        const tm& at = time.tm();
-        std::snprintf(buf.data(), buf.size(), "%04d-%02d-%02dT%02d:%02d:%02d.%06d%+03ld:00", at.tm_year + 1900,
-            at.tm_mon + 1, at.tm_mday, at.tm_hour, at.tm_min, at.tm_sec, time.usec(), at.tm_gmtoff / 3600);
-        fields["time"] = buf.data();
-        fields["severity"] = google::GetLogSeverityName(severity);
-        if (severity >= google::GLOG_WARNING)
-            fields["source"] = std::string(file) + ":" + std::to_string(line);
-        const std::string out = codec::writeJson(fields) + "\n";
-        std::fwrite(out.data(), 1, out.size(), stderr);
+        LogLine(severity >= google::GLOG_WARNING ? Severity::Warning : Severity::Info, "library")
+            .with("text", std::string(message, length));
     }
 };
 
-JsonSink& sink()
-{
-    static JsonSink it;
-    return it;
-}
-
 } // namespace
 
 void startLogging(const std::string& program)
 {
     // glog keeps the pointer, so the name must outlive it.
     static std::string name;
+    static LibrarySink sink;
     name = program;
+    buffer() = std::make_unique<LogBuffer>(STDOUT_FILENO);
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
         google::SetLogDestination(severity, ""); // no files: the VMs have no disks
     google::SetStderrLogging(google::NUM_SEVERITIES);
-    FLAGS_timestamp_in_logfile_name = false;
-    google::AddLogSink(&sink());
+    google::AddLogSink(&sink);
     google::InitGoogleLogging(name.c_str());
 }
 
+void flushLog()
+{
+    if (buffer())
+        buffer()->flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return buffer() ? buffer()->dropped() : 0;
+}
+
 LogLine::LogLine(Severity severity, const char* event)
     : m_severity(severity)
+    , m_text("{\"event\":")
 {
-    m_fields["event"] = event;
+    appendQuoted(m_text, event);
 }
 
 LogLine& LogLine::with(const char* name, const std::string& value)
 {
-    m_fields[name] = value;
+    m_text += ',';
+    appendQuoted(m_text, name);
+    m_text += ':';
+    appendQuoted(m_text, value);
     return *this;
 }
 
+LogLine& LogLine::with(const char* name, const char* value)
+{
+    return with(name, std::string(value));
+}
+
 LogLine& LogLine::with(const char* name, std::int64_t value)
 {
-    m_fields[name] = Json::Int64(value);
+    m_text += ',';
+    appendQuoted(m_text, name);
+    m_text += ':';
+    m_text += std::to_string(value);
     return *this;
 }
 
 LogLine::~LogLine()
 {
-    const std::string text = codec::writeJson(m_fields);
-    if (m_severity == Severity::Info)
-        LOG(INFO) << text;
-    else if (m_severity == Severity::Warning)
-        LOG(WARNING) << text;
-    else
-        LOG(ERROR) << text;
+    if (!buffer())
+        return;
+    m_text += ",\"time\":\"";
+    appendTime(m_text);
+    m_text += "\",\"severity\":\"";
+    m_text += nameOf(m_severity);
+    m_text += "\"}\n";
+    buffer()->append(m_text);
+    if (m_severity != Severity::Info)
+        buffer()->flush();
 }
 
 } // namespace sardinerun::telemetry
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -22,7 +22,7 @@
 };
 
 //! In the order of the enumeration.
-constexpr std::array<Definition, 27> definitions { {
+constexpr std::array<Definition, 35> definitions { {
     { Metric::Requests, Kind::Counter, "sardinerun_requests_total", "Requests to services by outcome" },
     { Metric::RequestSeconds, Kind::Histogram, "sardinerun_request_seconds", "Time from a request to its answer" },
     { Metric::RequestWaitSeconds, Kind::Histogram, "sardinerun_request_wait_seconds", "Time until a slot was free" },
@@ -50,6 +50,14 @@
     { Metric::InnerBytes, Kind::Counter, "sardinerun_inner_bytes_total", "Bytes of messages between nodes" },
     { Metric::ProcessCpuSeconds, Kind::Gauge, "sardinerun_process_cpu_seconds", "Processor time of the process" },
     { Metric::ProcessMemoryBytes, Kind::Gauge, "sardinerun_process_memory_bytes", "Resident memory of the process" },
+    { Metric::WorkAccepted, Kind::Counter, "sardinerun_work_accepted_total", "Workflows accepted by this leader" },
+    { Metric::WorkRefused, Kind::Counter, "sardinerun_work_refused_total", "Workflows refused by this leader" },
+    { Metric::WorkAcceptSeconds, Kind::Histogram, "sardinerun_work_accept_seconds", "Time until a workflow is kept" },
+    { Metric::WorkStartSeconds, Kind::Histogram, "sardinerun_work_start_seconds", "Time until its first task runs" },
+    { Metric::WorkJobSeconds, Kind::Histogram, "sardinerun_work_job_seconds", "Time until its end is kept" },
+    { Metric::WorkStarts, Kind::Counter, "sardinerun_work_starts_total", "Starts ordered by this leader" },
+    { Metric::Leading, Kind::Gauge, "sardinerun_leading", "1 while this node leads" },
+    { Metric::LogLinesDropped, Kind::Gauge, "sardinerun_log_lines_dropped", "Log lines that found no room" },
 } };
 
 const Definition& definitionOf(Metric metric)
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -34,7 +34,15 @@
     InnerMessages,
     InnerBytes,
     ProcessCpuSeconds,
-    ProcessMemoryBytes
+    ProcessMemoryBytes,
+    WorkAccepted,
+    WorkRefused,
+    WorkAcceptSeconds,
+    WorkStartSeconds,
+    WorkJobSeconds,
+    WorkStarts,
+    Leading,
+    LogLinesDropped
 };
 
 using Labels = std::map<std::string, std::string>;
--- a/src/telemetry/tests/telemetry_tests.cpp
+++ b/src/telemetry/tests/telemetry_tests.cpp
@@ -1,8 +1,11 @@
 #define BOOST_TEST_MODULE telemetry
+#include "telemetry/logbuffer.h"
 #include "telemetry/metrics.h"
 #include "telemetry/trace.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <unistd.h>
 
 using namespace sardinerun::telemetry;
 
@@ -36,3 +39,30 @@
     BOOST_TEST(text.find("sardinerun_requests_total{outcome=\"answered\",service=\"labdesk\"} 2") != std::string::npos);
     BOOST_TEST(text.find("sardinerun_store_up 1") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(logLinesAreDroppedAndCountedWhenNobodyReads)
+{
+    int pipeEnds[2] = {};
+    BOOST_REQUIRE(pipe(pipeEnds) == 0);
+    LogBuffer buffer(pipeEnds[1]);
+    const std::string line(1000, 'x');
+    // The pipe takes 64 KiB, the buffer its bound; all else is dropped, and nothing waits.
+    for (int n = 0; n < 1000; ++n)
+        buffer.append(line + "\n");
+    BOOST_TEST(buffer.dropped() > 0u);
+    fcntl(pipeEnds[0], F_SETFL, O_NONBLOCK);
+    std::string bytes(60'000, '\0');
+    std::string all;
+    const auto readAll = [&] {
+        for (int n = 0; n < 100; ++n) {
+            buffer.flush();
+            const ssize_t got = read(pipeEnds[0], bytes.data(), bytes.size());
+            all.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+        }
+    };
+    readAll();
+    buffer.append("last\n");
+    readAll();
+    BOOST_TEST(all.find("log-lines-dropped") != std::string::npos);
+    BOOST_TEST(all.ends_with("last\n"));
+}
--- /dev/null
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -0,0 +1,327 @@
+#include "workflow/workflowcodec.h"
+
+#include "codec/json.h"
+
+namespace sardinerun::workflow {
+
+namespace {
+
+using codec::DecodeError;
+
+constexpr std::uint32_t maxTasks = 1'000'000; //!< of one job; guards memory against a damaged record
+
+std::int64_t ms(core::Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
+std::int64_t us(core::Duration it)
+{
+    return it.count();
+}
+
+Json::Value number(std::int64_t it)
+{
+    return Json::Int64(it);
+}
+
+//! Reads members that this module wrote itself; a missing one is its default, a wrong one throws.
+class Fields {
+public:
+    explicit Fields(const Json::Value& value)
+        : m_value(value)
+    {
+        if (!value.isObject())
+            throw DecodeError("", "must be an object");
+    }
+    std::int64_t integer(const char* name) const
+    {
+        const Json::Value& it = m_value[name];
+        if (it.isNull())
+            return 0;
+        if (!it.isInt64())
+            throw DecodeError(name, "must be a whole number");
+        return it.asInt64();
+    }
+    std::uint32_t count(const char* name) const
+    {
+        const std::int64_t it = integer(name);
+        if (it < 0 || it > std::int64_t(maxTasks))
+            throw DecodeError(name, "out of range");
+        return static_cast<std::uint32_t>(it);
+    }
+    std::string text(const char* name) const
+    {
+        const Json::Value& it = m_value[name];
+        if (it.isNull())
+            return "";
+        if (!it.isString())
+            throw DecodeError(name, "must be a text");
+        return it.asString();
+    }
+    bool flag(const char* name) const { return integer(name) != 0; }
+    core::Duration millis(const char* name) const { return std::chrono::milliseconds(integer(name)); }
+    core::Duration micros(const char* name) const { return core::Duration(integer(name)); }
+    const Json::Value& list(const char* name) const
+    {
+        const Json::Value& it = m_value[name];
+        if (!it.isNull() && !it.isArray())
+            throw DecodeError(name, "must be a list");
+        return it;
+    }
+    const Json::Value& raw(const char* name) const { return m_value[name]; }
+
+private:
+    const Json::Value& m_value;
+};
+
+void put(Json::Value& to, const char* name, std::int64_t value)
+{
+    if (value != 0)
+        to[name] = number(value);
+}
+
+void put(Json::Value& to, const char* name, const std::string& value)
+{
+    if (!value.empty())
+        to[name] = value;
+}
+
+Json::Value encodeStep(const StepSpec& it)
+{
+    Json::Value to(Json::objectValue);
+    put(to, "count", it.count);
+    put(to, "cpu", it.need.cpu.value());
+    put(to, "memory", it.need.memory.value());
+    put(to, "accelerators", it.need.accelerators.value());
+    put(to, "estimateMs", ms(it.estimate));
+    for (const std::uint32_t n : it.after)
+        to["after"].append(n);
+    put(to, "gang", std::int64_t(it.isGang));
+    put(to, "shareRack", std::int64_t(it.mustShareRack));
+    put(to, "label", it.requiredLabel);
+    put(to, "dataRack", it.dataRack);
+    put(to, "maxPerWorker", it.maxPerWorker);
+    put(to, "checkpoints", std::int64_t(it.savesCheckpoints));
+    put(to, "mayRunTwice", std::int64_t(it.mayRunTwice));
+    put(to, "longRunning", std::int64_t(it.isLongRunning));
+    put(to, "image", it.image);
+    put(to, "latencyTargetMs", ms(it.latencyTarget));
+    put(to, "leftOverCpu", std::int64_t(it.usesLeftOverCpu));
+    put(to, "maxUnavailable", it.maxUnavailable);
+    return to;
+}
+
+StepSpec decodeStep(const Json::Value& from)
+{
+    const Fields fields(from);
+    StepSpec it;
+    it.count = fields.count("count");
+    it.need.cpu = core::MilliCpu(fields.integer("cpu"));
+    it.need.memory = core::MebiBytes(fields.integer("memory"));
+    it.need.accelerators = core::Accelerators(fields.integer("accelerators"));
+    it.estimate = fields.millis("estimateMs");
+    for (const Json::Value& n : fields.list("after"))
+        it.after.push_back(n.asUInt());
+    it.isGang = fields.flag("gang");
+    it.mustShareRack = fields.flag("shareRack");
+    it.requiredLabel = fields.text("label");
+    it.dataRack = fields.text("dataRack");
+    it.maxPerWorker = fields.count("maxPerWorker");
+    it.savesCheckpoints = fields.flag("checkpoints");
+    it.mayRunTwice = fields.flag("mayRunTwice");
+    it.isLongRunning = fields.flag("longRunning");
+    it.image = fields.text("image");
+    it.latencyTarget = fields.millis("latencyTargetMs");
+    it.usesLeftOverCpu = fields.flag("leftOverCpu");
+    it.maxUnavailable = fields.count("maxUnavailable");
+    return it;
+}
+
+Json::Value encodeQueue(const QueuePolicy& it)
+{
+    Json::Value to(Json::objectValue);
+    put(to, "name", it.name);
+    put(to, "host", it.host);
+    put(to, "prefix", it.pathPrefix);
+    put(to, "service", it.service.value());
+    put(to, "priority", it.priority);
+    put(to, "maxAttempts", it.maxAttempts);
+    put(to, "stretchThousandths", std::int64_t(it.stretch * 1000));
+    put(to, "latencyTargetMs", ms(it.latencyTarget));
+    if (it.advice) {
+        put(to, "adviceUs", us(it.advice->perQuestion));
+        put(to, "advicePerWorkerUs", us(it.advice->perWorker));
+        put(to, "adviceValidUs", us(it.advice->validity));
+    }
+    return to;
+}
+
+QueuePolicy decodeQueue(const Json::Value& from)
+{
+    const Fields fields(from);
+    QueuePolicy it;
+    it.name = fields.text("name");
+    it.host = fields.text("host");
+    it.pathPrefix = fields.text("prefix");
+    it.service = core::ServiceId(fields.text("service"));
+    it.priority = static_cast<int>(fields.integer("priority"));
+    it.maxAttempts = fields.count("maxAttempts");
+    it.stretch = double(fields.integer("stretchThousandths")) / 1000;
+    it.latencyTarget = fields.millis("latencyTargetMs");
+    if (fields.integer("adviceValidUs") > 0)
+        it.advice
+            = AdviceTerms { fields.micros("adviceUs"), fields.micros("advicePerWorkerUs"), fields.micros("adviceValidUs") };
+    return it;
+}
+
+//! One character a task: 'd' when done, else the count of its failures, at most 9.
+std::string encodeStage(const StageProgress& it)
+{
+    std::string text;
+    for (std::size_t n = 0; n < it.done.size(); ++n)
+        text += it.done[n] ? 'd' : static_cast<char>('0' + std::min<std::uint32_t>(9, it.failures[n]));
+    return text;
+}
+
+StageProgress decodeStage(const std::string& text)
+{
+    StageProgress it;
+    for (const char c : text) {
+        if (c != 'd' && (c < '0' || c > '9'))
+            throw DecodeError("stages", "unknown mark of a task");
+        it.done.push_back(c == 'd');
+        it.failedRun.push_back(0);
+        it.failures.push_back(c == 'd' ? 0 : static_cast<std::uint32_t>(c - '0'));
+    }
+    return it;
+}
+
+Json::Value encodeFailedRun(std::size_t stage, std::size_t task, std::int64_t run)
+{
+    Json::Value to(Json::arrayValue);
+    to.append(Json::UInt64(stage));
+    to.append(Json::UInt64(task));
+    to.append(number(run));
+    return to;
+}
+
+void decodeFailedRun(const Json::Value& from, std::vector<StageProgress>& stages)
+{
+    if (!from.isArray() || from.size() != 3)
+        throw DecodeError("failed", "must be a stage, a task and a run");
+    const std::size_t stage = from[0].asUInt();
+    const std::size_t task = from[1].asUInt();
+    if (stage >= stages.size() || task >= stages[stage].failedRun.size())
+        throw DecodeError("failed", "names no task");
+    stages[stage].failedRun[task] = from[2].asInt64();
+}
+
+template <class Enum> Enum decodeEnum(const Fields& fields, const char* name, Enum last)
+{
+    const std::int64_t it = fields.integer(name);
+    if (it < 0 || it > std::int64_t(last))
+        throw DecodeError(name, "out of range");
+    return static_cast<Enum>(it);
+}
+
+} // namespace
+
+Json::Value encodeSpec(const JobSpec& it)
+{
+    Json::Value to(Json::objectValue);
+    put(to, "id", it.id.value());
+    put(to, "payload", it.payload);
+    for (const StepSpec& step : it.steps)
+        to["steps"].append(encodeStep(step));
+    put(to, "occurrences", it.occurrences);
+    put(to, "firstDueAt", it.firstDueAt.value());
+    put(to, "intervalMs", ms(it.interval));
+    return to;
+}
+
+JobSpec decodeSpec(const Json::Value& from)
+{
+    const Fields fields(from);
+    JobSpec it;
+    it.id = core::JobId(fields.text("id"));
+    it.payload = fields.text("payload");
+    for (const Json::Value& step : fields.list("steps"))
+        it.steps.push_back(decodeStep(step));
+    it.occurrences = fields.count("occurrences");
+    it.firstDueAt = core::WallTime(fields.integer("firstDueAt"));
+    it.interval = fields.millis("intervalMs");
+    if (taskCount(it) > maxTasks)
+        throw DecodeError("steps", "too many tasks");
+    return it;
+}
+
+std::string encodeJob(const JobRecord& it)
+{
+    Json::Value to(Json::objectValue);
+    to["spec"] = encodeSpec(it.spec);
+    to["queue"] = encodeQueue(it.queue);
+    to["acceptedAt"] = number(it.acceptedAt.value());
+    return codec::writeJson(to);
+}
+
+JobRecord decodeJob(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    const Fields fields(value);
+    JobRecord it;
+    it.spec = decodeSpec(fields.raw("spec"));
+    it.queue = decodeQueue(fields.raw("queue"));
+    it.acceptedAt = core::WallTime(fields.integer("acceptedAt"));
+    for (std::size_t n = 0; n < stageCount(it.spec); ++n) {
+        const std::uint32_t count = it.spec.steps[n % it.spec.steps.size()].count;
+        it.stages.push_back({ std::vector<bool>(count, false), std::vector<std::uint32_t>(count, 0),
+            std::vector<std::int64_t>(count, 0) });
+    }
+    return it;
+}
+
+std::string encodeProgress(const JobRecord& it)
+{
+    Json::Value to(Json::objectValue);
+    put(to, "state", std::int64_t(it.state));
+    if (isFinal(it.state)) {
+        // The fixed part is dropped with the end, so what answers callers afterwards stands here.
+        put(to, "queue", it.queue.name);
+        put(to, "endedAt", it.acceptedAt.value());
+        return codec::writeJson(to);
+    }
+    for (std::size_t n = 0; n < it.stages.size(); ++n) {
+        to["stages"].append(encodeStage(it.stages[n]));
+        for (std::size_t k = 0; k < it.stages[n].failedRun.size(); ++k) {
+            if (it.stages[n].failedRun[k] > 0)
+                to["failed"].append(encodeFailedRun(n, k, it.stages[n].failedRun[k]));
+        }
+    }
+    return codec::writeJson(to);
+}
+
+void decodeProgress(std::string_view text, JobRecord& record)
+{
+    const Json::Value value = codec::parseJson(text);
+    const Fields fields(value);
+    record.state = decodeEnum(fields, "state", JobState::Cancelled);
+    if (isFinal(record.state)) {
+        record.queue.name = fields.text("queue");
+        record.acceptedAt = core::WallTime(fields.integer("endedAt"));
+        return;
+    }
+    const Json::Value& stages = fields.list("stages");
+    if (stages.size() != record.stages.size())
+        throw DecodeError("stages", "do not match the steps");
+    for (Json::ArrayIndex n = 0; n < stages.size(); ++n) {
+        StageProgress stage = decodeStage(stages[n].asString());
+        if (stage.done.size() != record.stages[n].done.size())
+            throw DecodeError("stages", "do not match the tasks");
+        record.stages[n] = std::move(stage);
+    }
+    for (const Json::Value& it : fields.list("failed"))
+        decodeFailedRun(it, record.stages);
+}
+
+} // namespace sardinerun::workflow
--- /dev/null
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -0,0 +1,65 @@
+#include "workflow/workflowtypes.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sardinerun::workflow {
+
+const QueuePolicy* QueueConfig::find(const std::string& host, const std::string& path) const
+{
+    const QueuePolicy* best = nullptr;
+    for (const QueuePolicy& it : queues) {
+        const bool fits = it.host == host && path.starts_with(it.pathPrefix);
+        if (fits && (!best || it.pathPrefix.size() > best->pathPrefix.size()))
+            best = &it;
+    }
+    return best;
+}
+
+const QueuePolicy* QueueConfig::findByName(const std::string& name) const
+{
+    const auto it = std::find_if(queues.begin(), queues.end(), [&name](const auto& entry) { return entry.name == name; });
+    return it == queues.end() ? nullptr : &*it;
+}
+
+const char* nameOf(JobState it)
+{
+    static constexpr std::array<const char*, 5> names { "pending", "running", "completed", "failed", "cancelled" };
+    return names[static_cast<std::size_t>(it)];
+}
+
+const char* nameOf(WorkOutcome it)
+{
+    static constexpr std::array<const char*, 9> names { "accepted", "refused", "no-queue", "no-job", "found",
+        "cancelled", "counted", "not-now", "uncertain" };
+    return names[static_cast<std::size_t>(it)];
+}
+
+std::size_t stageCount(const JobSpec& spec)
+{
+    return spec.steps.size() * std::max<std::uint32_t>(1, spec.occurrences);
+}
+
+std::size_t taskCount(const JobSpec& spec)
+{
+    std::size_t n = 0;
+    for (const StepSpec& it : spec.steps)
+        n += it.count;
+    return n * std::max<std::uint32_t>(1, spec.occurrences);
+}
+
+core::Duration longestChain(const JobSpec& spec)
+{
+    std::vector<core::Duration> ends;
+    core::Duration longest {};
+    for (const StepSpec& step : spec.steps) {
+        core::Duration begin {};
+        for (const std::uint32_t n : step.after)
+            begin = std::max(begin, n < ends.size() ? ends[n] : core::Duration());
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace sardinerun::workflow
