--- a/src/app/internal/output.cpp
+++ b/src/app/internal/output.cpp
@@ -22,8 +22,11 @@
     if (!value.isArray())
         return value.asString();
     std::string joined;
-    for (const Json::Value& it : value)
-        joined += (joined.empty() ? "" : ",") + it.asString();
+    for (const Json::Value& it : value) {
+        if (!joined.empty())
+            joined += ',';
+        joined += it.asString();
+    }
     return joined.empty() ? "-" : joined;
 }
 
