Write waiting records at once; let runs of unknown size block their worker

Cause: a record that was put while the next beat was awaited waited for that beat (up to 800 ms); after a take-over a run of a cancelled job counted as taking nothing. Change: an earlier wake replaces a later one; a run of an unknown job takes all of its worker's room. Ruled out: the store's own time (6 ms a transaction).

--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -76,10 +76,17 @@
 
 void LeaderLog::wake(core::Duration delay)
 {
-    if (m_isInFlight || m_isStopped || std::exchange(m_isWakeSet, true))
+    if (m_isInFlight || m_isStopped)
         return;
-    const core::Duration spacing = m_sentAt + m_times.groupInterval - m_loop->now();
-    m_loop->callAfter(std::max({ delay, spacing, core::Duration(0) }), [self = weak_from_this()] {
+    const core::TimePoint now = m_loop->now();
+    const core::TimePoint at = std::max(now + delay, m_sentAt + m_times.groupInterval);
+    if (m_isWakeSet && m_wakeAt <= at)
+        return;
+    if (m_isWakeSet)
+        m_loop->cancel(m_wakeTimer);
+    m_isWakeSet = true;
+    m_wakeAt = at;
+    m_wakeTimer = m_loop->callAfter(std::max(at - now, core::Duration(0)), [self = weak_from_this()] {
         if (const auto it = self.lock())
             it->onWake();
     });
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -79,6 +79,8 @@
     bool m_mayBeWritten = false; //!< an answer for the open group was lost
     bool m_isInFlight = false;
     bool m_isWakeSet = false;
+    core::TimePoint m_wakeAt {};
+    runtime::TimerId m_wakeTimer;
     bool m_isStopped = false;
     bool m_isUp = true;
     std::uint64_t m_lastRevision = 0;
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -198,7 +198,8 @@
             const auto taken = m_hooks.adopt(*this, entry);
             WorkerRun run;
             run.state = taken ? WorkerRun::State::Running : WorkerRun::State::Stopping;
-            run.taken = taken.value_or(core::Resources());
+            // How much room a run of an unknown job takes is not known: until it has ended, nothing else starts here.
+            run.taken = taken.value_or(m_entry.capacity);
             run.since = now;
             run.settledAt = now;
             run.progressAt = now;
