Keep failed runs as sets, hold tasks back while former runs are stopped, tell who leads between nodes

Change: sets of failed runs; the gang's run is that of its live members; a task waits for former runs; nodes that lend turns learn of one another and ask who leads. Ruled out: lost records (the rows were there).

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -106,7 +106,8 @@
     desk = dispatch::WorkDesk::create(loop, client, lead->address());
     if (settings.advice.port > 0)
         lender = dispatch::Lender::create(
-            loop, client, lead->address(), platform::createAdvicePort(client, settings.advice), settings.node);
+            loop, client, lead->address(), platform::createAdvicePort(client, settings.advice), settings.node,
+            settings.inner);
 }
 
 void DispatchNode::Parts::onNews(const dispatch::LeaderNews& news)
@@ -197,15 +198,12 @@
 
 void DispatchNode::Parts::handleLeading(const http::Request& request, http::Responder responder)
 {
-    const std::string text = http::queryParameter(request.query, "term").value_or("");
-    const bool isNumber = !text.empty() && text.size() < 19 && text.find_first_not_of("0123456789") == std::string::npos;
-    if (!isNumber) {
-        responder.send({ 400, {}, "", {} });
-        return;
-    }
-    auto reply = [responder](bool leads) mutable { responder.send({ 200, {}, leads ? "1" : "0", {} }); };
-    lead->address().send(
-        dispatch::TermSeen { core::Epoch(std::stoull(text)), runtime::Reply<bool>(loop, std::move(reply)) });
+    const protocol::LeaderHint asker = protocol::decodeHint(request.body);
+    auto reply = [responder](const protocol::LeaderHint& hint) mutable {
+        responder.send({ 200, {}, protocol::encodeHint(hint), {} });
+    };
+    lead->address().send(dispatch::AskLeader { asker.isLeading ? asker.leader : std::nullopt,
+        runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
 }
 
 void DispatchNode::Parts::flushForever()
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -37,13 +37,24 @@
     runtime::Reply<bool> reply;
 };
 
-//! Another node has won a term; a leadership of an earlier one is over.
-struct TermSeen {
+//! Another node asks what this one knows of the leadership. When it says that it has won a later term, a leadership of
+//! this node is over.
+struct AskLeader {
+    std::optional<lead::LeaderRow> asker; //!< when the asker leads
+    runtime::Reply<protocol::LeaderHint> reply;
+};
+
+//! Nodes that may know the leader when the store does not tell.
+struct NodesSeen {
+    std::vector<core::HostPort> nodes;
+};
+
+//! The known leader does not answer, or says that it does not lead.
+struct LeaderDoubted {
     core::Epoch term;
-    runtime::Reply<bool> leads; //!< whether this node still leads
 };
 
-using LeadMessage = std::variant<AskWork, OfferTurn, workflow::QueueConfigPtr, Retire, TermSeen>;
+using LeadMessage = std::variant<AskWork, OfferTurn, workflow::QueueConfigPtr, Retire, AskLeader, NodesSeen, LeaderDoubted>;
 using DeskMessage = std::variant<AskWork, LeaderNews>;
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -10,6 +10,10 @@
 using telemetry::LogLine;
 using telemetry::Severity;
 
+//! Between two questions to other nodes, while no leader is known or the known one is silent.
+constexpr core::Duration lookPeriod = std::chrono::milliseconds(250);
+//! A node that has not lent a turn for so long is not told to others.
+constexpr core::Duration lenderMemory = std::chrono::seconds(10);
 constexpr core::Duration formerRetry = std::chrono::milliseconds(400);
 constexpr core::Duration formerPatience = std::chrono::milliseconds(500);
 
@@ -41,6 +45,7 @@
     m_election = lead::Election::create(loop(), m_parts.store, m_parts.self, m_parts.address, m_parts.leadTimes,
         m_parts.handicap, std::move(hooks));
     m_election->start();
+    every(lookPeriod, [this] { lookForLeader(); });
 }
 
 void LeadTask::receive(LeadMessage message)
@@ -62,7 +67,14 @@
             .with("released", std::int64_t(leader && leader->isReleased));
     m_leader = leader;
     if (isNew && (isOther || !leader))
-        m_parts.news({ leader && !leader->isReleased ? leader : std::nullopt, false });
+        tellNews(leader && !leader->isReleased ? leader : std::nullopt);
+}
+
+void LeadTask::tellNews(const std::optional<lead::LeaderRow>& leader)
+{
+    m_told = leader;
+    m_isDoubted = false;
+    m_parts.news({ leader, m_engine != nullptr });
 }
 
 void LeadTask::onWon(const lead::Won& won)
@@ -96,27 +108,66 @@
         if (it && it->m_engine && it->m_term == term)
             it->m_engine->setWorkers(entries);
     });
-    m_parts.news({ won.leader, true });
+    tellNews(won.leader);
     if (won.hadFormer && !won.isFormerReleased)
         askFormer(won.formerAddress, m_term);
 }
 
+void LeadTask::askNode(
+    const core::HostPort& node, std::function<void(const std::optional<protocol::LeaderHint>&)> answered)
+{
+    http::ClientRequest request;
+    request.to = node;
+    request.method = "POST";
+    request.target = protocol::leadingPath;
+    request.body = protocol::encodeHint({ m_engine != nullptr, m_engine ? m_told : std::nullopt });
+    request.timeout = formerPatience;
+    m_parts.client->send(std::move(request), [answered = std::move(answered)](const http::ClientResult& result) {
+        if (!result || result.value().status != 200) {
+            answered(std::nullopt);
+            return;
+        }
+        try {
+            answered(protocol::decodeHint(result.value().body));
+        } catch (const codec::DecodeError& error) {
+            LogLine(Severity::Warning, "hint-unreadable").with("why", error.what());
+            answered(std::nullopt);
+        }
+    });
+}
+
+void LeadTask::lookForLeader()
+{
+    if (m_engine || (m_told && !m_isDoubted) || m_nodes.empty())
+        return;
+    const core::HostPort node = m_nodes[m_nextNode++ % m_nodes.size()];
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
+    askNode(node, [weak](const std::optional<protocol::LeaderHint>& hint) {
+        const auto it = weak.lock();
+        const bool isNews = it && hint && hint->leader && !it->m_engine
+            && (!it->m_told || hint->leader->term > it->m_told->term)
+            && (!it->m_leader || hint->leader->term > it->m_leader->term);
+        if (!isNews || hint->leader->isReleased)
+            return;
+        LogLine(Severity::Info, "leader-hinted")
+            .with("node", hint->leader->node.value())
+            .with("term", std::int64_t(hint->leader->term.value()));
+        it->tellNews(hint->leader);
+    });
+}
+
 void LeadTask::askFormer(const core::HostPort& former, core::Epoch term)
 {
     if (former == m_parts.address) {
         m_engine->setFormerGone();
         return;
     }
-    http::ClientRequest request;
-    request.to = former;
-    request.target = std::string(protocol::leadingPath) + "?term=" + std::to_string(term.value());
-    request.timeout = formerPatience;
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    m_parts.client->send(std::move(request), [weak, former, term](const http::ClientResult& result) {
+    askNode(former, [weak, former, term](const std::optional<protocol::LeaderHint>& hint) {
         const auto it = weak.lock();
         if (!it || !it->m_engine || it->m_term != term)
             return;
-        if (result && result.value().status == 200 && result.value().body == "0") {
+        if (hint && !hint->isLeading) {
             LogLine(Severity::Info, "former-leader-gone").with("address", former.text());
             it->m_engine->setFormerGone();
             return;
@@ -144,7 +195,7 @@
     m_register.reset();
     m_engine.reset();
     m_advice.reset();
-    m_parts.news({ std::nullopt, false });
+    tellNews(std::nullopt);
 }
 
 void LeadTask::take(AskWork message)
@@ -165,12 +216,17 @@
         message.reply.send({});
         return;
     }
+    m_lenders[message.turn.address] = now();
     if (message.turn.question > 0 && message.turn.result)
         m_advice->answer(message.turn.question, *message.turn.result);
     auto reply = std::make_shared<runtime::Reply<protocol::LentTurn>>(std::move(message.reply));
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
     m_advice->lend(message.turn.node,
-        [reply](scheduling::AdviceDesk::QuestionId id, const fleet::AdviceQuestion& question) {
-            reply->send({ id, question });
+        [reply, weak](scheduling::AdviceDesk::QuestionId id, const fleet::AdviceQuestion& question) {
+            protocol::LentTurn turn { id, question, {} };
+            const auto it = weak.lock();
+            // A turn without a question has time to tell who else there is.
+            reply->send(id == 0 && it ? it->withNodes(std::move(turn)) : std::move(turn));
         });
 }
 
@@ -205,11 +261,38 @@
     });
 }
 
-void LeadTask::take(TermSeen message)
+void LeadTask::take(AskLeader message)
 {
-    if (m_engine && message.term > m_term)
+    const auto& asker = message.asker;
+    if (m_engine && asker && asker->term > m_term)
         onDeposed("another node has won a later term");
-    message.leads.send(m_engine != nullptr);
+    const bool isNews = asker && !m_engine && (!m_told || asker->term > m_told->term)
+        && (!m_leader || asker->term >= m_leader->term);
+    if (isNews)
+        tellNews(asker);
+    message.reply.send({ m_engine != nullptr, m_told });
+}
+
+void LeadTask::take(NodesSeen message)
+{
+    std::erase(message.nodes, m_parts.address);
+    m_nodes = std::move(message.nodes);
+}
+
+void LeadTask::take(LeaderDoubted message)
+{
+    if (!m_engine && m_told && m_told->term == message.term)
+        m_isDoubted = true;
+}
+
+protocol::LentTurn LeadTask::withNodes(protocol::LentTurn turn)
+{
+    const core::TimePoint oldest = now() - lenderMemory;
+    std::erase_if(m_lenders, [oldest](const auto& it) { return it.second < oldest; });
+    turn.nodes.push_back(m_parts.address);
+    for (const auto& [address, at] : m_lenders)
+        turn.nodes.push_back(address);
+    return turn;
 }
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/internal/lender.cpp
+++ b/src/dispatch/internal/lender.cpp
@@ -13,59 +13,68 @@
 } // namespace
 
 LenderPtr Lender::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
-    fleet::IAdvicePortPtr advice, core::NodeId self)
+    fleet::IAdvicePortPtr advice, core::NodeId self,
+    core::HostPort address)
 {
-    return std::make_shared<Lender>(
-        std::move(loop), std::move(client), std::move(local), std::move(advice), std::move(self));
+    return std::make_shared<Lender>(std::move(loop), std::move(client), std::move(local), std::move(advice),
+        std::move(self), std::move(address));
 }
 
 Lender::Lender(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
-    fleet::IAdvicePortPtr advice, core::NodeId self)
+    fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
     : Task(loop)
-    , m_link(loop, std::move(client), std::move(local))
+    , m_link(loop, std::move(client), local)
     , m_advice(std::move(advice))
     , m_self(std::move(self))
+    , m_address(std::move(address))
+    , m_local(std::move(local))
 {
 }
 
 void Lender::receive(LeaderNews news)
 {
-    const bool wasCurrent = news.leader && isCurrent(news.leader->term);
+    const auto& known = m_link.leader().leader;
+    const bool isNew = news.leader && (!known || known->term != news.leader->term);
     m_link.setLeader(news);
-    if (news.leader && !wasCurrent)
-        offer(news.leader->term, 0, std::nullopt);
-}
-
-bool Lender::isCurrent(core::Epoch term) const
-{
-    return m_link.leader().leader && m_link.leader().leader->term == term;
+    if (!isNew)
+        return;
+    ++m_round;
+    offer(0, std::nullopt);
 }
 
-void Lender::offer(core::Epoch term, std::uint64_t question, std::optional<fleet::AdviceResult> result)
+void Lender::offer(std::uint64_t question, std::optional<fleet::AdviceResult> result)
 {
-    if (!isCurrent(term))
+    if (!m_link.leader().leader)
         return; // the news of the next leader begins anew
-    protocol::LendTurn turn { m_self, term, question, std::move(result) };
-    m_link.lend(turn, [weak = weak_from_this(), term, sentAt = now()](const std::optional<protocol::LentTurn>& lent) {
-        if (const auto it = std::static_pointer_cast<Lender>(weak.lock()))
-            it->onLent(term, lent, sentAt);
-    });
+    protocol::LendTurn turn { m_self, m_address, m_link.leader().leader->term, question, std::move(result) };
+    m_link.lend(turn,
+        [weak = weak_from_this(), round = m_round, sentAt = now()](const std::optional<protocol::LentTurn>& lent) {
+            const auto it = std::static_pointer_cast<Lender>(weak.lock());
+            if (it && it->m_round == round)
+                it->onLent(lent, sentAt);
+        });
 }
 
-void Lender::onLent(core::Epoch term, const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt)
+void Lender::onLent(const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt)
 {
+    if (turn && !turn->nodes.empty())
+        m_local.send(NodesSeen { turn->nodes });
     if (!turn || turn->question == 0) {
         const bool isLost = !turn || now() - sentAt < quickAnswer;
-        loop()->callAfter(isLost ? retryPause : core::Duration(0), [weak = weak_from_this(), term] {
-            if (const auto it = std::static_pointer_cast<Lender>(weak.lock()))
-                it->offer(term, 0, std::nullopt);
+        if (isLost && m_link.leader().leader)
+            m_local.send(LeaderDoubted { m_link.leader().leader->term });
+        loop()->callAfter(isLost ? retryPause : core::Duration(0), [weak = weak_from_this(), round = m_round] {
+            const auto it = std::static_pointer_cast<Lender>(weak.lock());
+            if (it && it->m_round == round)
+                it->offer(0, std::nullopt);
         });
         return;
     }
     m_advice->ask(turn->asked,
-        [weak = weak_from_this(), term, question = turn->question](const fleet::AdviceResult& result) {
-            if (const auto it = std::static_pointer_cast<Lender>(weak.lock()))
-                it->offer(term, question, result);
+        [weak = weak_from_this(), round = m_round, question = turn->question](const fleet::AdviceResult& result) {
+            const auto it = std::static_pointer_cast<Lender>(weak.lock());
+            if (it && it->m_round == round)
+                it->offer(question, result);
         });
 }
 
--- a/src/dispatch/leadtask.h
+++ b/src/dispatch/leadtask.h
@@ -38,12 +38,20 @@
     void onWon(const lead::Won& won);
     void onDeposed(const std::string& why);
     void endLeadership();
+    //! Asks a node what it knows; a leader tells it of its term by that.
+    void askNode(const core::HostPort& node, std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
     void askFormer(const core::HostPort& former, core::Epoch term);
+    //! Asks other nodes who leads, while the store does not tell.
+    void lookForLeader();
+    void tellNews(const std::optional<lead::LeaderRow>& leader);
+    protocol::LentTurn withNodes(protocol::LentTurn turn);
     void take(AskWork message);
     void take(OfferTurn message);
     void take(workflow::QueueConfigPtr config);
     void take(Retire message);
-    void take(TermSeen message);
+    void take(AskLeader message);
+    void take(NodesSeen message);
+    void take(LeaderDoubted message);
 
     LeadParts m_parts;
     lead::ElectionPtr m_election;
@@ -53,6 +61,11 @@
     workflow::QueueConfigPtr m_config;
     std::optional<lead::LeaderRow> m_leader; //!< the last one that was seen
     core::Epoch m_term; //!< of this node's leadership
+    std::optional<lead::LeaderRow> m_told; //!< the leader that the other tasks know
+    bool m_isDoubted = false; //!< that leader does not answer
+    std::vector<core::HostPort> m_nodes; //!< others that may know the leader
+    std::size_t m_nextNode = 0; //!< to be asked
+    std::map<core::HostPort, core::TimePoint> m_lenders; //!< while leading: nodes that lend turns, and when last
 };
 
 using LeadTaskPtr = std::shared_ptr<LeadTask>;
--- a/src/dispatch/lender.h
+++ b/src/dispatch/lender.h
@@ -9,20 +9,22 @@
 class Lender : public runtime::Task<LeaderNews> {
 public:
     static std::shared_ptr<Lender> create(runtime::ILoopPtr loop, http::IHttpClientPtr client,
-        runtime::Address<LeadMessage> local, fleet::IAdvicePortPtr advice, core::NodeId self);
+        runtime::Address<LeadMessage> local, fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
     Lender(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
-        fleet::IAdvicePortPtr advice, core::NodeId self);
+        fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
 
     void receive(LeaderNews news) override;
 
 private:
-    void offer(core::Epoch term, std::uint64_t question, std::optional<fleet::AdviceResult> result);
-    void onLent(core::Epoch term, const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt);
-    bool isCurrent(core::Epoch term) const;
+    void offer(std::uint64_t question, std::optional<fleet::AdviceResult> result);
+    void onLent(const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt);
 
     LeadLink m_link;
     fleet::IAdvicePortPtr m_advice;
     core::NodeId m_self;
+    core::HostPort m_address;
+    runtime::Address<LeadMessage> m_local;
+    std::uint64_t m_round = 0; //!< of offers under one leader
 };
 
 using LenderPtr = std::shared_ptr<Lender>;
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -27,6 +27,19 @@
     return static_cast<std::uint64_t>(reader.integerOr(name, 0, INT64_MAX, 0));
 }
 
+Json::Value addressJson(const core::HostPort& it)
+{
+    Json::Value to(Json::objectValue);
+    to["host"] = it.host;
+    to["port"] = it.port;
+    return to;
+}
+
+core::HostPort addressOf(codec::ObjectReader reader)
+{
+    return { reader.text("host", maxName), static_cast<std::uint16_t>(reader.integer("port", 1, 65535)) };
+}
+
 template <class Enum> Enum enumOf(codec::ObjectReader& reader, const char* name, Enum last)
 {
     return static_cast<Enum>(reader.integer(name, 0, std::int64_t(last)));
@@ -88,6 +101,7 @@
 {
     Json::Value to(Json::objectValue);
     to["node"] = it.node.value();
+    to["address"] = addressJson(it.address);
     to["term"] = Json::UInt64(it.term.value());
     to["question"] = Json::UInt64(it.question);
     if (it.result && *it.result) {
@@ -108,6 +122,7 @@
     codec::ObjectReader reader(value);
     LendTurn it;
     it.node = core::NodeId(reader.text("node", maxName));
+    it.address = addressOf(reader.object("address"));
     it.term = core::Epoch(unsignedOf(reader, "term"));
     it.question = unsignedOf(reader, "question");
     if (it.question == 0)
@@ -130,6 +145,8 @@
 {
     Json::Value to(Json::objectValue);
     to["question"] = Json::UInt64(it.question);
+    for (const core::HostPort& node : it.nodes)
+        to["nodes"].append(addressJson(node));
     if (it.question == 0)
         return codec::writeJson(to);
     to["job"] = it.asked.job.value();
@@ -147,6 +164,10 @@
     codec::ObjectReader reader(value);
     LentTurn it;
     it.question = unsignedOf(reader, "question");
+    if (reader.has("nodes")) {
+        for (const codec::ObjectReader& node : reader.objects("nodes", maxWorkers))
+            it.nodes.push_back(addressOf(node));
+    }
     if (it.question == 0)
         return it;
     it.asked.job = core::JobId(reader.text("job", maxName));
@@ -157,4 +178,23 @@
     return it;
 }
 
+std::string encodeHint(const LeaderHint& it)
+{
+    Json::Value to(Json::objectValue);
+    to["leading"] = it.isLeading;
+    if (it.leader)
+        to["leader"] = lead::encodeLeaderRow(*it.leader);
+    return codec::writeJson(to);
+}
+
+LeaderHint decodeHint(std::string_view text)
+{
+    const Json::Value value = codec::parseJson(text);
+    codec::ObjectReader reader(value);
+    LeaderHint it;
+    it.isLeading = reader.flagOr("leading", false);
+    it.leader = lead::decodeLeaderRow(reader.textOr("leader", maxName, ""));
+    return it;
+}
+
 } // namespace sardinerun::protocol
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -143,8 +143,7 @@
     record.acceptedAt = m_parts.loop->wallNow();
     for (std::size_t n = 0; n < workflow::stageCount(call.spec); ++n) {
         const std::size_t count = call.spec.steps[n % call.spec.steps.size()].count;
-        record.stages.push_back({ std::vector<bool>(count, false), std::vector<std::uint32_t>(count, 0),
-            std::vector<std::int64_t>(count, 0) });
+        record.stages.push_back(workflow::untouchedStage(count));
     }
     const JobPtr job = std::make_shared<Job>(makeJob(std::move(record)));
     job->acceptedAt = m_parts.loop->now();
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -78,7 +78,7 @@
     void repairGangs();
 
     // Runs.
-    std::optional<core::Resources> adopt(Worker& worker, const fleet::RunningRun& run);
+    Adoption adopt(Worker& worker, const fleet::RunningRun& run);
     void onRunning(Worker& worker, const fleet::RunName& run);
     void onEnded(Worker& worker, const fleet::EndedRun& end);
     void onOver(Worker& worker, const fleet::RunName& run, const RunOver& over);
@@ -117,6 +117,7 @@
     std::unordered_map<core::JobId, JobPtr> m_jobs;
     std::map<core::JobId, JobPtr> m_active; //!< those that are not over
     std::map<core::VmId, WorkerPtr> m_workers;
+    std::set<std::pair<core::VmId, fleet::RunName>> m_strays; //!< runs that were not ordered here and are being stopped
     std::set<core::VmId> m_rostered; //!< workers that a later leader will know of
     std::multimap<lead::LogRevision, std::function<void()>> m_afterKept;
     std::deque<HeldCall> m_held; //!< calls that wait for the recovery or for a configuration
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -71,7 +71,8 @@
         const core::TimePoint startBy = job->objectiveAt - job->chainLeft();
         for (Stage& stage : job->stages) {
             const bool isReady = stage.isOpen && stage.waiting > 0 && now >= stage.notBefore
-                && (!job->stepOf(stage).isGang || stage.live == 0);
+                && (!job->stepOf(stage).isGang || (stage.live == 0 && stage.startable() == stage.waiting))
+                && stage.startable() > 0;
             if (isReady)
                 all.push_back({ job, &stage, isLate, job->record.queue.priority, startBy });
         }
@@ -88,7 +89,7 @@
     const workflow::StepSpec& step = job.stepOf(stage);
     Demand demand;
     demand.need = roomOf(step);
-    demand.count = static_cast<std::uint32_t>(stage.waiting);
+    demand.count = static_cast<std::uint32_t>(stage.startable());
     demand.maxPerWorker = step.maxPerWorker;
     demand.dataRack = step.dataRack;
     demand.isAllOrNothing = step.isGang;
@@ -268,7 +269,7 @@
         checkpoint = std::max(checkpoint, it.checkpoint);
     std::size_t n = 0;
     for (std::uint32_t index = 0; index < stage.tasks.size() && n < chosen.size(); ++index) {
-        if (stage.tasks[index].state != TaskProgress::State::Waiting)
+        if (!stage.tasks[index].mayStart())
             continue;
         const fleet::RunNumber run = isGang ? gangRun : fleet::RunNumber(stage.newestRun.value() + 1);
         startTask(job, stage, index, chosen[n], run, isGang ? checkpoint : stage.tasks[index].checkpoint);
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -37,9 +37,9 @@
         if (const auto it = self.lock())
             it->onOver(worker, run, over);
     };
-    hooks.adopt = [self](Worker& worker, const fleet::RunningRun& run) -> std::optional<core::Resources> {
+    hooks.adopt = [self](Worker& worker, const fleet::RunningRun& run) -> Adoption {
         const auto it = self.lock();
-        return it ? it->adopt(worker, run) : std::nullopt;
+        return it ? it->adopt(worker, run) : Adoption();
     };
     hooks.ended = [self](Worker& worker, const fleet::EndedRun& end, bool) {
         if (const auto it = self.lock())
@@ -70,12 +70,13 @@
     return it == m_jobs.end() ? nullptr : it->second;
 }
 
-std::optional<core::Resources> EngineImpl::adopt(Worker& worker, const fleet::RunningRun& run)
+Adoption EngineImpl::adopt(Worker& worker, const fleet::RunningRun& run)
 {
     const JobPtr job = jobOf(run.name.task.job);
     Stage* stage = job && !job->isOver() ? job->find(run.name.task) : nullptr;
-    const bool isKnown = stage && stage->tasks[run.name.task.index].state == TaskProgress::State::Waiting;
-    const bool fitsGang = stage && (!job->stepOf(*stage).isGang || stage->live == 0 || stage->newestRun == run.name.run);
+    const bool isKnown = stage && stage->tasks[run.name.task.index].state == TaskProgress::State::Waiting
+        && stage->tasks[run.name.task.index].strays == 0;
+    const bool fitsGang = stage && (!job->stepOf(*stage).isGang || stage->isGangRun(run.name.run));
     const bool isAdopted = isKnown && fitsGang && !m_isBarrierOver;
     LogLine(Severity::Info, isAdopted ? "adopted" : "stopped-unknown")
         .with("task", fleet::textOf(run.name.task))
@@ -83,8 +84,13 @@
         .with("worker", worker.id().value());
     if (stage)
         stage->newestRun = std::max(stage->newestRun, run.name.run);
+    if (!isAdopted && stage) {
+        // The task must not start anew before this run has ended.
+        ++stage->tasks[run.name.task.index].strays;
+        m_strays.insert({ worker.id(), run.name });
+    }
     if (!isAdopted)
-        return std::nullopt;
+        return { false, stage ? std::optional(roomOf(job->stepOf(*stage))) : std::nullopt };
     TaskProgress& task = stage->tasks[run.name.task.index];
     task.state = TaskProgress::State::Live;
     task.run = run.name.run;
@@ -93,7 +99,7 @@
     --stage->waiting;
     ++stage->live;
     job->hasStarted = true;
-    return roomOf(job->stepOf(*stage));
+    return { true, roomOf(job->stepOf(*stage)) };
 }
 
 void EngineImpl::onRunning(Worker&, const fleet::RunName& run)
@@ -185,26 +191,30 @@
     const std::uint32_t index = step.isGang ? 0 : end.name.task.index;
     const std::size_t number = stage.occurrence * job->record.spec.steps.size() + stage.step;
     workflow::StageProgress& kept = job->record.stages[number];
-    if (kept.failedRun[index] >= end.name.run.value())
+    if (!kept.failedRuns[index].insert(end.name.run.value()).second)
         return; // counted before, perhaps by a former leader
-    kept.failedRun[index] = end.name.run.value();
     stage.tasks[end.name.task.index].avoided = worker;
     if (m_health.onFailure(worker, job->record.spec.id, core::Duration(0), m_workers.size(), m_parts.loop->now()))
         LogLine(Severity::Warning, "worker-set-aside").with("worker", worker.value()).with("why", "failures in a row");
     if (step.isLongRunning)
         return;
-    if (++kept.failures[index] >= job->record.queue.maxAttempts)
+    if (kept.failedRuns[index].size() >= job->record.queue.maxAttempts)
         endJob(job, workflow::JobState::Failed, "a task has failed too often");
 }
 
 void EngineImpl::onOver(Worker& worker, const fleet::RunName& run, const RunOver& over)
 {
     pumpSoon();
+    const bool isStray = m_strays.erase({ worker.id(), run }) > 0;
     const JobPtr job = jobOf(run.task.job);
     Stage* stage = job && !job->isOver() ? job->find(run.task) : nullptr;
     if (!stage)
         return;
     TaskProgress& task = stage->tasks[run.task.index];
+    if (isStray) {
+        --task.strays;
+        return;
+    }
     const bool isNewest
         = task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker.id();
     if (!isNewest)
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -4,6 +4,19 @@
 
 namespace sardinerun::scheduling {
 
+bool Stage::isGangRun(fleet::RunNumber run) const
+{
+    return std::all_of(tasks.begin(), tasks.end(), [run](const TaskProgress& it) {
+        return it.state != TaskProgress::State::Live || it.run == run;
+    });
+}
+
+std::size_t Stage::startable() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(tasks.begin(), tasks.end(), [](const TaskProgress& it) { return it.mayStart(); }));
+}
+
 Stage* Job::find(const fleet::TaskName& name)
 {
     const std::size_t steps = record.spec.steps.size();
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -21,6 +21,9 @@
     core::VmId worker; //!< of the newest run
     std::string checkpoint; //!< newest known
     core::VmId avoided; //!< worker on which its last run failed
+    std::uint32_t strays = 0; //!< former runs that are still being stopped
+
+    bool mayStart() const { return state == State::Waiting && strays == 0; }
 };
 
 struct HeldTicket {
@@ -52,6 +55,10 @@
     AdviceState advice;
 
     bool isDone() const { return done == tasks.size(); }
+    //! Whether a member with this run belongs to the members that are live, if there are any.
+    bool isGangRun(fleet::RunNumber run) const;
+    //! Tasks that may be started now.
+    std::size_t startable() const;
 };
 
 //! One job while it is not forgotten.
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -195,17 +195,17 @@
         listed.insert(entry.name);
         auto found = m_runs.find(entry.name);
         if (found == m_runs.end()) {
-            const auto taken = m_hooks.adopt(*this, entry);
+            const Adoption adoption = m_hooks.adopt(*this, entry);
             WorkerRun run;
-            run.state = taken ? WorkerRun::State::Running : WorkerRun::State::Stopping;
+            run.state = adoption.isKept ? WorkerRun::State::Running : WorkerRun::State::Stopping;
             // How much room a run of an unknown job takes is not known: until it has ended, nothing else starts here.
-            run.taken = taken.value_or(m_entry.capacity);
+            run.taken = adoption.room.value_or(m_entry.capacity);
             run.since = now;
             run.settledAt = now;
             run.progressAt = now;
             found = m_runs.emplace(entry.name, run).first;
             m_taken = m_taken + run.taken;
-            if (!taken)
+            if (!adoption.isKept)
                 sendStop(entry.name);
         }
         WorkerRun& run = found->second;
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -46,6 +46,12 @@
     bool isStopInFlight = false;
 };
 
+//! What is to become of a run that was not ordered here.
+struct Adoption {
+    bool isKept = false; //!< else it is stopped
+    std::optional<core::Resources> room; //!< that it takes; nothing: not known
+};
+
 class Worker;
 using WorkerPtr = std::shared_ptr<Worker>;
 
@@ -53,8 +59,7 @@
 struct WorkerHooks {
     std::function<void(Worker&, const fleet::RunName&)> running; //!< a start was confirmed
     std::function<void(Worker&, const fleet::RunName&, const RunOver&)> over;
-    //! Something runs that was not ordered here: its room when it is to be kept, nothing when it is to be stopped.
-    std::function<std::optional<core::Resources>(Worker&, const fleet::RunningRun&)> adopt;
+    std::function<Adoption(Worker&, const fleet::RunningRun&)> adopt; //!< something runs that was not ordered here
     //! An end is listed; `Worker::settle` must be called once it may be forgotten. Comes before `over`.
     std::function<void(Worker&, const fleet::EndedRun&, bool isKnown)> ended;
     std::function<void(Worker&)> listed; //!< a report was taken in
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -175,12 +175,12 @@
     return it;
 }
 
-//! One character a task: 'd' when done, else the count of its failures, at most 9.
+//! One character a task: 'd' when it is done.
 std::string encodeStage(const StageProgress& it)
 {
     std::string text;
-    for (std::size_t n = 0; n < it.done.size(); ++n)
-        text += it.done[n] ? 'd' : static_cast<char>('0' + std::min<std::uint32_t>(9, it.failures[n]));
+    for (const bool isDone : it.done)
+        text += isDone ? 'd' : '.';
     return text;
 }
 
@@ -188,11 +188,10 @@
 {
     StageProgress it;
     for (const char c : text) {
-        if (c != 'd' && (c < '0' || c > '9'))
+        if (c != 'd' && c != '.')
             throw DecodeError("stages", "unknown mark of a task");
         it.done.push_back(c == 'd');
-        it.failedRun.push_back(0);
-        it.failures.push_back(c == 'd' ? 0 : static_cast<std::uint32_t>(c - '0'));
+        it.failedRuns.emplace_back();
     }
     return it;
 }
@@ -212,9 +211,9 @@
         throw DecodeError("failed", "must be a stage, a task and a run");
     const std::size_t stage = from[0].asUInt();
     const std::size_t task = from[1].asUInt();
-    if (stage >= stages.size() || task >= stages[stage].failedRun.size())
+    if (stage >= stages.size() || task >= stages[stage].failedRuns.size())
         throw DecodeError("failed", "names no task");
-    stages[stage].failedRun[task] = from[2].asInt64();
+    stages[stage].failedRuns[task].insert(from[2].asInt64());
 }
 
 template <class Enum> Enum decodeEnum(const Fields& fields, const char* name, Enum last)
@@ -275,8 +274,7 @@
     it.acceptedAt = core::WallTime(fields.integer("acceptedAt"));
     for (std::size_t n = 0; n < stageCount(it.spec); ++n) {
         const std::uint32_t count = it.spec.steps[n % it.spec.steps.size()].count;
-        it.stages.push_back({ std::vector<bool>(count, false), std::vector<std::uint32_t>(count, 0),
-            std::vector<std::int64_t>(count, 0) });
+        it.stages.push_back(untouchedStage(count));
     }
     return it;
 }
@@ -293,9 +291,9 @@
     }
     for (std::size_t n = 0; n < it.stages.size(); ++n) {
         to["stages"].append(encodeStage(it.stages[n]));
-        for (std::size_t k = 0; k < it.stages[n].failedRun.size(); ++k) {
-            if (it.stages[n].failedRun[k] > 0)
-                to["failed"].append(encodeFailedRun(n, k, it.stages[n].failedRun[k]));
+        for (std::size_t k = 0; k < it.stages[n].failedRuns.size(); ++k) {
+            for (const std::int64_t run : it.stages[n].failedRuns[k])
+                to["failed"].append(encodeFailedRun(n, k, run));
         }
     }
     return codec::writeJson(to);
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -35,6 +35,14 @@
     return names[static_cast<std::size_t>(it)];
 }
 
+StageProgress untouchedStage(std::size_t tasks)
+{
+    StageProgress it;
+    it.done.resize(tasks, false);
+    it.failedRuns.resize(tasks);
+    return it;
+}
+
 std::size_t stageCount(const JobSpec& spec)
 {
     return spec.steps.size() * std::max<std::uint32_t>(1, spec.occurrences);
--- a/src/workflow/tests/workflow_tests.cpp
+++ b/src/workflow/tests/workflow_tests.cpp
@@ -28,7 +28,7 @@
     it.queue.advice = AdviceTerms { std::chrono::milliseconds(10), std::chrono::microseconds(120),
         std::chrono::milliseconds(2500) };
     it.acceptedAt = core::WallTime(1'000);
-    it.stages = { { { true, false }, { 0, 2 }, { 0, 5 } }, { { false }, { 0 }, { 0 } } };
+    it.stages = { { { true, false }, { {}, { 3, 5 } } }, { { false }, { {} } } };
     return it;
 }
 
@@ -44,8 +44,7 @@
     BOOST_TEST(to.spec.steps[1].after.size() == 1u);
     BOOST_TEST(to.queue.advice->perWorker.count() == 120);
     BOOST_TEST(to.stages[0].done[0]);
-    BOOST_TEST(to.stages[0].failures[1] == 2u);
-    BOOST_TEST(to.stages[0].failedRun[1] == 5);
+    BOOST_TEST((to.stages[0].failedRuns[1] == std::set<std::int64_t> { 3, 5 }));
 }
 
 BOOST_AUTO_TEST_CASE(an_ended_job_keeps_its_state_without_its_steps)
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -93,8 +94,9 @@
 //! How far the tasks of one step of one occurrence have come.
 struct StageProgress {
     std::vector<bool> done;
-    std::vector<std::uint32_t> failures; //!< of each task; of a gang, of its first task
-    std::vector<std::int64_t> failedRun; //!< newest run that counts among the failures; 0: none
+    //! Numbers of the runs of each task that have failed; of a gang, all stand with its first task. Their ends come
+    //! in any order, and some twice, so a count would not do.
+    std::vector<std::set<std::int64_t>> failedRuns;
 };
 
 //! What of a job must outlive the process that decides for it.
@@ -106,6 +108,8 @@
     std::vector<StageProgress> stages; //!< occurrence by occurrence, step by step
 };
 
+//! Nothing done, nothing failed.
+StageProgress untouchedStage(std::size_t tasks);
 //! Steps times occurrences.
 std::size_t stageCount(const JobSpec& spec);
 //! Tasks of all occurrences.
