Settle ends only with the kept end of their job, write the released row, let silent leases end

Cause: ends of a job that had ended were forgotten before its end was kept (TWICE when all nodes lose power during an outage); a beat in flight passed for the word that a leader has stopped; each failed hold extended the lease of a worker that may hear and not answer.

--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -118,6 +118,7 @@
         m_pending.pop_front();
     }
     m_groupHasBeat = isBeatDue();
+    m_groupReleases = m_groupHasBeat && m_leader.isReleased;
     if (m_groupHasBeat)
         ++m_leader.beat;
     ++m_sequence;
@@ -171,13 +172,14 @@
     if (!std::exchange(m_isUp, true))
         m_hooks.availability(true);
     const std::vector<Pending> group = std::exchange(m_group, {});
-    if (m_groupHasBeat && m_leader.isReleased) {
+    if (m_groupReleases) {
         m_isStopped = true;
         if (m_released)
             m_released();
         return;
     }
-    wake(m_pending.empty() ? m_beatAt - m_loop->now() : core::Duration(0));
+    const bool isIdle = m_pending.empty() && !m_leader.isReleased;
+    wake(isIdle ? m_beatAt - m_loop->now() : core::Duration(0));
     if (!group.empty())
         m_hooks.kept(LogRevision(m_pending.empty() ? m_lastRevision : m_pending.front().revision.value() - 1));
 }
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -75,6 +75,7 @@
     std::map<store::RowKey, std::list<Pending>::iterator> m_pendingByKey;
     std::vector<Pending> m_group; //!< being written
     bool m_groupHasBeat = false;
+    bool m_groupReleases = false; //!< it tells the others that the leader has stopped
     bool m_isGroupOpen = false; //!< a group was sent and its outcome is not known yet
     bool m_mayBeWritten = false; //!< an answer for the open group was lost
     bool m_isInFlight = false;
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -343,6 +343,7 @@
     for (const Stage& stage : job->stages)
         stopLive(*job, stage);
     const lead::LogRevision revision = keepProgress(*job);
+    job->endRevision = revision;
     m_log->put(jobKey(id), std::nullopt);
     whenKept(revision, [this, job, state] {
         job->shown = state;
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -81,6 +81,9 @@
     Adoption adopt(Worker& worker, const fleet::RunningRun& run);
     void onRunning(Worker& worker, const fleet::RunName& run);
     void onEnded(Worker& worker, const fleet::EndedRun& end);
+    void settleWhenKept(Worker& worker, fleet::EndNumber number, lead::LogRevision revision);
+    //! An end of a job that is over may be forgotten once the job's end is kept.
+    void settleWithJob(Worker& worker, fleet::EndNumber number, const JobPtr& job);
     void onOver(Worker& worker, const fleet::RunName& run, const RunOver& over);
     void onListed(Worker& worker);
     void checkStall(Worker& worker, const fleet::RunName& name, const WorkerRun& run);
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -229,9 +229,10 @@
 {
     if (!m_isBarrierOver)
         return;
+    const core::TimePoint now = m_parts.loop->now();
     std::vector<core::VmId> gone;
     for (const auto& [id, worker] : m_workers) {
-        if (!worker->isListed() && worker->runs().empty())
+        if (worker->hasLeft(now) && worker->runs().empty())
             gone.push_back(id);
     }
     for (const core::VmId& it : gone)
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -126,7 +126,7 @@
         .with("how", fleet::nameOf(end.kind))
         .with("number", end.number.value());
     if (!stage) {
-        worker.settle(end.number);
+        settleWithJob(worker, end.number, job);
         return;
     }
     stage->newestRun = std::max(stage->newestRun, end.name.run);
@@ -139,14 +139,31 @@
         worker.settle(end.number);
         return;
     }
+    if (job->isOver()) {
+        settleWithJob(worker, end.number, job);
+        return;
+    }
+    settleWhenKept(worker, end.number, keepProgress(*job));
+}
+
+void EngineImpl::settleWhenKept(Worker& worker, fleet::EndNumber number, lead::LogRevision revision)
+{
     // Only what is kept may be forgotten by the worker.
-    const lead::LogRevision revision = keepProgress(*job);
-    whenKept(revision, [self = worker.weak_from_this(), number = end.number] {
+    whenKept(revision, [self = worker.weak_from_this(), number] {
         if (const auto it = self.lock())
             it->settle(number);
     });
 }
 
+void EngineImpl::settleWithJob(Worker& worker, fleet::EndNumber number, const JobPtr& job)
+{
+    const bool isEndKept = !job || job->shown == job->record.state;
+    if (isEndKept)
+        worker.settle(number);
+    else
+        settleWhenKept(worker, number, job->endRevision);
+}
+
 void EngineImpl::markTaskDone(Stage& stage, std::uint32_t index)
 {
     TaskProgress& task = stage.tasks[index];
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -72,6 +72,7 @@
     bool isRecovered = false; //!< taken over; former runs may be unknown until all workers have answered
     bool hasStarted = false; //!< a task was started
     core::TimePoint endedAt {};
+    lead::LogRevision endRevision; //!< with which its end is kept
     std::vector<std::function<void(const workflow::WorkAnswer&)>> submitters; //!< wait for its acceptance
 
     const workflow::StepSpec& stepOf(const Stage& it) const { return record.spec.steps[it.step]; }
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -58,9 +58,16 @@
     m_entry = std::move(entry);
 }
 
+void Worker::setListed(bool isListed)
+{
+    if (m_isListed && !isListed)
+        m_unlistedAt = m_loop->now();
+    m_isListed = isListed;
+}
+
 bool Worker::takesStarts(core::TimePoint now) const
 {
-    return isReachable() && m_isListed && !m_entry.isDraining && now >= m_avoidUntil;
+    return isReachable() && !hasLeft(now) && !m_entry.isDraining && now >= m_avoidUntil;
 }
 
 fleet::WorkerClock Worker::clockNow() const
@@ -115,7 +122,8 @@
     fleet::HoldOrder order;
     order.fence = m_fence;
     order.forgetUpTo = m_forgetUpTo;
-    if (m_hasClock) {
+    // A worker that does not answer may still hear: its lease must come to an end for certain.
+    if (m_hasClock && m_failures == 0) {
         order.leaseUntil = clockNow() + fleet::WorkerClock(ms(m_times.lease));
         noteLease(*order.leaseUntil);
     }
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -78,7 +78,7 @@
     void begin(); //!< starts the exchange
     void retire(); //!< ends it
     void setEntry(fleet::WorkerEntry entry);
-    void setListed(bool isListed) { m_isListed = isListed; }
+    void setListed(bool isListed);
 
     const fleet::WorkerEntry& entry() const { return m_entry; }
     const core::VmId& id() const { return m_entry.id; }
@@ -87,6 +87,8 @@
     const std::string& rack() const { return m_entry.rack; }
 
     bool isListed() const { return m_isListed; } //!< in the register
+    //! Neither listed nor about to be listed again.
+    bool hasLeft(core::TimePoint now) const { return !m_isListed && now - m_unlistedAt > m_times.relist; }
     bool hasAnswered() const { return m_hasAnswered; } //!< under this leader's fence
     bool isReachable() const { return m_hasAnswered && m_failures == 0; }
     bool takesStarts(core::TimePoint now) const;
@@ -147,6 +149,7 @@
     bool m_hasAnswered = false;
     bool m_hasClock = false;
     bool m_isListed = true;
+    core::TimePoint m_unlistedAt {};
     bool m_isHolding = false;
     bool m_isHoldSet = false;
     bool m_isRetired = false;
--- /dev/null
+++ b/src/scheduling/tests/cell.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "lead/election.h"
+#include "scheduling/engine.h"
+#include "scheduling/tests/fakes.h"
+#include "telemetry/metrics.h"
+
+#include <optional>
+
+namespace sardinerun::scheduling::testing {
+
+inline core::Duration ms(std::int64_t n)
+{
+    return std::chrono::milliseconds(n);
+}
+
+//! A leader with two workers of four cores, a queue "q", and callers.
+class Cell {
+public:
+    Cell()
+        : loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
+        , store(std::make_shared<FakeRowStore>(loop))
+        , workers(std::make_shared<FakeWorkers>(loop))
+    {
+        queue.name = "q";
+        queue.host = "h";
+        queue.pathPrefix = "/q/";
+        queue.service = core::ServiceId("s");
+        queue.maxAttempts = 2;
+        queue.stretch = 4;
+        queue.latencyTarget = ms(1000);
+        addWorker("w1");
+        addWorker("w2");
+    }
+
+    void addWorker(const std::string& id, std::int64_t milliCpu = 4000)
+    {
+        fleet::WorkerEntry entry;
+        entry.id = core::VmId(id);
+        entry.address = { "127.0.0.1", 1 };
+        entry.service = queue.service;
+        entry.capacity = { core::MilliCpu(milliCpu), core::MebiBytes(8000), core::Accelerators(0) };
+        entry.rack = "r-1";
+        entries.push_back(entry);
+    }
+
+    //! Wins the next term, as a new process would, and runs until it has settled.
+    void lead(core::Duration settle = ms(300))
+    {
+        engine.reset();
+        elect(settle);
+    }
+
+    //! Another node wins while the present leader does not know of it yet.
+    void elect(core::Duration settle)
+    {
+        former = engine;
+        election = lead::Election::create(loop, store, core::NodeId("n" + std::to_string(++m_nodes)),
+            { "127.0.0.1", 7000 }, leadTimes, core::Duration(0), hooks());
+        election->start();
+        advance(leadTimes.silence + leadTimes.spread + ms(300));
+        advance(settle);
+    }
+
+    workflow::WorkAnswer ask(workflow::CallKind kind, const workflow::JobSpec& spec, core::Duration patience = ms(400))
+    {
+        workflow::WorkCall call;
+        call.kind = kind;
+        call.host = "h";
+        call.path = "/q/" + spec.id.value();
+        call.spec = spec;
+        call.patience = patience;
+        std::optional<workflow::WorkAnswer> got;
+        engine->handle(call, [&got](const workflow::WorkAnswer& answer) { got = answer; });
+        for (int n = 0; n < 400 && !got; ++n)
+            advance(ms(5));
+        return got.value_or(workflow::WorkAnswer { workflow::WorkOutcome::Uncertain, {}, 0, {}, "no answer" });
+    }
+    workflow::WorkOutcome submit(const workflow::JobSpec& spec)
+    {
+        return ask(workflow::CallKind::Submit, spec).outcome;
+    }
+    workflow::JobState stateOf(const workflow::JobSpec& spec) { return ask(workflow::CallKind::Read, spec).state; }
+
+    void advance(core::Duration by) { loop->advance(by); }
+
+    FakeWorker& worker(const std::string& id) { return workers->workers[core::VmId(id)]; }
+    std::size_t running()
+    {
+        std::size_t n = 0;
+        for (auto& [id, it] : workers->workers)
+            n += it.running.size();
+        return n;
+    }
+    std::size_t starts()
+    {
+        std::size_t n = 0;
+        for (auto& [id, it] : workers->workers)
+            n += it.starts.size();
+        return n;
+    }
+    //! Ends all that runs on all workers.
+    void endAll(fleet::EndKind kind)
+    {
+        for (auto& [id, it] : workers->workers) {
+            for (const auto& [name, run] : std::map(it.running))
+                it.end(name, kind);
+        }
+    }
+
+    runtime::ManualLoopPtr loop;
+    std::shared_ptr<FakeRowStore> store;
+    std::shared_ptr<FakeWorkers> workers;
+    workflow::QueuePolicy queue;
+    std::vector<fleet::WorkerEntry> entries;
+    SchedulingTimes times;
+    lead::LeadTimes leadTimes;
+    lead::ElectionPtr election;
+    AdviceDeskPtr advice;
+    EnginePtr engine;
+    EnginePtr former;
+    bool isDeposed = false;
+
+private:
+    lead::ElectionHooks hooks()
+    {
+        lead::ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
+        hooks.won = [this](const lead::Won& won) {
+            advice = AdviceDesk::create(loop);
+            EngineParts parts { loop, store, workers, advice, telemetry::Metrics::create(), times, leadTimes };
+            engine = Engine::create(parts, won, [this](const std::string&) { isDeposed = true; });
+            workflow::QueueConfig config;
+            config.version = core::ConfigVersion(1);
+            config.queues = { queue };
+            engine->setConfig(std::make_shared<const workflow::QueueConfig>(config));
+            engine->start();
+            engine->setWorkers(entries);
+        };
+        return hooks;
+    }
+
+    int m_nodes = 0;
+};
+
+//! A job of one step.
+inline workflow::JobSpec jobOf(const std::string& id, std::uint32_t count, std::int64_t milliCpu, bool isGang = false)
+{
+    workflow::JobSpec spec;
+    spec.id = core::JobId(id);
+    spec.payload = "text of " + id;
+    workflow::StepSpec step;
+    step.count = count;
+    step.need = { core::MilliCpu(milliCpu), core::MebiBytes(100), core::Accelerators(0) };
+    step.estimate = ms(1000);
+    step.isGang = isGang;
+    spec.steps = { step };
+    return spec;
+}
+
+} // namespace sardinerun::scheduling::testing
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -1,4 +1,384 @@
 #define BOOST_TEST_MODULE scheduling
+#include "scheduling/tests/cell.h"
+
 #include <boost/test/unit_test.hpp>
 
-BOOST_AUTO_TEST_CASE(placeholder) { }
+using namespace sardinerun;
+using namespace sardinerun::scheduling;
+using namespace sardinerun::scheduling::testing;
+using fleet::EndKind;
+using workflow::JobState;
+using workflow::WorkOutcome;
+
+BOOST_AUTO_TEST_CASE(a_job_is_kept_started_ended_and_shown)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 3, 1000);
+    BOOST_TEST((cell.submit(job) == WorkOutcome::Accepted));
+    cell.advance(ms(100));
+    BOOST_TEST(cell.running() == 3u);
+    BOOST_TEST((cell.stateOf(job) == JobState::Running));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(100));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 3u);
+    cell.advance(ms(1500));
+    BOOST_TEST(cell.worker("w1").ended.empty()); // forgotten once kept
+    BOOST_TEST(cell.worker("w2").ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_second_submission_of_the_same_job_is_the_same_job)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    BOOST_TEST((cell.submit(job) == WorkOutcome::Accepted));
+    cell.advance(ms(50));
+    BOOST_TEST((cell.submit(job) == WorkOutcome::Accepted));
+    cell.advance(ms(50));
+    BOOST_TEST(cell.starts() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(room_is_never_exceeded)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("a", 6, 1500));
+    cell.submit(jobOf("b", 6, 1500));
+    cell.advance(ms(200));
+    BOOST_TEST(cell.worker("w1").running.size() == 2u);
+    BOOST_TEST(cell.worker("w2").running.size() == 2u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(200));
+    BOOST_TEST(cell.running() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(what_no_worker_can_hold_is_refused_at_once)
+{
+    Cell cell;
+    cell.lead();
+    const auto answer = cell.ask(workflow::CallKind::Submit, jobOf("a", 1, 5000));
+    BOOST_TEST((answer.outcome == WorkOutcome::Refused));
+    BOOST_TEST(answer.retryAfter.count() == 0);
+    cell.advance(ms(500));
+    BOOST_TEST(cell.starts() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_not_at_all)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("small", 1, 4000));
+    cell.advance(ms(50));
+    cell.submit(jobOf("gang", 3, 2000, true));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 1u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_ends_with_one_member_and_starts_anew_as_a_whole_when_one_fails)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("gang", 4, 2000, true);
+    cell.submit(job);
+    cell.advance(ms(100));
+    BOOST_TEST(cell.running() == 4u);
+    FakeWorker& worker = cell.worker("w1");
+    const fleet::RunName failed = worker.running.begin()->first;
+    worker.end(failed, EndKind::Failed);
+    cell.advance(ms(600));
+    BOOST_TEST(cell.running() == 4u);
+    BOOST_TEST(cell.starts() == 8u);
+    const fleet::RunName again = worker.running.begin()->first;
+    BOOST_TEST((again.run > failed.run));
+    worker.end(again, EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(steps_follow_one_another)
+{
+    Cell cell;
+    cell.lead();
+    auto job = jobOf("a", 2, 1000);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = { 0 };
+    cell.submit(job);
+    cell.advance(ms(100));
+    BOOST_TEST(cell.running() == 2u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(100));
+    BOOST_TEST(cell.running() == 2u);
+    BOOST_TEST(cell.starts() == 4u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(100));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(a_task_that_fails_too_often_fails_the_job)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    for (int n = 0; n < 5; ++n) {
+        cell.advance(ms(200));
+        cell.endAll(EndKind::Failed);
+    }
+    cell.advance(ms(200));
+    BOOST_TEST((cell.stateOf(job) == JobState::Failed));
+    BOOST_TEST(cell.starts() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_is_stopped_and_starts_no_more)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 6, 2000);
+    cell.submit(job);
+    cell.advance(ms(100));
+    BOOST_TEST((cell.ask(workflow::CallKind::Cancel, job).outcome == WorkOutcome::Cancelled));
+    cell.advance(ms(500));
+    BOOST_TEST(cell.running() == 0u);
+    BOOST_TEST(cell.starts() == 4u);
+    BOOST_TEST((cell.stateOf(job) == JobState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_whose_answer_was_lost_is_settled_before_the_next)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w1").losesStarts = 1;
+    cell.worker("w2").losesStarts = 1;
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    std::size_t most = 0;
+    for (int n = 0; n < 300; ++n) {
+        cell.advance(ms(10));
+        most = std::max(most, cell.running());
+    }
+    BOOST_TEST(most == 1u);
+    BOOST_TEST(cell.running() == 1u);
+    BOOST_TEST(cell.starts() >= 2u);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_that_is_carried_out_late_runs_nothing_twice)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w1").delaysStarts = 1;
+    cell.worker("w2").delaysStarts = 1;
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.running() == 1u);
+    cell.workers->carryOutLate(core::VmId("w1"));
+    cell.workers->carryOutLate(core::VmId("w2"));
+    BOOST_TEST(cell.running() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_worker_loses_its_tasks_only_when_its_lease_is_over)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(300));
+    const std::string first = cell.worker("w1").running.empty() ? "w2" : "w1";
+    const std::string other = first == "w1" ? "w2" : "w1";
+    cell.worker(first).isSilent = true;
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.worker(other).running.empty()); // it may still run there
+    cell.advance(ms(5000));
+    BOOST_TEST(cell.worker(other).running.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_was_born_again_has_lost_its_tasks_at_once)
+{
+    Cell cell;
+    cell.worker("w1").born = fleet::BornAt(5);
+    cell.worker("w2").born = fleet::BornAt(5);
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(300));
+    FakeWorker& first = cell.worker("w1").running.empty() ? cell.worker("w2") : cell.worker("w1");
+    first.loseLife();
+    first.born = fleet::BornAt(9);
+    cell.advance(ms(1500));
+    BOOST_TEST(cell.running() == 1u);
+    BOOST_TEST(cell.starts() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_adopts_what_runs)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 3, 1000);
+    const auto gang = jobOf("gang", 4, 1000, true);
+    cell.submit(job);
+    cell.submit(gang);
+    cell.advance(ms(200));
+    BOOST_TEST(cell.running() == 7u);
+    cell.lead();
+    BOOST_TEST(cell.starts() == 7u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST((cell.stateOf(gang) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_failures_in_whatever_order_they_are_listed)
+{
+    // Two runs of one task failed on two workers while the store was away; the newer end is read first.
+    Cell cell;
+    cell.queue.maxAttempts = 2;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Failed);
+    cell.advance(ms(300));
+    cell.endAll(EndKind::Failed);
+    BOOST_TEST(cell.starts() == 2u);
+    cell.store->isDown = false;
+    cell.engine.reset();
+    cell.lead();
+    BOOST_TEST((cell.stateOf(job) == JobState::Failed));
+    BOOST_TEST(cell.starts() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(ends_of_a_job_are_forgotten_only_once_its_end_is_kept)
+{
+    // The worker left the register and came back while the store was away, so its ends were listed anew.
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    const std::string name = cell.worker("w1").running.empty() ? "w2" : "w1";
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    const auto all = cell.entries;
+    cell.engine->setWorkers({});
+    cell.advance(ms(4000));
+    cell.engine->setWorkers(all);
+    cell.advance(ms(1000));
+    BOOST_TEST(cell.worker(name).ended.size() == 1u);
+    cell.store->isDown = false;
+    cell.engine.reset();
+    cell.lead();
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_silent_workers_before_it_starts_recovered_tasks)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    const std::string first = cell.worker("w1").running.empty() ? "w2" : "w1";
+    const std::string other = first == "w1" ? "w2" : "w1";
+    cell.worker(first).isSilent = true;
+    cell.lead();
+    BOOST_TEST(cell.worker(other).running.empty());
+    BOOST_TEST((cell.submit(jobOf("new", 1, 1000)) == WorkOutcome::Accepted));
+    cell.advance(ms(200));
+    BOOST_TEST(cell.worker(other).running.size() == 1u); // new work need not wait
+    cell.advance(std::chrono::seconds(20));
+    BOOST_TEST(cell.worker(other).running.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_stopped_holds_its_task_back)
+{
+    // A former leader had started a gang of which one member is gone, so the rest is stopped first.
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("gang", 4, 1000, true));
+    cell.advance(ms(200));
+    FakeWorker& worker = cell.worker("w1").running.empty() ? cell.worker("w2") : cell.worker("w1");
+    worker.running.erase(worker.running.begin());
+    cell.lead(ms(50));
+    std::set<std::uint32_t> indexes;
+    for (int n = 0; n < 200; ++n) {
+        cell.advance(ms(5));
+        indexes.clear();
+        std::size_t runs = 0;
+        for (auto& [id, it] : cell.workers->workers) {
+            for (const auto& [name, run] : it.running) {
+                indexes.insert(name.task.index);
+                ++runs;
+            }
+        }
+        BOOST_REQUIRE(indexes.size() == runs); // no member runs twice
+    }
+    BOOST_TEST(indexes.size() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_accepted_that_the_store_has_not_kept)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->isDown = true;
+    const auto job = jobOf("a", 1, 1000);
+    BOOST_TEST((cell.submit(job) == WorkOutcome::NotNow));
+    cell.advance(ms(500));
+    cell.store->isDown = false;
+    cell.advance(ms(2000));
+    BOOST_TEST(cell.starts() == 0u);
+    BOOST_TEST((cell.submit(job) == WorkOutcome::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_of_the_store_neither_loses_nor_doubles)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->losesAnswers = 1;
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkOutcome::Accepted));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.starts() == 1u);
+    BOOST_TEST(!cell.isDeposed);
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_record_does_not_wait_for_the_next_beat)
+{
+    Cell cell;
+    cell.lead();
+    cell.advance(ms(1700)); // a beat was written, the next one is far
+    const core::TimePoint before = cell.loop->now();
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkOutcome::Accepted));
+    BOOST_TEST((cell.loop->now() - before < ms(60)));
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_releases_while_a_beat_is_written_still_says_so)
+{
+    Cell cell;
+    cell.lead();
+    for (int n = 0; n < 100; ++n) { // into the time of some beat's writing
+        Cell other;
+        other.lead();
+        other.advance(ms(700 + n * 2));
+        bool isDone = false;
+        other.engine->release([&isDone] { isDone = true; });
+        other.advance(ms(100));
+        BOOST_REQUIRE(isDone);
+        const auto row = lead::decodeLeaderRow(other.store->rows[lead::leaderKey()].value);
+        BOOST_REQUIRE(row->isReleased);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_beats_keeps_its_leadership)
+{
+    Cell cell;
+    cell.lead();
+    const EnginePtr first = cell.engine;
+    cell.elect(ms(3000));
+    BOOST_TEST((cell.engine == first));
+    BOOST_TEST(!cell.isDeposed);
+}
