--- a/fuzz/decoders.cpp
+++ b/fuzz/decoders.cpp
@@ -5,9 +5,9 @@
 #include "codec/yaml.h"
 #include "configuration/configuration.h"
 #include "membership/cellcodec.h"
-#include "services/servicescodec.h"
 #include "protocol/messagecodec.h"
 #include "protocol/rpccodec.h"
+#include "services/servicescodec.h"
 #include "settings/nodesettings.h"
 #include "telemetry/trace.h"
 
--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -1,10 +1,10 @@
 #include "app/dispatchnode.h"
 
 #include "app/internal/processreport.h"
+#include "codec/json.h"
 #include "dispatch/leadtask.h"
 #include "dispatch/lender.h"
 #include "dispatch/workdesk.h"
-#include "codec/json.h"
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
 #include "platform/frontcalls.h"
@@ -105,9 +105,8 @@
     lead = dispatch::LeadTask::create(loop, std::move(leadParts));
     desk = dispatch::WorkDesk::create(loop, client, lead->address());
     if (settings.advice.port > 0)
-        lender = dispatch::Lender::create(
-            loop, client, lead->address(), platform::createAdvicePort(client, settings.advice), settings.node,
-            settings.inner);
+        lender = dispatch::Lender::create(loop, client, lead->address(),
+            platform::createAdvicePort(client, settings.advice), settings.node, settings.inner);
 }
 
 void DispatchNode::Parts::onNews(const dispatch::LeaderNews& news)
@@ -140,14 +139,15 @@
 core::Ret<StartError> DispatchNode::Parts::listen()
 {
     const auto ask = [this](workflow::WorkCall call, std::function<void(const workflow::WorkAnswer&)> answered) {
-        desk->address().send(dispatch::AskWork {
-            std::move(call), runtime::Reply<workflow::WorkAnswer>(loop, std::move(answered)) });
+        desk->address().send(
+            dispatch::AskWork { std::move(call), runtime::Reply<workflow::WorkAnswer>(loop, std::move(answered)) });
     };
     auto front = platform::createFrontHandler([this] { return config; }, ask);
     if (auto ret = listenAt(settings.callers, settings.maxBodyBytes, std::move(front), callersServer, "callers"); !ret)
         return ret;
     auto readiness = platform::createReadinessHandler([this] { return config && !isStopping; });
-    if (auto ret = listenAt(settings.readiness, settings.maxBodyBytes, std::move(readiness), readinessServer, "readiness");
+    if (auto ret
+        = listenAt(settings.readiness, settings.maxBodyBytes, std::move(readiness), readinessServer, "readiness");
         !ret)
         return ret;
     return listenAt(
@@ -202,8 +202,8 @@
     auto reply = [responder](const protocol::LeaderHint& hint) mutable {
         responder.send({ 200, {}, protocol::encodeHint(hint), {} });
     };
-    lead->address().send(dispatch::AskLeader { asker.isLeading ? asker.leader : std::nullopt,
-        runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
+    lead->address().send(dispatch::AskLeader {
+        asker.isLeading ? asker.leader : std::nullopt, runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
 }
 
 void DispatchNode::Parts::flushForever()
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -7,8 +7,8 @@
 #include "http/h2oserver.h"
 #include "node/askdesk.h"
 #include "node/tasks.h"
-#include "services/httpservices.h"
 #include "runtime/eventloop.h"
+#include "services/httpservices.h"
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
 
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -54,7 +54,8 @@
     core::Epoch term;
 };
 
-using LeadMessage = std::variant<AskWork, OfferTurn, workflow::QueueConfigPtr, Retire, AskLeader, NodesSeen, LeaderDoubted>;
+using LeadMessage
+    = std::variant<AskWork, OfferTurn, workflow::QueueConfigPtr, Retire, AskLeader, NodesSeen, LeaderDoubted>;
 using DeskMessage = std::variant<AskWork, LeaderNews>;
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -42,8 +42,8 @@
         if (const auto it = weak.lock())
             it->onWon(won);
     };
-    m_election = lead::Election::create(loop(), m_parts.store, m_parts.self, m_parts.address, m_parts.leadTimes,
-        m_parts.handicap, std::move(hooks));
+    m_election = lead::Election::create(
+        loop(), m_parts.store, m_parts.self, m_parts.address, m_parts.leadTimes, m_parts.handicap, std::move(hooks));
     m_election->start();
     every(lookPeriod, [this] { lookForLeader(); });
 }
@@ -56,8 +56,8 @@
 void LeadTask::onLeader(const std::optional<lead::LeaderRow>& leader)
 {
     const bool isOther = leader && (!m_engine || leader->term > m_term);
-    const bool isNew = !leader || !m_leader || leader->term != m_leader->term
-        || leader->isReleased != m_leader->isReleased;
+    const bool isNew
+        = !leader || !m_leader || leader->term != m_leader->term || leader->isReleased != m_leader->isReleased;
     if (m_engine && leader && leader->term > m_term)
         onDeposed("the row names " + leader->node.value());
     if (isNew)
@@ -221,8 +221,8 @@
         m_advice->answer(message.turn.question, *message.turn.result);
     auto reply = std::make_shared<runtime::Reply<protocol::LentTurn>>(std::move(message.reply));
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    m_advice->lend(message.turn.node,
-        [reply, weak](scheduling::AdviceDesk::QuestionId id, const fleet::AdviceQuestion& question) {
+    m_advice->lend(
+        message.turn.node, [reply, weak](scheduling::AdviceDesk::QuestionId id, const fleet::AdviceQuestion& question) {
             protocol::LentTurn turn { id, question, {} };
             const auto it = weak.lock();
             // A turn without a question has time to tell who else there is.
@@ -266,8 +266,8 @@
     const auto& asker = message.asker;
     if (m_engine && asker && asker->term > m_term)
         onDeposed("another node has won a later term");
-    const bool isNews = asker && !m_engine && (!m_told || asker->term > m_told->term)
-        && (!m_leader || asker->term >= m_leader->term);
+    const bool isNews
+        = asker && !m_engine && (!m_told || asker->term > m_told->term) && (!m_leader || asker->term >= m_leader->term);
     if (isNews)
         tellNews(asker);
     message.reply.send({ m_engine != nullptr, m_told });
--- a/src/dispatch/internal/lender.cpp
+++ b/src/dispatch/internal/lender.cpp
@@ -13,11 +13,10 @@
 } // namespace
 
 LenderPtr Lender::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
-    fleet::IAdvicePortPtr advice, core::NodeId self,
-    core::HostPort address)
+    fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
 {
-    return std::make_shared<Lender>(std::move(loop), std::move(client), std::move(local), std::move(advice),
-        std::move(self), std::move(address));
+    return std::make_shared<Lender>(
+        std::move(loop), std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address));
 }
 
 Lender::Lender(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
--- a/src/dispatch/internal/workdesk.cpp
+++ b/src/dispatch/internal/workdesk.cpp
@@ -24,8 +24,7 @@
 
 } // namespace
 
-WorkDeskPtr WorkDesk::create(
-    runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
+WorkDeskPtr WorkDesk::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
 {
     return std::make_shared<WorkDesk>(std::move(loop), std::move(client), std::move(local));
 }
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -13,8 +13,8 @@
 ElectionPtr Election::create(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self,
     core::HostPort address, LeadTimes times, core::Duration handicap, ElectionHooks hooks)
 {
-    return ElectionPtr(new Election(std::move(loop), std::move(store), std::move(self), std::move(address), times,
-        handicap, std::move(hooks)));
+    return ElectionPtr(new Election(
+        std::move(loop), std::move(store), std::move(self), std::move(address), times, handicap, std::move(hooks)));
 }
 
 Election::Election(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self, core::HostPort address,
@@ -106,8 +106,8 @@
     claimed.term = core::Epoch((m_row ? m_row->term.value() : 0) + 1);
     store::RowTransaction transaction;
     transaction.conditions = { { leaderKey(), m_version } };
-    transaction.updates = { { leaderKey(), encodeLeaderRow(claimed) },
-        { headKey(), std::to_string(claimed.term.value()) + ".0" } };
+    transaction.updates
+        = { { leaderKey(), encodeLeaderRow(claimed) }, { headKey(), std::to_string(claimed.term.value()) + ".0" } };
     m_store->commit(std::move(transaction), [self = weak_from_this(), claimed](store::CommitResult result) {
         if (const auto it = self.lock())
             it->onClaimed(result, claimed);
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -54,7 +54,8 @@
 
 bool LeaderLog::withdraw(const store::RowKey& key)
 {
-    const bool isSent = std::any_of(m_group.begin(), m_group.end(), [&key](const Pending& it) { return it.key == key; });
+    const bool isSent
+        = std::any_of(m_group.begin(), m_group.end(), [&key](const Pending& it) { return it.key == key; });
     if (const auto it = m_pendingByKey.find(key); it != m_pendingByKey.end()) {
         m_pending.erase(it->second);
         m_pendingByKey.erase(it);
@@ -218,7 +219,8 @@
     if (!m_mayBeWritten) {
         // Without effect: what was to be written may be withdrawn or replaced meanwhile.
         for (auto it = m_group.rbegin(); it != m_group.rend(); ++it) {
-            // A newer value takes the place of the older one, or the older one's revision would count as kept too early.
+            // A newer value takes the place of the older one, or the older one's revision would count as kept too
+            // early.
             if (const auto newer = m_pendingByKey.find(it->key); newer != m_pendingByKey.end()) {
                 it->value = std::move(newer->second->value);
                 m_pending.erase(newer->second);
--- a/src/partition/tests/smallcell.h
+++ b/src/partition/tests/smallcell.h
@@ -3,10 +3,10 @@
 #include "codec/json.h"
 #include "core/hashing.h"
 #include "partition/partition.h"
+#include "protocol/messagecodec.h"
 #include "services/servicescodec.h"
 #include "services/testing/fakestore.h"
 #include "services/testing/fakeworker.h"
-#include "protocol/messagecodec.h"
 
 #include <deque>
 #include <map>
--- a/src/protocol/internal/fieldcodec.h
+++ b/src/protocol/internal/fieldcodec.h
@@ -2,8 +2,8 @@
 
 #include "jobs/jobcodec.h"
 #include "once/oncecodec.h"
-#include "services/servicescodec.h"
 #include "protocol/internal/describe.h"
+#include "services/servicescodec.h"
 
 #include <type_traits>
 
--- a/src/scheduling/internal/advicedesk.cpp
+++ b/src/scheduling/internal/advicedesk.cpp
@@ -29,8 +29,8 @@
 
 void AdviceDesk::ask(fleet::AdviceQuestion question, AdviceRank rank, Answered answered)
 {
-    const auto at = std::find_if(m_waiting.begin(), m_waiting.end(),
-        [&rank](const Question& it) { return isBefore(rank, it.rank); });
+    const auto at = std::find_if(
+        m_waiting.begin(), m_waiting.end(), [&rank](const Question& it) { return isBefore(rank, it.rank); });
     m_waiting.insert(at, { ++m_lastId, std::move(question), rank, std::move(answered) });
     match();
 }
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -134,8 +134,7 @@
         job.submitters.push_back(answered);
 }
 
-void EngineImpl::accept(
-    const workflow::WorkCall& call, const workflow::QueuePolicy& queue, const Answered& answered)
+void EngineImpl::accept(const workflow::WorkCall& call, const workflow::QueuePolicy& queue, const Answered& answered)
 {
     workflow::JobRecord record;
     record.spec = call.spec;
@@ -155,8 +154,8 @@
     const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), workflow::encodeJob(job->record));
     whenKept(revision, [this, job] { onAccepted(job); });
     const core::Duration patience = call.patience > core::Duration(0) ? call.patience : m_parts.times.callPatience;
-    m_parts.loop->callAfter(std::min(patience, m_parts.times.callPatience),
-        [self = weak_from_this(), id = call.spec.id] {
+    m_parts.loop->callAfter(
+        std::min(patience, m_parts.times.callPatience), [self = weak_from_this(), id = call.spec.id] {
             if (const auto it = self.lock())
                 it->onSubmitPatienceOver(id);
         });
@@ -239,9 +238,10 @@
         return;
     }
     WorkAnswer answer = answerOf(WorkOutcome::Counted);
-    answer.pending = static_cast<std::uint64_t>(std::count_if(m_active.begin(), m_active.end(), [queue](const auto& it) {
-        return it.second->isKept && !it.second->hasStarted && it.second->record.queue.name == queue->name;
-    }));
+    answer.pending
+        = static_cast<std::uint64_t>(std::count_if(m_active.begin(), m_active.end(), [queue](const auto& it) {
+              return it.second->isKept && !it.second->hasStarted && it.second->record.queue.name == queue->name;
+          }));
     answered(answer);
 }
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -2,9 +2,9 @@
 
 #include "placement/healthbook.h"
 #include "scheduling/engine.h"
+#include "scheduling/intake.h"
 #include "scheduling/internal/jobs.h"
 #include "scheduling/internal/worker.h"
-#include "scheduling/intake.h"
 #include "scheduling/placer.h"
 
 #include <array>
@@ -107,8 +107,8 @@
     void onAdvice(const JobPtr& job, std::size_t stage, const std::vector<core::VmId>& named,
         const core::TimePoint& askedAt, const fleet::AdviceResult& result);
     void startTasks(const JobPtr& job, Stage& stage, const std::vector<core::VmId>& chosen);
-    void startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker,
-        fleet::RunNumber run, const std::string& checkpoint);
+    void startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker, fleet::RunNumber run,
+        const std::string& checkpoint);
     void reserveFor(const Turn& turn, std::vector<Candidate> candidates, const Demand& demand);
     void tick();
 
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -180,7 +180,8 @@
     });
     std::int64_t slots = 0;
     for (const Candidate& it : candidates)
-        slots += std::min<std::int64_t>(slotsIn(it.room, demand.need), demand.maxPerWorker > 0 ? demand.maxPerWorker : INT32_MAX);
+        slots += std::min<std::int64_t>(
+            slotsIn(it.room, demand.need), demand.maxPerWorker > 0 ? demand.maxPerWorker : INT32_MAX);
     const std::int64_t least = demand.isAllOrNothing ? demand.count : 1;
     if (slots < least)
         return {}; // there is no room now, and a ticket would lapse before there is
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -218,8 +218,8 @@
         .with("worker", entry.id.value())
         .with("address", entry.address.text())
         .with("milliCpu", entry.capacity.cpu.value());
-    const WorkerPtr worker = Worker::create(m_parts.loop, m_parts.orders, entry, m_won.leader.term, m_priorLeaseUntil,
-        m_parts.times, workerHooks());
+    const WorkerPtr worker = Worker::create(
+        m_parts.loop, m_parts.orders, entry, m_won.leader.term, m_priorLeaseUntil, m_parts.times, workerHooks());
     worker->setListed(isListed);
     m_workers[entry.id] = worker;
     worker->begin();
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -201,8 +201,7 @@
         endJob(job, workflow::JobState::Completed, "all tasks are done");
 }
 
-void EngineImpl::countFailure(
-    const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker)
+void EngineImpl::countFailure(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker)
 {
     const workflow::StepSpec& step = job->stepOf(stage);
     const std::uint32_t index = step.isGang ? 0 : end.name.task.index;
@@ -232,8 +231,7 @@
         --task.strays;
         return;
     }
-    const bool isNewest
-        = task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker.id();
+    const bool isNewest = task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker.id();
     if (!isNewest)
         return;
     const core::TimePoint now = m_parts.loop->now();
--- a/src/scheduling/internal/intake.cpp
+++ b/src/scheduling/internal/intake.cpp
@@ -67,9 +67,8 @@
         return IntakeRefusal { "no worker is known for the queue", std::chrono::seconds(1) };
     if (!fitsSomewhere(spec, view.largestWorker))
         return IntakeRefusal { "no worker can hold its largest task", std::nullopt };
-    if (spec.occurrences > 0 || std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& it) {
-            return it.isLongRunning;
-        }))
+    if (spec.occurrences > 0
+        || std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& it) { return it.isLongRunning; }))
         return std::nullopt; // due later, or without end: the present load does not decide
     const double usable = view.cores * usableShare * (1 - std::min(view.higherShare, mostHigherShare));
     const core::Duration wait = seconds(view.coreSecondsAhead / std::max(usable, 0.001)) + view.adviceWait;
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -6,9 +6,8 @@
 
 bool Stage::isGangRun(fleet::RunNumber run) const
 {
-    return std::all_of(tasks.begin(), tasks.end(), [run](const TaskProgress& it) {
-        return it.state != TaskProgress::State::Live || it.run == run;
-    });
+    return std::all_of(tasks.begin(), tasks.end(),
+        [run](const TaskProgress& it) { return it.state != TaskProgress::State::Live || it.run == run; });
 }
 
 std::size_t Stage::startable() const
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -130,11 +130,12 @@
     const bool mayWait = m_hasAnswered && m_failures == 0 && !hasUnsettledEnds();
     order.wait = mayWait ? m_times.holdWait : core::Duration(0);
     m_isHolding = true;
-    m_orders->hold(address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
-        const auto it = self.lock();
-        if (it && !it->m_isRetired)
-            it->onHeld(result, sentAt);
-    });
+    m_orders->hold(
+        address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
+            const auto it = self.lock();
+            if (it && !it->m_isRetired)
+                it->onHeld(result, sentAt);
+        });
 }
 
 void Worker::onHeld(const fleet::HoldResult& result, core::TimePoint sentAt)
@@ -402,7 +403,7 @@
         holdSoon(core::Duration(0));
 }
 
-void Worker::finish(const fleet::RunName& name, RunOver over)
+void Worker::finish(fleet::RunName name, RunOver over)
 {
     const auto it = m_runs.find(name);
     over.ran = m_loop->now() - it->second.since;
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -123,7 +123,7 @@
     void onStarted(const fleet::RunName& run, const fleet::OrderResult& result);
     void sendStop(const fleet::RunName& run);
     void onStopped(const fleet::RunName& run, const fleet::OrderResult& result);
-    void finish(const fleet::RunName& run, RunOver over);
+    void finish(fleet::RunName run, RunOver over);
     void loseAll();
     void checkLapse();
     void endLife();
--- a/src/scheduling/tests/fakes.h
+++ b/src/scheduling/tests/fakes.h
@@ -160,7 +160,8 @@
             answerUnknown(callback);
             return;
         }
-        order_(to, callback, [this, order](FakeWorker& it) { return startNow(it, order); }, &FakeWorker::losesStarts);
+        order_(
+            to, callback, [this, order](FakeWorker& it) { return startNow(it, order); }, &FakeWorker::losesStarts);
     }
     void stop(const fleet::WorkerAddress& to, const fleet::StopOrder& order,
         std::function<void(fleet::OrderResult)> callback) override
@@ -174,13 +175,13 @@
             return fleet::WorkerClock(clock());
         });
     }
-    void pace(const fleet::WorkerAddress&, const fleet::PaceOrder&, std::function<void(fleet::OrderResult)>) override { }
+    void pace(const fleet::WorkerAddress&, const fleet::PaceOrder&, std::function<void(fleet::OrderResult)>) override {
+    }
     void hold(const fleet::WorkerAddress& to, const fleet::HoldOrder& order,
         std::function<void(fleet::HoldResult)> callback) override
     {
-        m_loop->callAfter(latency, [this, to, order, callback, until = m_loop->now() + order.wait] {
-            holdNow(to, order, until, callback);
-        });
+        m_loop->callAfter(latency,
+            [this, to, order, callback, until = m_loop->now() + order.wait] { holdNow(to, order, until, callback); });
     }
     //! Carries out the starts that were kept back.
     void carryOutLate(const core::VmId& id)
@@ -191,8 +192,8 @@
 
 private:
     template <class Function>
-    void order_(const fleet::WorkerAddress& to, const std::function<void(fleet::OrderResult)>& callback, Function function,
-        int FakeWorker::*losses = nullptr)
+    void order_(const fleet::WorkerAddress& to, const std::function<void(fleet::OrderResult)>& callback,
+        Function function, int FakeWorker::*losses = nullptr)
     {
         m_loop->callAfter(latency, [this, to, callback, function, losses] {
             FakeWorker& it = workers[to.id];
--- a/src/store/irowstore.h
+++ b/src/store/irowstore.h
@@ -18,8 +18,8 @@
         std::function<void(PageResult)> callback)
         = 0;
     //! Rows of a table that changed after a version, as soon as there is one, or none when `wait` is over.
-    virtual void changes(const std::string& table, core::RowVersion after, core::Duration wait,
-        std::function<void(PageResult)> callback)
+    virtual void changes(
+        const std::string& table, core::RowVersion after, core::Duration wait, std::function<void(PageResult)> callback)
         = 0;
 };
 
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -18,7 +18,8 @@
 
 const QueuePolicy* QueueConfig::findByName(const std::string& name) const
 {
-    const auto it = std::find_if(queues.begin(), queues.end(), [&name](const auto& entry) { return entry.name == name; });
+    const auto it
+        = std::find_if(queues.begin(), queues.end(), [&name](const auto& entry) { return entry.name == name; });
     return it == queues.end() ? nullptr : &*it;
 }
 
--- a/standins/control.h
+++ b/standins/control.h
@@ -3,8 +3,8 @@
 #include "codec/json.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
-#include "services/servicestypes.h"
 #include "runtime/eventloop.h"
+#include "services/servicestypes.h"
 
 #include <string>
 
