--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -88,7 +88,6 @@
     {
         const std::lock_guard lock(mutex);
         taken.swap(work);
-        isWoken = false;
     }
     for (Work& it : taken)
         it();
@@ -99,7 +98,11 @@
 {
     while (!h2o_linklist_is_empty(messages))
         h2o_linklist_unlink(messages->next);
-    reinterpret_cast<Queue*>(receiver)->isDue = true;
+    auto* self = reinterpret_cast<Queue*>(receiver);
+    self->isDue = true;
+    // Only now may the message be sent again: until here it was in the library's list.
+    const std::lock_guard lock(self->mutex);
+    self->isWoken = false;
 }
 
 core::RetVal<EventLoopPtr, LoopError> EventLoop::create(std::string name, IClockPtr clock)
--- a/src/runtime/tests/runtime_tests.cpp
+++ b/src/runtime/tests/runtime_tests.cpp
@@ -112,3 +112,28 @@
     for (const auto& it : loops)
         it->stop();
 }
+
+BOOST_AUTO_TEST_CASE(ownWorkAndThatOfAnotherThreadMeet)
+{
+    // A loop that ran its own work forgot that a wake-up by another thread was still on its way.
+    auto loop = runtime::EventLoop::create("test", runtime::systemClock()).value();
+    loop->start();
+    std::atomic<bool> isOver = false;
+    std::function<void()> again = [&] {
+        if (!isOver)
+            loop->post([&again] { again(); });
+    };
+    loop->post([&again] { again(); });
+    constexpr int rounds = 200'000;
+    std::atomic<int> left = rounds;
+    std::promise<void> done;
+    for (int n = 0; n < rounds; ++n) {
+        loop->post([&] {
+            if (--left == 0)
+                done.set_value();
+        });
+    }
+    BOOST_TEST((done.get_future().wait_for(20s) == std::future_status::ready));
+    isOver = true;
+    loop->stop();
+}
