--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -31,12 +31,13 @@
 constexpr core::Duration idleCheckPeriod = std::chrono::milliseconds(50);
 //! Kept free before the platform kills the process.
 constexpr core::Duration stopMargin = std::chrono::milliseconds(700);
-//! A VM with a full core is preferred as leader over one with a tenth of it by this much.
+//! A VM with half a core or more is preferred as leader over one with next to nothing by this much.
 constexpr core::Duration longestHandicap = std::chrono::milliseconds(600);
+constexpr double enoughProcessor = 0.5;
 
 core::Duration handicapOf(double processorShare)
 {
-    const double lack = std::clamp(1 - processorShare, 0.0, 1.0);
+    const double lack = std::clamp(1 - processorShare / enoughProcessor, 0.0, 1.0);
     return core::Duration(std::int64_t(double(longestHandicap.count()) * lack));
 }
 
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -49,9 +49,10 @@
     std::vector<core::HostPort> nodes;
 };
 
-//! The known leader does not answer, or says that it does not lead.
+//! The known leader does not answer, or says that it does not lead; or it answers again.
 struct LeaderDoubted {
     core::Epoch term;
+    bool isDoubted = true;
 };
 
 using LeadMessage
--- a/src/dispatch/internal/leadlink.cpp
+++ b/src/dispatch/internal/leadlink.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 //! The leader answers an offer within a second when it has no question.
-constexpr core::Duration lendPatience = std::chrono::milliseconds(1800);
+constexpr core::Duration lendPatience = std::chrono::milliseconds(1300);
 
 workflow::WorkAnswer notLeading()
 {
--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -281,8 +281,10 @@
 
 void LeadTask::take(LeaderDoubted message)
 {
-    if (!m_engine && m_told && m_told->term == message.term)
-        m_isDoubted = true;
+    if (m_engine || !m_told || m_told->term != message.term)
+        return;
+    m_isDoubted = message.isDoubted;
+    m_election->setDoubted(m_isDoubted);
 }
 
 protocol::LentTurn LeadTask::withNodes(protocol::LentTurn turn)
--- a/src/dispatch/internal/lender.cpp
+++ b/src/dispatch/internal/lender.cpp
@@ -38,6 +38,7 @@
     if (!isNew)
         return;
     ++m_round;
+    m_isDoubted = false;
     offer(0, std::nullopt);
 }
 
@@ -54,14 +55,21 @@
         });
 }
 
+void Lender::tellDoubt(bool isDoubted)
+{
+    if (m_isDoubted == isDoubted || !m_link.leader().leader)
+        return;
+    m_isDoubted = isDoubted;
+    m_local.send(LeaderDoubted { m_link.leader().leader->term, isDoubted });
+}
+
 void Lender::onLent(const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt)
 {
     if (turn && !turn->nodes.empty())
         m_local.send(NodesSeen { turn->nodes });
     if (!turn || turn->question == 0) {
         const bool isLost = !turn || now() - sentAt < quickAnswer;
-        if (isLost && m_link.leader().leader)
-            m_local.send(LeaderDoubted { m_link.leader().leader->term });
+        tellDoubt(isLost);
         loop()->callAfter(isLost ? retryPause : core::Duration(0), [weak = weak_from_this(), round = m_round] {
             const auto it = std::static_pointer_cast<Lender>(weak.lock());
             if (it && it->m_round == round)
@@ -69,6 +77,7 @@
         });
         return;
     }
+    tellDoubt(false);
     m_advice->ask(turn->asked,
         [weak = weak_from_this(), round = m_round, question = turn->question](const fleet::AdviceResult& result) {
             const auto it = std::static_pointer_cast<Lender>(weak.lock());
--- a/src/dispatch/internal/workdesk.cpp
+++ b/src/dispatch/internal/workdesk.cpp
@@ -9,13 +9,14 @@
 
 namespace {
 
-//! Callers that name no time get this long.
-constexpr core::Duration defaultPatience = std::chrono::milliseconds(2500);
+//! A leader that lives answers within a few tens of milliseconds. Whoever asked can ask again, at another node.
+constexpr core::Duration longestPatience = std::chrono::milliseconds(1300);
 //! The leader's answer must come back before the caller leaves.
 constexpr core::Duration wayBack = std::chrono::milliseconds(100);
-//! A hand-over between leaders takes a few hundred milliseconds.
+//! A planned hand-over between leaders takes a few hundred milliseconds; who submits is told sooner, and comes again.
 constexpr core::Duration longestRetry = std::chrono::milliseconds(900);
-constexpr core::Duration retryPause = std::chrono::milliseconds(100);
+constexpr core::Duration longestSubmitRetry = std::chrono::milliseconds(250);
+constexpr core::Duration retryPause = std::chrono::milliseconds(60);
 
 std::int64_t ms(core::Duration it)
 {
@@ -43,12 +44,13 @@
 void WorkDesk::take(AskWork message)
 {
     const core::Duration named = message.call.patience;
-    const core::Duration patience = named > core::Duration(0) ? std::min(named, defaultPatience) : defaultPatience;
+    const core::Duration patience = named > core::Duration(0) ? std::min(named, longestPatience) : longestPatience;
     const auto open = std::make_shared<Open>();
     open->question = std::move(message);
     open->askedAt = now();
     open->until = now() + std::max(patience - wayBack, wayBack);
-    open->retryUntil = std::min(now() + longestRetry, open->until - wayBack);
+    const bool isSubmit = open->question.call.kind == workflow::CallKind::Submit;
+    open->retryUntil = std::min(now() + (isSubmit ? longestSubmitRetry : longestRetry), open->until - wayBack);
     send(open);
 }
 
--- a/src/dispatch/lender.h
+++ b/src/dispatch/lender.h
@@ -17,6 +17,7 @@
 
 private:
     void offer(std::uint64_t question, std::optional<fleet::AdviceResult> result);
+    void tellDoubt(bool isDoubted);
     void onLent(const std::optional<protocol::LentTurn>& turn, core::TimePoint sentAt);
 
     LeadLink m_link;
@@ -24,6 +25,7 @@
     core::NodeId m_self;
     core::HostPort m_address;
     runtime::Address<LeadMessage> m_local;
+    bool m_isDoubted = false; //!< as last told
     std::uint64_t m_round = 0; //!< of offers under one leader
 };
 
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -36,6 +36,12 @@
     void start();
     //! The leadership of this node is over; it may take part again.
     void resume();
+    //! This node cannot reach the leader, or can again.
+    void setDoubted(bool isDoubted)
+    {
+        m_isDoubted = isDoubted;
+        m_doubtedTerm = m_row ? m_row->term.value() : 0;
+    }
     //! Takes no leadership any more.
     void retire() { m_isRetired = true; }
 
@@ -65,6 +71,8 @@
     bool m_isClaiming = false;
     bool m_isLeading = false;
     bool m_isRetired = false;
+    bool m_isDoubted = false;
+    std::uint64_t m_doubtedTerm = 0;
 };
 
 using ElectionPtr = std::shared_ptr<Election>;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr core::Duration checkPeriod = std::chrono::milliseconds(100);
+constexpr core::Duration checkPeriod = std::chrono::milliseconds(50);
+//! Nobody decides while the leadership is free, so candidates hurry.
+constexpr int freeHandicapDivisor = 4;
 
 } // namespace
 
@@ -75,6 +77,7 @@
     m_version = row ? row->version : core::RowVersion();
     m_row = row && !row->isDropped ? decodeLeaderRow(row->value) : std::nullopt;
     m_seenAt = m_loop->now();
+    m_isDoubted = m_isDoubted && m_row && m_row->term.value() == m_doubtedTerm;
     m_hooks.leaderSeen(m_row);
 }
 
@@ -83,7 +86,8 @@
     if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired)
         return false;
     const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self;
-    const core::Duration patience = isFree ? m_handicap : m_times.silence + m_handicap;
+    const core::Duration silence = m_isDoubted ? m_times.doubtedSilence : m_times.silence;
+    const core::Duration patience = isFree ? m_handicap / freeHandicapDivisor : silence + m_handicap;
     return m_loop->now() - m_seenAt >= patience;
 }
 
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -19,7 +19,7 @@
 using workflow::WorkOutcome;
 
 //! Until a call that came too early is told to come back.
-constexpr core::Duration longestHold = std::chrono::milliseconds(1200);
+constexpr core::Duration longestHold = std::chrono::milliseconds(400);
 constexpr core::Duration notNowRetry = std::chrono::milliseconds(400);
 //! Time over which arrivals are averaged: some seconds, as bursts last.
 constexpr double arrivalsSeconds = 6;
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -6,6 +6,8 @@
 #include "scheduling/internal/jobs.h"
 #include "scheduling/internal/worker.h"
 #include "scheduling/placer.h"
+#include "scheduling/reservation.h"
+#include "scheduling/speedbook.h"
 
 #include <array>
 #include <deque>
@@ -100,16 +102,25 @@
     void pump();
     std::vector<Turn> turns(core::TimePoint now);
     void placeStage(const Turn& turn, core::TimePoint now);
-    std::vector<Candidate> candidatesFor(const Job& job, const Stage& stage, core::TimePoint now, bool needsTicket);
+    //! Which workers count as candidates for a step.
+    enum class Need {
+        Ticket, //!< those with a ticket that is valid now
+        Allowed, //!< those that advice has allowed, whether the ticket is valid or not
+        NotDenied
+    };
+    std::vector<Candidate> candidatesFor(const Job& job, const Stage& stage, core::TimePoint now, Need need);
     Demand demandOf(const Job& job, const Stage& stage) const;
-    void askAdvice(const Turn& turn, core::TimePoint now);
-    std::vector<core::VmId> workersToName(const Job& job, const Stage& stage, core::TimePoint now);
+    void askAdvice(const Turn& turn, core::TimePoint now, const std::optional<Reservation>& reservation);
+    std::vector<core::VmId> workersToName(
+        const Job& job, const Stage& stage, core::TimePoint now, const std::optional<Reservation>& reservation);
     void onAdvice(const JobPtr& job, std::size_t stage, const std::vector<core::VmId>& named,
         const core::TimePoint& askedAt, const fleet::AdviceResult& result);
     void startTasks(const JobPtr& job, Stage& stage, const std::vector<core::VmId>& chosen);
     void startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker, fleet::RunNumber run,
         const std::string& checkpoint);
-    void reserveFor(const Turn& turn, std::vector<Candidate> candidates, const Demand& demand);
+    std::optional<Reservation> reservationFor(const Turn& turn, core::TimePoint now);
+    std::vector<RoomEvent> roomEvents(const Worker& worker, core::TimePoint now) const;
+    core::Duration remainingOf(const fleet::RunName& name, const WorkerRun& run, core::TimePoint now) const;
     void tick();
 
     EngineParts m_parts;
@@ -127,7 +138,9 @@
     std::deque<core::JobId> m_ended; //!< in order of their end
     placement::HealthBook m_health;
     std::map<std::string, double> m_goodShare; //!< by queue: workers that advice allows, of those named
-    std::set<core::VmId> m_reserved; //!< kept for a gang in this round
+    std::map<core::VmId, core::Resources> m_kept; //!< room kept for gangs in this round
+    std::size_t m_keptGangs = 0; //!< in this round
+    SpeedBook m_speed;
     std::array<double, 8> m_arrivals {}; //!< core-seconds a second by priority, decaying
     core::TimePoint m_arrivalsAt {};
     std::optional<std::vector<fleet::WorkerEntry>> m_entries; //!< the register, once it was read
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -27,8 +27,13 @@
 constexpr double goodShareGain = 0.1;
 //! More workers are named than are needed, since advice varies about its mean.
 constexpr double namedMargin = 1.6;
-//! A gang that has waited so long gets workers kept for it.
-constexpr core::Duration gangWait = std::chrono::milliseconds(250);
+//! Gangs that have room kept for them at the same time. More of them would empty the workers for all else.
+constexpr std::size_t mostKeptGangs = 4;
+//! Advice for a gang is asked for so long before its room is there, beyond the time that advice takes.
+constexpr core::Duration adviceLead = std::chrono::milliseconds(300);
+//! Taken for the rest of a task whose progress is not known yet, as a share of its estimate.
+constexpr double unknownRest = 0.7;
+constexpr core::Duration shortestRest = std::chrono::milliseconds(50);
 
 std::int64_t ms(core::Duration it)
 {
@@ -56,7 +61,8 @@
     if (m_isOver || m_isReleasing || !m_areTablesRead || !m_entries || !m_config || now >= m_log->authorityUntil())
         return;
     isBarrierOver();
-    m_reserved.clear();
+    m_kept.clear();
+    m_keptGangs = 0;
     for (const Turn& it : turns(now))
         placeStage(it, now);
 }
@@ -97,8 +103,7 @@
     return demand;
 }
 
-std::vector<Candidate> EngineImpl::candidatesFor(
-    const Job& job, const Stage& stage, core::TimePoint now, bool needsTicket)
+std::vector<Candidate> EngineImpl::candidatesFor(const Job& job, const Stage& stage, core::TimePoint now, Need need)
 {
     const workflow::StepSpec& step = job.stepOf(stage);
     std::set<core::VmId> avoided;
@@ -113,20 +118,21 @@
     for (const auto& [id, worker] : m_workers) {
         if (worker->entry().service != job.record.queue.service || !worker->takesStarts(now))
             continue;
-        if (!m_rostered.contains(id) || m_health.isSetAside(id, now) || m_reserved.contains(id))
+        if (!m_rostered.contains(id) || m_health.isSetAside(id, now))
             continue;
         if (!step.requiredLabel.empty() && !worker->entry().labels.contains(step.requiredLabel))
             continue;
-        if (needsTicket) {
-            const auto ticket = stage.advice.tickets.find(id);
-            if (ticket == stage.advice.tickets.end() || ticket->second.validUntil < now + m_parts.times.adviceReserve)
-                continue;
-        } else if (stage.advice.denied.contains(id)) {
+        const auto ticket = stage.advice.tickets.find(id);
+        const bool isAllowed = ticket != stage.advice.tickets.end();
+        if (need == Need::Ticket && (!isAllowed || ticket->second.validUntil < now + m_parts.times.adviceReserve))
             continue;
-        }
+        if ((need == Need::Allowed && !isAllowed) || stage.advice.denied.contains(id))
+            continue;
+        const auto kept = m_kept.find(id);
+        const core::Resources room = kept == m_kept.end() ? worker->room() : worker->room() - kept->second;
         const auto running = ofStep.find(id);
-        candidates.push_back({ id, worker->room(), worker->entry().capacity, worker->rack(),
-            running == ofStep.end() ? 0 : running->second, avoided.contains(id) });
+        candidates.push_back({ id, room, worker->entry().capacity, worker->rack(),
+            running == ofStep.end() ? 0 : running->second, avoided.contains(id) || m_speed.isSlow(id, now) });
     }
     return candidates;
 }
@@ -134,56 +140,87 @@
 void EngineImpl::placeStage(const Turn& turn, core::TimePoint now)
 {
     Stage& stage = *turn.stage;
+    const Demand demand = demandOf(*turn.job, stage);
     const bool needsTicket = turn.job->record.queue.advice.has_value();
+    std::vector<Candidate> candidates
+        = candidatesFor(*turn.job, stage, now, needsTicket ? Need::Ticket : Need::NotDenied);
+    if (turn.job->isKept && !candidates.empty()) {
+        const std::vector<core::VmId> chosen
+            = place(demand, candidates, placement::strategyOf(placement::StrategyKind::DominantFit));
+        if (!chosen.empty()) {
+            startTasks(turn.job, stage, chosen);
+            return;
+        }
+    }
+    const std::optional<Reservation> reservation
+        = demand.isAllOrNothing && !turn.isLate ? reservationFor(turn, now) : std::nullopt;
     if (needsTicket)
-        askAdvice(turn, now);
-    if (!turn.job->isKept)
+        askAdvice(turn, now, reservation);
+    if (!reservation || m_keptGangs >= mostKeptGangs)
         return;
-    std::vector<Candidate> candidates = candidatesFor(*turn.job, stage, now, needsTicket);
-    if (candidates.empty())
-        return;
-    const Demand demand = demandOf(*turn.job, stage);
-    const std::vector<Candidate> untouched = candidates;
-    const std::vector<core::VmId> chosen
-        = place(demand, candidates, placement::strategyOf(placement::StrategyKind::DominantFit));
-    if (!chosen.empty())
-        startTasks(turn.job, stage, chosen);
-    else if (demand.isAllOrNothing && !turn.isLate && now - stage.openedAt > gangWait)
-        reserveFor(turn, untouched, demand);
+    ++m_keptGangs;
+    for (const auto& [worker, room] : reservation->kept) {
+        core::Resources& kept = m_kept[worker];
+        kept = kept + room;
+    }
 }
 
-void EngineImpl::reserveFor(const Turn& turn, std::vector<Candidate> candidates, const Demand& demand)
+core::Duration EngineImpl::remainingOf(const fleet::RunName& name, const WorkerRun& run, core::TimePoint now) const
 {
-    // Workers that will have room soonest are kept for it, as many as it needs; others may not fill them meanwhile.
-    std::sort(candidates.begin(), candidates.end(), [&demand](const Candidate& a, const Candidate& b) {
-        return slotsIn(a.room, demand.need) > slotsIn(b.room, demand.need);
-    });
-    std::int64_t slots = 0;
-    for (const Candidate& it : candidates) {
-        if (slots >= std::int64_t(demand.count))
-            break;
-        slots += slotsIn(it.capacity, demand.need);
-        m_reserved.insert(it.worker);
+    const int advanced = run.percent - run.firstPercent;
+    if (run.firstPercent >= 0 && advanced > 0) {
+        const double each = double((run.progressAt - run.firstListedAt).count()) / advanced;
+        const core::Duration left(std::int64_t(each * (100 - run.percent)));
+        return std::max(left - (now - run.progressAt), shortestRest);
     }
-    if (slots < std::int64_t(demand.count))
-        m_reserved.clear(); // keeping them would not be enough
-    (void)turn;
+    const JobPtr job = jobOf(name.task.job);
+    const Stage* stage = job && !job->isOver() ? job->find(name.task) : nullptr;
+    if (!stage)
+        return m_parts.times.stopGrace; // it is being stopped
+    const core::Duration rest(std::int64_t(double(job->stepOf(*stage).estimate.count()) * unknownRest));
+    return std::max(rest - (now - run.since), shortestRest);
+}
+
+std::vector<RoomEvent> EngineImpl::roomEvents(const Worker& worker, core::TimePoint now) const
+{
+    std::vector<RoomEvent> events;
+    for (const auto& [name, run] : worker.runs())
+        events.push_back({ remainingOf(name, run, now), run.taken });
+    return events;
 }
 
-std::vector<core::VmId> EngineImpl::workersToName(const Job& job, const Stage& stage, core::TimePoint now)
+std::optional<Reservation> EngineImpl::reservationFor(const Turn& turn, core::TimePoint now)
+{
+    const bool isAdvised = !turn.stage->advice.tickets.empty();
+    std::vector<FutureWorker> workers;
+    for (Candidate& it : candidatesFor(*turn.job, *turn.stage, now, isAdvised ? Need::Allowed : Need::NotDenied)) {
+        const Worker& worker = *m_workers.at(it.worker);
+        workers.push_back({ std::move(it), roomEvents(worker, now) });
+    }
+    return reserve(demandOf(*turn.job, *turn.stage), workers);
+}
+
+std::vector<core::VmId> EngineImpl::workersToName(
+    const Job& job, const Stage& stage, core::TimePoint now, const std::optional<Reservation>& reservation)
 {
     const Demand demand = demandOf(job, stage);
-    std::vector<Candidate> candidates = candidatesFor(job, stage, now, false);
+    std::vector<Candidate> candidates = candidatesFor(job, stage, now, Need::NotDenied);
     std::erase_if(candidates, [&](const Candidate& it) { return !demand.need.fitsIn(it.capacity); });
-    std::stable_sort(candidates.begin(), candidates.end(), [&demand](const Candidate& a, const Candidate& b) {
+    const auto isKept = [&reservation](const Candidate& it) { return reservation && reservation->kept.contains(it.worker); };
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
+        if (isKept(a) != isKept(b))
+            return isKept(a);
         return slotsIn(a.room, demand.need) > slotsIn(b.room, demand.need);
     });
     std::int64_t slots = 0;
-    for (const Candidate& it : candidates)
-        slots += std::min<std::int64_t>(
-            slotsIn(it.room, demand.need), demand.maxPerWorker > 0 ? demand.maxPerWorker : INT32_MAX);
+    for (const Candidate& it : candidates) {
+        const std::int64_t most = demand.maxPerWorker > 0 ? demand.maxPerWorker : INT32_MAX;
+        slots += std::min<std::int64_t>(slotsIn(it.room, demand.need), most);
+    }
     const std::int64_t least = demand.isAllOrNothing ? demand.count : 1;
-    if (slots < least)
+    const core::Duration lead = job.record.queue.advice->costOf(leastNamed) + adviceLead;
+    const bool isSoon = reservation && reservation->completeIn <= lead;
+    if (slots < least && !isSoon)
         return {}; // there is no room now, and a ticket would lapse before there is
     const auto known = m_goodShare.find(job.record.queue.name);
     const double goodShare = known == m_goodShare.end() ? firstGoodShare : known->second;
@@ -198,7 +235,7 @@
     return named;
 }
 
-void EngineImpl::askAdvice(const Turn& turn, core::TimePoint now)
+void EngineImpl::askAdvice(const Turn& turn, core::TimePoint now, const std::optional<Reservation>& reservation)
 {
     Stage& stage = *turn.stage;
     AdviceState& advice = stage.advice;
@@ -211,7 +248,7 @@
     const workflow::AdviceTerms& terms = *turn.job->record.queue.advice;
     if (m_parts.advice->freeNodes(terms.perQuestion) == 0 && turn.priority > 0)
         return; // its turn is decided anew when a node is free
-    const std::vector<core::VmId> named = workersToName(*turn.job, stage, now);
+    const std::vector<core::VmId> named = workersToName(*turn.job, stage, now, reservation);
     if (named.empty())
         return;
     advice.isAsked = true;
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -249,6 +249,7 @@
     m_workers.erase(it);
     m_rostered.erase(id);
     m_health.forget(id);
+    m_speed.forget(id);
     if (!m_isOver)
         keepRoster();
 }
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -45,6 +45,13 @@
         if (const auto it = self.lock())
             it->onEnded(worker, end);
     };
+    hooks.progress = [self](Worker& worker, const fleet::RunName& run, double share, core::Duration took) {
+        const auto it = self.lock();
+        const JobPtr job = it ? it->jobOf(run.task.job) : nullptr;
+        const Stage* stage = job && !job->isOver() ? job->find(run.task) : nullptr;
+        if (stage && !job->stepOf(*stage).isGang)
+            it->m_speed.onProgress(worker.id(), share, took, job->stepOf(*stage).estimate, it->m_parts.loop->now());
+    };
     hooks.listed = [self](Worker& worker) {
         if (const auto it = self.lock())
             it->onListed(worker);
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -12,6 +12,7 @@
 
 //! Ends that wait to be kept are asked about again after this time at the latest.
 constexpr core::Duration unsettledPause = std::chrono::milliseconds(400);
+constexpr core::Duration samplePeriod = std::chrono::milliseconds(250);
 constexpr core::Duration unhealthyPause = std::chrono::milliseconds(800);
 constexpr core::Duration stopRetry = std::chrono::milliseconds(150);
 //! Time for what is on its way between a worker's clock and this one's reading of it.
@@ -221,17 +222,32 @@
         if (run.firstPercent < 0) {
             run.firstPercent = entry.percent;
             run.firstListedAt = now;
+            run.sampledPercent = entry.percent;
+            run.sampledAt = now;
         }
         if (entry.percent != run.percent) {
             run.percent = entry.percent;
             run.progressAt = now;
         }
+        sample(entry.name, run, entry.percent);
         run.load = entry.load;
         if (!entry.checkpoint.empty())
             run.checkpoint = entry.checkpoint;
     }
 }
 
+void Worker::sample(const fleet::RunName& name, WorkerRun& run, int percent)
+{
+    const core::TimePoint now = m_loop->now();
+    if (run.state != WorkerRun::State::Running || now - run.sampledAt < samplePeriod)
+        return;
+    // What has done nothing yet may be starting up, or wait for the others of its gang.
+    if (percent > 0)
+        m_hooks.progress(*this, name, double(percent - run.sampledPercent) / 100, now - run.sampledAt);
+    run.sampledPercent = percent;
+    run.sampledAt = now;
+}
+
 void Worker::takeEnds(const fleet::WorkerReport& report)
 {
     // What comes before the first end that is listed was forgotten, perhaps on a former leader's word.
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -41,6 +41,8 @@
     int percent = 0;
     int firstPercent = -1; //!< when it was first listed
     core::TimePoint firstListedAt {};
+    int sampledPercent = 0; //!< at the last sample of its speed
+    core::TimePoint sampledAt {};
     std::int64_t load = 0;
     std::string checkpoint;
     bool isStopInFlight = false;
@@ -62,6 +64,8 @@
     std::function<Adoption(Worker&, const fleet::RunningRun&)> adopt; //!< something runs that was not ordered here
     //! An end is listed; `Worker::settle` must be called once it may be forgotten. Comes before `over`.
     std::function<void(Worker&, const fleet::EndedRun&, bool isKnown)> ended;
+    //! A run did this share of its work in this time.
+    std::function<void(Worker&, const fleet::RunName&, double share, core::Duration took)> progress;
     std::function<void(Worker&)> listed; //!< a report was taken in
     std::function<void(Worker&)> lifeOver; //!< another worker answers at its address, or it was born again
     std::function<void(Worker&)> fenced; //!< another leader has a higher fence
@@ -117,6 +121,7 @@
     void takeReport(const fleet::WorkerReport& report, core::TimePoint sentAt);
     void takeEnds(const fleet::WorkerReport& report);
     void takeRunning(const fleet::WorkerReport& report, std::set<fleet::RunName>& listed);
+    void sample(const fleet::RunName& name, WorkerRun& run, int percent);
     void dropUnlisted(const std::set<fleet::RunName>& listed, core::TimePoint sentAt);
     void noteClock(fleet::WorkerClock clock);
     void noteLease(fleet::WorkerClock until);
