Settle lost orders in 220 ms, let a leader that the store turns away ask to be followed

Change: order patience 220 ms, a look right after the stop's answer; the leader asks its lenders to follow, whose claim is conditional as ever. Ruled out: giving the leadership up first (in a whole outage nobody would hold the workers).

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -204,7 +204,7 @@
         responder.send({ 200, {}, protocol::encodeHint(hint), {} });
     };
     lead->address().send(dispatch::AskLeader {
-        asker.isLeading ? asker.leader : std::nullopt, runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
+        asker.isLeading ? asker.leader : std::nullopt, asker.isTurnedAway, runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
 }
 
 void DispatchNode::Parts::flushForever()
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -41,6 +41,7 @@
 //! this node is over.
 struct AskLeader {
     std::optional<lead::LeaderRow> asker; //!< when the asker leads
+    bool isTurnedAway = false; //!< the asker wants to be followed
     runtime::Reply<protocol::LeaderHint> reply;
 };
 
--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -88,7 +88,13 @@
     scheduling::EngineParts parts { loop(), m_parts.store, m_parts.orders, m_advice, m_parts.metrics, m_parts.times,
         m_parts.leadTimes };
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    m_engine = scheduling::Engine::create(std::move(parts), won, [weak, term = m_term](const std::string& why) {
+    scheduling::EngineHooks hooks;
+    hooks.turnedAway = [weak, term = m_term] {
+        const auto it = weak.lock();
+        if (it && it->m_engine && it->m_term == term)
+            it->inviteOthers();
+    };
+    hooks.deposed = [weak, term = m_term](const std::string& why) {
         const auto it = weak.lock();
         if (!it)
             return;
@@ -98,7 +104,8 @@
             if (it && it->m_engine && it->m_term == term)
                 it->onDeposed(why);
         });
-    });
+    };
+    m_engine = scheduling::Engine::create(std::move(parts), won, std::move(hooks));
     if (m_config)
         m_engine->setConfig(m_config);
     m_engine->start();
@@ -114,13 +121,13 @@
 }
 
 void LeadTask::askNode(
-    const core::HostPort& node, std::function<void(const std::optional<protocol::LeaderHint>&)> answered)
+    const core::HostPort& node, bool isTurnedAway, std::function<void(const std::optional<protocol::LeaderHint>&)> answered)
 {
     http::ClientRequest request;
     request.to = node;
     request.method = "POST";
     request.target = protocol::leadingPath;
-    request.body = protocol::encodeHint({ m_engine != nullptr, m_engine ? m_told : std::nullopt });
+    request.body = protocol::encodeHint({ m_engine != nullptr, isTurnedAway, m_engine ? m_told : std::nullopt });
     request.timeout = formerPatience;
     m_parts.client->send(std::move(request), [answered = std::move(answered)](const http::ClientResult& result) {
         if (!result || result.value().status != 200) {
@@ -136,13 +143,24 @@
     });
 }
 
+void LeadTask::inviteOthers()
+{
+    LogLine(Severity::Warning, "followers-invited")
+        .with("term", std::int64_t(m_term.value()))
+        .with("nodes", std::int64_t(m_lenders.size()));
+    for (const auto& [address, at] : m_lenders) {
+        if (address != m_parts.address)
+            askNode(address, true, [](const std::optional<protocol::LeaderHint>&) {});
+    }
+}
+
 void LeadTask::lookForLeader()
 {
     if (m_engine || (m_told && !m_isDoubted) || m_nodes.empty())
         return;
     const core::HostPort node = m_nodes[m_nextNode++ % m_nodes.size()];
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    askNode(node, [weak](const std::optional<protocol::LeaderHint>& hint) {
+    askNode(node, false, [weak](const std::optional<protocol::LeaderHint>& hint) {
         const auto it = weak.lock();
         const bool isNews = it && hint && hint->leader && !it->m_engine
             && (!it->m_told || hint->leader->term > it->m_told->term)
@@ -163,7 +181,7 @@
         return;
     }
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    askNode(former, [weak, former, term](const std::optional<protocol::LeaderHint>& hint) {
+    askNode(former, false, [weak, former, term](const std::optional<protocol::LeaderHint>& hint) {
         const auto it = weak.lock();
         if (!it || !it->m_engine || it->m_term != term)
             return;
@@ -270,7 +288,9 @@
         = asker && !m_engine && (!m_told || asker->term > m_told->term) && (!m_leader || asker->term >= m_leader->term);
     if (isNews)
         tellNews(asker);
-    message.reply.send({ m_engine != nullptr, m_told });
+    if (message.isTurnedAway && asker && !m_engine)
+        m_election->invite(asker->term);
+    message.reply.send({ m_engine != nullptr, false, m_told });
 }
 
 void LeadTask::take(NodesSeen message)
--- a/src/dispatch/leadtask.h
+++ b/src/dispatch/leadtask.h
@@ -39,7 +39,9 @@
     void onDeposed(const std::string& why);
     void endLeadership();
     //! Asks a node what it knows; a leader tells it of its term by that.
-    void askNode(const core::HostPort& node, std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
+    void askNode(
+        const core::HostPort& node, bool isTurnedAway, std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
+    void inviteOthers();
     void askFormer(const core::HostPort& former, core::Epoch term);
     //! Asks other nodes who leads, while the store does not tell.
     void lookForLeader();
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -42,6 +42,8 @@
         m_isDoubted = isDoubted;
         m_doubtedTerm = m_row ? m_row->term.value() : 0;
     }
+    //! The leader of this term asks others to follow it, since the store turns it away.
+    void invite(core::Epoch term);
     //! Takes no leadership any more.
     void retire() { m_isRetired = true; }
 
@@ -73,6 +75,7 @@
     bool m_isRetired = false;
     bool m_isDoubted = false;
     std::uint64_t m_doubtedTerm = 0;
+    core::Epoch m_invitedTerm; //!< whose leader has asked to be followed
 };
 
 using ElectionPtr = std::shared_ptr<Election>;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -52,6 +52,11 @@
     check();
 }
 
+void Election::invite(core::Epoch term)
+{
+    m_invitedTerm = term;
+}
+
 void Election::resume()
 {
     m_isLeading = false;
@@ -85,7 +90,8 @@
 {
     if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired)
         return false;
-    const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self;
+    const bool isInvited = m_row && m_row->term == m_invitedTerm;
+    const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self || isInvited;
     const core::Duration silence = m_isDoubted ? m_times.doubtedSilence : m_times.silence;
     const core::Duration patience = isFree ? m_handicap / freeHandicapDivisor : silence + m_handicap;
     return m_loop->now() - m_seenAt >= patience;
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -231,6 +231,13 @@
         m_group.clear();
         m_isGroupOpen = false;
     }
+    const core::TimePoint now = m_loop->now();
+    if (m_isUp || m_mayBeWritten)
+        m_turnedAwayAt = now;
+    else if (now - m_turnedAwayAt >= m_times.turnedAway) {
+        m_turnedAwayAt = now;
+        m_hooks.turnedAway();
+    }
     if (std::exchange(m_isUp, false))
         m_hooks.availability(false);
     wake(m_times.retryPause);
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -20,6 +20,8 @@
     //! Another node leads; nothing more is written.
     std::function<void(const std::string& why)> deposed;
     std::function<void(bool isUp)> availability = [](bool) {};
+    //! The store has turned this node away for a while; it may serve others.
+    std::function<void()> turnedAway = [] {};
 };
 
 //! The leader's writes to the store: groups of rows, one transaction at a time, fenced.
@@ -84,6 +86,7 @@
     runtime::TimerId m_wakeTimer;
     bool m_isStopped = false;
     bool m_isUp = true;
+    core::TimePoint m_turnedAwayAt {}; //!< first refusal in a row
     std::uint64_t m_lastRevision = 0;
     std::uint64_t m_sequence = 0; //!< of groups
     core::TimePoint m_sentAt {};
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -40,6 +40,7 @@
     core::Duration spread = std::chrono::milliseconds(300); //!< over which candidates are spread
     //! A leader that has not reached the store for so long gives no more orders.
     core::Duration authority = std::chrono::seconds(12);
+    core::Duration turnedAway = std::chrono::milliseconds(350); //!< by the store, until others are asked to lead
     core::Duration groupInterval = std::chrono::milliseconds(12); //!< between two writes
     core::Duration retryPause = std::chrono::milliseconds(120); //!< after a write that failed
 };
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -182,6 +182,7 @@
 {
     Json::Value to(Json::objectValue);
     to["leading"] = it.isLeading;
+    to["turnedAway"] = it.isTurnedAway;
     if (it.leader)
         to["leader"] = lead::encodeLeaderRow(*it.leader);
     return codec::writeJson(to);
@@ -193,6 +194,7 @@
     codec::ObjectReader reader(value);
     LeaderHint it;
     it.isLeading = reader.flagOr("leading", false);
+    it.isTurnedAway = reader.flagOr("turnedAway", false);
     it.leader = lead::decodeLeaderRow(reader.textOr("leader", maxName, ""));
     return it;
 }
--- a/src/protocol/workcodec.h
+++ b/src/protocol/workcodec.h
@@ -19,6 +19,7 @@
 //! What a node knows of the leadership, for others that cannot read it from the store.
 struct LeaderHint {
     bool isLeading = false;
+    bool isTurnedAway = false; //!< the sender leads, and asks to be followed, since the store does not serve it
     std::optional<lead::LeaderRow> leader;
 };
 
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -25,6 +25,12 @@
     lead::LeadTimes leadTimes;
 };
 
+//! What an engine tells its owner.
+struct EngineHooks {
+    std::function<void(const std::string& why)> deposed; //!< the leadership is over
+    std::function<void()> turnedAway = [] {}; //!< the store turns this node away, but may serve others
+};
+
 class Engine;
 using EnginePtr = std::shared_ptr<Engine>;
 
@@ -35,9 +41,8 @@
 class Engine {
 public:
     using Answered = std::function<void(const workflow::WorkAnswer&)>;
-    using Deposed = std::function<void(const std::string& why)>;
 
-    static EnginePtr create(EngineParts parts, const lead::Won& won, Deposed deposed);
+    static EnginePtr create(EngineParts parts, const lead::Won& won, EngineHooks hooks);
     virtual ~Engine() = default;
 
     virtual void start() = 0;
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -22,15 +22,15 @@
 
 } // namespace
 
-EnginePtr Engine::create(EngineParts parts, const lead::Won& won, Deposed deposed)
+EnginePtr Engine::create(EngineParts parts, const lead::Won& won, EngineHooks hooks)
 {
-    return std::make_shared<EngineImpl>(std::move(parts), won, std::move(deposed));
+    return std::make_shared<EngineImpl>(std::move(parts), won, std::move(hooks));
 }
 
-EngineImpl::EngineImpl(EngineParts parts, const lead::Won& won, Deposed deposed)
+EngineImpl::EngineImpl(EngineParts parts, const lead::Won& won, EngineHooks hooks)
     : m_parts(std::move(parts))
     , m_won(won)
-    , m_deposed(std::move(deposed))
+    , m_hooks(std::move(hooks))
     , m_health(healthPolicy())
     , m_arrivalsAt(m_parts.loop->now())
     , m_wonAt(m_parts.loop->now())
@@ -58,7 +58,11 @@
         const auto it = self.lock();
         if (!it || std::exchange(it->m_isOver, true))
             return;
-        it->m_deposed(why);
+        it->m_hooks.deposed(why);
+    };
+    hooks.turnedAway = [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->m_hooks.turnedAway();
     };
     m_log = lead::LeaderLog::create(m_parts.loop, m_parts.store, m_won.leader, m_won.leaderVersion, m_won.headVersion,
         m_parts.leadTimes, std::move(hooks));
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -17,7 +17,7 @@
 
 class EngineImpl : public Engine, public std::enable_shared_from_this<EngineImpl> {
 public:
-    EngineImpl(EngineParts parts, const lead::Won& won, Deposed deposed);
+    EngineImpl(EngineParts parts, const lead::Won& won, EngineHooks hooks);
 
     void start() override;
     void setConfig(workflow::QueueConfigPtr config) override;
@@ -125,7 +125,7 @@
 
     EngineParts m_parts;
     lead::Won m_won;
-    Deposed m_deposed;
+    EngineHooks m_hooks;
     lead::LeaderLogPtr m_log;
     workflow::QueueConfigPtr m_config;
     std::unordered_map<core::JobId, JobPtr> m_jobs;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -66,7 +66,7 @@
     hooks.fenced = [self](Worker& worker) {
         const auto it = self.lock();
         if (it && !std::exchange(it->m_isOver, true))
-            it->m_deposed("worker " + worker.id().value() + " knows a later leader");
+            it->m_hooks.deposed("worker " + worker.id().value() + " knows a later leader");
     };
     return hooks;
 }
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -14,6 +14,8 @@
 constexpr core::Duration unsettledPause = std::chrono::milliseconds(400);
 constexpr core::Duration samplePeriod = std::chrono::milliseconds(250);
 constexpr core::Duration unhealthyPause = std::chrono::milliseconds(800);
+//! A look must be sent after the answer that it is to confirm.
+constexpr core::Duration lookPause = std::chrono::milliseconds(1);
 constexpr core::Duration stopRetry = std::chrono::milliseconds(150);
 //! Time for what is on its way between a worker's clock and this one's reading of it.
 constexpr core::Duration clockMargin = std::chrono::milliseconds(100);
@@ -139,6 +141,23 @@
         });
 }
 
+void Worker::lookNow()
+{
+    if (m_isRetired || std::exchange(m_isLooking, true))
+        return;
+    fleet::HoldOrder order;
+    order.fence = m_fence;
+    order.forgetUpTo = m_forgetUpTo;
+    m_orders->hold(address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
+        const auto it = self.lock();
+        if (!it || it->m_isRetired)
+            return;
+        it->m_isLooking = false;
+        if (result)
+            it->takeReport(result.value(), sentAt);
+    });
+}
+
 void Worker::onHeld(const fleet::HoldResult& result, core::TimePoint sentAt)
 {
     m_isHolding = false;
@@ -380,6 +399,11 @@
     if (result) {
         noteClock(result.value());
         it->second.settledAt = m_loop->now();
+        if (it->second.state == WorkerRun::State::Closing)
+            m_loop->callAfter(lookPause, [self = weak_from_this()] {
+                if (const auto it = self.lock())
+                    it->lookNow();
+            });
         return;
     }
     const OrderFailure::Code code = result.error().code;
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -117,6 +117,8 @@
     void holdSoon(core::Duration delay);
     void hold();
     void onHeld(const fleet::HoldResult& result, core::TimePoint sentAt);
+    //! Looks at once, beside a hold that waits.
+    void lookNow();
     void onHoldFailed(const fleet::OrderFailure& failure);
     void takeReport(const fleet::WorkerReport& report, core::TimePoint sentAt);
     void takeEnds(const fleet::WorkerReport& report);
@@ -156,6 +158,7 @@
     bool m_isListed = true;
     core::TimePoint m_unlistedAt {};
     bool m_isHolding = false;
+    bool m_isLooking = false;
     bool m_isHoldSet = false;
     bool m_isRetired = false;
     runtime::TimerId m_holdTimer;
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -12,7 +12,8 @@
     core::Duration holdWait = std::chrono::milliseconds(1000); //!< how long a worker may wait for an end to tell of
     core::Duration holdPatience = std::chrono::milliseconds(600); //!< beyond that, until a hold counts as lost
     core::Duration holdRetry = std::chrono::milliseconds(250); //!< after a hold that failed
-    core::Duration orderPatience = std::chrono::milliseconds(500); //!< until the answer to an order counts as lost
+    //! Until the answer to an order counts as lost; workers answer within a few milliseconds.
+    core::Duration orderPatience = std::chrono::milliseconds(220);
     core::Duration callPatience = std::chrono::milliseconds(2500); //!< of callers, when they name none
     core::Duration stopGrace = std::chrono::milliseconds(900); //!< that a worker takes to stop a task, at most
     core::Duration restore = std::chrono::milliseconds(600); //!< that a start from a checkpoint takes
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -129,7 +129,7 @@
         hooks.won = [this](const lead::Won& won) {
             advice = AdviceDesk::create(loop);
             EngineParts parts { loop, store, workers, advice, telemetry::Metrics::create(), times, leadTimes };
-            engine = Engine::create(parts, won, [this](const std::string&) { isDeposed = true; });
+            engine = Engine::create(parts, won, { [this](const std::string&) { isDeposed = true; } });
             workflow::QueueConfig config;
             config.version = core::ConfigVersion(1);
             config.queues = { queue };
