--- a/tests/docs_tests.py
+++ b/tests/docs_tests.py
@@ -33,6 +33,27 @@
         code = self.keys("src/settings/internal/nodesettings.cpp") - {"callers", "membership", "workers", "log", "retention"}
         self.compare(code, page, "settings")
 
+    def test_dispatch_settings(self):
+        section = read("docs/OPERATIONS.md").split("## Settings of a dispatching node")[1].split("\n## ")[0]
+        page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
+        text = read("src/settings/internal/dispatchsettings.cpp")
+        code = set(re.findall(r'(?:\w+Or|name|addressOf)\((?:reader, )?"([A-Za-z]+)"', text)) - {"workers"}
+        self.compare(code, page, "settings of a dispatching node")
+
+    def test_log_lines(self):
+        """Each event that the way from a request to its cause names is written somewhere in the code."""
+        section = read("docs/OPERATIONS.md").split("## From a failed request to its cause")[1].split("\n## ")[0]
+        page = set(re.findall(r'"event":"([a-z-]+)"', section)) | set(re.findall(r"`([a-z]+-[a-z-]+)`", section))
+        page -= {"not-now", "member-ended"}
+        code = set()
+        for folder in ("src", "platform"):
+            for path, _, names in os.walk(os.path.join(SOURCE, folder)):
+                for name in names:
+                    if name.endswith(".cpp"):
+                        code |= set(re.findall(r'"([a-z-]+)"', read(os.path.join(path, name))))
+        code.add("log-lines-dropped")
+        self.assertEqual(sorted(page - code), [], "log lines that the code lacks")
+
     def test_configuration(self):
         section = read("docs/OPERATIONS.md").split("## Configuration of all nodes")[1].split("\n## ")[0]
         page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
