--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -2,6 +2,7 @@
 
 #include "placement/healthbook.h"
 #include "scheduling/engine.h"
+#include "scheduling/headroom.h"
 #include "scheduling/intake.h"
 #include "scheduling/internal/jobs.h"
 #include "scheduling/internal/worker.h"
@@ -100,6 +101,14 @@
     JobPtr jobOf(const core::JobId& id) const;
 
     // Placing.
+    //! Cores of a service's workers that take starts.
+    struct Cores {
+        double all = 0;
+        double free = 0;
+    };
+    void countCores(core::TimePoint now);
+    //! How many tasks of a step may start, so that it leaves free what it must.
+    std::uint32_t mayStart(const Turn& turn, const Demand& demand, core::TimePoint now) const;
     void pumpSoon();
     void pump();
     std::vector<Turn> turns(core::TimePoint now);
@@ -143,6 +152,8 @@
     std::map<core::VmId, core::Resources> m_kept; //!< room kept for gangs in this round
     std::size_t m_keptGangs = 0; //!< in this round
     SpeedBook m_speed;
+    Headroom m_headroom;
+    std::map<core::ServiceId, Cores> m_cores; //!< in this round
     std::array<double, 8> m_arrivals {}; //!< core-seconds a second by priority, decaying
     core::TimePoint m_arrivalsAt {};
     std::optional<std::vector<fleet::WorkerEntry>> m_entries; //!< the register, once it was read
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -61,6 +61,7 @@
     isBarrierOver();
     m_kept.clear();
     m_keptGangs = 0;
+    countCores(now);
     for (const Turn& it : turns(now))
         placeStage(it, now);
 }
@@ -88,6 +89,33 @@
     return all;
 }
 
+void EngineImpl::countCores(core::TimePoint now)
+{
+    m_cores.clear();
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker->takesStarts(now) || m_health.isSetAside(id, now))
+            continue;
+        Cores& it = m_cores[worker->entry().service];
+        it.all += double(worker->entry().capacity.cpu.value()) / 1000;
+        it.free += double(worker->room().cpu.value()) / 1000;
+    }
+}
+
+std::uint32_t EngineImpl::mayStart(const Turn& turn, const Demand& demand, core::TimePoint now) const
+{
+    const auto cores = m_cores.find(turn.job->record.queue.service);
+    const double each = double(demand.need.cpu.value()) / 1000;
+    if (cores == m_cores.end() || each <= 0)
+        return demand.count;
+    const double leave = m_headroom.coresFor(turn.priority, turn.startBy - now, turn.isLate, cores->second.all);
+    if (leave <= 0)
+        return demand.count;
+    const double most = std::max((cores->second.free - leave) / each, 0.0);
+    if (most >= double(demand.count))
+        return demand.count;
+    return demand.isAllOrNothing ? 0 : static_cast<std::uint32_t>(most);
+}
+
 Demand EngineImpl::demandOf(const Job& job, const Stage& stage) const
 {
     const workflow::StepSpec& step = job.stepOf(stage);
@@ -138,7 +166,10 @@
 void EngineImpl::placeStage(const Turn& turn, core::TimePoint now)
 {
     Stage& stage = *turn.stage;
-    const Demand demand = demandOf(*turn.job, stage);
+    Demand demand = demandOf(*turn.job, stage);
+    demand.count = mayStart(turn, demand, now);
+    if (demand.count == 0)
+        return;
     const bool needsTicket = turn.job->record.queue.advice.has_value();
     std::vector<Candidate> candidates
         = candidatesFor(*turn.job, stage, now, needsTicket ? Need::Ticket : Need::NotDenied);
@@ -331,6 +362,7 @@
         .with("worker", worker.value())
         .with("waitedMs", ms(m_parts.loop->now() - stage.openedAt));
     m_parts.metrics->add(telemetry::Metric::WorkStarts, {});
+    m_cores[job->record.queue.service].free -= double(roomOf(job->stepOf(stage)).cpu.value()) / 1000;
     m_workers[worker]->startRun(order, roomOf(job->stepOf(stage)));
 }
 
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -309,6 +309,10 @@
         }
         stage.isOpen = true;
         stage.openedAt = m_parts.loop->now();
+        const workflow::StepSpec& step = spec.steps[stage.step];
+        if (step.isGang)
+            m_headroom.onGang(
+                job->record.queue.priority, double(step.count) * double(roomOf(step).cpu.value()) / 1000);
         pumpSoon();
     }
 }
