--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -14,6 +14,13 @@
 constexpr core::Duration lookPeriod = std::chrono::milliseconds(250);
 //! A node that has not lent a turn for so long is not told to others.
 constexpr core::Duration lenderMemory = std::chrono::seconds(10);
+constexpr core::Duration lagPeriod = std::chrono::milliseconds(50);
+//! A leader that has just won is busy with taking over.
+constexpr core::Duration yieldPause = std::chrono::milliseconds(1500);
+//! When the former leader was overloaded too, the load and not the VM is the cause, and changing leaders would add to it.
+constexpr core::Duration longYieldPause = std::chrono::seconds(12);
+//! How long a node that was overloaded does not stand for election.
+constexpr core::Duration overloadRest = std::chrono::seconds(6);
 constexpr core::Duration formerRetry = std::chrono::milliseconds(400);
 constexpr core::Duration formerPatience = std::chrono::milliseconds(500);
 
@@ -27,6 +34,7 @@
 LeadTask::LeadTask(runtime::ILoopPtr loop, LeadParts parts)
     : Task(std::move(loop))
     , m_parts(std::move(parts))
+    , m_lag(lagPeriod)
 {
 }
 
@@ -46,6 +54,7 @@
         loop(), m_parts.store, m_parts.self, m_parts.address, m_parts.leadTimes, m_parts.handicap, std::move(hooks));
     m_election->start();
     every(lookPeriod, [this] { lookForLeader(); });
+    every(lagPeriod, [this] { checkLag(); });
 }
 
 void LeadTask::receive(LeadMessage message)
@@ -84,6 +93,9 @@
         .with("formerReleased", std::int64_t(won.isFormerReleased));
     m_parts.metrics->set(telemetry::Metric::Leading, {}, 1);
     m_term = won.leader.term;
+    m_mayYieldAt = now() + (won.wasFormerOverloaded ? longYieldPause : yieldPause);
+    m_lag.reset();
+    m_isYielding = false;
     m_advice = scheduling::AdviceDesk::create(loop());
     scheduling::EngineParts parts { loop(), m_parts.store, m_parts.orders, m_advice, m_parts.metrics, m_parts.times,
         m_parts.leadTimes };
@@ -154,6 +166,31 @@
     }
 }
 
+void LeadTask::checkLag()
+{
+    m_lag.onTimer(now());
+    if (!m_engine || m_isYielding || now() < m_mayYieldAt || !m_lag.isOverloaded())
+        return;
+    m_isYielding = true;
+    LogLine(Severity::Warning, "lead-yielded")
+        .with("term", std::int64_t(m_term.value()))
+        .with("latenessMs", m_lag.lateness() / std::chrono::milliseconds(1));
+    const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
+    m_engine->release(true, [weak, term = m_term] {
+        const auto it = weak.lock();
+        if (!it)
+            return;
+        // Not from within the engine, which ends with this.
+        it->loop()->post([weak, term] {
+            const auto it = weak.lock();
+            if (!it || !it->m_engine || it->m_term != term)
+                return;
+            it->endLeadership();
+            it->m_election->resume(overloadRest);
+        });
+    });
+}
+
 void LeadTask::lookForLeader()
 {
     if (m_engine || (m_told && !m_isDoubted) || m_nodes.empty())
@@ -264,7 +301,7 @@
     }
     auto reply = std::make_shared<runtime::Reply<bool>>(std::move(message.reply));
     const std::weak_ptr weak = std::static_pointer_cast<LeadTask>(shared_from_this());
-    m_engine->release([weak, reply] {
+    m_engine->release(false, [weak, reply] {
         const auto it = weak.lock();
         if (!it)
             return;
--- a/src/dispatch/leadtask.h
+++ b/src/dispatch/leadtask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchtypes.h"
+#include "dispatch/lagmeter.h"
 #include "fleet/iworkerorders.h"
 #include "fleet/iworkerregister.h"
 #include "http/ihttpclient.h"
@@ -42,6 +43,8 @@
     void askNode(
         const core::HostPort& node, bool isTurnedAway, std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
     void inviteOthers();
+    //! Gives the leadership back when this VM is too slow for it, so that another node takes it.
+    void checkLag();
     void askFormer(const core::HostPort& former, core::Epoch term);
     //! Asks other nodes who leads, while the store does not tell.
     void lookForLeader();
@@ -63,6 +66,9 @@
     workflow::QueueConfigPtr m_config;
     std::optional<lead::LeaderRow> m_leader; //!< the last one that was seen
     core::Epoch m_term; //!< of this node's leadership
+    LagMeter m_lag;
+    core::TimePoint m_mayYieldAt {}; //!< when it may give the leadership back for want of processor
+    bool m_isYielding = false;
     std::optional<lead::LeaderRow> m_told; //!< the leader that the other tasks know
     bool m_isDoubted = false; //!< that leader does not answer
     std::vector<core::HostPort> m_nodes; //!< others that may know the leader
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -18,6 +18,7 @@
     bool hadFormer = false;
     core::HostPort formerAddress;
     bool isFormerReleased = false; //!< it had said that it has stopped
+    bool wasFormerOverloaded = false; //!< for want of processor
 };
 
 struct ElectionHooks {
@@ -34,8 +35,8 @@
         core::HostPort address, LeadTimes times, core::Duration handicap, ElectionHooks hooks);
 
     void start();
-    //! The leadership of this node is over; it may take part again.
-    void resume();
+    //! The leadership of this node is over; it may take part again after a rest.
+    void resume(core::Duration rest = {});
     //! This node cannot reach the leader, or can again.
     void setDoubted(bool isDoubted)
     {
@@ -73,6 +74,7 @@
     bool m_isClaiming = false;
     bool m_isLeading = false;
     bool m_isRetired = false;
+    core::TimePoint m_restUntil {};
     bool m_isDoubted = false;
     std::uint64_t m_doubtedTerm = 0;
     core::Epoch m_invitedTerm; //!< whose leader has asked to be followed
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -57,9 +57,10 @@
     m_invitedTerm = term;
 }
 
-void Election::resume()
+void Election::resume(core::Duration rest)
 {
     m_isLeading = false;
+    m_restUntil = m_loop->now() + rest;
     m_seenAt = m_loop->now();
 }
 
@@ -88,7 +89,7 @@
 
 bool Election::mayFollow() const
 {
-    if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired)
+    if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired || m_loop->now() < m_restUntil)
         return false;
     const bool isInvited = m_row && m_row->term == m_invitedTerm;
     const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self || isInvited;
@@ -143,6 +144,7 @@
     won.hadFormer = m_row.has_value();
     won.formerAddress = m_row ? m_row->address : core::HostPort();
     won.isFormerReleased = m_row && m_row->isReleased;
+    won.wasFormerOverloaded = m_row && m_row->wasOverloaded;
     m_isLeading = true;
     m_version = result.value();
     m_row = claimed;
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -63,10 +63,11 @@
     return !isSent;
 }
 
-void LeaderLog::release(std::function<void()> done)
+void LeaderLog::release(bool isOverloaded, std::function<void()> done)
 {
     m_released = std::move(done);
     m_leader.isReleased = true;
+    m_leader.wasOverloaded = isOverloaded;
     wake(core::Duration(0));
 }
 
--- a/src/lead/internal/leadtypes.cpp
+++ b/src/lead/internal/leadtypes.cpp
@@ -15,6 +15,7 @@
     to["term"] = Json::UInt64(it.term.value());
     to["beat"] = Json::UInt64(it.beat);
     to["released"] = it.isReleased;
+    to["overloaded"] = it.wasOverloaded;
     return codec::writeJson(to);
 }
 
@@ -30,6 +31,7 @@
         it.term = core::Epoch(static_cast<std::uint64_t>(reader.integer("term", 1, INT64_MAX)));
         it.beat = static_cast<std::uint64_t>(reader.integer("beat", 0, INT64_MAX));
         it.isReleased = reader.flagOr("released", false);
+        it.wasOverloaded = reader.flagOr("overloaded", false);
         return it;
     } catch (const codec::DecodeError&) {
         return std::nullopt; // the caller says so in its log
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -40,7 +40,7 @@
     //! Takes back what was put for a row; false when it was sent and may be kept.
     bool withdraw(const store::RowKey& key);
     //! Tells the others that the leader has stopped, once all is kept; then calls back.
-    void release(std::function<void()> done);
+    void release(bool isOverloaded, std::function<void()> done);
 
     bool isUp() const { return m_isUp; }
     //! Until then no other node's decisions can meet this one's orders.
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -20,6 +20,7 @@
     core::Epoch term; //!< grows by one with each leader; 1 is the first
     std::uint64_t beat = 0; //!< grows while the leader lives
     bool isReleased = false; //!< the leader has stopped; the next may follow at once
+    bool wasOverloaded = false; //!< it has stopped because its VM had too little processor for it
 };
 
 std::string encodeLeaderRow(const LeaderRow& it);
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -51,7 +51,7 @@
     virtual void setWorkers(const std::vector<fleet::WorkerEntry>& entries) = 0;
     virtual void handle(const workflow::WorkCall& call, Answered answered) = 0;
     //! Keeps all there is, gives the leadership back, and calls back.
-    virtual void release(std::function<void()> done) = 0;
+    virtual void release(bool isOverloaded, std::function<void()> done) = 0;
     //! The former leader is known to have stopped giving orders.
     virtual void setFormerGone() = 0;
 };
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -83,10 +83,10 @@
     m_priorLeaseUntil = std::min(m_priorLeaseUntil, m_parts.loop->now() + m_parts.times.lease * 11 / 10);
 }
 
-void EngineImpl::release(std::function<void()> done)
+void EngineImpl::release(bool isOverloaded, std::function<void()> done)
 {
     m_isReleasing = true;
-    m_log->release([self = weak_from_this(), done = std::move(done)] {
+    m_log->release(isOverloaded, [self = weak_from_this(), done = std::move(done)] {
         if (const auto it = self.lock())
             it->m_isOver = true;
         done();
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -24,7 +24,7 @@
     void setConfig(workflow::QueueConfigPtr config) override;
     void setWorkers(const std::vector<fleet::WorkerEntry>& entries) override;
     void handle(const workflow::WorkCall& call, Answered answered) override;
-    void release(std::function<void()> done) override;
+    void release(bool isOverloaded, std::function<void()> done) override;
     void setFormerGone() override;
 
 private:
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -368,7 +368,7 @@
         other.lead();
         other.advance(ms(700 + n * 2));
         bool isDone = false;
-        other.engine->release([&isDone] { isDone = true; });
+        other.engine->release(false, [&isDone] { isDone = true; });
         other.advance(ms(100));
         BOOST_REQUIRE(isDone);
         const auto row = lead::decodeLeaderRow(other.store->rows[lead::leaderKey()].value);
