--- a/src/dispatch/internal/lagmeter.cpp
+++ b/src/dispatch/internal/lagmeter.cpp
@@ -6,26 +6,26 @@
 
 namespace {
 
-//! Urgent work has a few hundred milliseconds to spare in all; a leader that is this late uses a good part of it.
-constexpr core::Duration lateTimer = std::chrono::milliseconds(60);
-//! A pause of the whole VM makes one timer late, however long.
-constexpr int neededTimers = 4;
-constexpr int smoothing = 4;
+//! Urgent work has a few hundred milliseconds to spare in all, and a decision takes several turns of the loop.
+constexpr core::Duration mostLateness = std::chrono::milliseconds(25);
+//! A pause of the whole VM makes one timer late, which counts as no more than this.
+constexpr core::Duration mostOfOneTimer = std::chrono::milliseconds(150);
+//! Timers over which the lateness is smoothed: about half a second of them.
+constexpr int smoothing = 8;
 
 } // namespace
 
 void LagMeter::onTimer(core::TimePoint now)
 {
     const bool isFirst = m_lastAt == core::TimePoint();
-    const core::Duration late = isFirst ? core::Duration(0) : std::max(now - m_lastAt - m_period, core::Duration(0));
+    const core::Duration late = isFirst ? core::Duration(0) : now - m_lastAt - m_period;
     m_lastAt = now;
-    m_lateness += (late - m_lateness) / smoothing;
-    m_lateTimers = late >= lateTimer ? m_lateTimers + 1 : 0;
+    m_lateness += (std::clamp(late, core::Duration(0), mostOfOneTimer) - m_lateness) / smoothing;
 }
 
 bool LagMeter::isOverloaded() const
 {
-    return m_lateTimers >= neededTimers;
+    return m_lateness >= mostLateness;
 }
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/lagmeter.h
+++ b/src/dispatch/lagmeter.h
@@ -22,7 +22,6 @@
     core::Duration m_period;
     core::TimePoint m_lastAt {};
     core::Duration m_lateness {}; //!< smoothed
-    int m_lateTimers = 0; //!< in a row
 };
 
 } // namespace sardinerun::dispatch
