--- a/src/core/types.h
+++ b/src/core/types.h
@@ -92,6 +92,12 @@
 using TimePoint = RuntimeClock::time_point;
 using Duration = RuntimeClock::duration;
 
+//! Whole milliseconds of a duration, for logs and encodings.
+constexpr std::int64_t toMs(Duration it)
+{
+    return it / std::chrono::milliseconds(1);
+}
+
 //! Milliseconds since 1970 in UTC. Only for what outlives a process; intervals use TimePoint.
 using WallTime = Quantity<struct WallTimeTag>;
 
--- a/src/dispatch/internal/workdesk.cpp
+++ b/src/dispatch/internal/workdesk.cpp
@@ -18,11 +18,6 @@
 constexpr core::Duration longestSubmitRetry = std::chrono::milliseconds(250);
 constexpr core::Duration retryPause = std::chrono::milliseconds(60);
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 } // namespace
 
 WorkDeskPtr WorkDesk::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
@@ -85,7 +80,7 @@
             .with("config", std::int64_t(call.seen.value()))
             .with("outcome", workflow::nameOf(answer.outcome))
             .with("why", answer.reason)
-            .with("tookMs", ms(now() - open->askedAt));
+            .with("tookMs", core::toMs(now() - open->askedAt));
     }
     open->question.reply.send(answer);
 }
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -17,11 +17,6 @@
 constexpr std::size_t maxName = 4096;
 constexpr std::size_t maxWorkers = 1000;
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 std::uint64_t unsignedOf(codec::ObjectReader& reader, const char* name)
 {
     return static_cast<std::uint64_t>(reader.integerOr(name, 0, INT64_MAX, 0));
@@ -54,7 +49,7 @@
     to["host"] = it.host;
     to["path"] = it.path;
     to["spec"] = workflow::encodeSpec(it.spec);
-    to["patienceMs"] = Json::Int64(ms(it.patience));
+    to["patienceMs"] = Json::Int64(core::toMs(it.patience));
     to["seen"] = Json::UInt64(it.seen.value());
     return codec::writeJson(to);
 }
@@ -79,7 +74,7 @@
     to["outcome"] = Json::Int64(it.outcome);
     to["state"] = Json::Int64(it.state);
     to["pending"] = Json::UInt64(it.pending);
-    to["retryAfterMs"] = Json::Int64(ms(it.retryAfter));
+    to["retryAfterMs"] = Json::Int64(core::toMs(it.retryAfter));
     to["reason"] = it.reason;
     return codec::writeJson(to);
 }
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -39,11 +39,6 @@
     return it;
 }
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 store::RowKey jobKey(const core::JobId& id)
 {
     return { "jobs", "", id.value() };
@@ -113,7 +108,7 @@
         .with("config", std::int64_t(m_config->version.value()))
         .with("aheadCoreSeconds", std::int64_t(view.coreSecondsAhead))
         .with("workers", view.workers)
-        .with("adviceWaitMs", ms(view.adviceWait))
+        .with("adviceWaitMs", core::toMs(view.adviceWait))
         .with("outcome", refusal ? "refused" : "taken")
         .with("why", refusal ? refusal->reason : "");
     if (refusal) {
@@ -334,7 +329,7 @@
         .with("job", id.value())
         .with("queue", job->record.queue.name)
         .with("state", workflow::nameOf(state))
-        .with("ageMs", ms(m_parts.loop->now() - job->acceptedAt))
+        .with("ageMs", core::toMs(m_parts.loop->now() - job->acceptedAt))
         .with("late", std::int64_t(m_parts.loop->now() > job->objectiveAt))
         .with("why", why);
     job->record.state = state;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -33,11 +33,6 @@
 constexpr core::Duration adviceLead = std::chrono::milliseconds(300);
 constexpr core::Duration shortestRest = std::chrono::milliseconds(50);
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 } // namespace
 
 void EngineImpl::pumpSoon()
@@ -306,7 +301,7 @@
         .with("stage", std::int64_t(number))
         .with("named", std::int64_t(named.size()))
         .with("allowed", result ? std::int64_t(result.value().allowed.size()) : -1)
-        .with("tookMs", ms(now - askedAt));
+        .with("tookMs", core::toMs(now - askedAt));
     if (!result) {
         advice.askAgainAt = now + adviceRetry;
         return;
@@ -360,7 +355,7 @@
         .with("task", fleet::textOf(order.run.task))
         .with("run", run.value())
         .with("worker", worker.value())
-        .with("waitedMs", ms(m_parts.loop->now() - stage.openedAt));
+        .with("waitedMs", core::toMs(m_parts.loop->now() - stage.openedAt));
     m_parts.metrics->add(telemetry::Metric::WorkStarts, {});
     m_cores[job->record.queue.service].free -= double(roomOf(job->stepOf(stage)).cpu.value()) / 1000;
     m_workers[worker]->startRun(order, roomOf(job->stepOf(stage)));
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -30,11 +30,6 @@
     return it;
 }
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 } // namespace
 
 void EngineImpl::readTable(const std::string& table, const std::string& after)
@@ -124,7 +119,7 @@
         .with("term", std::int64_t(m_won.leader.term.value()))
         .with("jobs", std::int64_t(m_active.size()))
         .with("ended", std::int64_t(m_ended.size()))
-        .with("afterMs", ms(now - m_wonAt));
+        .with("afterMs", core::toMs(now - m_wonAt));
     for (const auto& [id, job] : std::map(m_active))
         openStages(job);
     if (m_entries)
@@ -268,7 +263,7 @@
     m_isBarrierOver = true;
     LogLine(Severity::Info, "workers-settled")
         .with("workers", std::int64_t(m_workers.size()))
-        .with("afterMs", ms(now - m_wonAt));
+        .with("afterMs", core::toMs(now - m_wonAt));
     repairGangs();
     return true;
 }
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -21,11 +21,6 @@
 constexpr int slowRestartFactor = 2;
 constexpr core::Duration refusalPause = std::chrono::milliseconds(80);
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 } // namespace
 
 WorkerHooks EngineImpl::workerHooks()
@@ -253,7 +248,7 @@
             .with("run", run.run.value())
             .with("worker", worker.id().value())
             .with("why", over.why == RunOver::Why::Lost ? "lost" : "not started")
-            .with("ranMs", ms(over.ran));
+            .with("ranMs", core::toMs(over.ran));
     task.state = TaskProgress::State::Waiting;
     if (!over.checkpoint.empty())
         task.checkpoint = over.checkpoint;
@@ -303,7 +298,7 @@
         if (!isTurn)
             continue;
         if (spec.occurrences > 0) {
-            const std::int64_t due = spec.firstDueAt.value() + stage.occurrence * ms(spec.interval);
+            const std::int64_t due = spec.firstDueAt.value() + stage.occurrence * core::toMs(spec.interval);
             if (m_parts.loop->wallNow().value() < due)
                 continue;
         }
@@ -357,7 +352,7 @@
         .with("run", name.run.value())
         .with("worker", worker.id().value())
         .with("percent", run.percent)
-        .with("leftMs", ms(here));
+        .with("leftMs", core::toMs(here));
     stage->tasks[name.task.index].avoided = worker.id();
     worker.stopRun(name);
 }
@@ -385,7 +380,7 @@
         .with("run", name.run.value())
         .with("worker", worker.id().value())
         .with("percent", run.percent)
-        .with("sinceMs", ms(now - run.progressAt));
+        .with("sinceMs", core::toMs(now - run.progressAt));
     stage->tasks[name.task.index].avoided = worker.id();
     const bool isGang = job->stepOf(*stage).isGang;
     // Of a gang all members stand still, whichever of them is the cause; only a single task speaks against its worker.
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -13,18 +13,9 @@
 //! Ends that wait to be kept are asked about again after this time at the latest.
 constexpr core::Duration unsettledPause = std::chrono::milliseconds(400);
 constexpr core::Duration samplePeriod = std::chrono::milliseconds(250);
-constexpr core::Duration unhealthyPause = std::chrono::milliseconds(800);
-//! A look must be sent after the answer that it is to confirm.
-constexpr core::Duration lookPause = std::chrono::milliseconds(1);
-constexpr core::Duration stopRetry = std::chrono::milliseconds(150);
 //! Time for what is on its way between a worker's clock and this one's reading of it.
 constexpr core::Duration clockMargin = std::chrono::milliseconds(100);
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 } // namespace
 
 WorkerPtr Worker::create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
@@ -75,7 +66,7 @@
 
 fleet::WorkerClock Worker::clockNow() const
 {
-    return m_clock + fleet::WorkerClock(ms(m_loop->now() - m_clockAt) + 1);
+    return m_clock + fleet::WorkerClock(core::toMs(m_loop->now() - m_clockAt) + 1);
 }
 
 core::TimePoint Worker::lapsesAt() const
@@ -127,7 +118,7 @@
     order.forgetUpTo = m_forgetUpTo;
     // A worker that does not answer may still hear: its lease must come to an end for certain.
     if (m_hasClock && m_failures == 0) {
-        order.leaseUntil = clockNow() + fleet::WorkerClock(ms(m_times.lease));
+        order.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
         noteLease(*order.leaseUntil);
     }
     const bool mayWait = m_hasAnswered && m_failures == 0 && !hasUnsettledEnds();
@@ -306,131 +297,6 @@
     }
 }
 
-void Worker::startRun(const fleet::StartOrder& order, const core::Resources& taken)
-{
-    WorkerRun run;
-    run.taken = taken;
-    run.since = m_loop->now();
-    run.progressAt = run.since;
-    run.checkpoint = order.checkpoint;
-    m_runs[order.run] = run;
-    m_taken = m_taken + taken;
-    fleet::StartOrder sent = order;
-    sent.fence = m_fence;
-    sent.leaseUntil = clockNow() + fleet::WorkerClock(ms(m_times.lease));
-    noteLease(sent.leaseUntil);
-    m_orders->start(address(), sent, [self = weak_from_this(), name = order.run](const fleet::OrderResult& result) {
-        const auto it = self.lock();
-        if (it && !it->m_isRetired)
-            it->onStarted(name, result);
-    });
-}
-
-void Worker::onStarted(const fleet::RunName& name, const fleet::OrderResult& result)
-{
-    if (result)
-        noteClock(result.value());
-    const auto found = m_runs.find(name);
-    if (found == m_runs.end())
-        return; // its end was listed before
-    WorkerRun& run = found->second;
-    if (result) {
-        run.settledAt = m_loop->now();
-        if (run.state == WorkerRun::State::Ordered) {
-            run.state = WorkerRun::State::Running;
-            m_hooks.running(*this, name);
-        }
-        return;
-    }
-    const OrderFailure::Code code = result.error().code;
-    telemetry::LogLine(telemetry::Severity::Info, "start-failed")
-        .with("task", fleet::textOf(name.task))
-        .with("run", name.run.value())
-        .with("worker", id().value())
-        .with("why", fleet::nameOf(code));
-    if (code == OrderFailure::Code::Unknown) {
-        run.state = WorkerRun::State::Closing;
-        run.settledAt = {};
-        sendStop(name);
-        return;
-    }
-    if (code == OrderFailure::Code::Unhealthy)
-        avoidUntil(m_loop->now() + unhealthyPause);
-    RunOver over;
-    over.why = RunOver::Why::NotStarted;
-    over.refusal = code;
-    over.checkpoint = run.checkpoint;
-    finish(name, over);
-    if (code == OrderFailure::Code::Fenced)
-        m_hooks.fenced(*this);
-    else if (code == OrderFailure::Code::OtherLife)
-        endLife();
-}
-
-void Worker::stopRun(const fleet::RunName& name)
-{
-    const auto it = m_runs.find(name);
-    if (it == m_runs.end() || it->second.state == WorkerRun::State::Closing
-        || it->second.state == WorkerRun::State::Stopping)
-        return;
-    it->second.state = WorkerRun::State::Stopping;
-    it->second.settledAt = {};
-    sendStop(name);
-}
-
-void Worker::sendStop(const fleet::RunName& name)
-{
-    const auto it = m_runs.find(name);
-    if (it == m_runs.end() || it->second.isStopInFlight || m_isRetired)
-        return;
-    it->second.isStopInFlight = true;
-    m_orders->stop(address(), { name, m_fence }, [self = weak_from_this(), name](const fleet::OrderResult& result) {
-        const auto it = self.lock();
-        if (it && !it->m_isRetired)
-            it->onStopped(name, result);
-    });
-}
-
-void Worker::onStopped(const fleet::RunName& name, const fleet::OrderResult& result)
-{
-    const auto it = m_runs.find(name);
-    if (it == m_runs.end())
-        return;
-    it->second.isStopInFlight = false;
-    if (result) {
-        noteClock(result.value());
-        it->second.settledAt = m_loop->now();
-        if (it->second.state == WorkerRun::State::Closing)
-            m_loop->callAfter(lookPause, [self = weak_from_this()] {
-                if (const auto it = self.lock())
-                    it->lookNow();
-            });
-        return;
-    }
-    const OrderFailure::Code code = result.error().code;
-    if (code == OrderFailure::Code::Fenced) {
-        m_hooks.fenced(*this);
-        return;
-    }
-    if (code == OrderFailure::Code::OtherLife) {
-        endLife();
-        return;
-    }
-    if (code == OrderFailure::Code::Outdated) {
-        it->second.settledAt = m_loop->now(); // it has ended or was stopped before
-        return;
-    }
-    m_loop->callAfter(stopRetry, [self = weak_from_this(), name] {
-        if (const auto it = self.lock())
-            it->sendStop(name);
-    });
-}
-
-void Worker::pace(const fleet::RunName& run, int percent)
-{
-    m_orders->pace(address(), { run, percent, m_fence }, [](const fleet::OrderResult&) {});
-}
-
 void Worker::settle(fleet::EndNumber number)
 {
     if (number <= m_forgetUpTo)
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -10,11 +10,6 @@
 
 constexpr std::uint32_t maxTasks = 1'000'000; //!< of one job; guards memory against a damaged record
 
-std::int64_t ms(core::Duration it)
-{
-    return it / std::chrono::milliseconds(1);
-}
-
 std::int64_t us(core::Duration it)
 {
     return it.count();
@@ -94,7 +89,7 @@
     put(to, "cpu", it.need.cpu.value());
     put(to, "memory", it.need.memory.value());
     put(to, "accelerators", it.need.accelerators.value());
-    put(to, "estimateMs", ms(it.estimate));
+    put(to, "estimateMs", core::toMs(it.estimate));
     for (const std::uint32_t n : it.after)
         to["after"].append(n);
     put(to, "gang", std::int64_t(it.isGang));
@@ -106,7 +101,7 @@
     put(to, "mayRunTwice", std::int64_t(it.mayRunTwice));
     put(to, "longRunning", std::int64_t(it.isLongRunning));
     put(to, "image", it.image);
-    put(to, "latencyTargetMs", ms(it.latencyTarget));
+    put(to, "latencyTargetMs", core::toMs(it.latencyTarget));
     put(to, "leftOverCpu", std::int64_t(it.usesLeftOverCpu));
     put(to, "maxUnavailable", it.maxUnavailable);
     return to;
@@ -148,7 +143,7 @@
     put(to, "priority", it.priority);
     put(to, "maxAttempts", it.maxAttempts);
     put(to, "stretchThousandths", std::int64_t(it.stretch * 1000));
-    put(to, "latencyTargetMs", ms(it.latencyTarget));
+    put(to, "latencyTargetMs", core::toMs(it.latencyTarget));
     if (it.advice) {
         put(to, "adviceUs", us(it.advice->perQuestion));
         put(to, "advicePerWorkerUs", us(it.advice->perWorker));
@@ -235,7 +230,7 @@
         to["steps"].append(encodeStep(step));
     put(to, "occurrences", it.occurrences);
     put(to, "firstDueAt", it.firstDueAt.value());
-    put(to, "intervalMs", ms(it.interval));
+    put(to, "intervalMs", core::toMs(it.interval));
     return to;
 }
 
