Look at the workers once a round, and at tickets instead of workers where there are some

Ruled out: the number of exchanges. Change: fleets gathered once a round; candidates from tickets; reservations for as many gangs as are kept; a round costs a fifth of the time at most; the rest of a chain only for jobs that have a turn.

--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -100,8 +100,10 @@
     answerHeld();
     forgetOldJobs();
     sweepWorkers();
-    for (const auto& [id, job] : std::map(m_active))
-        openStages(job);
+    for (const auto& [id, job] : m_active) {
+        if (job->record.spec.occurrences > 0)
+            openStages(job); // some of its occurrences may be due now
+    }
     pumpSoon();
     m_parts.loop->callAfter(tickPeriod, [self = weak_from_this()] {
         if (const auto it = self.lock())
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -101,14 +101,24 @@
     JobPtr jobOf(const core::JobId& id) const;
 
     // Placing.
-    //! Cores of a service's workers that take starts.
-    struct Cores {
-        double all = 0;
-        double free = 0;
+    //! A worker that takes starts in this round.
+    struct Usable {
+        const Worker* worker = nullptr;
+        bool isSlow = false;
     };
-    void countCores(core::TimePoint now);
+    //! The workers of a service that take starts, gathered once a round: a round looks at them for each step.
+    struct Fleet {
+        std::map<core::VmId, Usable> workers;
+        double cores = 0;
+        double freeCores = 0;
+        core::Resources mostRoom; //!< component by component, when the round began
+    };
+    void gatherFleets(core::TimePoint now);
+    Fleet& fleetOf(const Job& job) { return m_fleets[job.record.queue.service]; }
+    static void addCandidate(const Usable& usable, const core::Resources& kept, const Stage& stage,
+        const std::map<core::VmId, std::uint32_t>& ofStep, std::vector<Candidate>& candidates);
     //! How many tasks of a step may start, so that it leaves free what it must.
-    std::uint32_t mayStart(const Turn& turn, const Demand& demand, core::TimePoint now) const;
+    std::uint32_t mayStart(const Turn& turn, const Demand& demand, core::TimePoint now);
     void pumpSoon();
     void pump();
     std::vector<Turn> turns(core::TimePoint now);
@@ -153,7 +163,8 @@
     std::size_t m_keptGangs = 0; //!< in this round
     SpeedBook m_speed;
     Headroom m_headroom;
-    std::map<core::ServiceId, Cores> m_cores; //!< in this round
+    std::map<core::ServiceId, Fleet> m_fleets; //!< in this round
+    core::Duration m_roundCost {}; //!< of the last round
     std::array<double, 8> m_arrivals {}; //!< core-seconds a second by priority, decaying
     core::TimePoint m_arrivalsAt {};
     std::optional<std::vector<fleet::WorkerEntry>> m_entries; //!< the register, once it was read
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -16,6 +16,7 @@
 
 //! Events come in groups; what they free is given out together.
 constexpr core::Duration pumpPause = std::chrono::milliseconds(2);
+constexpr int roundCostFactor = 4;
 constexpr core::Duration adviceRetry = std::chrono::milliseconds(150);
 //! When advice allowed nobody who has room, until it is asked about others.
 constexpr core::Duration nobodyRetry = std::chrono::milliseconds(1000);
@@ -39,7 +40,8 @@
 {
     if (m_isOver || std::exchange(m_isPumpSet, true))
         return;
-    m_parts.loop->callAfter(pumpPause, [self = weak_from_this()] {
+    // Rounds never take more than a fraction of the time, however many workers and steps they look at.
+    m_parts.loop->callAfter(std::max(pumpPause, m_roundCost * roundCostFactor), [self = weak_from_this()] {
         const auto it = self.lock();
         if (!it)
             return;
@@ -56,9 +58,10 @@
     isBarrierOver();
     m_kept.clear();
     m_keptGangs = 0;
-    countCores(now);
+    gatherFleets(now);
     for (const Turn& it : turns(now))
         placeStage(it, now);
+    m_roundCost = m_parts.loop->now() - now;
 }
 
 std::vector<EngineImpl::Turn> EngineImpl::turns(core::TimePoint now)
@@ -68,13 +71,16 @@
         if (job->isRecovered && !m_isBarrierOver)
             continue;
         const bool isLate = now > job->objectiveAt;
-        const core::TimePoint startBy = job->objectiveAt - job->chainLeft();
+        std::optional<core::TimePoint> startBy; // worked out only for jobs that have a turn
         for (Stage& stage : job->stages) {
             const bool isReady = stage.isOpen && stage.waiting > 0 && now >= stage.notBefore
                 && (!job->stepOf(stage).isGang || (stage.live == 0 && stage.startable() == stage.waiting))
                 && stage.startable() > 0;
-            if (isReady)
-                all.push_back({ job, &stage, isLate, job->record.queue.priority, startBy });
+            if (!isReady)
+                continue;
+            if (!startBy)
+                startBy = job->objectiveAt - job->chainLeft();
+            all.push_back({ job, &stage, isLate, job->record.queue.priority, *startBy });
         }
     }
     // What is late already earns little, whoever waits for it, so it comes after all that can still be in time.
@@ -84,28 +90,31 @@
     return all;
 }
 
-void EngineImpl::countCores(core::TimePoint now)
+void EngineImpl::gatherFleets(core::TimePoint now)
 {
-    m_cores.clear();
+    m_fleets.clear();
     for (const auto& [id, worker] : m_workers) {
-        if (!worker->takesStarts(now) || m_health.isSetAside(id, now))
+        if (!worker->takesStarts(now) || !m_rostered.contains(id) || m_health.isSetAside(id, now))
             continue;
-        Cores& it = m_cores[worker->entry().service];
-        it.all += double(worker->entry().capacity.cpu.value()) / 1000;
-        it.free += double(worker->room().cpu.value()) / 1000;
+        Fleet& fleet = m_fleets[worker->entry().service];
+        fleet.workers[id] = { worker.get(), m_speed.isSlow(id, now) };
+        const core::Resources room = worker->room();
+        fleet.cores += double(worker->entry().capacity.cpu.value()) / 1000;
+        fleet.freeCores += double(room.cpu.value()) / 1000;
+        fleet.mostRoom.cpu = std::max(fleet.mostRoom.cpu, room.cpu);
+        fleet.mostRoom.memory = std::max(fleet.mostRoom.memory, room.memory);
+        fleet.mostRoom.accelerators = std::max(fleet.mostRoom.accelerators, room.accelerators);
     }
 }
 
-std::uint32_t EngineImpl::mayStart(const Turn& turn, const Demand& demand, core::TimePoint now) const
+std::uint32_t EngineImpl::mayStart(const Turn& turn, const Demand& demand, core::TimePoint now)
 {
-    const auto cores = m_cores.find(turn.job->record.queue.service);
+    const Fleet& fleet = fleetOf(*turn.job);
     const double each = double(demand.need.cpu.value()) / 1000;
-    if (cores == m_cores.end() || each <= 0)
+    const double leave = m_headroom.coresFor(turn.priority, turn.startBy - now, turn.isLate, fleet.cores);
+    if (each <= 0 || leave <= 0)
         return demand.count;
-    const double leave = m_headroom.coresFor(turn.priority, turn.startBy - now, turn.isLate, cores->second.all);
-    if (leave <= 0)
-        return demand.count;
-    const double most = std::max((cores->second.free - leave) / each, 0.0);
+    const double most = std::max((fleet.freeCores - leave) / each, 0.0);
     if (most >= double(demand.count))
         return demand.count;
     return demand.isAllOrNothing ? 0 : static_cast<std::uint32_t>(most);
@@ -124,36 +133,46 @@
     return demand;
 }
 
+void EngineImpl::addCandidate(const Usable& usable, const core::Resources& kept, const Stage& stage,
+    const std::map<core::VmId, std::uint32_t>& ofStep, std::vector<Candidate>& candidates)
+{
+    const Worker& worker = *usable.worker;
+    const bool isAvoided = std::any_of(stage.tasks.begin(), stage.tasks.end(), [&worker](const TaskProgress& it) {
+        return it.state == TaskProgress::State::Waiting && it.avoided == worker.id();
+    });
+    const auto running = ofStep.find(worker.id());
+    candidates.push_back({ worker.id(), worker.room() - kept, worker.entry().capacity, worker.rack(),
+        running == ofStep.end() ? 0 : running->second, isAvoided || usable.isSlow });
+}
+
 std::vector<Candidate> EngineImpl::candidatesFor(const Job& job, const Stage& stage, core::TimePoint now, Need need)
 {
-    const workflow::StepSpec& step = job.stepOf(stage);
-    std::set<core::VmId> avoided;
+    const Fleet& fleet = fleetOf(job);
+    const std::string& label = job.stepOf(stage).requiredLabel;
     std::map<core::VmId, std::uint32_t> ofStep;
     for (const TaskProgress& it : stage.tasks) {
-        if (it.state == TaskProgress::State::Waiting && !it.avoided.value().empty())
-            avoided.insert(it.avoided);
         if (it.state == TaskProgress::State::Live)
             ++ofStep[it.worker];
     }
     std::vector<Candidate> candidates;
-    for (const auto& [id, worker] : m_workers) {
-        if (worker->entry().service != job.record.queue.service || !worker->takesStarts(now))
-            continue;
-        if (!m_rostered.contains(id) || m_health.isSetAside(id, now))
-            continue;
-        if (!step.requiredLabel.empty() && !worker->entry().labels.contains(step.requiredLabel))
-            continue;
-        const auto ticket = stage.advice.tickets.find(id);
-        const bool isAllowed = ticket != stage.advice.tickets.end();
-        if (need == Need::Ticket && (!isAllowed || ticket->second.validUntil < now + m_parts.times.adviceReserve))
-            continue;
-        if ((need == Need::Allowed && !isAllowed) || stage.advice.denied.contains(id))
-            continue;
+    const auto add = [&](const core::VmId& id, const Usable& usable) {
+        if (!label.empty() && !usable.worker->entry().labels.contains(label))
+            return;
         const auto kept = m_kept.find(id);
-        const core::Resources room = kept == m_kept.end() ? worker->room() : worker->room() - kept->second;
-        const auto running = ofStep.find(id);
-        candidates.push_back({ id, room, worker->entry().capacity, worker->rack(),
-            running == ofStep.end() ? 0 : running->second, avoided.contains(id) || m_speed.isSlow(id, now) });
+        addCandidate(usable, kept == m_kept.end() ? core::Resources() : kept->second, stage, ofStep, candidates);
+    };
+    if (need == Need::NotDenied) {
+        for (const auto& [id, usable] : fleet.workers) {
+            if (!stage.advice.denied.contains(id))
+                add(id, usable);
+        }
+        return candidates;
+    }
+    for (const auto& [id, ticket] : stage.advice.tickets) {
+        const auto usable = fleet.workers.find(id);
+        const bool isValid = need == Need::Allowed || ticket.validUntil >= now + m_parts.times.adviceReserve;
+        if (usable != fleet.workers.end() && isValid)
+            add(id, usable->second);
     }
     return candidates;
 }
@@ -163,7 +182,9 @@
     Stage& stage = *turn.stage;
     Demand demand = demandOf(*turn.job, stage);
     demand.count = mayStart(turn, demand, now);
-    if (demand.count == 0)
+    // Single tasks for which no worker has room need no closer look; a gang may have room kept for it.
+    const bool hasRoom = demand.isAllOrNothing || demand.need.fitsIn(fleetOf(*turn.job).mostRoom);
+    if (demand.count == 0 || !hasRoom)
         return;
     const bool needsTicket = turn.job->record.queue.advice.has_value();
     std::vector<Candidate> candidates
@@ -176,11 +197,11 @@
             return;
         }
     }
-    const std::optional<Reservation> reservation
-        = demand.isAllOrNothing && !turn.isLate ? reservationFor(turn, now) : std::nullopt;
+    const bool mayKeep = demand.isAllOrNothing && !turn.isLate && m_keptGangs < mostKeptGangs;
+    const std::optional<Reservation> reservation = mayKeep ? reservationFor(turn, now) : std::nullopt;
     if (needsTicket)
         askAdvice(turn, now, reservation);
-    if (!reservation || m_keptGangs >= mostKeptGangs)
+    if (!reservation)
         return;
     ++m_keptGangs;
     for (const auto& [worker, room] : reservation->kept) {
@@ -357,7 +378,7 @@
         .with("worker", worker.value())
         .with("waitedMs", core::toMs(m_parts.loop->now() - stage.openedAt));
     m_parts.metrics->add(telemetry::Metric::WorkStarts, {});
-    m_cores[job->record.queue.service].free -= double(roomOf(job->stepOf(stage)).cpu.value()) / 1000;
+    fleetOf(*job).freeCores -= double(roomOf(job->stepOf(stage)).cpu.value()) / 1000;
     m_workers[worker]->startRun(order, roomOf(job->stepOf(stage)));
 }
 
