Ask for changes every second, so that an outage hides no configuration

Change: questions wait 1 s, answers are lost after 0.7 s more, for the configuration, the register and the leader. Ruled out: an older version adopted after a newer one.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -203,8 +203,8 @@
     auto reply = [responder](const protocol::LeaderHint& hint) mutable {
         responder.send({ 200, {}, protocol::encodeHint(hint), {} });
     };
-    lead->address().send(dispatch::AskLeader {
-        asker.isLeading ? asker.leader : std::nullopt, asker.isTurnedAway, runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
+    lead->address().send(dispatch::AskLeader { asker.isLeading ? asker.leader : std::nullopt, asker.isTurnedAway,
+        runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
 }
 
 void DispatchNode::Parts::flushForever()
--- a/src/dispatch/internal/leadtask.cpp
+++ b/src/dispatch/internal/leadtask.cpp
@@ -17,7 +17,8 @@
 constexpr core::Duration lagPeriod = std::chrono::milliseconds(50);
 //! A leader that has just won is busy with taking over.
 constexpr core::Duration yieldPause = std::chrono::milliseconds(1500);
-//! When the former leader was overloaded too, the load and not the VM is the cause, and changing leaders would add to it.
+//! When the former leader was overloaded too, the load and not the VM is the cause, and changing leaders would add to
+//! it.
 constexpr core::Duration longYieldPause = std::chrono::seconds(12);
 //! How long a node that was overloaded does not stand for election.
 constexpr core::Duration overloadRest = std::chrono::seconds(6);
@@ -132,8 +133,8 @@
         askFormer(won.formerAddress, m_term);
 }
 
-void LeadTask::askNode(
-    const core::HostPort& node, bool isTurnedAway, std::function<void(const std::optional<protocol::LeaderHint>&)> answered)
+void LeadTask::askNode(const core::HostPort& node, bool isTurnedAway,
+    std::function<void(const std::optional<protocol::LeaderHint>&)> answered)
 {
     http::ClientRequest request;
     request.to = node;
--- a/src/dispatch/internal/lender.cpp
+++ b/src/dispatch/internal/lender.cpp
@@ -16,10 +16,10 @@
     fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
 {
     return std::make_shared<Lender>(
-        std::move(loop), std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address));
+        loop, std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address));
 }
 
-Lender::Lender(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
+Lender::Lender(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
     fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
     : Task(loop)
     , m_link(loop, std::move(client), local)
--- a/src/dispatch/internal/workdesk.cpp
+++ b/src/dispatch/internal/workdesk.cpp
@@ -22,10 +22,10 @@
 
 WorkDeskPtr WorkDesk::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
 {
-    return std::make_shared<WorkDesk>(std::move(loop), std::move(client), std::move(local));
+    return std::make_shared<WorkDesk>(loop, std::move(client), std::move(local));
 }
 
-WorkDesk::WorkDesk(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
+WorkDesk::WorkDesk(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
     : Task(loop)
     , m_link(loop, std::move(client), std::move(local))
 {
--- a/src/dispatch/leadtask.h
+++ b/src/dispatch/leadtask.h
@@ -40,8 +40,8 @@
     void onDeposed(const std::string& why);
     void endLeadership();
     //! Asks a node what it knows; a leader tells it of its term by that.
-    void askNode(
-        const core::HostPort& node, bool isTurnedAway, std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
+    void askNode(const core::HostPort& node, bool isTurnedAway,
+        std::function<void(const std::optional<protocol::LeaderHint>&)> answered);
     void inviteOthers();
     //! Gives the leadership back when this VM is too slow for it, so that another node takes it.
     void checkLag();
--- a/src/dispatch/lender.h
+++ b/src/dispatch/lender.h
@@ -10,7 +10,7 @@
 public:
     static std::shared_ptr<Lender> create(runtime::ILoopPtr loop, http::IHttpClientPtr client,
         runtime::Address<LeadMessage> local, fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
-    Lender(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
+    Lender(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
         fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
 
     void receive(LeaderNews news) override;
--- a/src/dispatch/workdesk.h
+++ b/src/dispatch/workdesk.h
@@ -10,7 +10,7 @@
 public:
     static std::shared_ptr<WorkDesk> create(
         runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
-    WorkDesk(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
+    WorkDesk(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
 
     void receive(DeskMessage message) override;
     bool knowsLeader() const { return m_link.leader().leader.has_value(); }
@@ -25,7 +25,7 @@
     using OpenPtr = std::shared_ptr<Open>;
 
     void take(AskWork message);
-    void take(LeaderNews news) { m_link.setLeader(news); }
+    void take(const LeaderNews& news) { m_link.setLeader(news); }
     void send(const OpenPtr& open);
     void onAnswer(const OpenPtr& open, const workflow::WorkAnswer& answer);
 
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -46,7 +46,6 @@
     };
     store::TableWatch::Options options;
     options.table = leaderTable;
-    options.wait = m_times.silence;
     m_watch = store::TableWatch::create(m_loop, m_store, options, std::move(hooks));
     m_watch->start();
     check();
@@ -119,7 +118,7 @@
     transaction.conditions = { { leaderKey(), m_version } };
     transaction.updates
         = { { leaderKey(), encodeLeaderRow(claimed) }, { headKey(), std::to_string(claimed.term.value()) + ".0" } };
-    m_store->commit(std::move(transaction), [self = weak_from_this(), claimed](store::CommitResult result) {
+    m_store->commit(std::move(transaction), [self = weak_from_this(), claimed](const store::CommitResult& result) {
         if (const auto it = self.lock())
             it->onClaimed(result, claimed);
     });
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -144,11 +144,12 @@
         transaction.updates.push_back({ it.key, it.value });
     m_isInFlight = true;
     m_sentAt = m_loop->now();
-    m_store->commit(std::move(transaction), [self = weak_from_this(), sentAt = m_sentAt](store::CommitResult result) {
-        const auto it = self.lock();
-        if (it && !it->m_isStopped)
-            it->onResult(result, sentAt);
-    });
+    m_store->commit(
+        std::move(transaction), [self = weak_from_this(), sentAt = m_sentAt](const store::CommitResult& result) {
+            const auto it = self.lock();
+            if (it && !it->m_isStopped)
+                it->onResult(result, sentAt);
+        });
 }
 
 void LeaderLog::onResult(const store::CommitResult& result, core::TimePoint sentAt)
@@ -219,14 +220,15 @@
         || failure.code == store::StoreFailure::Code::BadAnswer;
     if (!m_mayBeWritten) {
         // Without effect: what was to be written may be withdrawn or replaced meanwhile.
-        for (auto it = m_group.rbegin(); it != m_group.rend(); ++it) {
+        std::reverse(m_group.begin(), m_group.end());
+        for (Pending& it : m_group) {
             // A newer value takes the place of the older one, or the older one's revision would count as kept too
             // early.
-            if (const auto newer = m_pendingByKey.find(it->key); newer != m_pendingByKey.end()) {
-                it->value = std::move(newer->second->value);
+            if (const auto newer = m_pendingByKey.find(it.key); newer != m_pendingByKey.end()) {
+                it.value = std::move(newer->second->value);
                 m_pending.erase(newer->second);
             }
-            m_pending.push_front(std::move(*it));
+            m_pending.push_front(std::move(it));
             m_pendingByKey[m_pending.front().key] = m_pending.begin();
         }
         m_group.clear();
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -37,7 +37,8 @@
 struct LeadTimes {
     core::Duration beat = std::chrono::milliseconds(800); //!< between two beats
     core::Duration silence = std::chrono::milliseconds(2400); //!< three beats: then others may follow
-    core::Duration doubtedSilence = std::chrono::milliseconds(1200); //!< for a leader that other nodes cannot reach either
+    core::Duration doubtedSilence
+        = std::chrono::milliseconds(1200); //!< for a leader that other nodes cannot reach either
     core::Duration spread = std::chrono::milliseconds(300); //!< over which candidates are spread
     //! A leader that has not reached the store for so long gives no more orders.
     core::Duration authority = std::chrono::seconds(12);
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -309,7 +309,7 @@
 
 void EngineImpl::onStore(bool isUp)
 {
-    LogLine(isUp ? Severity::Info : Severity::Warning, isUp ? "store-regained" : "store-lost");
+    const LogLine line(isUp ? Severity::Info : Severity::Warning, isUp ? "store-regained" : "store-lost");
     m_parts.metrics->set(telemetry::Metric::StoreUp, {}, isUp ? 1 : 0);
     if (isUp)
         return;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -247,7 +247,8 @@
     const Demand demand = demandOf(job, stage);
     std::vector<Candidate> candidates = candidatesFor(job, stage, now, Need::NotDenied);
     std::erase_if(candidates, [&](const Candidate& it) { return !demand.need.fitsIn(it.capacity); });
-    const auto isKept = [&reservation](const Candidate& it) { return reservation && reservation->kept.contains(it.worker); };
+    const auto isKept
+        = [&reservation](const Candidate& it) { return reservation && reservation->kept.contains(it.worker); };
     std::stable_sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
         if (isKept(a) != isKept(b))
             return isKept(a);
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -49,8 +49,8 @@
         const JobPtr job = it ? it->jobOf(run.task.job) : nullptr;
         const Stage* stage = job && !job->isOver() ? job->find(run.task) : nullptr;
         if (stage && !job->stepOf(*stage).isGang)
-            it->m_speed.onProgress(worker.id(), job->record.queue.name,
-                { share, took, job->stepOf(*stage).estimate }, it->m_parts.loop->now());
+            it->m_speed.onProgress(worker.id(), job->record.queue.name, { share, took, job->stepOf(*stage).estimate },
+                it->m_parts.loop->now());
     };
     hooks.listed = [self](Worker& worker) {
         if (const auto it = self.lock())
@@ -306,8 +306,7 @@
         stage.openedAt = m_parts.loop->now();
         const workflow::StepSpec& step = spec.steps[stage.step];
         if (step.isGang)
-            m_headroom.onGang(
-                job->record.queue.priority, double(step.count) * double(roomOf(step).cpu.value()) / 1000);
+            m_headroom.onGang(job->record.queue.priority, double(step.count) * double(roomOf(step).cpu.value()) / 1000);
         pumpSoon();
     }
 }
--- a/src/scheduling/internal/placer.cpp
+++ b/src/scheduling/internal/placer.cpp
@@ -64,7 +64,7 @@
     Demand whole = demand;
     whole.isAllOrNothing = true;
     for (auto& it : byRack) {
-        const std::vector<core::VmId> chosen = placeAnywhere(whole, it.second, strategy);
+        std::vector<core::VmId> chosen = placeAnywhere(whole, it.second, strategy);
         if (!chosen.empty())
             return chosen;
     }
--- a/src/scheduling/internal/reservation.cpp
+++ b/src/scheduling/internal/reservation.cpp
@@ -42,9 +42,8 @@
         addPlaces(demand, it, places);
     if (places.size() < demand.count)
         return std::nullopt;
-    std::stable_sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-        return a.isLastChoice != b.isLastChoice ? b.isLastChoice : a.in < b.in;
-    });
+    std::stable_sort(places.begin(), places.end(),
+        [](const Place& a, const Place& b) { return a.isLastChoice != b.isLastChoice ? b.isLastChoice : a.in < b.in; });
     Reservation reservation;
     for (std::size_t n = 0; n < demand.count; ++n) {
         core::Resources& kept = reservation.kept[places[n].worker->now.worker];
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -139,14 +139,15 @@
     fleet::HoldOrder order;
     order.fence = m_fence;
     order.forgetUpTo = m_forgetUpTo;
-    m_orders->hold(address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
-        const auto it = self.lock();
-        if (!it || it->m_isRetired)
-            return;
-        it->m_isLooking = false;
-        if (result)
-            it->takeReport(result.value(), sentAt);
-    });
+    m_orders->hold(
+        address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::HoldResult& result) {
+            const auto it = self.lock();
+            if (!it || it->m_isRetired)
+                return;
+            it->m_isLooking = false;
+            if (result)
+                it->takeReport(result.value(), sentAt);
+        });
 }
 
 void Worker::onHeld(const fleet::HoldResult& result, core::TimePoint sentAt)
@@ -310,6 +311,7 @@
         holdSoon(core::Duration(0));
 }
 
+// NOLINTNEXTLINE(performance-unnecessary-value-param): the name may be the key of the entry that is erased here
 void Worker::finish(fleet::RunName name, RunOver over)
 {
     const auto it = m_runs.find(name);
--- a/src/scheduling/tests/fakes.h
+++ b/src/scheduling/tests/fakes.h
@@ -19,6 +19,7 @@
     }
 
     bool isDown = false; //!< certainly nothing happens
+    bool isSilent = false; //!< questions for changes that come now are never heard
     int losesAnswers = 0; //!< so many of the next commits take effect, and their answers are lost
     core::Duration latency = std::chrono::milliseconds(8);
     std::map<store::RowKey, store::StoredRow> rows;
@@ -49,6 +50,12 @@
     void changes(const std::string& table, core::RowVersion after, core::Duration wait,
         std::function<void(store::PageResult)> callback) override
     {
+        if (isSilent) {
+            m_loop->callAfter(wait + store::changesPatience, [callback] {
+                callback(core::Failure { store::StoreFailure { store::StoreFailure::Code::Unknown, "timeout", {} } });
+            });
+            return;
+        }
         m_loop->callAfter(latency, [this, table, after, until = m_loop->now() + wait, callback] {
             answerChanges(table, after, until, callback);
         });
--- a/src/store/tablewatch.h
+++ b/src/store/tablewatch.h
@@ -23,9 +23,11 @@
 public:
     struct Options {
         std::string table;
-        core::Duration wait = std::chrono::seconds(5); //!< of one question for changes
+        //! Of one question for changes. A question that goes unheard in an outage delays the next one by this, and what
+        //! operators change must be seen within two seconds.
+        core::Duration wait = std::chrono::seconds(1);
         core::Duration retryPause = std::chrono::milliseconds(150);
-        core::Duration longestPause = std::chrono::milliseconds(600);
+        core::Duration longestPause = std::chrono::milliseconds(300);
     };
     static std::shared_ptr<TableWatch> create(
         runtime::ILoopPtr loop, IRowStorePtr store, Options options, WatchHooks hooks);
