--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -78,6 +78,9 @@
     bool m_isDoubted = false;
     std::uint64_t m_doubtedTerm = 0;
     core::Epoch m_invitedTerm; //!< whose leader has asked to be followed
+    core::TimePoint m_invitedAt {};
+    core::TimePoint m_confirmedAt {}; //!< when the store last answered here
+    core::TimePoint m_claimAgainAt {};
 };
 
 using ElectionPtr = std::shared_ptr<Election>;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr core::Duration checkPeriod = std::chrono::milliseconds(50);
+//! After a claim that failed, so that candidates do not press a store in trouble.
+constexpr core::Duration claimPause = std::chrono::milliseconds(250);
 //! Nobody decides while the leadership is free, so candidates hurry.
 constexpr int freeHandicapDivisor = 4;
 
@@ -44,6 +46,10 @@
         if (const auto it = self.lock())
             it->onRows(rows, false);
     };
+    hooks.confirmed = [self = weak_from_this()](core::TimePoint) {
+        if (const auto it = self.lock())
+            it->m_confirmedAt = it->m_loop->now();
+    };
     store::TableWatch::Options options;
     options.table = leaderTable;
     m_watch = store::TableWatch::create(m_loop, m_store, options, std::move(hooks));
@@ -53,7 +59,10 @@
 
 void Election::invite(core::Epoch term)
 {
+    if (m_invitedTerm == term)
+        return;
     m_invitedTerm = term;
+    m_invitedAt = m_loop->now();
 }
 
 void Election::resume(core::Duration rest)
@@ -82,15 +91,18 @@
     m_version = row ? row->version : core::RowVersion();
     m_row = row && !row->isDropped ? decodeLeaderRow(row->value) : std::nullopt;
     m_seenAt = m_loop->now();
+    m_invitedTerm = {}; // the leader has reached the store, or there is another one
     m_isDoubted = m_isDoubted && m_row && m_row->term.value() == m_doubtedTerm;
     m_hooks.leaderSeen(m_row);
 }
 
 bool Election::mayFollow() const
 {
-    if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired || m_loop->now() < m_restUntil)
+    if (!m_isRead || m_isClaiming || m_isLeading || m_isRetired || m_loop->now() < m_restUntil
+        || m_loop->now() < m_claimAgainAt)
         return false;
-    const bool isInvited = m_row && m_row->term == m_invitedTerm;
+    // An invitation counts only where the store answers; in an outage for all, the leader is the one to go on.
+    const bool isInvited = m_row && m_row->term == m_invitedTerm && m_confirmedAt > m_invitedAt;
     const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self || isInvited;
     const core::Duration silence = m_isDoubted ? m_times.doubtedSilence : m_times.silence;
     const core::Duration patience = isFree ? m_handicap / freeHandicapDivisor : silence + m_handicap;
@@ -128,6 +140,7 @@
 {
     m_isClaiming = false;
     if (!result) {
+        m_claimAgainAt = m_loop->now() + claimPause;
         // A conflict shows the present row. After a lost answer the row names this node, and it claims once more.
         for (const store::StoredRow& it : result.error().present) {
             if (it.key == leaderKey())
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -484,3 +484,32 @@
     BOOST_TEST(book.isSlow(core::VmId("w3"), now));
     BOOST_TEST(!book.isSlow(core::VmId("w3"), now + std::chrono::seconds(5))); // it is tried again
 }
+
+BOOST_AUTO_TEST_CASE(an_outage_for_all_changes_no_leader_although_the_leader_asks_to_be_followed)
+{
+    Cell cell;
+    cell.lead();
+    const EnginePtr first = cell.engine;
+    cell.elect(ms(100));
+    cell.store->isDown = true;
+    for (int n = 0; n < 10; ++n) {
+        cell.election->invite(core::Epoch(1));
+        cell.advance(ms(350));
+    }
+    cell.store->isDown = false;
+    cell.advance(ms(3000));
+    BOOST_TEST((cell.engine == first));
+    BOOST_TEST(!cell.isDeposed);
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_that_asks_is_followed_where_the_store_answers)
+{
+    Cell cell;
+    cell.lead();
+    cell.elect(ms(100));
+    cell.engine.reset(); // its beats stay away
+    cell.former.reset();
+    cell.election->invite(core::Epoch(1));
+    cell.advance(ms(1400)); // well before the silence that others wait for
+    BOOST_TEST(bool(cell.engine));
+}
