--- a/src/scheduling/tests/fakes.h
+++ b/src/scheduling/tests/fakes.h
@@ -130,7 +130,8 @@
     int delaysStarts = 0; //!< the next starts are kept back until `carryOutLate`
     std::vector<fleet::StartOrder> late;
 
-    void end(const fleet::RunName& name, fleet::EndKind kind, const std::string& checkpoint = "")
+    //! By value: the name may be the key of the entry that is erased here.
+    void end(fleet::RunName name, fleet::EndKind kind, const std::string& checkpoint = "")
     {
         running.erase(name);
         ended.push_back({ fleet::EndNumber(++lastEnd), name, kind, checkpoint });
