--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -169,7 +169,7 @@
             routerIdle.set_value();
     };
     router = routing::createRouter(front, http::createClient(front),
-        node::createOncePort(desk, [this] { return partitionCount; }), metrics, std::move(hooks),
+        node::createOncePort(front, desk, [this] { return partitionCount; }), metrics, std::move(hooks),
         settings.maxResponseBytes);
     api::ApiPorts ports;
     ports.desk = desk;
--- a/src/node/askdesk.h
+++ b/src/node/askdesk.h
@@ -52,6 +52,7 @@
 };
 
 //! Claims through an ask desk on the same loop. `partitionCount` is asked for at each claim; 0 while unknown.
-routing::IOncePortPtr createOncePort(AskDeskPtr desk, std::function<std::uint32_t()> partitionCount);
+routing::IOncePortPtr createOncePort(
+    runtime::ILoopPtr loop, AskDeskPtr desk, std::function<std::uint32_t()> partitionCount);
 
 } // namespace sardinerun::node
--- a/src/node/internal/askdesk.cpp
+++ b/src/node/internal/askdesk.cpp
@@ -9,6 +9,9 @@
 constexpr core::Duration checkPeriod = std::chrono::milliseconds(100);
 constexpr int checksPerResend = 10;
 constexpr core::Duration claimTimeout = std::chrono::seconds(2);
+//! The end of a request reaches its key's home within a message or two of its answer.
+constexpr core::Duration inProgressPatience = std::chrono::milliseconds(300);
+constexpr core::Duration inProgressPause = std::chrono::milliseconds(60);
 constexpr core::Duration finishTimeout = std::chrono::minutes(5);
 constexpr core::Duration abandonTimeout = std::chrono::seconds(30);
 //! Tokens of different runs of a node must differ, or a late answer could meet another question.
@@ -98,13 +101,34 @@
 
 class OncePort : public routing::IOncePort {
 public:
-    OncePort(AskDeskPtr desk, std::function<std::uint32_t()> partitionCount)
-        : m_desk(std::move(desk))
+    OncePort(runtime::ILoopPtr loop, AskDeskPtr desk, std::function<std::uint32_t()> partitionCount)
+        : m_loop(std::move(loop))
+        , m_desk(std::move(desk))
         , m_partitionCount(std::move(partitionCount))
     {
     }
 
     void claim(const once::OnceKey& key, std::uint64_t fingerprint, Claimed callback) override
+    {
+        claimWithin(key, fingerprint, std::move(callback), m_loop->now() + inProgressPatience);
+    }
+
+    void finish(const once::OnceKey& key, once::StoredAnswer answer) override
+    {
+        if (const auto granted = m_granted.extract(key))
+            tellEnd(key, granted.mapped(), false, std::move(answer), finishTimeout);
+    }
+
+    void abandon(const once::OnceKey& key) override
+    {
+        if (const auto granted = m_granted.extract(key))
+            tellEnd(key, granted.mapped(), true, {}, abandonTimeout);
+    }
+
+    void leaveOpen(const once::OnceKey& key) override { m_granted.erase(key); }
+
+private:
+    void claimWithin(const once::OnceKey& key, std::uint64_t fingerprint, Claimed callback, core::TimePoint until)
     {
         if (m_partitionCount() == 0) {
             callback(once::ClaimResult::NotKept, {});
@@ -115,8 +139,8 @@
         const auto make = [&](const protocol::Asker& asker) {
             return protocol::ClaimOnce { asker, home, key, id, fingerprint };
         };
-        m_desk->ask(
-            home, make, claimTimeout, [this, key, id, callback](const std::optional<protocol::Message>& answer) {
+        m_desk->ask(home, make, claimTimeout,
+            [this, key, id, fingerprint, callback, until](const std::optional<protocol::Message>& answer) {
                 const auto* it = answer ? std::get_if<protocol::ClaimAnswer>(&*answer) : nullptr;
                 if (!it) {
                     // The claim may be kept later, for a request that nobody carries any more: it is given back.
@@ -124,27 +148,18 @@
                     callback(once::ClaimResult::NotKept, {});
                     return;
                 }
+                // A caller that has its answer may ask another node before the key's home knows of the end.
+                if (it->result == once::ClaimResult::InProgress && m_loop->now() < until) {
+                    m_loop->callAfter(inProgressPause,
+                        [this, key, fingerprint, callback, until] { claimWithin(key, fingerprint, callback, until); });
+                    return;
+                }
                 if (it->result == once::ClaimResult::Granted)
                     m_granted[key] = id;
                 callback(it->result, it->answer);
             });
     }
 
-    void finish(const once::OnceKey& key, once::StoredAnswer answer) override
-    {
-        if (const auto granted = m_granted.extract(key))
-            tellEnd(key, granted.mapped(), false, std::move(answer), finishTimeout);
-    }
-
-    void abandon(const once::OnceKey& key) override
-    {
-        if (const auto granted = m_granted.extract(key))
-            tellEnd(key, granted.mapped(), true, {}, abandonTimeout);
-    }
-
-    void leaveOpen(const once::OnceKey& key) override { m_granted.erase(key); }
-
-private:
     core::PartitionId homeOf(const once::OnceKey& key) const
     {
         return core::partitionOf(key.text(), m_partitionCount());
@@ -160,6 +175,7 @@
         m_desk->askUntilAnswered(home, make, timeout, [](const std::optional<protocol::Message>&) {});
     }
 
+    runtime::ILoopPtr m_loop;
     std::map<once::OnceKey, once::ClaimId> m_granted; //!< claims of requests in progress
     AskDeskPtr m_desk;
     std::function<std::uint32_t()> m_partitionCount;
@@ -167,9 +183,10 @@
 
 } // namespace
 
-routing::IOncePortPtr createOncePort(AskDeskPtr desk, std::function<std::uint32_t()> partitionCount)
+routing::IOncePortPtr createOncePort(
+    runtime::ILoopPtr loop, AskDeskPtr desk, std::function<std::uint32_t()> partitionCount)
 {
-    return std::make_shared<OncePort>(std::move(desk), std::move(partitionCount));
+    return std::make_shared<OncePort>(std::move(loop), std::move(desk), std::move(partitionCount));
 }
 
 } // namespace sardinerun::node
