--- a/src/dispatch/internal/lender.cpp
+++ b/src/dispatch/internal/lender.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-LenderPtr Lender::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
-    fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
+LenderPtr Lender::create(const runtime::ILoopPtr& loop, http::IHttpClientPtr client,
+    runtime::Address<LeadMessage> local, fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address)
 {
     return std::make_shared<Lender>(
         loop, std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address));
--- a/src/dispatch/internal/workdesk.cpp
+++ b/src/dispatch/internal/workdesk.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-WorkDeskPtr WorkDesk::create(runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
+WorkDeskPtr WorkDesk::create(
+    const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local)
 {
     return std::make_shared<WorkDesk>(loop, std::move(client), std::move(local));
 }
--- a/src/dispatch/lender.h
+++ b/src/dispatch/lender.h
@@ -8,7 +8,7 @@
 //! Lends this machine's turn at the advice service to the leader: carries one question after the other.
 class Lender : public runtime::Task<LeaderNews> {
 public:
-    static std::shared_ptr<Lender> create(runtime::ILoopPtr loop, http::IHttpClientPtr client,
+    static std::shared_ptr<Lender> create(const runtime::ILoopPtr& loop, http::IHttpClientPtr client,
         runtime::Address<LeadMessage> local, fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
     Lender(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local,
         fleet::IAdvicePortPtr advice, core::NodeId self, core::HostPort address);
--- a/src/dispatch/workdesk.h
+++ b/src/dispatch/workdesk.h
@@ -9,7 +9,7 @@
 class WorkDesk : public runtime::Task<DeskMessage> {
 public:
     static std::shared_ptr<WorkDesk> create(
-        runtime::ILoopPtr loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
+        const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
     WorkDesk(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeadMessage> local);
 
     void receive(DeskMessage message) override;
--- a/src/node/internal/askdesk.cpp
+++ b/src/node/internal/askdesk.cpp
@@ -110,7 +110,7 @@
 
     void claim(const once::OnceKey& key, std::uint64_t fingerprint, Claimed callback) override
     {
-        claimWithin(key, fingerprint, std::move(callback), m_loop->now() + inProgressPatience);
+        claimWithin(key, fingerprint, callback, m_loop->now() + inProgressPatience);
     }
 
     void finish(const once::OnceKey& key, once::StoredAnswer answer) override
@@ -128,7 +128,8 @@
     void leaveOpen(const once::OnceKey& key) override { m_granted.erase(key); }
 
 private:
-    void claimWithin(const once::OnceKey& key, std::uint64_t fingerprint, Claimed callback, core::TimePoint until)
+    void claimWithin(
+        const once::OnceKey& key, std::uint64_t fingerprint, const Claimed& callback, core::TimePoint until)
     {
         if (m_partitionCount() == 0) {
             callback(once::ClaimResult::NotKept, {});
