Log and count what waits beside free room

Cause: the logs showed the sum of work ahead and of free cores, but not how much of that work can still be in time, which steps wait and whether their tasks fit into the free room. So the hypotheses of the incident could not be told apart. Change: once per second the leader logs backlog and gang-waiting and sets three gauges; intake has the job's own work and the late part of the work ahead. The test of lateness moves from the round to Job, so that both use one. No logic changed.

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -123,7 +123,9 @@
         .with("job", call.spec.id.value())
         .with("queue", queue->name)
         .with("config", std::int64_t(m_config->version.value()))
+        .with("coreSeconds", std::int64_t(coreSecondsOf(call.spec)))
         .with("aheadCoreSeconds", std::int64_t(inputs.coreSecondsAhead))
+        .with("lateCoreSeconds", std::int64_t(inputs.lateCoreSecondsAhead))
         .with("gangCoreSeconds", std::int64_t(inputs.gangCoreSecondsAhead))
         .with("freeCores", std::int64_t(inputs.freeCores))
         .with("workers", inputs.workers)
@@ -295,12 +297,17 @@
     for (const auto& [id, job] : m_active) {
         const int priority = job->record.queue.priority;
         const PendingWork work = job->pendingWork();
+        const core::TimePoint jobStartBy = job->startBy();
+        double ahead = 0;
         if (priority < queue.priority) {
-            inputs.coreSecondsAhead += work.coreSeconds;
+            ahead = work.coreSeconds;
             inputs.gangCoreSecondsAhead += work.gangCoreSeconds;
-        } else if (priority == queue.priority && job->objectiveAt - job->remainingChain() <= startBy) {
-            inputs.coreSecondsAhead += work.coreSeconds + work.gangCoreSeconds;
+        } else if (priority == queue.priority && jobStartBy <= startBy) {
+            ahead = work.coreSeconds + work.gangCoreSeconds;
         }
+        inputs.coreSecondsAhead += ahead;
+        if (isTooLate(jobStartBy, job->objectiveAt, now))
+            inputs.lateCoreSecondsAhead += ahead;
     }
     double higherPriorityLoad = 0;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -157,6 +157,11 @@
     core::Duration remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
     void tick();
 
+    // Backlog
+    //! Once per second, records which steps wait after a round and how much room is free beside them.
+    void reportBacklog(const std::vector<ReadyStage>& all, core::TimePoint now);
+    void logWaitingGang(const ReadyStage& gang, core::TimePoint now);
+
     EngineDependencies m_dependencies;
     lead::WonElection m_won;
     EngineHooks m_hooks;
@@ -177,6 +182,8 @@
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
     core::Duration m_roundCost {}; //!< duration of the last round
+    core::Duration m_longestRound {}; //!< since the last report of the backlog
+    core::TimePoint m_backlogReportedAt {};
     //! Moving average of the arriving work by priority, in core-seconds per second.
     std::array<double, 8> m_arrivals {};
     core::TimePoint m_arrivalsAt {}; //!< when the averages were last updated
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -19,9 +19,6 @@
 constexpr int roundCostFactor = 6;
 //! Maximum number of gangs with reserved room; more reservations would leave too little room for other work.
 constexpr std::size_t maxReservingGangs = 1;
-//! Tolerance for inaccurate estimates: a job counts as late this long after the last start time that meets its
-//! objective.
-constexpr core::Duration estimateSlack = std::chrono::milliseconds(500);
 constexpr core::Duration minRemainingTime = std::chrono::milliseconds(50);
 
 const std::map<core::VmId, std::uint32_t> noTasks;
@@ -76,6 +73,8 @@
     for (const ReadyStage& it : all)
         placeStage(it, now);
     m_roundCost = m_dependencies.loop->now() - now;
+    m_longestRound = std::max(m_longestRound, m_roundCost);
+    reportBacklog(all, now);
 }
 
 std::vector<EngineImpl::ReadyStage> EngineImpl::readyStages(core::TimePoint now)
@@ -92,9 +91,9 @@
             if (!isReady)
                 continue;
             if (!startBy)
-                startBy = job->objectiveAt - job->remainingChain();
-            const bool isLate = now > std::min(*startBy + estimateSlack, job->objectiveAt);
-            all.push_back({ job, &stage, isLate, job->record.queue.priority, *startBy });
+                startBy = job->startBy();
+            all.push_back(
+                { job, &stage, isTooLate(*startBy, job->objectiveAt, now), job->record.queue.priority, *startBy });
         }
     }
     // A job that can't meet its objective any more is worth little, whatever its priority, so it comes after all jobs
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -4,6 +4,19 @@
 
 namespace sardinerun::scheduling {
 
+namespace {
+
+//! Tolerance for inaccurate estimates: a job counts as late this long after the last start time that meets its
+//! objective.
+constexpr core::Duration estimateSlack = std::chrono::milliseconds(500);
+
+} // namespace
+
+bool isTooLate(core::TimePoint startBy, core::TimePoint objectiveAt, core::TimePoint now)
+{
+    return now > std::min(startBy + estimateSlack, objectiveAt);
+}
+
 bool Stage::isGangRun(fleet::RunNumber run) const
 {
     return std::all_of(tasks.begin(), tasks.end(),
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -90,8 +90,13 @@
     PendingWork pendingWork() const;
     //! Returns the estimated time of the longest chain of steps that are not done.
     core::Duration remainingChain() const;
+    //! Returns the latest start of its remaining steps that is expected to meet its objective.
+    core::TimePoint startBy() const { return objectiveAt - remainingChain(); }
 };
 
+//! Returns whether a job with this objective and this latest start can't meet the objective any more.
+bool isTooLate(core::TimePoint startBy, core::TimePoint objectiveAt, core::TimePoint now);
+
 //! Builds the runtime state from a stored record.
 Job makeJob(workflow::JobRecord record);
 
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -22,7 +22,7 @@
 };
 
 //! In the order of enum Metric, which is the index. tests/docs_tests.py reads the names from this table.
-constexpr std::array<Definition, 35> definitions { {
+constexpr std::array<Definition, 38> definitions { {
     { Metric::Requests, Kind::Counter, "sardinerun_requests_total", "Requests to services by outcome" },
     { Metric::RequestSeconds, Kind::Histogram, "sardinerun_request_seconds", "Time from a request to its answer" },
     { Metric::RequestWaitSeconds, Kind::Histogram, "sardinerun_request_wait_seconds", "Time until a slot was free" },
@@ -56,6 +56,9 @@
     { Metric::WorkStartSeconds, Kind::Histogram, "sardinerun_work_start_seconds", "Time until its first task runs" },
     { Metric::WorkJobSeconds, Kind::Histogram, "sardinerun_work_job_seconds", "Time until its end is kept" },
     { Metric::WorkStarts, Kind::Counter, "sardinerun_work_starts_total", "Starts ordered by this leader" },
+    { Metric::WorkStepsWaiting, Kind::Gauge, "sardinerun_work_steps_waiting", "Steps with tasks that wait for room" },
+    { Metric::WorkCores, Kind::Gauge, "sardinerun_work_cores", "Cores of the workers that accept starts, by state" },
+    { Metric::WorkRoundSeconds, Kind::Gauge, "sardinerun_work_round_seconds", "Longest scheduling round lately" },
     { Metric::Leading, Kind::Gauge, "sardinerun_leading", "1 while this node leads" },
     { Metric::LogLinesDropped, Kind::Gauge, "sardinerun_log_lines_dropped", "Log lines that found no room" },
 } };
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -41,6 +41,9 @@
     WorkStartSeconds,
     WorkJobSeconds,
     WorkStarts,
+    WorkStepsWaiting,
+    WorkCores,
+    WorkRoundSeconds,
     Leading,
     LogLinesDropped
 };
