Tests that show three causes of the incident, failing on the current code

scheduling_overload_admission: refused beside a free worker; scheduling_overload_late_gangs: the late gang never starts; scheduling_overload_packing: the gang finds no free workers.

--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -57,10 +57,9 @@
     m_dependencies.metrics->set(Metric::WorkCores, { { "state", "all" } }, cores);
     m_dependencies.metrics->set(Metric::WorkCores, { { "state", "free" } }, freeCores);
     const core::Duration longestRound = std::exchange(m_longestRound, core::Duration());
-    m_dependencies.metrics->set(
-        Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(longestRound).count());
-    const bool doesAnyWait = std::any_of(
-        all.begin(), all.end(), [](const ReadyStage& it) { return it.stage->pending > 0; });
+    m_dependencies.metrics->set(Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(longestRound).count());
+    const bool doesAnyWait
+        = std::any_of(all.begin(), all.end(), [](const ReadyStage& it) { return it.stage->pending > 0; });
     if (!doesAnyWait)
         return;
     LogLine(Severity::Info, "backlog")
--- /dev/null
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -0,0 +1,129 @@
+//! Load patterns under which one queue got too little: gangs beside single tasks while the fleet is nearly full.
+
+#include "scheduling/tests/cell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::scheduling;
+using namespace sardinerun::scheduling::testing;
+using fleet::EndKind;
+using workflow::WorkflowOutcome;
+
+namespace {
+
+workflow::JobSpec blockerOf(const std::string& id)
+{
+    workflow::JobSpec spec = jobOf(id, 1, 4000);
+    spec.steps[0].estimate = std::chrono::seconds(100);
+    return spec;
+}
+
+std::size_t startsOf(Cell& cell, const workflow::JobSpec& spec)
+{
+    std::size_t n = 0;
+    for (const auto& [id, worker] : cell.workers->workers)
+        n += std::size_t(std::count_if(worker.starts.begin(), worker.starts.end(),
+            [&spec](const fleet::StartOrder& it) { return it.runId.task.job == spec.id; }));
+    return n;
+}
+
+//! Ends all runs of one worker and lets the leader react.
+void endRunsOf(Cell& cell, FakeWorker& worker)
+{
+    for (const auto& [runId, run] : std::map(worker.running))
+        worker.end(runId, EndKind::Done);
+    cell.advance(ms(100));
+}
+
+//! Answers each advice request that is assigned to the node by allowing all workers that it names.
+void allowAll(const AdviceQueuePtr& advice, const core::NodeId& node)
+{
+    advice->poll(node, [advice, node](AdviceQueue::RequestId id, const fleet::AdviceRequest& request) {
+        fleet::Advice allowed;
+        for (const core::VmId& it : request.workers)
+            allowed.allowed.push_back({ it, "ticket" });
+        if (id > 0)
+            advice->answer(id, fleet::AdviceResult(std::move(allowed)));
+        allowAll(advice, node);
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(overload_admission)
+
+//! Guards against refusing jobs beside free workers since late gangs, which start only after them, count as ahead of them.
+BOOST_AUTO_TEST_CASE(jobs_are_accepted_beside_free_workers_while_late_gangs_wait)
+{
+    Cell cell;
+    cell.lead();
+    BOOST_TEST((cell.submit(blockerOf("blocker")) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    for (const char* id : { "a", "b", "c", "d" })
+        BOOST_TEST((cell.submit(jobOf(id, 2, 4000, true)) == WorkflowOutcome::Accepted)); // needs both workers
+    cell.advance(ms(7000));
+    BOOST_TEST(cell.running() == 1u);
+    const auto job = jobOf("small", 1, 1000);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    BOOST_TEST(startsOf(cell, job) == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(overload_late_gangs)
+
+//! Guards against late gangs that never start, since late single tasks of less urgent queues take each core that becomes free.
+BOOST_AUTO_TEST_CASE(late_gang_starts_before_late_single_tasks_of_a_less_urgent_queue)
+{
+    Cell cell;
+    cell.queue.priority = 1;
+    workflow::QueuePolicy batch = cell.queue;
+    batch.name = "batch";
+    batch.pathPrefix = "/batch/";
+    batch.priority = 2;
+    cell.moreQueues.push_back(batch);
+    cell.lead();
+    for (const char* id : { "blocker1", "blocker2" })
+        BOOST_TEST((cell.submit(blockerOf(id)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    const auto gang = jobOf("gang", 2, 4000, true);
+    BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
+    for (const char* id : { "s1", "s2", "s3", "s4" })
+        cell.callEngine(workflow::CallKind::Submit, jobOf(id, 1, 4000), ms(400), "/batch/");
+    cell.advance(ms(8000)); // all of them are late now
+    BOOST_TEST(startsOf(cell, gang) == 0u);
+    endRunsOf(cell, cell.worker("w1"));
+    endRunsOf(cell, cell.worker("w2"));
+    BOOST_TEST(startsOf(cell, gang) == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(overload_packing)
+
+//! Guards against small steps that break the room that gangs need, since their advice names the workers with the most room.
+BOOST_AUTO_TEST_CASE(small_tasks_fill_workers_in_use_so_that_a_gang_finds_free_ones)
+{
+    Cell cell;
+    cell.queue.stretch = 100;
+    cell.queue.advice = workflow::AdvicePolicy { ms(10), ms(1), ms(2000) };
+    cell.entries.clear();
+    for (int n = 0; n < 20; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    allowAll(cell.advice, core::NodeId("n1"));
+    BOOST_TEST((cell.submit(jobOf("large", 10, 3000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(200));
+    for (int n = 0; n < 5; ++n)
+        BOOST_TEST((cell.submit(jobOf("small" + std::to_string(n), 2, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(400));
+    BOOST_TEST(cell.running() == 20u);
+    const auto gang = jobOf("gang", 10, 4000, true);
+    BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
+    cell.advance(ms(400));
+    BOOST_TEST(startsOf(cell, gang) == 10u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
