Count late work behind new jobs, as the rounds place it

Cause: a round places late jobs after all that can be in time, but admission counted the pending work of late jobs as ahead of a new job. Starved gangs so kept new ones out: intake had 67,000 late of 75,000 core-seconds ahead at 33 s. Two modules with two models of one order. Change: work of jobs that are too late by the same test as in the round is not ahead, in the job's own queue and in more urgent ones. Evidence: overload_admission, two cases, both failed before (the second is new here). Late gangs still starve (overload_late_gangs) and room is still in pieces (overload_packing).

--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -14,7 +14,7 @@
     double cores = 0; //!< total of those workers, without unresponsive and quarantined ones
     double freeCores = 0; //!< of `cores`, those not in use
     double coreSecondsAhead = 0; //!< pending work that would start before this job
-    double lateCoreSecondsAhead = 0; //!< of `coreSecondsAhead`, work of jobs that can't meet their objective any more
+    double lateCoreSeconds = 0; //!< pending work of jobs that can't meet their objective any more; not ahead
     //! Pending gangs of more urgent queues, which start only when all of their tasks fit.
     double gangCoreSecondsAhead = 0;
     double higherPriorityShare = 0; //!< average share of the cores that more urgent work uses
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -125,7 +125,7 @@
         .with("config", std::int64_t(m_config->version.value()))
         .with("coreSeconds", std::int64_t(coreSecondsOf(call.spec)))
         .with("aheadCoreSeconds", std::int64_t(inputs.coreSecondsAhead))
-        .with("lateCoreSeconds", std::int64_t(inputs.lateCoreSecondsAhead))
+        .with("lateCoreSeconds", std::int64_t(inputs.lateCoreSeconds))
         .with("gangCoreSeconds", std::int64_t(inputs.gangCoreSecondsAhead))
         .with("freeCores", std::int64_t(inputs.freeCores))
         .with("workers", inputs.workers)
@@ -296,18 +296,19 @@
     const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
     for (const auto& [id, job] : m_active) {
         const int priority = job->record.queue.priority;
+        if (priority > queue.priority)
+            continue;
         const PendingWork work = job->pendingWork();
         const core::TimePoint jobStartBy = job->startBy();
-        double ahead = 0;
-        if (priority < queue.priority) {
-            ahead = work.coreSeconds;
+        if (isTooLate(jobStartBy, job->objectiveAt, now)) {
+            // A round places late jobs after all jobs that can be in time, so they delay none of those.
+            inputs.lateCoreSeconds += work.coreSeconds + work.gangCoreSeconds;
+        } else if (priority < queue.priority) {
+            inputs.coreSecondsAhead += work.coreSeconds;
             inputs.gangCoreSecondsAhead += work.gangCoreSeconds;
-        } else if (priority == queue.priority && jobStartBy <= startBy) {
-            ahead = work.coreSeconds + work.gangCoreSeconds;
+        } else if (jobStartBy <= startBy) {
+            inputs.coreSecondsAhead += work.coreSeconds + work.gangCoreSeconds;
         }
-        inputs.coreSecondsAhead += ahead;
-        if (isTooLate(jobStartBy, job->objectiveAt, now))
-            inputs.lateCoreSecondsAhead += ahead;
     }
     double higherPriorityLoad = 0;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -53,7 +53,8 @@
 
 BOOST_AUTO_TEST_SUITE(overload_admission)
 
-//! Guards against refusing jobs beside free workers since late gangs, which start only after them, count as ahead of them.
+//! Guards against refusing jobs beside free workers since late gangs, which start only after them, count as ahead of
+//! them.
 BOOST_AUTO_TEST_CASE(jobs_are_accepted_beside_free_workers_while_late_gangs_wait)
 {
     Cell cell;
@@ -70,11 +71,33 @@
     BOOST_TEST(startsOf(cell, job) == 1u);
 }
 
+//! Guards against the same refusal of jobs of a less urgent queue, which also start before late ones.
+BOOST_AUTO_TEST_CASE(less_urgent_jobs_are_accepted_while_late_gangs_wait)
+{
+    Cell cell;
+    cell.queue.priority = 1;
+    workflow::QueuePolicy batch = cell.queue;
+    batch.name = "batch";
+    batch.pathPrefix = "/batch/";
+    batch.priority = 2;
+    cell.moreQueues.push_back(batch);
+    cell.lead();
+    for (const char* id : { "blocker1", "blocker2" })
+        BOOST_TEST((cell.submit(blockerOf(id)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    for (const char* id : { "a", "b", "c", "d" })
+        BOOST_TEST((cell.submit(jobOf(id, 2, 4000, true)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(7000));
+    const auto answer = cell.callEngine(workflow::CallKind::Submit, jobOf("small", 1, 1000), ms(400), "/batch/");
+    BOOST_TEST((answer.outcome == WorkflowOutcome::Accepted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(overload_late_gangs)
 
-//! Guards against late gangs that never start, since late single tasks of less urgent queues take each core that becomes free.
+//! Guards against late gangs that never start, since late single tasks of less urgent queues take each core that
+//! becomes free.
 BOOST_AUTO_TEST_CASE(late_gang_starts_before_late_single_tasks_of_a_less_urgent_queue)
 {
     Cell cell;
@@ -103,7 +126,8 @@
 
 BOOST_AUTO_TEST_SUITE(overload_packing)
 
-//! Guards against small steps that break the room that gangs need, since their advice names the workers with the most room.
+//! Guards against small steps that break the room that gangs need, since their advice names the workers with the most
+//! room.
 BOOST_AUTO_TEST_CASE(small_tasks_fill_workers_in_use_so_that_a_gang_finds_free_ones)
 {
     Cell cell;
