Name the workers that a step fits best when asking for its advice

Callers saw: gangs wait for seconds beside 2,500 to 3,500 free cores; a gang of 61 tasks found 170 slots in them, half of what the sum holds. Cause: tasks can go only where advice allows it, and advice for steps of single tasks named the workers with the most room. So placement by fit had nothing to choose from: small steps went to the emptiest workers and broke the room that gangs need. Two modules with two orders of the same workers, as with admission. Change: for steps other than gangs the workers are named in the placer's order. Gangs keep the workers with the most room.

--- a/src/scheduling/internal/advicecandidates.cpp
+++ b/src/scheduling/internal/advicecandidates.cpp
@@ -26,8 +26,17 @@
     const double minExpectedSlots = demand.isAllOrNothing ? double(demand.count) : allowedShare;
     if (expectedSlots < minExpectedSlots && !isReservationSoon)
         return {};
+    const auto gangRank
+        = [&expectedOf](const AdviceCandidate& it) { return std::make_tuple(it.isReserved, expectedOf(it), 0.0); };
+    // Advice decides where tasks can go, so it has to prefer the same workers as the placer. Naming the ones with the
+    // most room would spread small steps over the room that gangs need.
+    const auto stepRank = [](const AdviceCandidate& it) {
+        const bool hasRoom = it.slots > 0;
+        const double preference = (it.isReserved ? 2 : 0) + (it.isAllowed ? 1 : 0);
+        return std::make_tuple(hasRoom, preference, it.fit);
+    };
     std::stable_sort(candidates.begin(), candidates.end(), [&](const AdviceCandidate& a, const AdviceCandidate& b) {
-        return std::make_tuple(a.isReserved, expectedOf(a)) > std::make_tuple(b.isReserved, expectedOf(b));
+        return demand.isAllOrNothing ? gangRank(a) > gangRank(b) : stepRank(a) > stepRank(b);
     });
     const double targetSlots = double(demand.count) + spreadFactor * std::sqrt(double(demand.count));
     std::vector<core::VmId> selected;
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -59,6 +59,7 @@
     const Job& job, const Stage& stage, core::TimePoint now, const std::optional<Reservation>& reservation)
 {
     const Demand demand = demandOf(job, stage);
+    const placement::IStrategy& strategy = placement::strategyOf(placementStrategy);
     std::vector<AdviceCandidate> candidates;
     for (const Candidate& it : candidatesFor(job, stage, now, CandidateFilter::NotDenied)) {
         std::int64_t slots = slotsIn(it.room, demand.need);
@@ -69,7 +70,8 @@
         if (reserved)
             slots = std::max(slots, slotsIn(*reserved, demand.need));
         if (demand.need.fitsIn(it.capacity))
-            candidates.push_back({ it.worker, slots, reserved != nullptr, stage.advice.tickets.contains(it.worker) });
+            candidates.push_back({ it.worker, slots, reserved != nullptr, stage.advice.tickets.contains(it.worker),
+                scoreOf(demand, it, strategy) });
     }
     const bool isReservationSoon = reservation && reservation->completeIn <= adviceLeadTime(job);
     const std::size_t minWorkers = minWorkersForAdvice(*job.record.queue.advice, demand.count);
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -198,8 +198,7 @@
     std::vector<Candidate> candidates
         = candidatesFor(*ready.job, stage, now, needsTicket ? CandidateFilter::Ticket : CandidateFilter::NotDenied);
     if (ready.job->isPersisted && !candidates.empty()) {
-        const std::vector<core::VmId> chosen
-            = place(demand, candidates, placement::strategyOf(placement::StrategyKind::DominantFit));
+        const std::vector<core::VmId> chosen = place(demand, candidates, placement::strategyOf(placementStrategy));
         if (!chosen.empty()) {
             startTasks(ready.job, stage, chosen);
             return;
--- a/src/scheduling/internal/placer.cpp
+++ b/src/scheduling/internal/placer.cpp
@@ -17,16 +17,6 @@
     return demand.need.fitsIn(it.room) && (demand.maxPerWorker == 0 || it.tasksOfStep < demand.maxPerWorker);
 }
 
-double scoreOf(const Demand& demand, const Candidate& it, const placement::IStrategy& strategy)
-{
-    double score = strategy.score(it.room - demand.need, it.capacity);
-    if (it.isLastResort)
-        score -= lastResortPenalty;
-    if (!demand.dataRack.empty() && demand.dataRack != it.rack)
-        score -= otherRackPenalty;
-    return score;
-}
-
 std::vector<core::VmId> placeAnywhere(
     const Demand& demand, std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
 {
@@ -85,6 +75,16 @@
     return std::max<std::int64_t>(n, 0);
 }
 
+double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy)
+{
+    double score = strategy.score(candidate.room - demand.need, candidate.capacity);
+    if (candidate.isLastResort)
+        score -= lastResortPenalty;
+    if (!demand.dataRack.empty() && demand.dataRack != candidate.rack)
+        score -= otherRackPenalty;
+    return score;
+}
+
 std::vector<core::VmId> place(
     const Demand& demand, std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
 {
--- a/src/scheduling/placer.h
+++ b/src/scheduling/placer.h
@@ -31,6 +31,12 @@
 //! Returns the number of tasks with this need that fit into the room.
 std::int64_t slotsIn(const core::Resources& room, const core::Resources& need);
 
+//! Strategy by which the leader chooses workers.
+constexpr placement::StrategyKind placementStrategy = placement::StrategyKind::DominantFit;
+
+//! Returns how well a task fits on a candidate; higher is better.
+double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy);
+
 //! Chooses a worker for each task as far as there is room; for all-or-nothing demands, for all of them or none.
 //!
 //! Each placed task is subtracted from the room of its candidate.
