Let a late gang that needs most of the fleet start when the fleet is free

Callers saw nothing of this yet: found by the first form of overload_late_gangs. Accepted work of this size would never have run. Cause: late work leaves up to 12 % of the cores free for gangs to come, also a gang that needs more than the other 88 %. It then waits for ever beside an empty fleet. Change: the headroom of a gang is at most what it leaves of the whole fleet.

--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -127,8 +127,10 @@
 {
     const FleetView& fleet = fleetViewOf(*ready.job);
     const double coresPerTask = double(demand.need.cpu.value()) / 1000;
-    const double headroom
-        = m_headroom.coresToLeaveFree(ready.priority, ready.startBy - now, ready.isLate, fleet.cores());
+    double headroom = m_headroom.coresToLeaveFree(ready.priority, ready.startBy - now, ready.isLate, fleet.cores());
+    // Headroom delays a gang, but must not exclude one that needs most of the fleet.
+    if (demand.isAllOrNothing)
+        headroom = std::min(headroom, std::max(fleet.cores() - coresPerTask * double(demand.count), 0.0));
     if (coresPerTask <= 0 || headroom <= 0)
         return demand.count;
     const double maxTasks = std::max((fleet.freeCores() - headroom) / coresPerTask, 0.0);
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -102,6 +102,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+//! Guards against a gang that never starts, since late work leaves room free for other gangs and it needs the whole
+//! fleet.
+BOOST_AUTO_TEST_CASE(late_gang_that_needs_the_whole_fleet_starts_when_the_fleet_is_free)
+{
+    Cell cell;
+    cell.lead();
+    for (const char* id : { "blocker1", "blocker2" })
+        BOOST_TEST((cell.submit(blockerOf(id)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    const auto gang = jobOf("gang", 2, 4000, true);
+    BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
+    cell.advance(ms(8000));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(200));
+    BOOST_TEST(startsOf(cell, gang) == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE(overload_late_gangs)
 
 //! Guards against late gangs that never start, since late single tasks of less urgent queues take each core that
@@ -115,19 +132,22 @@
     batch.pathPrefix = "/batch/";
     batch.priority = 2;
     cell.moreQueues.push_back(batch);
+    cell.entries.clear();
+    for (int n = 0; n < 10; ++n)
+        cell.addWorker("w" + std::to_string(n));
     cell.lead();
-    for (const char* id : { "blocker1", "blocker2" })
-        BOOST_TEST((cell.submit(blockerOf(id)) == WorkflowOutcome::Accepted));
+    for (int n = 0; n < 10; ++n)
+        BOOST_TEST((cell.submit(blockerOf("blocker" + std::to_string(n))) == WorkflowOutcome::Accepted));
     cell.advance(ms(100));
-    const auto gang = jobOf("gang", 2, 4000, true);
+    const auto gang = jobOf("gang", 5, 4000, true);
     BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
-    for (const char* id : { "s1", "s2", "s3", "s4" })
-        cell.callEngine(workflow::CallKind::Submit, jobOf(id, 1, 4000), ms(400), "/batch/");
+    for (int n = 0; n < 10; ++n)
+        cell.callEngine(workflow::CallKind::Submit, jobOf("single" + std::to_string(n), 1, 4000), ms(400), "/batch/");
     cell.advance(ms(8000)); // all of them are late now
     BOOST_TEST(startsOf(cell, gang) == 0u);
-    endRunsOf(cell, cell.worker("w1"));
-    endRunsOf(cell, cell.worker("w2"));
-    BOOST_TEST(startsOf(cell, gang) == 2u);
+    for (int n = 0; n < 8; ++n)
+        endRunsOf(cell, cell.worker("w" + std::to_string(n)));
+    BOOST_TEST(startsOf(cell, gang) == 5u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
