Reserve room for one late gang beside the late single tasks

Cause: only gangs in time reserve room, and a late gang that its headroom holds back was not looked at further. Late single tasks take each core that becomes free, so the gang never finds all of its room. Change: after all work in time one late gang, the next in order, reserves room, also while it has to leave headroom; its free room is no longer free to what comes after it. Work in time is placed before and is not affected.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -128,6 +128,8 @@
     void runRound();
     std::vector<ReadyStage> readyStages(core::TimePoint now);
     void placeStage(const ReadyStage& ready, core::TimePoint now);
+    //! Starts tasks on workers that may run them; returns false if it started none.
+    bool startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now);
     //! Selects the workers that are candidates for a step.
     enum class CandidateFilter {
         Ticket, //!< workers with a valid ticket
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -17,7 +17,8 @@
 //! Events come in bursts, so the room that they free is assigned in one round.
 constexpr core::Duration roundDelay = std::chrono::milliseconds(8);
 constexpr int roundCostFactor = 6;
-//! Maximum number of gangs with reserved room; more reservations would leave too little room for other work.
+//! Maximum number of gangs with reserved room, each of those in time and of the late ones; more reservations would
+//! leave too little room for other work.
 constexpr std::size_t maxReservingGangs = 1;
 constexpr core::Duration minRemainingTime = std::chrono::milliseconds(50);
 
@@ -189,30 +190,37 @@
 
 void EngineImpl::placeStage(const ReadyStage& ready, core::TimePoint now)
 {
-    Stage& stage = *ready.stage;
-    Demand demand = demandOf(*ready.job, stage);
+    Demand demand = demandOf(*ready.job, *ready.stage);
     demand.count = startLimit(ready, demand, now);
     // Single tasks that fit on no worker are skipped early; a gang may still reserve room.
-    const bool hasRoom = demand.isAllOrNothing || demand.need.fitsIn(fleetViewOf(*ready.job).maxRoom());
-    if (demand.count == 0 || !hasRoom)
-        return;
-    const bool needsTicket = ready.job->record.queue.advice.has_value();
-    std::vector<Candidate> candidates
-        = candidatesFor(*ready.job, stage, now, needsTicket ? CandidateFilter::Ticket : CandidateFilter::NotDenied);
-    if (ready.job->isPersisted && !candidates.empty()) {
-        const std::vector<core::VmId> chosen = place(demand, candidates, placement::strategyOf(placementStrategy));
-        if (!chosen.empty()) {
-            startTasks(ready.job, stage, chosen);
-            return;
-        }
-    }
     FleetView& fleet = fleetViewOf(*ready.job);
-    const bool mayReserve = demand.isAllOrNothing && !ready.isLate && fleet.reservingGangs() < maxReservingGangs;
+    const bool mayStart = demand.count > 0 && (demand.isAllOrNothing || demand.need.fitsIn(fleet.maxRoom()));
+    if (mayStart && startWhereAllowed(ready, demand, now))
+        return;
+    // A late gang comes after all work in time and leaves headroom for it. Without a reservation, late single tasks
+    // would take all of its room meanwhile.
+    const bool mayReserve
+        = demand.isAllOrNothing && (mayStart || ready.isLate) && fleet.reservingGangs(ready.isLate) < maxReservingGangs;
     const std::optional<Reservation> reservation = mayReserve ? reservationFor(ready, now) : std::nullopt;
-    if (needsTicket)
+    const bool isRoomSoon = reservation && reservation->completeIn <= adviceLeadTime(*ready.job);
+    if (ready.job->record.queue.advice && (mayStart || isRoomSoon))
         requestAdvice(ready, now, reservation);
     if (reservation)
-        fleet.addReservation(*reservation);
+        fleet.addReservation(*reservation, ready.isLate);
+}
+
+bool EngineImpl::startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now)
+{
+    if (!ready.job->isPersisted)
+        return false;
+    const bool needsTicket = ready.job->record.queue.advice.has_value();
+    std::vector<Candidate> candidates = candidatesFor(
+        *ready.job, *ready.stage, now, needsTicket ? CandidateFilter::Ticket : CandidateFilter::NotDenied);
+    const std::vector<core::VmId> chosen = place(demand, candidates, placement::strategyOf(placementStrategy));
+    if (chosen.empty())
+        return false;
+    startTasks(ready.job, *ready.stage, chosen);
+    return true;
 }
 
 core::Duration EngineImpl::remainingTime(const fleet::RunId& runId, const WorkerRun& run) const
--- a/src/scheduling/internal/fleetview.cpp
+++ b/src/scheduling/internal/fleetview.cpp
@@ -36,12 +36,17 @@
     m_freeCores -= coresOf(room);
 }
 
-void FleetView::addReservation(const Reservation& reservation)
+void FleetView::addReservation(const Reservation& reservation, bool isLate)
 {
-    ++m_reservingGangs;
+    ++(isLate ? m_lateReservingGangs : m_reservingGangs);
     for (const auto& [id, room] : reservation.reserved) {
-        if (UsableWorker* it = find(id))
-            it->reserved = it->reserved + room;
+        UsableWorker* it = find(id);
+        if (!it)
+            continue;
+        it->reserved = it->reserved + room;
+        // The headroom of a round already includes the gangs in time.
+        if (isLate)
+            m_freeCores -= coresOf({ std::min(room.cpu, it->worker->freeRoom().cpu), {}, {} });
     }
 }
 
--- a/src/scheduling/internal/fleetview.h
+++ b/src/scheduling/internal/fleetview.h
@@ -28,20 +28,21 @@
 
     double cores() const { return m_cores; }
     double freeCores() const { return m_freeCores; }
-    std::size_t reservingGangs() const { return m_reservingGangs; }
+    std::size_t reservingGangs(bool areLate) const { return areLate ? m_lateReservingGangs : m_reservingGangs; }
     //! Returns the component-wise maximum of the free room at the start of the round.
     const core::Resources& maxRoom() const { return m_maxRoom; }
 
     void onTaskStarted(const core::Resources& room);
     //! Reserves room for a gang until the round ends.
-    void addReservation(const Reservation& reservation);
+    void addReservation(const Reservation& reservation, bool isLate);
 
 private:
     std::vector<UsableWorker> m_workers;
     std::unordered_map<core::VmId, std::size_t> m_indexes; //!< indexes into `m_workers`
     double m_cores = 0;
     double m_freeCores = 0;
-    std::size_t m_reservingGangs = 0; //!< gangs with a reservation
+    std::size_t m_reservingGangs = 0; //!< gangs in time with a reservation
+    std::size_t m_lateReservingGangs = 0;
     core::Resources m_maxRoom;
 };
 
