Refuse a job whose record the store would not take

Callers saw nothing of it yet: found while looking for odd submissions. One submission of 200 KB (labels, images or many steps) would have stopped all acceptance: the store rejects the group of writes that holds its record, the leader sends the same group again for ever, and the next leader gets the same submission from the caller that tries again. Cause: nothing checked the size of a record against the store's limit for a value. Change: records above 48 KiB (64 KiB as base64) are refused with a log line; both stand-ins of the store reject larger values. Evidence: job_whose_record_is_too_large_is_refused_and_others_are_served failed before, with two failures: the job was not refused, and the next, ordinary job was not accepted.

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -157,6 +157,16 @@
     record.spec = call.spec;
     record.queue = queue;
     record.acceptedAt = m_dependencies.loop->wallNow();
+    std::string row = workflow::encodeJob(record);
+    if (row.size() > store::maxValueBytes) {
+        // The store would reject the whole group of writes each time, and with it the jobs of other callers.
+        LogLine(Severity::Warning, "record-too-large")
+            .with("job", call.spec.id.value())
+            .with("bytes", std::int64_t(row.size()))
+            .with("outcome", "refused");
+        callback(answerOf(WorkflowOutcome::Refused, "its record is too large to be persisted"));
+        return;
+    }
     for (std::size_t n = 0; n < workflow::stageCount(call.spec); ++n) {
         const std::size_t count = call.spec.steps[n % call.spec.steps.size()].count;
         record.stages.push_back(workflow::initialProgress(count));
@@ -168,7 +178,7 @@
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
     recordArrival(queue.priority, coreSecondsOf(call.spec));
-    const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), workflow::encodeJob(job->record));
+    const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), std::move(row));
     whenPersisted(revision, [this, job] { onAccepted(job); });
     m_dependencies.loop->callAfter(timeoutOf(call), [self = weak_from_this(), id = call.spec.id] {
         if (const auto it = self.lock())
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -44,6 +44,17 @@
     BOOST_TEST(cell.starts() == 1u);
 }
 
+//! Guards against one job whose record the store rejects, which then blocks the records of all other jobs.
+BOOST_AUTO_TEST_CASE(job_whose_record_is_too_large_is_refused_and_others_are_served)
+{
+    Cell cell;
+    cell.lead();
+    auto large = jobOf("large", 1, 1000);
+    large.steps[0].image = std::string(store::maxValueBytes, 'x');
+    BOOST_TEST((cell.submit(large) == WorkflowOutcome::Refused));
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkflowOutcome::Accepted));
+}
+
 BOOST_AUTO_TEST_CASE(capacity_of_workers_is_never_exceeded)
 {
     Cell cell;
--- a/src/store/storetypes.h
+++ b/src/store/storetypes.h
@@ -31,6 +31,9 @@
     core::RowVersion version;
 };
 
+//! Maximum size of a value. Stores accept up to 64 KiB encoded as base64.
+constexpr std::size_t maxValueBytes = std::size_t(48) << 10;
+
 //! A new value of a row; without a value the row is deleted.
 struct RowUpdate {
     RowKey key;
--- a/src/store/testing/fakerowstore.h
+++ b/src/store/testing/fakerowstore.h
@@ -70,6 +70,10 @@
         if (isDown)
             return core::Failure { StoreFailure {} };
         ++commits;
+        for (const RowUpdate& it : transaction.updates) {
+            if (it.value && it.value->size() > maxValueBytes)
+                return core::Failure { StoreFailure { StoreFailure::Code::BadAnswer, "value too large", {} } };
+        }
         StoreFailure conflict { StoreFailure::Code::Conflict, "", {} };
         bool isMet = true;
         for (const RowCondition& it : transaction.conditions) {
--- a/standins/rowsstandin.cpp
+++ b/standins/rowsstandin.cpp
@@ -15,12 +15,21 @@
 using store::StoreFailure;
 
 constexpr core::Duration storeLatency = std::chrono::milliseconds(4);
+constexpr std::size_t maxRowBytes = 65536; //!< of the encoded value
 
 store::RowKey keyOf(const Json::Value& from)
 {
     return { textOf(from, "table"), textOf(from, "part"), textOf(from, "key") };
 }
 
+std::string valueOf(const Json::Value& row)
+{
+    const std::string value = textOf(row, "value");
+    if (value.size() > maxRowBytes)
+        throw codec::DecodeError("value", "is too large");
+    return decodeBase64(value);
+}
+
 store::RowTransaction transactionOf(const std::string& body)
 {
     const Json::Value from = codec::parseJson(body);
@@ -29,7 +38,7 @@
         it.conditions.push_back(
             { keyOf(row), core::RowVersion(static_cast<std::uint64_t>(platform::integerOf(row, "ver"))) });
     for (const Json::Value& row : listOf(from, "set_keys"))
-        it.updates.push_back({ keyOf(row), decodeBase64(textOf(row, "value")) });
+        it.updates.push_back({ keyOf(row), valueOf(row) });
     for (const Json::Value& row : listOf(from, "remove"))
         it.updates.push_back({ keyOf(row), std::nullopt });
     return it;
