Turn errors of the JSON library and numbers out of range into decode errors

All five new process tests failed before: processes ended with signal 6 on entries among the workers, configurations, submissions, answers of workers and of the store; the submission with "repeat_count": ended the node that took it. Cause: the adapters used values of the JSON library directly. It throws its own exception for a number beyond 64 bits and for a member of something that is no object; the readers catch only DecodeError, so the exception ended the process. Class: an error of the layer below passes through. Nesting and ports above 65535 were refused already. Change: codec::decodeJson turns every error of the library into a DecodeError; all decoders of the platform, of stored jobs and of messages between dispatching nodes go through it. The readers of members check type and range. The stand-in can send odd answers and rows.

--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -29,6 +29,18 @@
 //! Parses a text that has to be exactly one JSON value. Rejects duplicate names and nesting beyond 32 levels.
 Json::Value parseJson(std::string_view text);
 
+//! Parses a text and passes its value to `decode`. All errors are thrown as DecodeError, also those of the JSON library
+//! when `decode` uses a value as a type that it does not have.
+template <class Decode> auto decodeJson(std::string_view text, Decode decode)
+{
+    const Json::Value value = parseJson(text);
+    try {
+        return decode(value);
+    } catch (const Json::Exception& error) {
+        throw DecodeError("", error.what());
+    }
+}
+
 //! Returns a value as JSON on one line.
 std::string writeJson(const Json::Value& value);
 
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -56,16 +56,17 @@
 
 WorkflowCall decodeCall(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    WorkflowCall it;
-    it.kind = readEnum(reader, "kind", workflow::CallKind::CountPending);
-    it.host = reader.text("host", maxName);
-    it.path = reader.text("path", maxName);
-    it.spec = workflow::decodeSpec(reader.raw("spec"));
-    it.timeout = std::chrono::milliseconds(reader.integerOr("patienceMs", 0, 86'400'000, 0));
-    it.knownConfig = core::ConfigVersion(readUnsigned(reader, "seen"));
-    return it;
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        WorkflowCall it;
+        it.kind = readEnum(reader, "kind", workflow::CallKind::CountPending);
+        it.host = reader.text("host", maxName);
+        it.path = reader.text("path", maxName);
+        it.spec = workflow::decodeSpec(reader.raw("spec"));
+        it.timeout = std::chrono::milliseconds(reader.integerOr("patienceMs", 0, 86'400'000, 0));
+        it.knownConfig = core::ConfigVersion(readUnsigned(reader, "seen"));
+        return it;
+    });
 }
 
 std::string encodeResult(const WorkflowResult& it)
@@ -81,15 +82,16 @@
 
 WorkflowResult decodeResult(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    WorkflowResult it;
-    it.outcome = readEnum(reader, "outcome", workflow::WorkflowOutcome::Uncertain);
-    it.state = readEnum(reader, "state", workflow::JobState::Cancelled);
-    it.pending = readUnsigned(reader, "pending");
-    it.retryAfter = std::chrono::milliseconds(reader.integerOr("retryAfterMs", 0, 86'400'000, 0));
-    it.reason = reader.textOr("reason", maxName, "");
-    return it;
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        WorkflowResult it;
+        it.outcome = readEnum(reader, "outcome", workflow::WorkflowOutcome::Uncertain);
+        it.state = readEnum(reader, "state", workflow::JobState::Cancelled);
+        it.pending = readUnsigned(reader, "pending");
+        it.retryAfter = std::chrono::milliseconds(reader.integerOr("retryAfterMs", 0, 86'400'000, 0));
+        it.reason = reader.textOr("reason", maxName, "");
+        return it;
+    });
 }
 
 std::string encodeAdvicePoll(const AdvicePoll& it)
@@ -113,27 +115,28 @@
 
 AdvicePoll decodeAdvicePoll(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    AdvicePoll it;
-    it.node = core::NodeId(reader.text("node", maxName));
-    it.address = readAddress(reader.object("address"));
-    it.term = core::Epoch(readUnsigned(reader, "term"));
-    it.requestId = readUnsigned(reader, "question");
-    if (it.requestId == 0)
-        return it;
-    if (!reader.has("allowed")) {
-        it.result = fleet::AdviceResult(core::Failure { fleet::AdviceFailure::Unreachable });
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        AdvicePoll it;
+        it.node = core::NodeId(reader.text("node", maxName));
+        it.address = readAddress(reader.object("address"));
+        it.term = core::Epoch(readUnsigned(reader, "term"));
+        it.requestId = readUnsigned(reader, "question");
+        if (it.requestId == 0)
+            return it;
+        if (!reader.has("allowed")) {
+            it.result = fleet::AdviceResult(core::Failure { fleet::AdviceFailure::Unreachable });
+            return it;
+        }
+        fleet::Advice advice;
+        for (const Json::Value& row : reader.raw("allowed")) {
+            if (!row.isArray() || row.size() != 2 || !row[0].isString() || !row[1].isString())
+                reader.fail("allowed", "must be pairs of a worker and a ticket");
+            advice.allowed.push_back({ core::VmId(row[0].asString()), row[1].asString() });
+        }
+        it.result = fleet::AdviceResult(std::move(advice));
         return it;
-    }
-    fleet::Advice advice;
-    for (const Json::Value& row : reader.raw("allowed")) {
-        if (!row.isArray() || row.size() != 2 || !row[0].isString() || !row[1].isString())
-            reader.fail("allowed", "must be pairs of a worker and a ticket");
-        advice.allowed.push_back({ core::VmId(row[0].asString()), row[1].asString() });
-    }
-    it.result = fleet::AdviceResult(std::move(advice));
-    return it;
+    });
 }
 
 std::string encodeAdviceAssignment(const AdviceAssignment& it)
@@ -155,22 +158,23 @@
 
 AdviceAssignment decodeAdviceAssignment(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    AdviceAssignment it;
-    it.requestId = readUnsigned(reader, "question");
-    if (reader.has("nodes")) {
-        for (const codec::ObjectReader& node : reader.objects("nodes", maxWorkers))
-            it.nodes.push_back(readAddress(node));
-    }
-    if (it.requestId == 0)
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        AdviceAssignment it;
+        it.requestId = readUnsigned(reader, "question");
+        if (reader.has("nodes")) {
+            for (const codec::ObjectReader& node : reader.objects("nodes", maxWorkers))
+                it.nodes.push_back(readAddress(node));
+        }
+        if (it.requestId == 0)
+            return it;
+        it.request.job = core::JobId(reader.text("job", maxName));
+        it.request.occurrence = static_cast<std::uint32_t>(reader.integerOr("occurrence", 0, UINT32_MAX, 0));
+        it.request.step = static_cast<std::uint32_t>(reader.integerOr("step", 0, UINT32_MAX, 0));
+        for (const std::string& worker : reader.texts("workers", maxWorkers, maxName))
+            it.request.workers.emplace_back(worker);
         return it;
-    it.request.job = core::JobId(reader.text("job", maxName));
-    it.request.occurrence = static_cast<std::uint32_t>(reader.integerOr("occurrence", 0, UINT32_MAX, 0));
-    it.request.step = static_cast<std::uint32_t>(reader.integerOr("step", 0, UINT32_MAX, 0));
-    for (const std::string& worker : reader.texts("workers", maxWorkers, maxName))
-        it.request.workers.emplace_back(worker);
-    return it;
+    });
 }
 
 std::string encodeLeaderHint(const LeaderHint& it)
@@ -185,13 +189,14 @@
 
 LeaderHint decodeLeaderHint(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    LeaderHint it;
-    it.isLeading = reader.flagOr("leading", false);
-    it.isRejectedByStore = reader.flagOr("turnedAway", false);
-    it.leader = lead::decodeLeaderRow(reader.textOr("leader", maxName, ""));
-    return it;
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        LeaderHint it;
+        it.isLeading = reader.flagOr("leading", false);
+        it.isRejectedByStore = reader.flagOr("turnedAway", false);
+        it.leader = lead::decodeLeaderRow(reader.textOr("leader", maxName, ""));
+        return it;
+    });
 }
 
 } // namespace sardinerun::protocol
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "codec/json.h"
 #include "placement/healthtracker.h"
 #include "scheduling/admission.h"
 #include "scheduling/advicecandidates.h"
@@ -79,6 +80,7 @@
     void onTablesRead();
     //! The roster is the persisted list of the workers that leaders have used; a new leader adds all of them.
     void loadRoster(const std::string& value);
+    void addRosteredWorker(codec::ObjectReader reader);
     void persistRoster();
     void addWorker(const fleet::WorkerEntry& entry, bool isListed);
     WorkerHooks workerHooks();
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -133,23 +133,27 @@
     if (value.empty())
         return;
     try {
-        const Json::Value roster = codec::parseJson(value);
-        for (const Json::Value& it : roster) {
-            codec::ObjectReader reader(it);
-            fleet::WorkerEntry entry;
-            entry.id = core::VmId(reader.text("id", 200));
-            entry.startedAt = fleet::WorkerStartTime(reader.integer("born", 0, INT64_MAX));
-            entry.address.host = reader.text("host", 64);
-            entry.address.port = static_cast<std::uint16_t>(reader.integer("port", 1, 65535));
-            entry.service = core::ServiceId(reader.text("service", 200));
-            addWorker(entry, false);
-            m_rostered.insert(entry.id);
-        }
+        codec::decodeJson(value, [this](const Json::Value& roster) {
+            for (const Json::Value& it : roster)
+                addRosteredWorker(codec::ObjectReader(it));
+        });
     } catch (const codec::DecodeError& error) {
         LogLine(Severity::Error, "roster-unreadable").with("why", error.what());
     }
 }
 
+void EngineImpl::addRosteredWorker(codec::ObjectReader reader)
+{
+    fleet::WorkerEntry entry;
+    entry.id = core::VmId(reader.text("id", 200));
+    entry.startedAt = fleet::WorkerStartTime(reader.integer("born", 0, INT64_MAX));
+    entry.address.host = reader.text("host", 64);
+    entry.address.port = static_cast<std::uint16_t>(reader.integer("port", 1, 65535));
+    entry.service = core::ServiceId(reader.text("service", 200));
+    addWorker(entry, false);
+    m_rostered.insert(entry.id);
+}
+
 void EngineImpl::persistRoster()
 {
     Json::Value roster(Json::arrayValue);
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -8,6 +8,7 @@
 
 using codec::DecodeError;
 
+constexpr std::int64_t maxMs = std::int64_t(1) << 50;
 constexpr std::uint32_t maxTasks = 1'000'000; //!< of one job; limits the memory that a damaged record can request
 
 std::int64_t toMicros(core::Duration it)
@@ -55,8 +56,15 @@
         return it.asString();
     }
     bool flag(const char* name) const { return integer(name) != 0; }
-    core::Duration readMs(const char* name) const { return std::chrono::milliseconds(integer(name)); }
-    core::Duration readUs(const char* name) const { return core::Duration(integer(name)); }
+    std::int64_t integerUpTo(const char* name, std::int64_t max) const
+    {
+        const std::int64_t it = integer(name);
+        if (it < 0 || it > max)
+            throw DecodeError(name, "out of range");
+        return it;
+    }
+    core::Duration readMs(const char* name) const { return std::chrono::milliseconds(integerUpTo(name, maxMs)); }
+    core::Duration readUs(const char* name) const { return core::Duration(integerUpTo(name, maxMs * 1000)); }
     const Json::Value& list(const char* name) const
     {
         const Json::Value& it = m_value[name];
@@ -259,9 +267,10 @@
     return codec::writeJson(to);
 }
 
-JobRecord decodeJob(std::string_view text)
+namespace {
+
+JobRecord recordOf(const Json::Value& value)
 {
-    const Json::Value value = codec::parseJson(text);
     const FieldReader reader(value);
     JobRecord it;
     it.spec = decodeSpec(reader.raw("spec"));
@@ -274,6 +283,13 @@
     return it;
 }
 
+} // namespace
+
+JobRecord decodeJob(std::string_view text)
+{
+    return codec::decodeJson(text, recordOf);
+}
+
 std::string encodeProgress(const JobRecord& it)
 {
     Json::Value to(Json::objectValue);
@@ -294,9 +310,10 @@
     return codec::writeJson(to);
 }
 
-void decodeProgress(std::string_view text, JobRecord& record)
+namespace {
+
+void applyProgress(const Json::Value& value, JobRecord& record)
 {
-    const Json::Value value = codec::parseJson(text);
     const FieldReader reader(value);
     record.state = decodeEnum(reader, "state", JobState::Cancelled);
     if (isFinal(record.state)) {
@@ -317,4 +334,11 @@
         decodeFailedRun(it, record.stages);
 }
 
+} // namespace
+
+void decodeProgress(std::string_view text, JobRecord& record)
+{
+    codec::decodeJson(text, [&record](const Json::Value& it) { applyProgress(it, record); });
+}
+
 } // namespace sardinerun::workflow
--- a/standins/deploymentstandin.cpp
+++ b/standins/deploymentstandin.cpp
@@ -4,6 +4,7 @@
 #include "standins/rowsstandin.h"
 #include "standins/tasksstandin.h"
 
+#include <deque>
 #include <map>
 
 namespace sardinerun::standins {
@@ -18,6 +19,30 @@
 constexpr core::Duration restartDelay = std::chrono::milliseconds(500);
 constexpr core::Duration adviceLatency = std::chrono::milliseconds(5);
 
+//! Texts that are sent instead of the next answers, as a faulty program would.
+class OddAnswers {
+public:
+    void add(const Json::Value& from)
+    {
+        m_status = static_cast<int>(platform::integerOf(from, "status", 200));
+        for (const Json::Value& it : platform::listOf(from, "answers"))
+            m_texts.push_back(it.asString());
+    }
+    bool send(http::Responder& responder)
+    {
+        if (m_texts.empty())
+            return false;
+        responder.send({ m_status, {}, m_texts.front(), {} });
+        m_texts.pop_front();
+        return true;
+    }
+    std::size_t size() const { return m_texts.size(); }
+
+private:
+    int m_status = 200;
+    std::deque<std::string> m_texts;
+};
+
 core::VmId workerId(int number)
 {
     return core::VmId("w" + std::to_string(number));
@@ -43,7 +68,8 @@
             }));
         for (int n = 0; n < m_options.workers; ++n) {
             const auto answer = [this, n](const http::Request& request, http::Responder responder) {
-                m_tasks.handle(workerId(n), request, std::move(responder));
+                if (!m_oddWorkerAnswers[n].send(responder))
+                    m_tasks.handle(workerId(n), request, std::move(responder));
             };
             m_servers.push_back(listenOrExit(loop, workerPort(n), answer));
             m_tasks.worker(workerId(n)).startedAt = fleet::WorkerStartTime(1);
@@ -74,18 +100,52 @@
     {
         using Control = void (DeploymentStandin::*)(const std::string&);
         static const std::map<std::string, Control> controls { { "/control/config", &DeploymentStandin::configure },
-            { "/control/rows", &DeploymentStandin::setRows }, { "/control/worker", &DeploymentStandin::setWorker } };
+            { "/control/rows", &DeploymentStandin::setRows }, { "/control/row", &DeploymentStandin::putRow },
+            { "/control/worker", &DeploymentStandin::setWorker },
+            { "/control/odd-answers", &DeploymentStandin::addOddAnswers } };
         try {
+            const bool isControl = request.path.rfind("/control/", 0) == 0;
+            if (!isControl && m_oddStoreAnswers.send(responder))
+                return;
             if (m_rows.handle(request, responder))
                 return;
             if (const auto it = controls.find(request.path); it != controls.end())
                 (this->*it->second)(request.body);
-            responder.send(jsonResponse(200, m_tasks.stats()));
+            responder.send(jsonResponse(200, stats()));
         } catch (const codec::DecodeError& it) {
             responder.send({ 400, {}, it.what(), {} });
         }
     }
 
+    Json::Value stats() const
+    {
+        Json::Value to = m_tasks.stats();
+        std::size_t oddAnswers = m_oddStoreAnswers.size() + m_oddAdvice.size();
+        for (const auto& [number, it] : m_oddWorkerAnswers)
+            oddAnswers += it.size();
+        to["oddAnswers"] = Json::UInt64(oddAnswers);
+        return to;
+    }
+
+    //! Writes any row, as another program does.
+    void putRow(const std::string& body)
+    {
+        const Json::Value value = codec::parseJson(body);
+        m_rows.put(textOf(value, "table"), textOf(value, "key"), platform::decodeBase64(textOf(value, "value")));
+    }
+
+    void addOddAnswers(const std::string& body)
+    {
+        const Json::Value value = codec::parseJson(body);
+        const std::string from = textOf(value, "from");
+        if (from == "store")
+            m_oddStoreAnswers.add(value);
+        else if (from == "advice")
+            m_oddAdvice.add(value);
+        else
+            m_oddWorkerAnswers[static_cast<int>(platform::integerOf(value, "number"))].add(value);
+    }
+
     void configure(const std::string& body) { m_rows.put("op", "config", body); }
 
     void setRows(const std::string& body)
@@ -120,6 +180,8 @@
 
     void advise(const http::Request& request, http::Responder responder)
     {
+        if (m_oddAdvice.send(responder))
+            return;
         const Json::Value adviceRequest = codec::parseJson(request.body);
         const std::string step = textOf(adviceRequest, "step");
         Json::Value answer(Json::objectValue);
@@ -140,6 +202,9 @@
     DeploymentOptions m_options;
     RowsStandin m_rows;
     TasksStandin m_tasks;
+    std::map<int, OddAnswers> m_oddWorkerAnswers; //!< by the number of the worker
+    OddAnswers m_oddStoreAnswers;
+    OddAnswers m_oddAdvice;
     std::vector<http::IHttpServerPtr> m_servers;
 };
 
--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -1,5 +1,6 @@
 """Tests of `sardinerun dispatch`: nodes as processes, against a stand-in that implements the platform's protocol."""
 
+import base64
 import json
 import os
 import random
@@ -307,5 +308,146 @@
             self.assertIn("outcome", line)
 
 
+NESTED = "[" * 20000 + "]" * 20000
+MAX_VERSION = 2 ** 53
+HUGE_NUMBERS = ["18446744073709551615", "9223372036854775807", "9223372036854775808", "1e18", "1e300", "1e400", "-1e300",
+                "-9223372036854775808", "1" + "0" * 5000]
+
+
+def odd_values():
+    """JSON values that some reader expects to be of another type, or smaller."""
+    return [NESTED, '{"a":' * 10000 + "1" + "}" * 10000, "null", "true", "-1", "1.5", '"x"', '""', "[]", "{}", "[[]]", "[{}]",
+            '[1]'] + HUGE_NUMBERS
+
+
+def odd_documents(document):
+    """Returns texts in place of a JSON object: unreadable ones, and the object with each member replaced by odd values."""
+    texts = ["", "\0", "\xff\xfe", "{", "7", "null", '"x"', "[]", NESTED] + HUGE_NUMBERS
+    for name in document:
+        rest = json.dumps({key: value for key, value in document.items() if key != name})
+        texts += ["%s,%s:%s}" % (rest[:-1], json.dumps(name), value) for value in odd_values()]
+    return texts
+
+
+class OddEntries(DispatchCase):
+    """Guards against nodes that end, or stop following the others, because of one document that another program wrote."""
+
+    def put(self, cell, table, key, text):
+        value = base64.b64encode(text.encode("latin-1")).decode()
+        self.assertEqual(cell.control("row", {"table": table, "key": key, "value": value})[0], 200)
+
+    def are_alive(self, cell):
+        return all(it.process.poll() is None for it in cell.nodes)
+
+    def check_alive(self, cell):
+        time.sleep(1)
+        for n, it in enumerate(cell.nodes):
+            self.assertIsNone(it.process.poll(), "node %d has ended" % n)
+
+    def check_served(self, cell):
+        self.check_alive(cell)
+        job = cell.submit_until_accepted(0, step(3))
+        cell.wait_state(1, job)
+        self.check_no_task_ran_twice(cell)
+
+    def test_entries_of_other_writers_among_the_workers(self):
+        entry = {"service": "lid-orders", "address": "127.0.0.1:1", "zone": "a", "state": "ready", "born": 1,
+                 "capacity": {"cpu": 8000, "mem_mb": 16384, "gpu": 0}, "labels": ["k-plain", "r-0"]}
+        ports = ["127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:", "127.0.0.1", ":1", "127.0.0.1:" + "9" * 30,
+                 "x\r\ny:1", "x" * 5000 + ":1", "[::1]:1"]
+        texts = odd_documents(entry) + [json.dumps(dict(entry, address=it)) for it in ports]
+        for name in entry["capacity"]:
+            texts += [json.dumps(dict(entry, capacity=None)).replace("null", '{"%s":%s}' % (name, it)) for it in odd_values()]
+        with Deployment() as cell:
+            for n, text in enumerate(texts):
+                self.put(cell, "servers", "odd-%d" % n, text)
+            self.put(cell, "servers", "odd\r\nx: y", json.dumps(entry))
+            self.check_served(cell)
+            self.assertEqual(cell.submit(0, step(1, cpu=9000))[1], 429)  # no odd entry counts as a larger worker
+            cell.control("worker", {"number": 0, "draining": True})
+            leader = cell.leader()
+            cell.wait_until(lambda: any(it["event"] == "worker-draining" and it["worker"] == "w0"
+                                        for it in cell.log_records(leader)), "the list is followed", 5)
+            cell.nodes[leader].kill()  # the next leader reads the whole list and the roster
+            other = (leader + 1) % 3
+            cell.wait_until(lambda: cell.leader() not in (None, leader), "another leader")
+            cell.wait_state(other, cell.submit_until_accepted(other, step(3)))
+            for n in range(3):
+                self.assertFalse([it for it in cell.log_records(n) if it["event"] == "roster-unreadable"])
+
+    def test_entries_of_other_writers_beside_and_in_place_of_the_configuration(self):
+        route = {"name": "plans", "host": "lids.example", "path_prefix": PREFIX, "service": "lid-orders", "max_attempts": 3,
+                 "stretch": 6, "target_latency_ms": 20000, "priority": 1,
+                 "advice": {"decision_ms": 5, "each_ms": 1, "valid_ms": 4000}}
+        service = {"name": "lid-orders", "enforces_capacity": False}
+        config = {"version": 9000000, "routes": [], "services": []}
+        with Deployment() as cell:
+            texts = odd_documents(config)
+            for name in route:
+                odd_routes = [json.dumps(dict(route, **{name: "ODD"})).replace('"ODD"', it) for it in odd_values()]
+                texts += ['{"version":0,"routes":[%s],"services":[]}' % it for it in odd_routes]
+            texts += ['{"version":0,"routes":[%s],"services":[%s]}' % (it, it) for it in odd_values()]
+            for n, text in enumerate(texts):
+                self.put(cell, "op", "odd-%d" % n, text)
+                self.put(cell, "op", "config", text)
+                time.sleep(0.02)  # so that the nodes read each of them
+            self.check_alive(cell)
+            cell.control("config", {"version": MAX_VERSION, "routes": [route], "services": [service]})
+            cell.wait_until(lambda: all(any(it["event"] == "config" and it["version"] == MAX_VERSION for it in cell.log_records(n))
+                                        for n in range(3)), "the configuration is followed", 5)
+            self.check_served(cell)
+
+    def test_submissions(self):
+        one = step(2)
+        with Deployment() as cell:
+            texts = odd_documents({"spec": "200", "steps": [one], "repeat_count": 0, "start_at_ms": 0, "interval_ms": 0})
+            for name in list(one) + ["gpu", "after", "gang", "requirements", "anti_affinity", "target_ms", "image", "may_miss"]:
+                texts += [json.dumps({"spec": "200", "steps": [dict(one, **{name: "ODD"})]}).replace('"ODD"', it)
+                          for it in odd_values()]
+            texts += [json.dumps({"spec": "200", "steps": [step(1, requirements="x" * 200000)]}),
+                      json.dumps({"spec": "200", "steps": [step(1, image="x" * 60)] * 900}),
+                      json.dumps({"spec": "y" * 100000, "steps": [one]})]
+            for n, text in enumerate(texts):
+                status = cell.call(n % 3, "POST", new_id(), text)[0]
+                self.assertIn(status, (200, 400, 413, 429), text[:200])
+            for deadline in ("9223372036854775807", "-9223372036854775808", "9" * 100, "x", ""):
+                headers = {"Host": "lids.example", "X-Deadline-Ms": deadline}
+                status = call(cell.node_ports[0][0], "POST", PREFIX + new_id(), {"spec": "200", "steps": [one]}, headers=headers)[0]
+                self.assertIn(status, (200, 429))
+            self.check_served(cell)
+
+    def test_answers_of_workers(self):
+        report = {"clock_ms": 1, "born": 1, "running": [], "ended_runs": []}
+        task = '"%s.0.0.0"' % new_id()
+        rows = ["[%s,%s,%s,%s,%s]" % ((task,) + (it,) * 4) for it in odd_values()] \
+            + ["[%s,1,\"\",%s,%s]" % (task, it, it) for it in odd_values()] \
+            + ['["%s",1,"",1,1]' % it for it in ("", "...", "a.1.2.99999999999", "a.1.2", "a.-1.0.0")]
+        ends = ["[%s,%s,%s,%s,%s]" % (it, task, it, it, it) for it in odd_values()] \
+            + ["[%s,%s,1,\"done\",\"\"]" % (it, task) for it in HUGE_NUMBERS]
+        texts = odd_documents(report) + ['{"clock_ms":1,"born":1,"running":[%s]}' % it for it in rows] \
+            + ['{"clock_ms":1,"born":1,"ended_runs":[%s]}' % it for it in ends]
+        with Deployment() as cell:
+            for status, chosen in ((200, texts), (409, texts[::10]), (500, texts[::10])):
+                for number in range(4):
+                    cell.control("odd-answers", {"from": "worker", "number": number, "status": status,
+                                                 "answers": chosen[number::4]})
+                cell.wait_until(lambda: cell.stats()["oddAnswers"] == 0 or not self.are_alive(cell), "all odd answers are sent", 60)
+                self.check_served(cell)
+
+    def test_answers_of_the_store_and_of_the_advice_service(self):
+        page = {"rows": [], "has_more": False, "ver": 1}
+        row = {"table": "servers", "part": "", "key": "odd", "ver": 1, "value": ""}
+        rows = [json.dumps(dict(row, **{name: "ODD"})).replace('"ODD"', it) for name in row for it in odd_values()]
+        store = odd_documents(page) + ['{"ver":1,"rows":[%s]}' % it for it in rows]
+        advice = odd_documents({"good": []}) + ['{"good":[%s]}' % it for it in odd_values()]
+        random.Random(1).shuffle(store)
+        with Deployment(advice=True) as cell:
+            cell.control("odd-answers", {"from": "store", "answers": store[:60]})
+            cell.control("odd-answers", {"from": "advice", "answers": advice})
+            cell.wait_until(lambda: not self.are_alive(cell)
+                            or cell.submit(0, step(3))[1] == 200 and cell.stats()["oddAnswers"] == 0, "served again", 60)
+            self.check_served(cell)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
