--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -404,7 +404,9 @@
             for name in list(one) + ["gpu", "after", "gang", "requirements", "anti_affinity", "target_ms", "image", "may_miss"]:
                 texts += [json.dumps({"spec": "200", "steps": [dict(one, **{name: "ODD"})]}).replace('"ODD"', it)
                           for it in odd_values()]
-            texts += [json.dumps({"spec": "200", "steps": [step(1, requirements="x" * 200000)]}),
+            texts += [json.dumps({"spec": "200", "steps": [step(100000)] * 300}),
+                      json.dumps({"spec": "200", "steps": [step(100000)], "repeat_count": 10000, "start_at_ms": 1}),
+                      json.dumps({"spec": "200", "steps": [step(1, requirements="x" * 200000)]}),
                       json.dumps({"spec": "200", "steps": [step(1, image="x" * 60)] * 900}),
                       json.dumps({"spec": "y" * 100000, "steps": [one]})]
             for n, text in enumerate(texts):
