Read numbers in keys, addresses and queries by one function that cannot throw

Cause: the keys of two kinds of rows of 'serve' (groups of records, partitions of the cell) were read by std::stoul, which throws its own exceptions; a row with an odd key would have ended the process. The other uses of these functions checked the length and the digits before, each in its own way. Change: core::parseUnsigned for all of them. Odd keys are decode errors, which the callers handle. Evidence: rowsWithOddKeysAreRejected in acceptance and membership failed before; a test of the function itself.

--- a/src/acceptance/internal/grouplog.cpp
+++ b/src/acceptance/internal/grouplog.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/json.h"
 #include "core/hashing.h"
+#include "core/numbers.h"
 
 #include <array>
 #include <cstdio>
@@ -40,7 +41,10 @@
 
 core::LogSequence sequenceOf(const std::string& key)
 {
-    return core::LogSequence(std::stoull(key.substr(key.rfind('/') + 1), nullptr, 16));
+    const auto number = core::parseUnsigned(std::string_view(key).substr(key.rfind('/') + 1), UINT64_MAX, 16);
+    if (!number)
+        throw codec::DecodeError(key, "must end with the number of a group in hex");
+    return core::LogSequence(*number);
 }
 
 } // namespace
--- a/src/acceptance/tests/grouplog_tests.cpp
+++ b/src/acceptance/tests/grouplog_tests.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE acceptance
 #include "acceptance/grouplog.h"
+#include "codec/json.h"
 #include "services/testing/fakestore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -66,6 +67,19 @@
     BOOST_TEST(store.commits() == before + 1);
 }
 
+//! Guards against a row of another writer among the groups ending the process that reads them.
+BOOST_AUTO_TEST_CASE(rowsWithOddKeysAreRejected)
+{
+    FakeStore store = storeWithFence();
+    LogFixture fixture(store);
+    for (const char* key : { "log/00001/", "log/00001/x", "log/00001/-1", "log/00001/fffffffffffffffff" }) {
+        services::Row row;
+        row.key = key;
+        row.value = R"({"records":[]})";
+        BOOST_CHECK_THROW(fixture.log.recover({ row }), codec::DecodeError);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aStoreOutageRefusesNewRecordsAndRetriesTheOthers)
 {
     FakeStore store = storeWithFence();
--- a/src/api/internal/jobcalls.cpp
+++ b/src/api/internal/jobcalls.cpp
@@ -3,6 +3,7 @@
 #include "api/internal/api.h"
 #include "api/internal/jobbody.h"
 #include "api/internal/responses.h"
+#include "core/numbers.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -123,9 +124,8 @@
     if (refuseWithoutPartitions(call))
         return;
     const std::string text = http::queryParameter(call->request.query, "ms").value_or("10000");
-    const bool isNumber = !text.empty() && text.size() < 8 && text.find_first_not_of("0123456789") == std::string::npos;
-    const std::int64_t ms = isNumber ? std::min<std::int64_t>(std::stoll(text), maxWaitMs) : 0;
-    pollUntilEnded(call, now() + std::chrono::milliseconds(ms));
+    const std::uint64_t ms = core::parseUnsigned(text, UINT64_MAX).value_or(0);
+    pollUntilEnded(call, now() + std::chrono::milliseconds(std::min<std::uint64_t>(ms, maxWaitMs)));
 }
 
 void Api::pollUntilEnded(const CallPtr& call, core::TimePoint until)
@@ -149,8 +149,7 @@
         return;
     const std::string text
         = http::queryParameter(call->request.query, "limit").value_or(std::to_string(defaultPageSize));
-    const bool isNumber = !text.empty() && text.size() < 6 && text.find_first_not_of("0123456789") == std::string::npos;
-    const std::uint32_t limit = isNumber ? static_cast<std::uint32_t>(std::stoul(text)) : 0;
+    const auto limit = static_cast<std::uint32_t>(core::parseUnsigned(text, UINT32_MAX).value_or(0));
     if (limit < 1 || limit > maxPageSize) {
         call->responder.send(problem(400, "bad-limit", "limit must be from 1 to 1000", Executed::No));
         return;
--- a/src/api/internal/operatorcalls.cpp
+++ b/src/api/internal/operatorcalls.cpp
@@ -3,6 +3,7 @@
 #include "api/internal/api.h"
 #include "api/internal/responses.h"
 #include "codec/yaml.h"
+#include "core/numbers.h"
 #include "partition/partition.h"
 #include "services/servicescodec.h"
 
@@ -66,12 +67,13 @@
     m_dependencies.toCell(std::move(message));
 }
 
+constexpr std::uint64_t maxVersion = std::uint64_t(1) << 53;
+
 std::optional<core::ConfigVersion> expectedVersion(const http::Request& request)
 {
     const auto text = http::queryParameter(request.query, "expected");
-    if (!text || text->empty() || text->size() > 15 || text->find_first_not_of("0123456789") != std::string::npos)
-        return std::nullopt;
-    return core::ConfigVersion(std::stoull(*text));
+    const auto version = text ? core::parseUnsigned(*text, maxVersion) : std::nullopt;
+    return version ? std::optional(core::ConfigVersion(*version)) : std::nullopt;
 }
 
 void Api::changeConfig(const CallPtr& call)
--- a/src/core/tests/core_tests.cpp
+++ b/src/core/tests/core_tests.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE core
 #include "core/hashing.h"
+#include "core/numbers.h"
 #include "core/ret.h"
 #include "core/types.h"
 
@@ -34,3 +35,14 @@
             BOOST_TEST((rendezvous(key, two) == before));
     }
 }
+
+BOOST_AUTO_TEST_CASE(only_whole_texts_that_spell_numbers_within_the_limit_are_numbers)
+{
+    BOOST_TEST((parseUnsigned("0", 9) == std::optional<std::uint64_t>(0)));
+    BOOST_TEST((parseUnsigned("007", 9) == std::optional<std::uint64_t>(7)));
+    BOOST_TEST((parseUnsigned("ff", 255, 16) == std::optional<std::uint64_t>(255)));
+    BOOST_TEST((parseUnsigned("18446744073709551615", UINT64_MAX) == std::optional<std::uint64_t>(UINT64_MAX)));
+    for (const char* it :
+        { "", " 1", "1 ", "+1", "-1", "1.0", "1x", "0x1", "10", "18446744073709551616", "99999999999999999999999" })
+        BOOST_TEST(!parseUnsigned(it, 9).has_value());
+}
--- a/src/membership/internal/cellcodec.cpp
+++ b/src/membership/internal/cellcodec.cpp
@@ -1,6 +1,7 @@
 #include "membership/cellcodec.h"
 
 #include "codec/json.h"
+#include "core/numbers.h"
 
 #include <array>
 #include <cstdio>
@@ -25,7 +26,10 @@
 
 core::PartitionId partitionOfKey(const std::string& key)
 {
-    return core::PartitionId(static_cast<std::uint32_t>(std::stoul(key.substr(key.rfind('/') + 1))));
+    const auto number = core::parseUnsigned(std::string_view(key).substr(key.rfind('/') + 1), UINT32_MAX);
+    if (!number)
+        throw codec::DecodeError(key, "must end with the number of a partition");
+    return core::PartitionId(static_cast<std::uint32_t>(*number));
 }
 
 Json::Value encodeIncarnation(const NodeIncarnation& it)
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE membership
+#include "codec/json.h"
 #include "membership/assignment.h"
 #include "membership/tests/nodes.h"
 
@@ -60,6 +61,17 @@
 
 } // namespace
 
+//! Guards against a row of another writer among those of the cell ending the process that reads them.
+BOOST_AUTO_TEST_CASE(rowsWithOddKeysAreRejected)
+{
+    for (const char* key : { "cell/slots/", "cell/slots/x", "cell/slots/-1", "cell/slots/99999999999999999999" }) {
+        services::Row row;
+        row.key = key;
+        row.value = R"({"holder":{"node":"a","incarnation":"b"},"host":"h","port":1})";
+        BOOST_CHECK_THROW(decodeCell({ row }), codec::DecodeError);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(partitionsAreSharedEvenlyAndFewMove)
 {
     const std::vector<core::NodeId> seven { core::NodeId("a"), core::NodeId("b"), core::NodeId("c"), core::NodeId("d"),
--- a/src/node/internal/peerstask.cpp
+++ b/src/node/internal/peerstask.cpp
@@ -1,6 +1,7 @@
 #include "node/internal/peerstask.h"
 
 #include "codec/json.h"
+#include "core/numbers.h"
 #include "protocol/messagecodec.h"
 #include "protocol/rpccodec.h"
 #include "telemetry/log.h"
@@ -18,6 +19,7 @@
 constexpr const char* sequenceHeader = "x-sardinerun-sequence";
 
 constexpr std::size_t maxBatch = 500;
+constexpr std::uint64_t maxSequence = INT64_MAX;
 constexpr std::size_t maxQueue = 50'000;
 constexpr std::size_t maxKnownIncarnations = 1000;
 constexpr core::Duration sendTimeout = std::chrono::seconds(2);
@@ -191,12 +193,10 @@
     Incoming incoming;
     incoming.from = { core::NodeId(headerOr(request, fromNodeHeader)),
         core::Incarnation(headerOr(request, fromIncarnationHeader)) };
-    const std::string sequence = headerOr(request, sequenceHeader);
-    const bool isNumber
-        = !sequence.empty() && sequence.size() < 19 && sequence.find_first_not_of("0123456789") == std::string::npos;
-    if (!isNumber || incoming.from.isNone())
+    const auto sequence = core::parseUnsigned(headerOr(request, sequenceHeader), maxSequence);
+    if (!sequence || incoming.from.isNone())
         return { 400, std::nullopt };
-    incoming.firstSequence = std::stoull(sequence);
+    incoming.firstSequence = *sequence;
     try {
         for (const protocol::RpcCall& it : protocol::decodeBatch(request.body, protocol::allMethods()))
             incoming.envelopes.push_back(protocol::decodeParams(it.method, it.params));
--- a/src/once/internal/claimcodec.cpp
+++ b/src/once/internal/claimcodec.cpp
@@ -1,5 +1,7 @@
 #include "once/claimcodec.h"
 
+#include "core/numbers.h"
+
 namespace sardinerun::once {
 
 namespace {
@@ -11,15 +13,10 @@
 std::uint64_t decodeFingerprint(codec::ObjectReader& reader)
 {
     const std::string text = reader.text("fingerprint", 16);
-    std::size_t parsed = 0;
-    try {
-        const std::uint64_t value = std::stoull(text, &parsed, 16);
-        if (parsed == text.size())
-            return value;
-    } catch (const std::logic_error&) {
-        // Not a number: reported below like any other invalid value.
-    }
-    reader.fail("fingerprint", "must be a number in hex");
+    const auto number = core::parseUnsigned(text, UINT64_MAX, 16);
+    if (!number)
+        reader.fail("fingerprint", "must be a number in hex");
+    return *number;
 }
 
 std::string hex(std::uint64_t value)
--- a/src/settings/internal/nodesettings.cpp
+++ b/src/settings/internal/nodesettings.cpp
@@ -1,6 +1,7 @@
 #include "settings/nodesettings.h"
 
 #include "codec/yaml.h"
+#include "core/numbers.h"
 
 #include <arpa/inet.h>
 
@@ -77,13 +78,12 @@
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos || colon + 1 == text.size())
         return std::nullopt;
-    const std::string port = text.substr(colon + 1);
+    const auto port = core::parseUnsigned(std::string_view(text).substr(colon + 1), UINT16_MAX);
     in_addr ignored {};
-    const bool isNumber = port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
     core::HostPort it { text.substr(0, colon), 0 };
-    if (!isNumber || std::stoul(port) > 65535 || inet_pton(AF_INET, it.host.c_str(), &ignored) != 1)
+    if (!port || inet_pton(AF_INET, it.host.c_str(), &ignored) != 1)
         return std::nullopt;
-    it.port = static_cast<std::uint16_t>(std::stoul(port));
+    it.port = static_cast<std::uint16_t>(*port);
     return it;
 }
 
