--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -4,8 +4,6 @@
 
 #include "telemetry/log.h"
 
-#include <algorithm>
-
 namespace sardinerun::scheduling {
 
 namespace {
@@ -16,12 +14,6 @@
 
 constexpr core::Duration reportPeriod = std::chrono::seconds(1);
 
-//! Number of steps with pending tasks, by whether they are gangs and whether they are late.
-struct WaitingSteps {
-    std::array<std::array<std::int64_t, 2>, 2> counts {};
-    std::int64_t& of(bool isGang, bool isLate) { return counts[isGang ? 1 : 0][isLate ? 1 : 0]; }
-};
-
 } // namespace
 
 void EngineImpl::reportBacklog(const std::vector<ReadyStage>& all, core::TimePoint now)
@@ -29,50 +21,61 @@
     if (now < m_backlogReportedAt + reportPeriod)
         return;
     m_backlogReportedAt = now;
-    WaitingSteps waiting;
-    const ReadyStage* firstGang = nullptr;
-    double lateCoreSeconds = 0;
+    const Backlog backlog = backlogOf(all);
+    setBacklogMetrics(backlog);
+    if (backlog.steps > 0)
+        logBacklog(backlog);
+    if (backlog.firstGang)
+        logWaitingGang(*backlog.firstGang, now);
+    m_longestRound = {};
+}
+
+EngineImpl::Backlog EngineImpl::backlogOf(const std::vector<ReadyStage>& all) const
+{
+    Backlog backlog;
     for (const ReadyStage& it : all) {
         if (it.stage->pending == 0)
             continue;
         const bool isGang = it.job->stepOf(*it.stage).isGang;
-        ++waiting.of(isGang, it.isLate);
+        ++backlog.steps;
+        ++backlog.counts[isGang ? 1 : 0][it.isLate ? 1 : 0];
+        if (isGang && !backlog.firstGang)
+            backlog.firstGang = &it;
         const PendingWork work = it.job->pendingWork();
-        lateCoreSeconds += it.isLate ? work.coreSeconds + work.gangCoreSeconds : 0;
-        if (isGang && !firstGang)
-            firstGang = &it;
+        backlog.lateCoreSeconds += it.isLate ? work.coreSeconds + work.gangCoreSeconds : 0;
     }
-    double cores = 0;
-    double freeCores = 0;
     for (const auto& [service, fleet] : m_fleetViews) {
-        cores += fleet.cores();
-        freeCores += fleet.freeCores();
+        backlog.cores += fleet.cores();
+        backlog.freeCores += fleet.freeCores();
     }
-    for (const bool isGang : { false, true }) {
-        for (const bool isLate : { false, true })
-            m_dependencies.metrics->set(Metric::WorkStepsWaiting,
+    return backlog;
+}
+
+void EngineImpl::setBacklogMetrics(const Backlog& backlog)
+{
+    telemetry::Metrics& metrics = *m_dependencies.metrics;
+    for (const std::size_t isGang : { 0, 1 }) {
+        for (const std::size_t isLate : { 0, 1 })
+            metrics.set(Metric::WorkStepsWaiting,
                 { { "kind", isGang ? "gang" : "single" }, { "late", isLate ? "1" : "0" } },
-                double(waiting.of(isGang, isLate)));
+                double(backlog.counts[isGang][isLate]));
     }
-    m_dependencies.metrics->set(Metric::WorkCores, { { "state", "all" } }, cores);
-    m_dependencies.metrics->set(Metric::WorkCores, { { "state", "free" } }, freeCores);
-    const core::Duration longestRound = std::exchange(m_longestRound, core::Duration());
-    m_dependencies.metrics->set(Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(longestRound).count());
-    const bool doesAnyWait
-        = std::any_of(all.begin(), all.end(), [](const ReadyStage& it) { return it.stage->pending > 0; });
-    if (!doesAnyWait)
-        return;
+    metrics.set(Metric::WorkCores, { { "state", "all" } }, backlog.cores);
+    metrics.set(Metric::WorkCores, { { "state", "free" } }, backlog.freeCores);
+    metrics.set(Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(m_longestRound).count());
+}
+
+void EngineImpl::logBacklog(const Backlog& backlog) const
+{
     LogLine(Severity::Info, "backlog")
-        .with("cores", std::int64_t(cores))
-        .with("freeCores", std::int64_t(freeCores))
-        .with("gangs", waiting.of(true, false))
-        .with("lateGangs", waiting.of(true, true))
-        .with("steps", waiting.of(false, false))
-        .with("lateSteps", waiting.of(false, true))
-        .with("lateCoreSeconds", std::int64_t(lateCoreSeconds))
-        .with("roundMs", core::toMs(longestRound));
-    if (firstGang)
-        logWaitingGang(*firstGang, now);
+        .with("cores", std::int64_t(backlog.cores))
+        .with("freeCores", std::int64_t(backlog.freeCores))
+        .with("gangs", backlog.counts[1][0])
+        .with("lateGangs", backlog.counts[1][1])
+        .with("steps", backlog.counts[0][0])
+        .with("lateSteps", backlog.counts[0][1])
+        .with("lateCoreSeconds", std::int64_t(backlog.lateCoreSeconds))
+        .with("roundMs", core::toMs(m_longestRound));
 }
 
 void EngineImpl::logWaitingGang(const ReadyStage& gang, core::TimePoint now)
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -1,4 +1,4 @@
-//! Calls about jobs and queues, and the persistence of jobs.
+//! Calls about jobs and queues.
 
 #include "scheduling/internal/engineimpl.h"
 
@@ -6,7 +6,6 @@
 #include "workflow/workflowcodec.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sardinerun::scheduling {
 
@@ -21,8 +20,6 @@
 //! How long a call waits for the end of recovery or for its configuration before the caller is asked to retry.
 constexpr core::Duration maxCallDeferral = std::chrono::milliseconds(400);
 constexpr core::Duration notNowRetryAfter = std::chrono::milliseconds(400);
-//! Time constant of the average of arrivals: a few seconds, which is the length of a burst.
-constexpr double arrivalsSeconds = 6;
 
 WorkflowResult answerOf(WorkflowOutcome outcome, std::string reason = "")
 {
@@ -39,16 +36,6 @@
     return it;
 }
 
-store::RowKey jobKey(const core::JobId& id)
-{
-    return { "jobs", "", id.value() };
-}
-
-store::RowKey progressKey(const core::JobId& id)
-{
-    return { "progress", "", id.value() };
-}
-
 } // namespace
 
 bool EngineImpl::canAnswer(const workflow::WorkflowCall& call) const
@@ -265,8 +252,7 @@
         callback(answerOf(WorkflowOutcome::Cancelled));
         return;
     }
-    const lead::LogRevision revision = m_log->put(progressKey(call.spec.id), workflow::encodeProgress(job->record));
-    whenPersisted(revision, [callback] { callback(answerOf(WorkflowOutcome::Cancelled)); });
+    whenPersisted(persistProgress(*job), [callback] { callback(answerOf(WorkflowOutcome::Cancelled)); });
 }
 
 void EngineImpl::countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback)
@@ -284,63 +270,6 @@
     callback(answer);
 }
 
-AdmissionInputs EngineImpl::admissionInputs(
-    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue) const
-{
-    AdmissionInputs inputs;
-    const core::TimePoint now = m_dependencies.loop->now();
-    for (const auto& [id, worker] : m_workers) {
-        const fleet::WorkerEntry& entry = worker->entry();
-        if (entry.service != queue.service || !worker->isListed() || entry.isDraining)
-            continue;
-        ++inputs.workers;
-        inputs.largestWorker.cpu = std::max(inputs.largestWorker.cpu, entry.capacity.cpu);
-        inputs.largestWorker.memory = std::max(inputs.largestWorker.memory, entry.capacity.memory);
-        inputs.largestWorker.accelerators = std::max(inputs.largestWorker.accelerators, entry.capacity.accelerators);
-        // A worker that has not answered a new leader yet is included, as it answers within a few milliseconds.
-        if (worker->isUnresponsive() || m_health.isQuarantined(id, now))
-            continue;
-        inputs.cores += double(entry.capacity.cpu.value()) / 1000;
-        inputs.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
-    }
-    const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
-    for (const auto& [id, job] : m_active) {
-        const int priority = job->record.queue.priority;
-        if (priority > queue.priority)
-            continue;
-        const PendingWork work = job->pendingWork();
-        const core::TimePoint jobStartBy = job->startBy();
-        if (isTooLate(jobStartBy, job->objectiveAt, now)) {
-            // A round places late jobs after all jobs that can be in time, so they delay none of those.
-            inputs.lateCoreSeconds += work.coreSeconds + work.gangCoreSeconds;
-        } else if (priority < queue.priority) {
-            inputs.coreSecondsAhead += work.coreSeconds;
-            inputs.gangCoreSecondsAhead += work.gangCoreSeconds;
-        } else if (jobStartBy <= startBy) {
-            inputs.coreSecondsAhead += work.coreSeconds + work.gangCoreSeconds;
-        }
-    }
-    double higherPriorityLoad = 0;
-    const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
-    for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n)
-        higherPriorityLoad += m_arrivals[n] * decay;
-    inputs.higherPriorityShare = inputs.cores > 0 ? higherPriorityLoad / inputs.cores : 0;
-    if (queue.advice)
-        inputs.adviceWait = queue.advice->costOf(std::min<std::size_t>(30, std::size_t(inputs.workers)));
-    return inputs;
-}
-
-void EngineImpl::recordArrival(int priority, double coreSeconds)
-{
-    const core::TimePoint now = m_dependencies.loop->now();
-    const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
-    for (double& it : m_arrivals)
-        it *= decay;
-    m_arrivalsAt = now;
-    const std::size_t n = std::min<std::size_t>(static_cast<std::size_t>(std::max(priority, 0)), m_arrivals.size() - 1);
-    m_arrivals[n] += coreSeconds / arrivalsSeconds;
-}
-
 EngineImpl::~EngineImpl()
 {
     for (const DeferredCall& it : m_deferredCalls)
@@ -351,91 +280,4 @@
     }
 }
 
-// --- Persistence
-
-lead::LogRevision EngineImpl::persistProgress(Job& job)
-{
-    return m_log->put(progressKey(job.record.spec.id), workflow::encodeProgress(job.record));
-}
-
-void EngineImpl::whenPersisted(lead::LogRevision revision, std::function<void()> action)
-{
-    m_afterPersisted.emplace(revision, std::move(action));
-}
-
-void EngineImpl::onPersisted(lead::LogRevision revision)
-{
-    const auto end = m_afterPersisted.upper_bound(revision);
-    std::vector<std::function<void()>> due;
-    for (auto it = m_afterPersisted.begin(); it != end; ++it)
-        due.push_back(std::move(it->second));
-    m_afterPersisted.erase(m_afterPersisted.begin(), end);
-    for (const auto& it : due)
-        it();
-}
-
-void EngineImpl::onStoreAvailability(bool isUp)
-{
-    const LogLine line(isUp ? Severity::Info : Severity::Warning, isUp ? "store-regained" : "store-lost");
-    m_dependencies.metrics->set(telemetry::Metric::StoreUp, {}, isUp ? 1 : 0);
-    if (isUp)
-        return;
-    std::vector<JobPtr> unpersisted;
-    for (const auto& [id, job] : m_active) {
-        if (!job->isPersisted)
-            unpersisted.push_back(job);
-    }
-    for (const JobPtr& it : unpersisted)
-        withdrawUnpersisted(it, "the store does not answer");
-}
-
-void EngineImpl::endJob(const JobPtr& job, JobState state, const char* why)
-{
-    const core::JobId id = job->record.spec.id;
-    LogLine(Severity::Info, "job-ended")
-        .with("job", id.value())
-        .with("queue", job->record.queue.name)
-        .with("state", workflow::nameOf(state))
-        .with("ageMs", core::toMs(m_dependencies.loop->now() - job->acceptedAt))
-        .with("late", std::int64_t(m_dependencies.loop->now() > job->objectiveAt))
-        .with("why", why);
-    job->record.state = state;
-    job->endedAt = m_dependencies.loop->now();
-    m_active.erase(id);
-    for (const Stage& stage : job->stages)
-        stopLive(*job, stage);
-    const lead::LogRevision revision = persistProgress(*job);
-    job->endRevision = revision;
-    m_log->put(jobKey(id), std::nullopt);
-    whenPersisted(revision, [this, job, state] {
-        job->visibleState = state;
-        job->isPersisted = true;
-        m_dependencies.metrics->observe(telemetry::Metric::WorkJobSeconds,
-            { { "queue", job->record.queue.name }, { "state", workflow::nameOf(state) } },
-            std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
-        // Answers to later calls need only the state.
-        job->record.spec.steps.clear();
-        job->record.spec.payload.clear();
-        job->record.stages.clear();
-        job->stages.clear();
-        m_ended.push_back(job->record.spec.id);
-    });
-    scheduleRound();
-}
-
-void EngineImpl::removeExpiredJobs()
-{
-    const core::TimePoint before = m_dependencies.loop->now() - m_dependencies.times.jobRetention;
-    while (!m_ended.empty()) {
-        const JobPtr job = jobOf(m_ended.front());
-        if (job && job->endedAt > before)
-            return;
-        m_ended.pop_front();
-        if (!job)
-            continue;
-        m_log->put(progressKey(job->record.spec.id), std::nullopt);
-        m_jobs.erase(job->record.spec.id);
-    }
-}
-
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -166,8 +166,20 @@
     void tick();
 
     // Backlog
+    //! Steps with pending tasks after a round, and the room beside them.
+    struct Backlog {
+        std::size_t steps = 0;
+        std::array<std::array<std::int64_t, 2>, 2> counts {}; //!< of the steps, by [is a gang][is late]
+        const ReadyStage* firstGang = nullptr; //!< the next gang in order; null if none waits
+        double lateCoreSeconds = 0; //!< pending work of late jobs
+        double cores = 0;
+        double freeCores = 0; //!< without the room that late gangs have reserved
+    };
     //! Once per second, records which steps wait after a round and how much room is free beside them.
     void reportBacklog(const std::vector<ReadyStage>& all, core::TimePoint now);
+    Backlog backlogOf(const std::vector<ReadyStage>& all) const;
+    void setBacklogMetrics(const Backlog& backlog);
+    void logBacklog(const Backlog& backlog) const;
     void logWaitingGang(const ReadyStage& gang, core::TimePoint now);
 
     EngineDependencies m_dependencies;
--- /dev/null
+++ b/src/scheduling/internal/enginepersistence.cpp
@@ -0,0 +1,103 @@
+//! Persistence of jobs: records, progress, and the end of jobs.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include "telemetry/log.h"
+#include "workflow/workflowcodec.h"
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using telemetry::LogLine;
+using telemetry::Severity;
+using workflow::JobState;
+
+} // namespace
+
+lead::LogRevision EngineImpl::persistProgress(Job& job)
+{
+    return m_log->put(progressKey(job.record.spec.id), workflow::encodeProgress(job.record));
+}
+
+void EngineImpl::whenPersisted(lead::LogRevision revision, std::function<void()> action)
+{
+    m_afterPersisted.emplace(revision, std::move(action));
+}
+
+void EngineImpl::onPersisted(lead::LogRevision revision)
+{
+    const auto end = m_afterPersisted.upper_bound(revision);
+    std::vector<std::function<void()>> due;
+    for (auto it = m_afterPersisted.begin(); it != end; ++it)
+        due.push_back(std::move(it->second));
+    m_afterPersisted.erase(m_afterPersisted.begin(), end);
+    for (const auto& it : due)
+        it();
+}
+
+void EngineImpl::onStoreAvailability(bool isUp)
+{
+    const LogLine line(isUp ? Severity::Info : Severity::Warning, isUp ? "store-regained" : "store-lost");
+    m_dependencies.metrics->set(telemetry::Metric::StoreUp, {}, isUp ? 1 : 0);
+    if (isUp)
+        return;
+    std::vector<JobPtr> unpersisted;
+    for (const auto& [id, job] : m_active) {
+        if (!job->isPersisted)
+            unpersisted.push_back(job);
+    }
+    for (const JobPtr& it : unpersisted)
+        withdrawUnpersisted(it, "the store does not answer");
+}
+
+void EngineImpl::endJob(const JobPtr& job, JobState state, const char* why)
+{
+    const core::JobId id = job->record.spec.id;
+    LogLine(Severity::Info, "job-ended")
+        .with("job", id.value())
+        .with("queue", job->record.queue.name)
+        .with("state", workflow::nameOf(state))
+        .with("ageMs", core::toMs(m_dependencies.loop->now() - job->acceptedAt))
+        .with("late", std::int64_t(m_dependencies.loop->now() > job->objectiveAt))
+        .with("why", why);
+    job->record.state = state;
+    job->endedAt = m_dependencies.loop->now();
+    m_active.erase(id);
+    for (const Stage& stage : job->stages)
+        stopLive(*job, stage);
+    const lead::LogRevision revision = persistProgress(*job);
+    job->endRevision = revision;
+    m_log->put(jobKey(id), std::nullopt);
+    whenPersisted(revision, [this, job, state] {
+        job->visibleState = state;
+        job->isPersisted = true;
+        m_dependencies.metrics->observe(telemetry::Metric::WorkJobSeconds,
+            { { "queue", job->record.queue.name }, { "state", workflow::nameOf(state) } },
+            std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
+        // Answers to later calls need only the state.
+        job->record.spec.steps.clear();
+        job->record.spec.payload.clear();
+        job->record.stages.clear();
+        job->stages.clear();
+        m_ended.push_back(job->record.spec.id);
+    });
+    scheduleRound();
+}
+
+void EngineImpl::removeExpiredJobs()
+{
+    const core::TimePoint before = m_dependencies.loop->now() - m_dependencies.times.jobRetention;
+    while (!m_ended.empty()) {
+        const JobPtr job = jobOf(m_ended.front());
+        if (job && job->endedAt > before)
+            return;
+        m_ended.pop_front();
+        if (!job)
+            continue;
+        m_log->put(progressKey(job->record.spec.id), std::nullopt);
+        m_jobs.erase(job->record.spec.id);
+    }
+}
+
+} // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -111,7 +111,7 @@
     for (const ReadyStage& it : all) {
         const workflow::StepSpec& step = it.job->stepOf(*it.stage);
         if (step.isGang && !it.isLate)
-            m_headroom.onGangWaiting(it.priority, double(step.count) * double(roomOf(step).cpu.value()) / 1000);
+            m_headroom.onGangWaiting(it.priority, coresOf(step));
     }
 }
 
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -309,8 +309,7 @@
         stage.openedAt = m_dependencies.loop->now();
         const workflow::StepSpec& step = spec.steps[stage.step];
         if (step.isGang)
-            m_headroom.onGangArrival(
-                job->record.queue.priority, double(step.count) * double(roomOf(step).cpu.value()) / 1000);
+            m_headroom.onGangArrival(job->record.queue.priority, coresOf(step));
         scheduleRound();
     }
 }
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -92,6 +92,21 @@
     return job;
 }
 
+store::RowKey jobKey(const core::JobId& id)
+{
+    return { "jobs", "", id.value() };
+}
+
+store::RowKey progressKey(const core::JobId& id)
+{
+    return { "progress", "", id.value() };
+}
+
+double coresOf(const workflow::StepSpec& step)
+{
+    return double(step.count) * double(roomOf(step).cpu.value()) / 1000;
+}
+
 core::Resources roomOf(const workflow::StepSpec& step)
 {
     core::Resources room = step.need;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -3,6 +3,7 @@
 #include "fleet/fleettypes.h"
 #include "lead/leaderlog.h"
 #include "scheduling/internal/worker.h"
+#include "store/storetypes.h"
 #include "workflow/workflowtypes.h"
 
 #include <functional>
@@ -102,5 +103,12 @@
 
 //! Returns the room that a task of this step occupies on a worker.
 core::Resources roomOf(const workflow::StepSpec& step);
+//! Returns the number of cores that all tasks of this step occupy.
+double coresOf(const workflow::StepSpec& step);
+
+//! Key of the row with the constant part of a job.
+store::RowKey jobKey(const core::JobId& id);
+//! Key of the row with the progress and the final state of a job.
+store::RowKey progressKey(const core::JobId& id);
 
 } // namespace sardinerun::scheduling
