--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -317,7 +317,7 @@
     });
 }
 
-void LeaderTask::handle(LeaderQuery message)
+void LeaderTask::handle(const LeaderQuery& message)
 {
     const auto& requester = message.requester;
     if (m_engine && requester && requester->term > m_term)
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -54,7 +54,7 @@
     void handle(PollAdvice message);
     void handle(workflow::QueueConfigPtr config);
     void handle(StepDown message);
-    void handle(LeaderQuery message);
+    void handle(const LeaderQuery& message);
     void handle(KnownNodes message);
     void handle(LeaderSuspected message);
 
