Spread the roster of workers over rows

Callers saw nothing of it yet: found while looking for writes that the store refuses for ever. All workers stood in one row; at some 480 workers it passes the limit of a value, and then no write of the leader succeeds any more. Change: 32 rows by a hash of the worker's id; only rows that change are written, and a worker is used once the last write of its roster is persisted. An old row is read and then deleted.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -85,6 +85,8 @@
     //! The roster is the persisted list of the workers that leaders have used; a new leader adds all of them.
     void loadRoster(const std::string& value);
     void addRosteredWorker(codec::ObjectReader reader);
+    std::map<store::RowKey, std::string> rosterRows() const;
+    //! Writes the rows of the roster that have changed.
     void persistRoster();
     void addWorker(const fleet::WorkerEntry& entry, bool isListed);
     WorkerHooks workerHooks();
@@ -210,7 +212,7 @@
     std::optional<std::vector<fleet::WorkerEntry>> m_registryEntries; //!< content of the registry, once received
     //! Key and value of progress rows, until all tables are read.
     std::vector<std::pair<std::string, std::string>> m_readProgress;
-    std::string m_readRoster;
+    std::map<store::RowKey, std::string> m_rosterRows; //!< as last read or written
     core::TimePoint m_priorLeaseUntil {}; //!< leases of former leaders have expired by then
     core::TimePoint m_wonAt {};
     bool m_areTablesRead = false;
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/internal/engineimpl.h"
 
 #include "codec/json.h"
+#include "core/hashing.h"
 #include "telemetry/log.h"
 #include "workflow/workflowcodec.h"
 
@@ -18,9 +19,13 @@
 constexpr core::Duration readRetryDelay = std::chrono::milliseconds(150);
 constexpr std::int64_t runsPerTerm = 4096; //!< run numbers of each term; those of a later term are higher
 
-store::RowKey rosterKey()
+//! The roster is spread over rows, so that each fits into the store with thousands of workers.
+constexpr std::uint32_t rosterRowCount = 32;
+
+store::RowKey rosterKey(const core::VmId& worker)
 {
-    return { "roster", "", "workers" };
+    const std::uint64_t n = core::stableHash(worker.value()) % rosterRowCount;
+    return { "roster", "", "workers-" + std::to_string(n) };
 }
 
 //! Returns the tables in the order in which they are read.
@@ -68,7 +73,7 @@
         return;
     }
     if (table == "roster") {
-        m_readRoster = row.value;
+        m_rosterRows[row.key] = row.value;
         return;
     }
     try {
@@ -115,7 +120,8 @@
         m_active[id] = job;
     }
     m_areTablesRead = true;
-    loadRoster(m_readRoster);
+    for (const auto& [key, value] : m_rosterRows)
+        loadRoster(value);
     LogLine(Severity::Info, "recovered")
         .with("term", std::int64_t(m_won.leader.term.value()))
         .with("jobs", std::int64_t(m_active.size()))
@@ -130,8 +136,6 @@
 
 void EngineImpl::loadRoster(const std::string& value)
 {
-    if (value.empty())
-        return;
     try {
         codec::decodeJson(value, [this](const Json::Value& roster) {
             for (const Json::Value& it : roster)
@@ -154,10 +158,9 @@
     m_rostered.insert(entry.id);
 }
 
-void EngineImpl::persistRoster()
+std::map<store::RowKey, std::string> EngineImpl::rosterRows() const
 {
-    Json::Value roster(Json::arrayValue);
-    std::vector<core::VmId> written;
+    std::map<store::RowKey, Json::Value> rosters;
     for (const auto& [id, worker] : m_workers) {
         const fleet::WorkerEntry& entry = worker->entry();
         Json::Value it(Json::objectValue);
@@ -166,11 +169,34 @@
         it["host"] = entry.address.host;
         it["port"] = entry.address.port;
         it["service"] = entry.service.value();
-        roster.append(it);
-        written.push_back(id);
+        rosters[rosterKey(id)].append(it);
+    }
+    std::map<store::RowKey, std::string> rows;
+    for (const auto& [key, roster] : rosters)
+        rows[key] = codec::writeJson(roster);
+    return rows;
+}
+
+void EngineImpl::persistRoster()
+{
+    std::map<store::RowKey, std::string> rows = rosterRows();
+    std::optional<lead::LogRevision> revision; // of the last write, with which all earlier ones are persisted
+    for (const auto& [key, value] : m_rosterRows) {
+        if (!rows.contains(key))
+            revision = m_log->put(key, std::nullopt);
+    }
+    for (const auto& [key, value] : rows) {
+        const auto known = m_rosterRows.find(key);
+        if (known == m_rosterRows.end() || known->second != value)
+            revision = m_log->put(key, value);
     }
-    const lead::LogRevision revision = m_log->put(rosterKey(), codec::writeJson(roster));
-    whenPersisted(revision, [this, written] {
+    m_rosterRows = std::move(rows);
+    if (!revision)
+        return;
+    std::vector<core::VmId> written;
+    for (const auto& [id, worker] : m_workers)
+        written.push_back(id);
+    whenPersisted(*revision, [this, written] {
         m_rostered.insert(written.begin(), written.end());
         scheduleRound();
     });
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -80,6 +80,27 @@
     BOOST_TEST((answers[1] == WorkflowOutcome::NotNow));
 }
 
+//! Guards against a roster that outgrows the limit of a value, so that the store refuses all writes of the leader.
+BOOST_AUTO_TEST_CASE(jobs_are_accepted_and_adopted_in_a_fleet_of_many_workers)
+{
+    Cell cell;
+    cell.entries.clear();
+    for (int n = 0; n < 600; ++n)
+        cell.addWorker("worker-with-a-long-name-" + std::to_string(n));
+    cell.lead();
+    const auto job = jobOf("a", 600, 4000);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+    cell.advance(ms(500));
+    BOOST_TEST(cell.running() == 600u);
+    cell.entries.clear(); // the next leader knows the workers from the roster only
+    cell.lead();
+    cell.advance(ms(1000));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(2000));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 600u);
+}
+
 BOOST_AUTO_TEST_CASE(capacity_of_workers_is_never_exceeded)
 {
     Cell cell;
