Accept submissions that are persisted with the release of the leadership

Callers saw 503, 'not now', for jobs that then ran. Cause: the last group before a release holds job records too, when many wait (slow store, then a planned stop). The log reported a group as persisted unless it released the leadership. Change: the releasing group is reported like others, so its jobs are accepted; withdrawing succeeds only for a value that is queued. Evidence: submission_that_is_persisted_with_the_release_is_accepted failed before (answered 'not now', and the next leader ran the job). The setup of a second queue, written twice in overload_tests, is a function.

--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -54,13 +54,12 @@
 
 bool LeaderLog::withdraw(const store::RowKey& key)
 {
-    const bool isSent
-        = std::any_of(m_group.begin(), m_group.end(), [&key](const Pending& it) { return it.key == key; });
-    if (const auto it = m_pendingByKey.find(key); it != m_pendingByKey.end()) {
-        m_pending.erase(it->second);
-        m_pendingByKey.erase(it);
-    }
-    return !isSent;
+    const auto it = m_pendingByKey.find(key);
+    if (it == m_pendingByKey.end())
+        return false; // sent, or already persisted
+    m_pending.erase(it->second);
+    m_pendingByKey.erase(it);
+    return std::none_of(m_group.begin(), m_group.end(), [&key](const Pending& sent) { return sent.key == key; });
 }
 
 void LeaderLog::release(bool isOverloaded, std::function<void()> done)
@@ -185,16 +184,13 @@
     if (!std::exchange(m_isUp, true))
         m_hooks.availability(true);
     const std::vector<Pending> group = std::exchange(m_group, {});
-    if (m_groupReleases) {
-        m_isStopped = true;
-        if (m_released)
-            m_released();
-        return;
-    }
+    m_isStopped = m_groupReleases;
     const bool isIdle = m_pending.empty() && !m_leader.isReleased;
     scheduleWake(isIdle ? m_heartbeatAt - m_loop->now() : core::Duration(0));
     if (!group.empty())
         m_hooks.persisted(LogRevision(m_pending.empty() ? m_lastRevision : m_pending.front().revision.value() - 1));
+    if (m_isStopped && m_released)
+        m_released();
 }
 
 void LeaderLog::onConflict(const store::StoreFailure& failure, core::TimePoint sentAt)
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -39,7 +39,8 @@
     void stop() { m_isStopped = true; }
     //! Queues a new value of a row, or its deletion if there is no value. Replaces a queued value of that row.
     LogRevision put(store::RowKey key, std::optional<std::string> value);
-    //! Removes a row's queued value; returns false if a value was already sent and may get persisted.
+    //! Removes a queued value of a row. Returns true only if it was queued and no value was sent that may get
+    //! persisted.
     bool withdraw(const store::RowKey& key);
     //! Releases the leadership in the leader's row once all values are persisted, then calls `done`.
     void release(bool isOverloaded, std::function<void()> done);
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -36,6 +36,16 @@
     return n;
 }
 
+//! Adds a less urgent queue under "/batch/".
+void addBatchQueue(Cell& cell)
+{
+    workflow::QueuePolicy batch = cell.queue;
+    batch.name = "batch";
+    batch.pathPrefix = "/batch/";
+    batch.priority = cell.queue.priority + 1;
+    cell.moreQueues.push_back(batch);
+}
+
 //! Ends all runs of one worker and lets the leader react.
 void endRunsOf(Cell& cell, FakeWorker& worker)
 {
@@ -84,11 +94,7 @@
 {
     Cell cell;
     cell.queue.priority = 1;
-    workflow::QueuePolicy batch = cell.queue;
-    batch.name = "batch";
-    batch.pathPrefix = "/batch/";
-    batch.priority = 2;
-    cell.moreQueues.push_back(batch);
+    addBatchQueue(cell);
     cell.lead();
     for (const char* id : { "blocker1", "blocker2" })
         BOOST_TEST((cell.submit(blockerOf(id)) == WorkflowOutcome::Accepted));
@@ -127,11 +133,7 @@
 {
     Cell cell;
     cell.queue.priority = 1;
-    workflow::QueuePolicy batch = cell.queue;
-    batch.name = "batch";
-    batch.pathPrefix = "/batch/";
-    batch.priority = 2;
-    cell.moreQueues.push_back(batch);
+    addBatchQueue(cell);
     cell.entries.clear();
     for (int n = 0; n < 10; ++n)
         cell.addWorker("w" + std::to_string(n));
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -101,6 +101,31 @@
     BOOST_TEST(cell.starts() == 600u);
 }
 
+//! Guards against a submission that is refused although its record was persisted with the release of the leadership, so
+//! that the next leader runs it.
+BOOST_AUTO_TEST_CASE(submission_that_is_persisted_with_the_release_is_accepted)
+{
+    Cell cell;
+    cell.lead();
+    workflow::WorkflowCall call;
+    call.kind = workflow::CallKind::Submit;
+    call.host = "h";
+    call.path = "/q/a";
+    call.spec = jobOf("a", 1, 1000);
+    std::vector<WorkflowOutcome> answers;
+    cell.engine->handle(call, [&answers](const workflow::WorkflowResult& it) { answers.push_back(it.outcome); });
+    cell.engine->release(false, [] {});
+    cell.advance(ms(100));
+    cell.former.reset();
+    cell.engine.reset();
+    BOOST_REQUIRE(answers.size() == 1u);
+    BOOST_TEST((answers[0] == WorkflowOutcome::Accepted));
+    cell.lead();
+    BOOST_TEST((cell.submit(call.spec) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    BOOST_TEST(cell.starts() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(capacity_of_workers_is_never_exceeded)
 {
     Cell cell;
