--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -57,7 +57,9 @@
 //! Answers each advice request that is assigned to the node by allowing all workers that it names.
 void allowAll(const AdviceQueuePtr& advice, const core::NodeId& node)
 {
-    advice->poll(node, [advice, node](AdviceQueue::RequestId id, const fleet::AdviceRequest& request) {
+    const std::weak_ptr<AdviceQueue> weak = advice; // the queue keeps this callback
+    advice->poll(node, [weak, node](AdviceQueue::RequestId id, const fleet::AdviceRequest& request) {
+        const AdviceQueuePtr advice = weak.lock();
         fleet::Advice allowed;
         for (const core::VmId& it : request.workers)
             allowed.allowed.push_back({ it, "ticket" });
