Let a log without records find out that the store is back

What callers saw: after an outage of the store some partitions refused all new jobs and requests with 503 ("the platform's store does not answer") for ever.

Cause: GroupLog becomes healthy only when a group is committed, and its owner appends no new record while it is not healthy. If the outage refused all records of a partition (a partition without running jobs has no others), nothing was left to write: the state could end only by an act that the state itself forbids. Looked for elsewhere: lead/leaderlog (writes heartbeats whatever its state), membership (refreshes by time), the runners' circuits and workers' quarantine (end by time), the suspicion of a silent leader (asked again by time): only GroupLog has it.

Change: an unhealthy log writes a group without records, at the pace of its other retries, until a commit succeeds. No caller serves as the probe, the write is fenced as any other, and a partition that was taken over meanwhile notices it.

--- a/src/acceptance/grouplog.h
+++ b/src/acceptance/grouplog.h
@@ -68,7 +68,8 @@
     LogEvents onCommitted(const core::RetVal<core::RowVersion, services::StoreError>& result, core::TimePoint now);
     LogEvents onRead(const core::RetVal<std::vector<services::Row>, services::StoreError>& result, core::TimePoint now);
 
-    //! Returns false while group commits fail; new work can then be refused before anything is sent.
+    //! Returns false while group commits fail; new work can then be refused before anything is sent. The log keeps
+    //! writing until a commit succeeds, also without records.
     bool isHealthy() const { return m_isHealthy; }
     std::size_t rowCount() const { return m_rows.size(); }
     std::size_t pendingCount() const { return m_pending.size() + (m_group ? m_group->items.size() : 0); }
--- a/src/acceptance/internal/grouplog.cpp
+++ b/src/acceptance/internal/grouplog.cpp
@@ -116,7 +116,9 @@
         m_isInFlight = true;
         return { std::nullopt, m_group->key };
     }
-    if (!m_group && m_pending.empty())
+    // While the log is unhealthy its owner appends no new records, so a group without records tests whether the store
+    // accepts writes again.
+    if (!m_group && m_pending.empty() && m_isHealthy)
         return {};
     if (!m_group)
         buildGroup();
--- a/src/acceptance/tests/grouplog_tests.cpp
+++ b/src/acceptance/tests/grouplog_tests.cpp
@@ -96,6 +96,49 @@
     BOOST_TEST(fixture.log.isHealthy());
 }
 
+//! Guards against a partition refusing all work for ever: while its log is unhealthy no record is appended, and a log
+//! without records wrote nothing that could have succeeded.
+BOOST_AUTO_TEST_CASE(aLogThatRefusedAllItsRecordsIsHealthySoonAfterTheOutage)
+{
+    FakeStore store = storeWithFence();
+    LogFixture fixture(store);
+    fixture.log.append(ItemId("new"), "1", true);
+    const LogEvents events = fixture.step(FakeStore::Fault::Down);
+    BOOST_TEST(events.notPersisted.size() == 1U);
+    BOOST_TEST(fixture.log.pendingCount() == 0U);
+    fixture.step(FakeStore::Fault::Down);
+    BOOST_TEST(!fixture.log.isHealthy());
+    fixture.step();
+    BOOST_TEST(fixture.log.isHealthy());
+    LogFixture successor(store);
+    const auto records = successor.log.recover(store.listNow(GroupLog::prefixOf(core::PartitionId(1))).value());
+    BOOST_TEST(records.empty());
+}
+
+//! Guards against an unhealthy log that writes on after another owner has taken the partition over.
+BOOST_AUTO_TEST_CASE(aFormerOwnerWithoutRecordsNoticesTheTakeoverAfterAnOutage)
+{
+    FakeStore store = storeWithFence();
+    LogFixture fixture(store);
+    fixture.log.append(ItemId("new"), "1", true);
+    fixture.step(FakeStore::Fault::Down);
+    store.put(fenceKey, "owner b");
+    fixture.step();
+    const LogEvents events = fixture.step();
+    BOOST_TEST(events.isOwnershipLost);
+    BOOST_TEST(!fixture.log.isHealthy());
+}
+
+BOOST_AUTO_TEST_CASE(aHealthyLogWithoutRecordsWritesNothing)
+{
+    FakeStore store = storeWithFence();
+    LogFixture fixture(store);
+    const std::uint64_t before = store.commits();
+    for (int n = 0; n < 10; ++n)
+        fixture.step();
+    BOOST_TEST(store.commits() == before);
+}
+
 BOOST_AUTO_TEST_CASE(aLostAnswerIsResolvedByTheOwnWriteId)
 {
     FakeStore store = storeWithFence();
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -167,6 +167,28 @@
     BOOST_TEST(startsOf(cell, "a") == 20);
 }
 
+//! Guards against a partition without running jobs that refuses all new work for ever once the store was down.
+BOOST_AUTO_TEST_CASE(anIdlePartitionAcceptsWorkAgainAfterAStoreOutage)
+{
+    SimulatedCell cell(1, 2, workerSize);
+    cell.run(1s);
+    cell.storeFault = FakeStore::Fault::Down;
+    cell.submit(jobSpec("during", 1));
+    cell.run(3s);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("during")) == protocol::SubmitOutcome::Refused));
+    cell.storeFault = FakeStore::Fault::None;
+    cell.run(500ms);
+    cell.submit(jobSpec("after", 1));
+    cell.send(core::PartitionId(0),
+        protocol::ClaimOnce { { cell.caller, {}, protocol::Token(1) }, core::PartitionId(0),
+            { core::TeamId("dealers"), core::IdempotencyKey("fit-1") }, once::ClaimId("c"), 42 });
+    cell.run(500ms);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("after")) == protocol::SubmitOutcome::Accepted));
+    BOOST_TEST((cell.record.claims.at(protocol::Token(1)).result == once::ClaimResult::Granted));
+    BOOST_TEST(cell.runUntilDone(10s));
+    BOOST_TEST(startsOf(cell, "during") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(manyCancellationsTakeOneMessageForEachPartition)
 {
     SimulatedCell cell(2, 4, workerSize);
--- a/tests/process/faults_tests.py
+++ b/tests/process/faults_tests.py
@@ -86,6 +86,19 @@
             load.check(self)
             load.cell.wait_until(lambda: cell.submit(0, key="in-the-outage")[0] == 202, "accepted after the outage")
 
+    def test_an_idle_cell_accepts_work_again_after_an_outage(self):
+        """Guards against partitions without running jobs that refuse all new work for ever once the store was down."""
+        with Cell() as cell:
+            cell.platform_faults(down=True)
+            keys = ["idle-%d" % n for n in range(32)]  # reach every partition
+            for key in keys:
+                status, answer, _ = cell.submit(0, key=key)
+                self.assertEqual((status, answer["run"]), (503, "no"))
+            cell.platform_faults(down=False)
+            time.sleep(2)
+            statuses = [cell.submit(1, key=key)[0] for key in keys]
+            self.assertEqual(statuses, [202] * len(keys), "work is refused although the store is up again")
+
     def test_two_operators_at_once(self):
         with Cell() as cell:
             for _ in range(5):
