Log why a submission is refused, and when a partition loses and regains the store

`submit` has `reason` and `why` now, and each partition logs `partitionStoreLost` and `partitionStoreBack`. The outage test reads them: each partition that loses the store regains it. The first run of that check failed: 32 keys reached seven of the eight partitions; there are 100 now.

--- a/src/api/internal/jobcalls.cpp
+++ b/src/api/internal/jobcalls.cpp
@@ -65,9 +65,10 @@
 {
     const auto* it = answer ? std::get_if<protocol::SubmitAnswer>(&*answer) : nullptr;
     const protocol::SubmitOutcome outcome = it ? it->outcome : protocol::SubmitOutcome::Unknown;
-    telemetry::LogLine(telemetry::Severity::Info, "submit")
-        .with("job", id.value())
-        .with("outcome", std::int64_t(outcome));
+    telemetry::LogLine line(telemetry::Severity::Info, "submit");
+    line.with("job", id.value()).with("outcome", std::int64_t(outcome));
+    if (outcome == protocol::SubmitOutcome::Refused)
+        line.with("reason", admission::nameOf(it->refusal.reason)).with("why", it->refusal.detail);
     if (outcome == protocol::SubmitOutcome::Accepted) {
         Json::Value body(Json::objectValue);
         body["id"] = id.value();
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -230,6 +230,7 @@
 {
     if (!owned.isLoaded || owned.isFrozen)
         return;
+    logStoreChange(id, owned);
     for (partition::Effect& it : owned.partition->takeEffects(eventTime()))
         executeEffect(id, owned, it);
     if (!owned.isHandingOver || !owned.partition->isQuiescent())
@@ -238,6 +239,16 @@
     m_hooks.quiescent(id, owned.partition->view(eventTime()).isRecovered);
 }
 
+void PartitionsTask::logStoreChange(core::PartitionId id, Owned& owned)
+{
+    const bool isUp = owned.partition->isStoreHealthy();
+    if (std::exchange(owned.isStoreUp, isUp) == isUp)
+        return;
+    telemetry::LogLine(isUp ? telemetry::Severity::Info : telemetry::Severity::Warning,
+        isUp ? "partitionStoreBack" : "partitionStoreLost")
+        .with("partition", id.value());
+}
+
 void PartitionsTask::executeEffect(core::PartitionId id, Owned& owned, partition::Effect& effect)
 {
     if (auto* it = std::get_if<partition::SendMessage>(&effect))
--- a/src/node/internal/partitionstask.h
+++ b/src/node/internal/partitionstask.h
@@ -20,6 +20,7 @@
         partition::PartitionPtr partition;
         bool isLoaded = false;
         bool isHandingOver = false;
+        bool isStoreUp = true; //!< as last logged
         bool isFrozen = false; //!< this node has finished its part of the hand-over, or has lost the partition
     };
 
@@ -39,6 +40,7 @@
     void flushSoon();
     void flushAll();
     void executeEffects(core::PartitionId id, Owned& owned);
+    void logStoreChange(core::PartitionId id, Owned& owned);
     void executeEffect(core::PartitionId id, Owned& owned, partition::Effect& effect);
     void perform(core::PartitionId id, core::Epoch epoch, partition::SyncWorker& effect);
     void perform(core::PartitionId id, core::Epoch epoch, partition::CommitToStore& effect);
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -389,7 +389,7 @@
     view.committed = it.capacity.ledger().committed();
     view.logRows = it.log.rowCount();
     view.logGroups = it.log.groupsCommitted();
-    view.isStoreHealthy = it.log.isHealthy();
+    view.isStoreHealthy = isStoreHealthy();
     view.counters = it.capacity.counters();
     const Counters& ofHome = it.home.counters();
     view.counters.jobsAccepted = ofHome.jobsAccepted;
@@ -402,6 +402,11 @@
     return view;
 }
 
+bool Partition::isStoreHealthy() const
+{
+    return m_state->log.isHealthy();
+}
+
 bool Partition::isQuiescent() const
 {
     return m_state->isRecovering || m_state->log.pendingCount() == 0;
--- a/src/partition/partition.h
+++ b/src/partition/partition.h
@@ -72,6 +72,8 @@
     PartitionView view(EventTime at) const;
     //! Returns whether no record waits to be persisted, so that the partition can be handed over.
     bool isQuiescent() const;
+    //! Returns false while the store does not take this partition's writes; new work is refused meanwhile.
+    bool isStoreHealthy() const;
 
     static core::PartitionId partitionOf(const core::VmId& worker, std::uint32_t partitionCount);
 
--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -223,6 +223,15 @@
         self.dump()
         raise AssertionError("not in time: " + description)
 
+    def logged(self, event):
+        """Returns the lines of an event in the logs of all nodes."""
+        lines = []
+        for name in sorted(os.listdir(self.folder)):
+            if name.startswith("node-") and name.endswith(".log"):
+                with open(os.path.join(self.folder, name), errors="replace") as text:
+                    lines += [json.loads(it) for it in text if '"event":"%s"' % event in it and it.endswith("\n")]
+        return lines
+
     def dump(self):
         for name in sorted(os.listdir(self.folder)):
             if name.endswith(".log"):
--- a/tests/process/faults_tests.py
+++ b/tests/process/faults_tests.py
@@ -90,7 +90,7 @@
         """Guards against partitions without running jobs that refuse all new work for ever once the store was down."""
         with Cell() as cell:
             cell.platform_faults(down=True)
-            keys = ["idle-%d" % n for n in range(32)]  # reach every partition
+            keys = ["idle-%d" % n for n in range(100)]  # enough to reach every partition
             for key in keys:
                 status, answer, _ = cell.submit(0, key=key)
                 self.assertEqual((status, answer["run"]), (503, "no"))
@@ -98,6 +98,11 @@
             time.sleep(2)
             statuses = [cell.submit(1, key=key)[0] for key in keys]
             self.assertEqual(statuses, [202] * len(keys), "work is refused although the store is up again")
+            lost, back = cell.logged("partitionStoreLost"), cell.logged("partitionStoreBack")
+            self.assertEqual(sorted(it["partition"] for it in lost), sorted(it["partition"] for it in back))
+            self.assertEqual({it["partition"] for it in lost}, set(range(cell.partitions)))
+            refused = [it for it in cell.logged("submit") if it["outcome"] == 1]
+            self.assertEqual({it["reason"] for it in refused}, {"storeDown"})
 
     def test_two_operators_at_once(self):
         with Cell() as cell:
