Acknowledge ends only on connections to the incarnation that reported them

Cause: a renewal that was on its way when its worker restarted, or the first one after that, acknowledged ends by the numbers of the former incarnation; the next one numbers its ends from 1 and discarded one that nobody had read. The request cannot name the incarnation: its id stays the same.

What can tell the incarnations apart is the connection: a process that has restarted is reached only by connections that were opened later. It knows the age of a connection from the descriptor; h2o hands out a pooled connection before it returns from connecting, and a new one later; if that ever changed, nothing would be acknowledged, which the test shows. Nothing is delayed on connections that stay. Ruled out: acknowledging only after a second report (the same gap again), detecting it from the answer (the end is lost by then), an instance in the header (the id stays the same).

Tests: renewal_that_reaches_the_next_incarnation_acknowledges_nothing failed with acknowledgements on any connection (the task started twice). aBodyForOlderConnectionsIsNotSentOnALaterOne and ends_are_not_acknowledged_on_a_connection_opened_after_the_last_report are new with their interface. The stand-in's workers restart without any absence again; their old connections stay silent.

--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -66,6 +66,9 @@
 struct LeaseRenewal {
     core::Epoch fence;
     EndNumber acknowledgedUpTo; //!< ends up to this number are persisted; the worker may delete them
+    //! When the last report of the incarnation with these ends was requested. Nothing is acknowledged on a connection
+    //! opened later, as the worker may have restarted, and numbers other ends the same way.
+    core::TimePoint incarnationSeenAt {};
     std::optional<WorkerClock> leaseUntil;
     core::Duration wait {}; //!< how long the worker may delay its report until a run ends
 };
--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -14,6 +14,7 @@
     std::int64_t leaseUntil = 0;
     std::int64_t lastEnd = 0;
     WorkerStartTime startedAt;
+    core::TimePoint bornAt {}; //!< when this incarnation began; connections to it were opened later
     std::map<RunId, RunningRun> running;
     std::vector<EndedRun> ended;
     std::vector<StartOrder> starts; //!< all start orders that were carried out
@@ -58,6 +59,7 @@
     core::Duration pollPeriod
         = std::chrono::milliseconds(5); //!< interval at which a waiting lease renewal checks for ended runs
     std::function<void(const EndedRun&)> endAcknowledged; //!< called for each end that the leader has acknowledged
+    std::function<void(const core::VmId&)> renewalArrives = [](const core::VmId&) {};
     core::Duration latency = std::chrono::milliseconds(2);
     core::Duration timeout = std::chrono::milliseconds(500);
 
@@ -100,6 +102,7 @@
         const WorkerAddress& to, const LeaseRenewal& order, std::function<void(LeaseRenewalResult)> callback) override
     {
         m_loop->callAfter(latency, [this, to, order, callback, until = m_loop->now() + order.wait] {
+            renewalArrives(to.id);
             renewNow(to, order, workers[to.id].startedAt, until, callback);
         });
     }
@@ -181,8 +184,10 @@
         it.fence = order.fence.value();
         if (order.leaseUntil)
             it.leaseUntil = std::max(it.leaseUntil, order.leaseUntil->value());
-        std::erase_if(it.ended, [this, &order](const EndedRun& end) {
-            const bool isAcknowledged = end.number <= order.acknowledgedUpTo;
+        // Older connections ended with the former incarnation.
+        const bool isSameIncarnation = order.incarnationSeenAt >= it.bornAt;
+        std::erase_if(it.ended, [this, &order, isSameIncarnation](const EndedRun& end) {
+            const bool isAcknowledged = isSameIncarnation && end.number <= order.acknowledgedUpTo;
             if (isAcknowledged && endAcknowledged)
                 endAcknowledged(end);
             return isAcknowledged;
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -59,12 +59,20 @@
     std::string detail;
 };
 
+//! Body for a connection that was opened after a given time, and that may thus lead to another process than an older
+//! connection did.
+struct LateConnectionBody {
+    core::TimePoint openedAfter; //!< on the clock of the client's loop
+    std::string body;
+};
+
 struct ClientRequest {
     core::HostPort to;
     std::string method = "GET";
     std::string target = "/"; //!< path and query
     Headers headers;
     std::string body;
+    std::optional<LateConnectionBody> lateConnectionBody; //!< replaces `body` on such a connection
     core::Duration timeout = std::chrono::seconds(5); //!< for the whole exchange
     std::size_t maxResponseBytes = std::size_t(4) << 20; //!< limit for the body, ignored if streaming is enabled
     //! Responses with a longer body are streamed, without a limit on their size; 0 disables streaming. The timeout
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -29,15 +29,15 @@
         || name == "keep-alive" || name == "upgrade" || name == "te" || name == "expect";
 }
 
-std::string serialize(const ClientRequest& request)
+std::string serialize(const ClientRequest& request, const std::string& body)
 {
     std::string buf = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + request.to.text() + "\r\n";
     for (const Header& it : request.headers) {
         if (!isReservedHeader(it.name))
             buf += it.name + ": " + it.value + "\r\n";
     }
-    buf += "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
-    return buf + request.body;
+    buf += "content-length: " + std::to_string(body.size()) + "\r\n\r\n";
+    return buf + body;
 }
 
 //! Returns true if the server has closed the connection and no bytes are left to read.
@@ -51,6 +51,12 @@
 
 struct Pool;
 
+//! A serialized request for connections that were opened after a given time.
+struct LateConnectionRequest {
+    core::TimePoint openedAfter;
+    std::string bytes;
+};
+
 //! One request in progress, until its response or stream has ended.
 struct Call : IClientExchange {
     void resumeReading() override;
@@ -60,6 +66,7 @@
     Pool* pool = nullptr;
     ClientCallback callback;
     std::string requestBytes; //!< serialized request
+    std::optional<LateConnectionRequest> lateConnectionRequest; //!< replaces `requestBytes` on such a connection
     h2o_iovec_t buffer {};
     h2o_http1client_t* client = nullptr;
     runtime::TimerId timer;
@@ -106,12 +113,16 @@
         call->pool = pool;
         ++pool->inUse;
         call->callback = std::move(callback);
-        call->requestBytes = serialize(request);
+        call->requestBytes = serialize(request, request.body);
+        if (const auto& late = request.lateConnectionBody)
+            call->lateConnectionRequest = { late->openedAfter, serialize(request, late->body) };
         call->maxBytes = request.maxResponseBytes;
         call->streamAboveBytes = request.streamAboveBytes;
         call->isHeadRequest = request.method == "HEAD";
         call->timer = m_loop->callAfter(request.timeout, [this, call] { onTimeout(call); });
+        m_connecting = call;
         h2o_http1client_connect_with_pool(&call->client, call, &m_context, &pool->sockets, onConnect);
+        m_connecting = nullptr;
     }
 
 private:
@@ -163,6 +174,15 @@
         });
     }
 
+    //! Returns when the connection was opened that h2o has just assigned to the call.
+    core::TimePoint connectionOpenedAt(const Call* call, int fd)
+    {
+        // h2o assigns a pooled connection before it returns from connecting, and a new one later.
+        if (call != m_connecting)
+            m_openedAt.erase(fd);
+        return m_openedAt.try_emplace(fd, m_loop->now()).first->second;
+    }
+
     //! Cancels the timeout of the call and updates the usage of its pool.
     void release(Call* call)
     {
@@ -225,6 +245,9 @@
             return nullptr;
         }
         call->isSent = true;
+        const core::TimePoint openedAt = call->owner->connectionOpenedAt(call, h2o_socket_get_fd(client->sock));
+        if (const auto& late = call->lateConnectionRequest; late && openedAt > late->openedAfter)
+            call->requestBytes = late->bytes;
         call->buffer = h2o_iovec_init(call->requestBytes.data(), call->requestBytes.size());
         *buffers = &call->buffer;
         *count = 1;
@@ -338,6 +361,8 @@
     h2o_http1client_ctx_t m_context {};
     h2o_timeout_t m_ioTimeout {};
     std::map<core::HostPort, std::unique_ptr<Pool>> m_pools;
+    std::map<int, core::TimePoint> m_openedAt; //!< by descriptor; of each connection's last use of that descriptor
+    const Call* m_connecting = nullptr; //!< the call for which a connection is being requested
     bool m_isPoolSweepScheduled = false;
 };
 
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -19,16 +19,33 @@
 struct Fixture {
     Fixture()
     {
-        http::ServerOptions options;
-        options.listen = { "127.0.0.1", 0 };
-        options.maxBodyBytes = 1024;
-        auto handler = [this](http::Request request, http::Responder responder) { respond(request, responder); };
-        server = http::createServer(loop, options, handler).value();
+        server = listenAt(0);
         client = http::createClient(loop);
         loop->start();
     }
     ~Fixture() { loop->stop(); }
 
+    http::IHttpServerPtr listenAt(std::uint16_t port)
+    {
+        http::ServerOptions options;
+        options.listen = { "127.0.0.1", port };
+        options.maxBodyBytes = 1024;
+        auto handler = [this](http::Request request, http::Responder responder) { respond(request, responder); };
+        return http::createServer(loop, options, handler).value();
+    }
+
+    //! Ends the server's connections with their next response, and listens at the same port again.
+    void restartServer()
+    {
+        std::promise<void> done;
+        loop->post([&] {
+            server->drain();
+            formerServer = std::exchange(server, listenAt(server->port()));
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
     void respond(const http::Request& request, http::Responder responder)
     {
         if (request.path == "/never")
@@ -55,6 +72,7 @@
 
     runtime::EventLoopPtr loop = runtime::EventLoop::create("test", runtime::systemClock()).value();
     http::IHttpServerPtr server;
+    http::IHttpServerPtr formerServer; //!< has connections until the loop stops
     http::IHttpClientPtr client;
 };
 
@@ -70,6 +88,29 @@
     }
 }
 
+//! Guards against a message for a process that has ended reaching its successor at the same address.
+BOOST_FIXTURE_TEST_CASE(aBodyForOlderConnectionsIsNotSentOnALaterOne, Fixture)
+{
+    const auto send = [this](core::TimePoint openedAfter) {
+        auto request = to("/echo", "old");
+        request.lateConnectionBody = http::LateConnectionBody { openedAfter, "late" };
+        const auto result = call(request);
+        return result ? result.value().body : result.error().detail;
+    };
+    const core::TimePoint atFirst = loop->now();
+    std::this_thread::sleep_for(2ms);
+    BOOST_TEST(send(atFirst) == "late!");
+    BOOST_TEST(send(atFirst) == "late!"); // reused, and still opened after that time
+    const core::TimePoint whileOpen = loop->now();
+    BOOST_TEST(send(whileOpen) == "old!");
+    BOOST_TEST(send(whileOpen) == "old!");
+    restartServer();
+    call(to("/echo")); // the server closes the former connection with this response
+    std::this_thread::sleep_for(2ms);
+    BOOST_TEST(send(whileOpen) == "late!");
+    BOOST_TEST(send(loop->now()) == "old!");
+}
+
 BOOST_FIXTURE_TEST_CASE(aRequestBodyOverTheLimitIsRejected, Fixture)
 {
     const auto result = call(to("/echo", std::string(4096, 'x')));
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -116,6 +116,7 @@
     fleet::LeaseRenewal order;
     order.fence = m_fence;
     order.acknowledgedUpTo = acknowledgeableUpTo();
+    order.incarnationSeenAt = m_incarnationSeenAt;
     // An unresponsive worker may still receive renewals, so the lease must not be extended while it fails to answer.
     // Otherwise the end of its runs would never be certain.
     if (m_hasClock && m_failedRenewals == 0) {
@@ -200,9 +201,11 @@
         m_acknowledgedAhead.clear();
         m_hasClock = false;
         m_leaseUntil = {};
+        m_incarnationSeenAt = {};
     } else if (report.startedAt.value() > 0) {
         m_entry.startedAt = report.startedAt;
     }
+    m_incarnationSeenAt = std::max(m_incarnationSeenAt, sentAt);
     recordClock(report.clock);
     std::set<fleet::RunId> reported;
     applyRunning(report, reported);
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -165,6 +165,7 @@
     fleet::WorkerClock m_clock; //!< last reading received
     core::TimePoint m_clockAt {}; //!< when the reading arrived
     fleet::WorkerClock m_leaseUntil; //!< latest lease end that was sent
+    core::TimePoint m_incarnationSeenAt {}; //!< when its last report was requested
     fleet::EndNumber m_lastEnd; //!< highest number reported
     fleet::EndNumber m_acknowledgedUpTo;
     std::set<fleet::EndNumber> m_acknowledgedAhead; //!< acknowledged ends above m_acknowledgedUpTo
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -444,6 +444,42 @@
     BOOST_TEST(starts == 1);
 }
 
+//! Found by soak seeds 17 and 25: a worker restarted while a renewal for its former incarnation was on its way, which
+//! then discarded an end of the new one, so that a task which was done ran again.
+BOOST_AUTO_TEST_CASE(renewal_that_reaches_the_next_incarnation_acknowledges_nothing)
+{
+    Cell cell;
+    cell.entries.pop_back();
+    FakeWorker& worker = cell.worker("w1");
+    worker.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(100));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(1000)); // persisted and acknowledged up to number 3
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(100));
+    BOOST_REQUIRE(cell.running() == 1u);
+    const fleet::RunId run { { core::JobId("b"), 0, 0, 0 }, fleet::RunNumber(1) };
+    cell.workers->renewalArrives = [&cell, &worker, &run](const core::VmId&) {
+        if (worker.startedAt == fleet::WorkerStartTime(2))
+            return;
+        // The start order, too, was carried out only by the new incarnation.
+        worker.loseState();
+        worker.startedAt = fleet::WorkerStartTime(2);
+        worker.bornAt = cell.loop->now();
+        worker.running[run] = {};
+        worker.end(run, EndKind::Done);
+    };
+    cell.advance(ms(4000));
+    BOOST_TEST((worker.startedAt == fleet::WorkerStartTime(2)));
+    const auto starts = std::count_if(worker.starts.begin(), worker.starts.end(),
+        [&run](const fleet::StartOrder& it) { return it.runId.task == run.task; });
+    BOOST_TEST(starts == 1);
+    BOOST_TEST((cell.stateOf(jobOf("b", 1, 1000)) == JobState::Completed));
+    BOOST_TEST(worker.ended.empty()); // acknowledged once the new incarnation has reported
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_adopts_running_tasks)
 {
     Cell cell;
--- a/standins/deploymentstandin.cpp
+++ b/standins/deploymentstandin.cpp
@@ -16,7 +16,6 @@
 
 //! The advice service rejects one worker in three; a hash of the step and the worker decides which.
 constexpr std::size_t rejectedOneIn = 3;
-constexpr core::Duration restartDelay = std::chrono::milliseconds(500);
 constexpr core::Duration adviceLatency = std::chrono::milliseconds(5);
 
 //! Texts that are sent instead of the next answers, as a faulty program would.
@@ -67,17 +66,27 @@
                 advise(request, std::move(responder));
             }));
         for (int n = 0; n < m_options.workers; ++n) {
-            const auto answer = [this, n](const http::Request& request, http::Responder responder) {
-                if (!m_oddWorkerAnswers[n].send(responder))
-                    m_tasks.handle(workerId(n), request, std::move(responder));
-            };
-            m_servers.push_back(listenOrExit(loop, workerPort(n), answer));
             m_tasks.worker(workerId(n)).startedAt = fleet::WorkerStartTime(1);
+            m_workerServers[n] = listenAsWorker(n);
             publishWorker(n);
         }
     }
 
 private:
+    //! Listens for one incarnation of a worker. Its connections end with it: what arrives on them later is not
+    //! answered.
+    http::IHttpServerPtr listenAsWorker(int n)
+    {
+        const fleet::WorkerStartTime incarnation = m_tasks.worker(workerId(n)).startedAt;
+        return listenOrExit(
+            m_loop, workerPort(n), [this, n, incarnation](const http::Request& request, http::Responder responder) {
+                if (m_tasks.worker(workerId(n)).startedAt != incarnation)
+                    m_tasks.leaveUnanswered(std::move(responder));
+                else if (!m_oddWorkerAnswers[n].send(responder))
+                    m_tasks.handle(workerId(n), request, std::move(responder));
+            });
+    }
+
     std::uint16_t workerPort(int n) const { return static_cast<std::uint16_t>(m_options.firstPort + 2 + n); }
 
     //! Writes the worker's entry into the worker registry of the store.
@@ -167,15 +176,16 @@
         publishWorker(number, flagOf(value, "draining"));
     }
 
-    //! Restarts the worker: it is silent for `restartDelay`, then answers at the same address and under the same name,
-    //! with a new start time and no state of its former incarnation.
+    //! Restarts the worker: it answers at the same address and under the same name, on new connections only, with a new
+    //! start time and no state of its former incarnation.
     void crash(int number)
     {
         fleet::testing::FakeWorker& it = m_tasks.worker(workerId(number));
         it.loseState();
         it.startedAt = fleet::WorkerStartTime(it.startedAt.value() + 1);
-        it.isSilent = true;
-        m_loop->callAfter(restartDelay, [&it] { it.isSilent = false; });
+        it.bornAt = m_loop->now();
+        m_workerServers[number]->drain();
+        m_servers.push_back(std::exchange(m_workerServers[number], listenAsWorker(number)));
     }
 
     void advise(const http::Request& request, http::Responder responder)
@@ -205,7 +215,8 @@
     std::map<int, OddAnswers> m_oddWorkerAnswers; //!< by the number of the worker
     OddAnswers m_oddStoreAnswers;
     OddAnswers m_oddAdvice;
-    std::vector<http::IHttpServerPtr> m_servers;
+    std::vector<http::IHttpServerPtr> m_servers; //!< including those of workers' former incarnations
+    std::map<int, http::IHttpServerPtr> m_workerServers; //!< of the current incarnations, by the worker's number
 };
 
 std::shared_ptr<DeploymentStandin> startDeployment(const runtime::EventLoopPtr& loop, const DeploymentOptions& options)
--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -127,6 +127,7 @@
     if (body.isMember("deadline_ms"))
         order.leaseUntil = fleet::WorkerClock(integerOf(body, "deadline_ms"));
     order.wait = std::chrono::milliseconds(integerOf(body, "wait_ms"));
+    order.incarnationSeenAt = m_loop->now(); // received by the current incarnation
     m_workers->renewLease({ id, {} }, order, [this, responder](const fleet::LeaseRenewalResult& result) mutable {
         if (result)
             responder.send(jsonResponse(200, encodeReport(result.value())));
@@ -151,7 +152,7 @@
 void TasksStandin::sendRejection(const OrderFailure& failure, http::Responder responder)
 {
     if (failure.code == OrderFailure::Code::Unknown) {
-        m_unanswered.push_back(std::move(responder));
+        leaveUnanswered(std::move(responder));
         return;
     }
     Json::Value body(Json::objectValue);
@@ -160,6 +161,11 @@
     responder.send(jsonResponse(409, body));
 }
 
+void TasksStandin::leaveUnanswered(http::Responder responder)
+{
+    m_unanswered.push_back(std::move(responder));
+}
+
 void TasksStandin::onStarted(fleet::testing::FakeWorker& worker, const fleet::StartOrder& order)
 {
     ++m_starts;
--- a/standins/tasksstandin.h
+++ b/standins/tasksstandin.h
@@ -15,6 +15,8 @@
 
     //! Handles a request to one worker.
     void handle(const core::VmId& id, const http::Request& request, http::Responder responder);
+    //! Keeps the request open for ever.
+    void leaveUnanswered(http::Responder responder);
     fleet::testing::FakeWorker& worker(const core::VmId& id) { return m_workers->workers[id]; }
     //! Returns the number of starts and the jobs that they belong to, the tasks that ran twice, the number of tasks
     //! with an acknowledged end, and the number of running tasks.
