Ignore what a former incarnation of a worker answers late

A report or an answer that is overtaken by a report of the next incarnation was taken for one more restart: all runs counted as lost and started again, beside those that were running; and its clock, far ahead of the new one, went into the leases of all later orders.

Change: a worker knows its former incarnations and ignores their reports; the clock of an answer counts only if the worker has not restarted since the order was sent. Tests, both failing before: late_report_of_a_former_incarnation_is_ignored (3 starts of one task), and late_answer_of_a_former_incarnation_does_not_set_the_clock (a lease of 10 s in place of 5 s).

--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -26,6 +26,8 @@
     int losesStarts = 0; //!< number of next start orders that are carried out but whose answers are lost
     int delaysStarts = 0; //!< number of next start orders that are delayed until `carryOutDelayedStarts`
     std::vector<StartOrder> delayedStarts;
+    core::Duration answerDelay {}; //!< of answers to orders that were carried out
+    std::optional<WorkerReport> overtakenReport; //!< answers the next lease renewal
 
     void end(const RunId& runId, EndKind kind, const std::string& checkpoint = "")
     {
@@ -143,7 +145,10 @@
                 answerUnknown(callback);
                 return;
             }
-            callback(result);
+            if (it.answerDelay > core::Duration(0))
+                m_loop->callAfter(it.answerDelay, [callback, result] { callback(result); });
+            else
+                callback(result);
         });
     }
     void answerUnknown(const std::function<void(OrderResult)>& callback)
@@ -224,7 +229,7 @@
             report.running.push_back(run);
         }
         report.ended = it.ended;
-        callback(report);
+        callback(it.overtakenReport ? *std::exchange(it.overtakenReport, std::nullopt) : report);
     }
 
     runtime::ILoopPtr m_loop;
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -88,6 +88,12 @@
     m_clockAt = m_loop->now();
 }
 
+void Worker::recordClock(const fleet::OrderResult& result, fleet::WorkerStartTime incarnation)
+{
+    if (result && incarnation == m_entry.startedAt)
+        recordClock(result.value());
+}
+
 void Worker::recordLease(fleet::WorkerClock until)
 {
     m_leaseUntil = std::max(m_leaseUntil, until);
@@ -190,11 +196,14 @@
 
 void Worker::applyReport(const fleet::WorkerReport& report, core::TimePoint sentAt)
 {
+    if (m_formerIncarnations.contains(report.startedAt))
+        return; // overtaken by a report of the next incarnation
     const bool isNewIncarnation
         = report.startedAt.value() > 0 && m_entry.startedAt.value() > 0 && report.startedAt != m_entry.startedAt;
     if (isNewIncarnation) {
         // The worker has restarted: its former runs are gone, and the numbering of its ends starts again.
         loseAllRuns();
+        m_formerIncarnations.insert(m_entry.startedAt);
         m_entry.startedAt = report.startedAt;
         m_acknowledgedUpTo = {};
         m_lastEnd = {};
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -137,6 +137,8 @@
     void sampleProgress(const fleet::RunId& runId, WorkerRun& run, int percent);
     void removeUnlistedRuns(const std::set<fleet::RunId>& reported, core::TimePoint sentAt);
     void recordClock(fleet::WorkerClock clock);
+    //! Records the clock in the answer to an order that was sent to `incarnation`.
+    void recordClock(const fleet::OrderResult& result, fleet::WorkerStartTime incarnation);
     void recordLease(fleet::WorkerClock until);
     void onStarted(const fleet::RunId& run, const fleet::OrderResult& result);
     void sendStop(const fleet::RunId& run);
@@ -165,6 +167,7 @@
     fleet::WorkerClock m_clock; //!< last reading received
     core::TimePoint m_clockAt {}; //!< when the reading arrived
     fleet::WorkerClock m_leaseUntil; //!< latest lease end that was sent
+    std::set<fleet::WorkerStartTime> m_formerIncarnations;
     core::TimePoint m_incarnationSeenAt {}; //!< when its last report was requested
     fleet::EndNumber m_lastEnd; //!< highest number reported
     fleet::EndNumber m_acknowledgedUpTo;
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -35,17 +35,19 @@
     sent.fence = m_fence;
     sent.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
-    m_orders->start(address(), sent, [self = weak_from_this(), runId = order.runId](const fleet::OrderResult& result) {
-        const auto it = self.lock();
-        if (it && !it->m_isDetached)
+    m_orders->start(address(), sent,
+        [self = weak_from_this(), runId = order.runId, incarnation = m_entry.startedAt](
+            const fleet::OrderResult& result) {
+            const auto it = self.lock();
+            if (!it || it->m_isDetached)
+                return;
+            it->recordClock(result, incarnation);
             it->onStarted(runId, result);
-    });
+        });
 }
 
 void Worker::onStarted(const fleet::RunId& runId, const fleet::OrderResult& result)
 {
-    if (result)
-        recordClock(result.value());
     const auto found = m_runs.find(runId);
     if (found == m_runs.end())
         return; // its end was reported first
@@ -100,11 +102,14 @@
     if (it == m_runs.end() || it->second.isStopInFlight || m_isDetached)
         return;
     it->second.isStopInFlight = true;
-    m_orders->stop(address(), { runId, m_fence }, [self = weak_from_this(), runId](const fleet::OrderResult& result) {
-        const auto it = self.lock();
-        if (it && !it->m_isDetached)
+    m_orders->stop(address(), { runId, m_fence },
+        [self = weak_from_this(), runId, incarnation = m_entry.startedAt](const fleet::OrderResult& result) {
+            const auto it = self.lock();
+            if (!it || it->m_isDetached)
+                return;
+            it->recordClock(result, incarnation);
             it->onStopped(runId, result);
-    });
+        });
 }
 
 void Worker::onStopped(const fleet::RunId& runId, const fleet::OrderResult& result)
@@ -114,7 +119,6 @@
         return;
     it->second.isStopInFlight = false;
     if (result) {
-        recordClock(result.value());
         it->second.confirmedAt = m_loop->now();
         if (it->second.state == WorkerRun::State::StartUncertain)
             m_loop->callAfter(refreshDelay, [self = weak_from_this()] {
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -512,6 +512,51 @@
     BOOST_TEST(cell.workers->clockOf(first) >= first.leaseUntil);
 }
 
+//! Guards against leases on the clock of an incarnation that has ended.
+BOOST_AUTO_TEST_CASE(late_answer_of_a_former_incarnation_does_not_set_the_clock)
+{
+    Cell cell;
+    cell.entries.pop_back();
+    FakeWorker& worker = cell.worker("w1");
+    worker.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    worker.answerDelay = ms(2000);
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(50));
+    BOOST_REQUIRE(cell.running() == 1u);
+    worker.answerDelay = ms(0);
+    worker.restart(cell.loop->now());
+    cell.advance(ms(1500)); // the new incarnation has reported
+    worker.leaseUntil = 0;
+    cell.advance(ms(3000));
+    BOOST_TEST(worker.leaseUntil > 0);
+    BOOST_TEST(worker.leaseUntil <= cell.workers->clockOf(worker) + core::toMs(cell.times.lease));
+}
+
+//! Guards against runs counting as lost, and starting again, when a report of a former incarnation arrives late.
+BOOST_AUTO_TEST_CASE(late_report_of_a_former_incarnation_is_ignored)
+{
+    Cell cell;
+    cell.entries.pop_back();
+    FakeWorker& worker = cell.worker("w1");
+    worker.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    cell.advance(ms(100));
+    fleet::WorkerReport late;
+    late.clock = fleet::WorkerClock(cell.workers->clockOf(worker));
+    late.startedAt = worker.startedAt;
+    worker.restart(cell.loop->now());
+    cell.advance(ms(2000));
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(50));
+    BOOST_REQUIRE(worker.starts.size() == 1u);
+    worker.overtakenReport = late;
+    cell.advance(ms(3000));
+    BOOST_TEST(!worker.overtakenReport.has_value());
+    BOOST_TEST(worker.starts.size() == 1u);
+    BOOST_TEST(cell.running() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_adopts_running_tasks)
 {
     Cell cell;
