--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -26,6 +26,9 @@
 
 const std::vector<Command>& allCommands();
 
+//! Returns the command with this name; throws UsageError.
+const Command& findCommand(const std::string& name);
+
 //! Runs the command named by the first argument; `arguments` excludes the program's name. Returns the exit code.
 int runProgram(const std::vector<std::string>& arguments);
 
