Split the scheduling tests by subject

Tests of the exchange with workers and of the leadership are in files of their own; five cases share the set-up of a leader with one worker, two the count of a task's starts.

--- a/src/app/internal/cellcommands.cpp
+++ b/src/app/internal/cellcommands.cpp
@@ -83,8 +83,7 @@
     NodeClient client = it.client();
     const auto answer = client.call("GET", "/v1/workers");
     if (answer.exitCode == ExitCode::Ok)
-        print(
-            answer.body, it.output(), "vms", { "id", "role", "state", "rack", "failureDomain", "partition" });
+        print(answer.body, it.output(), "vms", { "id", "role", "state", "rack", "failureDomain", "partition" });
     return answer.exitCode;
 }
 
--- /dev/null
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -0,0 +1,325 @@
+//! Tests of the leader and the store: what is persisted when, changes of the leader, and what the next one takes over.
+
+#include "scheduling/tests/cell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::scheduling;
+using namespace sardinerun::scheduling::testing;
+using fleet::EndKind;
+using workflow::JobState;
+using workflow::WorkflowOutcome;
+
+//! Guards against callers that wait for a leader that has lost its leadership.
+BOOST_AUTO_TEST_CASE(calls_without_effect_are_answered_when_the_leadership_ends)
+{
+    Cell cell;
+    cell.lead();
+    std::vector<WorkflowOutcome> answers;
+    const auto send = [&](const std::string& id, std::uint64_t knownConfig) {
+        workflow::WorkflowCall call;
+        call.kind = workflow::CallKind::Submit;
+        call.host = "h";
+        call.path = "/q/" + id;
+        call.spec = jobOf(id, 1, 1000);
+        call.knownConfig = core::ConfigVersion(knownConfig);
+        cell.engine->handle(call, [&answers](const workflow::WorkflowResult& it) { answers.push_back(it.outcome); });
+    };
+    send("deferred", 2); // waits for a configuration that the leader does not have yet
+    send("unsent", 1); // its record was not sent to the store yet
+    BOOST_TEST(answers.empty());
+    cell.former.reset();
+    cell.engine.reset();
+    BOOST_REQUIRE(answers.size() == 2u);
+    BOOST_TEST((answers[0] == WorkflowOutcome::NotNow));
+    BOOST_TEST((answers[1] == WorkflowOutcome::NotNow));
+}
+
+//! Guards against a roster that outgrows the limit of a value, so that the store refuses all writes of the leader.
+BOOST_AUTO_TEST_CASE(jobs_are_accepted_and_adopted_in_a_fleet_of_many_workers)
+{
+    Cell cell;
+    cell.entries.clear();
+    for (int n = 0; n < 600; ++n)
+        cell.addWorker("worker-with-a-long-name-" + std::to_string(n));
+    cell.lead();
+    const auto job = jobOf("a", 600, 4000);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+    cell.advance(ms(500));
+    BOOST_TEST(cell.running() == 600u);
+    cell.entries.clear(); // the next leader knows the workers from the roster only
+    cell.lead();
+    cell.advance(ms(1000));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(2000));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 600u);
+}
+
+//! Guards against a submission that is refused although its record was persisted with the release of the leadership, so
+//! that the next leader runs it.
+BOOST_AUTO_TEST_CASE(submission_that_is_persisted_with_the_release_is_accepted)
+{
+    Cell cell;
+    cell.lead();
+    workflow::WorkflowCall call;
+    call.kind = workflow::CallKind::Submit;
+    call.host = "h";
+    call.path = "/q/a";
+    call.spec = jobOf("a", 1, 1000);
+    std::vector<WorkflowOutcome> answers;
+    cell.engine->handle(call, [&answers](const workflow::WorkflowResult& it) { answers.push_back(it.outcome); });
+    cell.engine->release(false, [] {});
+    cell.advance(ms(100));
+    cell.former.reset();
+    cell.engine.reset();
+    BOOST_REQUIRE(answers.size() == 1u);
+    BOOST_TEST((answers[0] == WorkflowOutcome::Accepted));
+    cell.lead();
+    BOOST_TEST((cell.submit(call.spec) == WorkflowOutcome::Accepted));
+    cell.advance(ms(100));
+    BOOST_TEST(cell.starts() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_adopts_running_tasks)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 3, 1000);
+    const auto gang = jobOf("gang", 4, 1000, true);
+    cell.submit(job);
+    cell.submit(gang);
+    cell.advance(ms(200));
+    BOOST_TEST(cell.running() == 7u);
+    cell.lead();
+    BOOST_TEST(cell.starts() == 7u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST((cell.stateOf(gang) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_refuses_no_job_because_workers_have_not_answered_yet)
+{
+    Cell cell;
+    cell.lead();
+    const auto running = jobOf("a", 4, 2000);
+    cell.submit(running);
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(100));
+    cell.workers->latency = ms(3000);
+    cell.lead(ms(0));
+    BOOST_TEST((cell.submit(jobOf("c", 1, 1000)) == WorkflowOutcome::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_counts_failures_independently_of_their_order)
+{
+    // Two runs of one task fail on two workers during a store outage; the newer end is read first.
+    Cell cell;
+    cell.queue.maxAttempts = 2;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Failed);
+    cell.advance(ms(300));
+    cell.endAll(EndKind::Failed);
+    BOOST_TEST(cell.starts() == 2u);
+    cell.store->isDown = false;
+    cell.engine.reset();
+    cell.lead();
+    BOOST_TEST((cell.stateOf(job) == JobState::Failed));
+    BOOST_TEST(cell.starts() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(ends_of_a_job_are_acknowledged_only_once_its_final_state_is_persisted)
+{
+    // The worker leaves the registry and returns during a store outage, so it lists its ends again.
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    const std::string name = cell.worker("w1").running.empty() ? "w2" : "w1";
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    const auto all = cell.entries;
+    cell.engine->setWorkers({});
+    cell.advance(ms(4000));
+    cell.engine->setWorkers(all);
+    cell.advance(ms(1000));
+    BOOST_TEST(cell.worker(name).ended.size() == 1u);
+    cell.store->isDown = false;
+    cell.engine.reset();
+    cell.lead();
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_waits_for_unresponsive_workers_before_it_starts_recovered_tasks)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    const std::string first = cell.worker("w1").running.empty() ? "w2" : "w1";
+    const std::string other = first == "w1" ? "w2" : "w1";
+    cell.worker(first).isSilent = true;
+    cell.lead();
+    BOOST_TEST(cell.worker(other).running.empty());
+    BOOST_TEST((cell.submit(jobOf("new", 1, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(200));
+    BOOST_TEST(cell.worker(other).running.size() == 1u); // new jobs don't wait
+    cell.advance(std::chrono::seconds(20));
+    BOOST_TEST(cell.worker(other).running.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(job_is_not_accepted_before_the_store_has_persisted_it)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->isDown = true;
+    const auto job = jobOf("a", 1, 1000);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::NotNow));
+    cell.advance(ms(500));
+    cell.store->isDown = false;
+    cell.advance(ms(2000));
+    BOOST_TEST(cell.starts() == 0u);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(lost_answer_of_the_store_neither_loses_nor_duplicates_a_job)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->losesAnswers = 1;
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.starts() == 1u);
+    BOOST_TEST(!cell.isLeadershipLost);
+}
+
+//! Guards against submissions that time out while the store is sixty times slower than usual and many callers submit.
+BOOST_AUTO_TEST_CASE(submission_that_a_slow_store_cannot_persist_in_time_is_refused_immediately)
+{
+    Cell cell;
+    for (int n = 0; n < 30; ++n)
+        cell.addWorker("more" + std::to_string(n), 40000);
+    cell.lead();
+    cell.store->latency = ms(400);
+    cell.submit(jobOf("first", 1, 100));
+    std::map<WorkflowOutcome, int> counts;
+    int refusedImmediately = 0;
+    for (int n = 0; n < 600; ++n) {
+        workflow::WorkflowCall call;
+        call.kind = workflow::CallKind::Submit;
+        call.host = "h";
+        call.spec = jobOf("job" + std::to_string(n), 1, 100);
+        call.path = "/q/" + call.spec.id.value();
+        call.timeout = ms(1200);
+        cell.engine->handle(call, [&counts](const workflow::WorkflowResult& it) { ++counts[it.outcome]; });
+        refusedImmediately = counts[WorkflowOutcome::NotNow];
+    }
+    cell.advance(ms(3000));
+    BOOST_TEST(refusedImmediately >= 200);
+    BOOST_TEST(counts[WorkflowOutcome::Accepted] >= 100);
+    BOOST_TEST(counts[WorkflowOutcome::Uncertain] == 0);
+    BOOST_TEST(counts[WorkflowOutcome::NotNow] == refusedImmediately); // no caller waits and is refused later
+}
+
+BOOST_AUTO_TEST_CASE(record_is_written_without_waiting_for_the_next_heartbeat)
+{
+    Cell cell;
+    cell.lead();
+    cell.advance(ms(1700)); // a heartbeat has just been written, so the next one is not due soon
+    const core::TimePoint before = cell.loop->now();
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkflowOutcome::Accepted));
+    BOOST_TEST((cell.loop->now() - before < ms(60)));
+}
+
+BOOST_AUTO_TEST_CASE(leader_that_releases_during_a_heartbeat_write_is_recorded_as_released)
+{
+    Cell cell;
+    cell.lead();
+    for (int n = 0; n < 100; ++n) { // covers the time in which a heartbeat is written
+        Cell other;
+        other.lead();
+        other.advance(ms(700 + n * 2));
+        bool isDone = false;
+        other.engine->release(false, [&isDone] { isDone = true; });
+        other.advance(ms(100));
+        BOOST_REQUIRE(isDone);
+        const auto row = lead::decodeLeaderRow(other.store->rows[lead::leaderKey()].value);
+        BOOST_REQUIRE(row->isReleased);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(leader_that_writes_heartbeats_keeps_its_leadership)
+{
+    Cell cell;
+    cell.lead();
+    const EnginePtr first = cell.engine;
+    cell.elect(ms(3000));
+    BOOST_TEST((cell.engine == first));
+    BOOST_TEST(!cell.isLeadershipLost);
+}
+
+BOOST_AUTO_TEST_CASE(store_outage_for_all_nodes_causes_no_change_of_leader_despite_invitations)
+{
+    Cell cell;
+    cell.lead();
+    const EnginePtr first = cell.engine;
+    cell.elect(ms(100));
+    cell.store->isDown = true;
+    for (int n = 0; n < 10; ++n) {
+        cell.election->invite(core::Epoch(1));
+        cell.advance(ms(350));
+    }
+    cell.store->isDown = false;
+    cell.advance(ms(3000));
+    BOOST_TEST((cell.engine == first));
+    BOOST_TEST(!cell.isLeadershipLost);
+}
+
+BOOST_AUTO_TEST_CASE(invitation_is_followed_by_the_node_with_the_shortest_candidacy_delay)
+{
+    Cell cell;
+    cell.lead();
+    std::string winner;
+    const auto candidate = [&](const char* name, core::Duration candidacyDelay) {
+        lead::ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
+        hooks.won = [&winner, name](const lead::WonElection&) { winner = winner.empty() ? name : winner; };
+        auto it = lead::Election::create(cell.loop, cell.store, core::NodeId(name), { "127.0.0.1", 7000 },
+            cell.leaderTimes, candidacyDelay, std::move(hooks));
+        it->start();
+        return it;
+    };
+    const auto small = candidate("small", ms(600));
+    const auto large = candidate("large", ms(0));
+    cell.advance(ms(200));
+    cell.engine.reset(); // it writes no more heartbeats
+    cell.advance(ms(1000));
+    small->invite(core::Epoch(1));
+    cell.advance(ms(20));
+    large->invite(core::Epoch(1));
+    cell.advance(ms(1100));
+    BOOST_TEST(winner == "large");
+}
+
+BOOST_AUTO_TEST_CASE(invitation_is_followed_by_a_node_that_reaches_the_store)
+{
+    Cell cell;
+    cell.lead();
+    cell.elect(ms(100));
+    cell.engine.reset(); // it writes no more heartbeats
+    cell.former.reset();
+    cell.election->invite(core::Epoch(1));
+    cell.advance(ms(1400)); // well before the leader timeout
+    BOOST_TEST(bool(cell.engine));
+}
--- /dev/null
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -0,0 +1,317 @@
+//! Tests of the leader's exchange with workers: lost and late answers, leases, restarts, and slow or hung workers.
+
+#include "scheduling/speedtracker.h"
+#include "scheduling/tests/cell.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+using namespace sardinerun;
+using namespace sardinerun::scheduling;
+using namespace sardinerun::scheduling::testing;
+using fleet::EndKind;
+using workflow::JobState;
+
+namespace {
+
+//! A leader with one worker, in its first incarnation.
+struct OneWorkerCell : Cell {
+    OneWorkerCell()
+    {
+        entries.pop_back();
+        worker("w1").startedAt = fleet::WorkerStartTime(1);
+        lead();
+    }
+};
+
+std::ptrdiff_t startsOf(const FakeWorker& worker, const fleet::TaskId& task)
+{
+    return std::count_if(worker.starts.begin(), worker.starts.end(),
+        [&task](const fleet::StartOrder& it) { return it.runId.task == task; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(start_with_a_lost_answer_is_resolved_before_the_next_start)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w1").losesStarts = 1;
+    cell.worker("w2").losesStarts = 1;
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    std::size_t most = 0;
+    for (int n = 0; n < 300; ++n) {
+        cell.advance(ms(10));
+        most = std::max(most, cell.running());
+    }
+    BOOST_TEST(most == 1u);
+    BOOST_TEST(cell.running() == 1u);
+    BOOST_TEST(cell.starts() >= 2u);
+}
+
+BOOST_AUTO_TEST_CASE(delayed_start_order_runs_no_task_twice)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w1").delaysStarts = 1;
+    cell.worker("w2").delaysStarts = 1;
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.running() == 1u);
+    cell.workers->carryOutDelayedStarts(core::VmId("w1"));
+    cell.workers->carryOutDelayedStarts(core::VmId("w2"));
+    BOOST_TEST(cell.running() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_an_unresponsive_worker_are_restarted_only_after_its_lease_has_expired)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(300));
+    const std::string first = cell.worker("w1").running.empty() ? "w2" : "w1";
+    const std::string other = first == "w1" ? "w2" : "w1";
+    cell.worker(first).isSilent = true;
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.worker(other).running.empty()); // the run may still be alive on the other worker
+    cell.advance(ms(5000));
+    BOOST_TEST(cell.worker(other).running.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(tasks_of_a_restarted_worker_are_restarted_immediately)
+{
+    Cell cell;
+    cell.worker("w1").startedAt = fleet::WorkerStartTime(5);
+    cell.worker("w2").startedAt = fleet::WorkerStartTime(5);
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(300));
+    FakeWorker& first = cell.worker("w1").running.empty() ? cell.worker("w2") : cell.worker("w1");
+    first.loseState();
+    first.startedAt = fleet::WorkerStartTime(9);
+    cell.advance(ms(1500));
+    BOOST_TEST(cell.running() == 1u);
+    BOOST_TEST(cell.starts() == 2u);
+}
+
+//! Found by soak seed 2: acknowledgements for a former incarnation let the worker discard ends of the next one, as the
+//! numbering of ends starts again with each incarnation.
+BOOST_AUTO_TEST_CASE(acknowledged_ends_of_a_former_incarnation_do_not_affect_the_next)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(100));
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Done); // reported, but not persisted before the worker restarts
+    cell.advance(ms(100));
+    worker.loseState();
+    worker.startedAt = fleet::WorkerStartTime(2);
+    cell.advance(ms(1500));
+    cell.store->isDown = false;
+    cell.advance(ms(1000));
+    cell.submit(jobOf("b", 3, 1000));
+    cell.advance(ms(100));
+    BOOST_REQUIRE(cell.running() == 3u);
+    worker.end(fleet::RunId(worker.running.begin()->first), EndKind::Done);
+    cell.advance(ms(500));
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(500));
+    BOOST_TEST(worker.ended.size() == 2u); // listed until they are persisted
+    cell.store->isDown = false;
+    cell.advance(ms(3000));
+    BOOST_TEST((cell.stateOf(jobOf("b", 3, 1000)) == JobState::Completed));
+    BOOST_TEST(cell.starts() == 6u);
+}
+
+//! A worker that restarts between two lease renewals numbers its ends from the beginning, so acknowledged numbers of
+//! the former incarnation would discard ends of the new one.
+BOOST_AUTO_TEST_CASE(after_a_failed_renewal_no_end_is_acknowledged_until_the_worker_has_reported)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(100));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(500)); // persisted and acknowledged up to number 3
+    cell.submit(jobOf("b", 2, 1000));
+    cell.advance(ms(100));
+    worker.isSilent = true;
+    cell.advance(ms(1800));
+    worker.loseState();
+    worker.startedAt = fleet::WorkerStartTime(2);
+    // A delayed start order is carried out by the new incarnation, and the run ends.
+    worker.running[{ { core::JobId("b"), 0, 0, 0 }, fleet::RunNumber(1) }] = {};
+    worker.end({ { core::JobId("b"), 0, 0, 0 }, fleet::RunNumber(1) }, EndKind::Done);
+    worker.isSilent = false;
+    cell.advance(ms(3000));
+    BOOST_TEST(startsOf(worker, { core::JobId("b"), 0, 0, 0 }) == 1);
+}
+
+//! Found by soak seeds 17 and 25: a worker restarted while a renewal for its former incarnation was on its way, which
+//! then discarded an end of the new one, so that a task which was done ran again.
+BOOST_AUTO_TEST_CASE(renewal_that_reaches_the_next_incarnation_acknowledges_nothing)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(100));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(1000)); // persisted and acknowledged up to number 3
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(100));
+    BOOST_REQUIRE(cell.running() == 1u);
+    const fleet::RunId run { { core::JobId("b"), 0, 0, 0 }, fleet::RunNumber(1) };
+    cell.workers->renewalArrives = [&cell, &worker, &run](const core::VmId&) {
+        if (worker.startedAt == fleet::WorkerStartTime(2))
+            return;
+        // The start order, too, was carried out only by the new incarnation.
+        worker.restart(cell.loop->now());
+        worker.running[run] = {};
+        worker.end(run, EndKind::Done);
+    };
+    cell.advance(ms(4000));
+    BOOST_TEST((worker.startedAt == fleet::WorkerStartTime(2)));
+    BOOST_TEST(startsOf(worker, run.task) == 1);
+    BOOST_TEST((cell.stateOf(jobOf("b", 1, 1000)) == JobState::Completed));
+    BOOST_TEST(worker.ended.empty()); // acknowledged once the new incarnation has reported
+}
+
+//! Guards against a task running twice: a start order for the former incarnation of a worker has a lease on the former
+//! clock, which the next incarnation takes for its longest lease. If that one turns silent, its run lasts that long.
+BOOST_AUTO_TEST_CASE(lease_of_an_order_for_the_former_incarnation_is_waited_for)
+{
+    Cell cell;
+    const std::vector<fleet::WorkerEntry> both = cell.entries;
+    cell.entries.pop_back();
+    FakeWorker& first = cell.worker("w1");
+    first.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(100));
+    BOOST_REQUIRE(cell.running() == 1u);
+    const fleet::RunId run { { core::JobId("a"), 0, 0, 0 }, fleet::RunNumber(1) };
+    cell.workers->renewalArrives = [&cell, &first, &run](const core::VmId&) {
+        if (first.startedAt == fleet::WorkerStartTime(2))
+            return;
+        // The start order was carried out by the new incarnation, too.
+        first.restart(cell.loop->now());
+        first.running[run] = { run, "", 0, 0 };
+        first.leaseUntil = core::toMs(cell.workers->longestLease);
+    };
+    while (first.startedAt == fleet::WorkerStartTime(1))
+        cell.advance(ms(10));
+    cell.advance(ms(1050)); // it has reported
+    first.isSilent = true;
+    cell.engine->setWorkers(both);
+    const FakeWorker& second = cell.worker("w2");
+    for (int n = 0; n < 2000 && second.starts.empty(); ++n)
+        cell.advance(ms(10));
+    BOOST_TEST(second.starts.size() == 1u);
+    BOOST_TEST(cell.workers->clockOf(first) >= first.leaseUntil);
+}
+
+//! Guards against leases on the clock of an incarnation that has ended.
+BOOST_AUTO_TEST_CASE(late_answer_of_a_former_incarnation_does_not_set_the_clock)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    worker.answerDelay = ms(2000);
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(50));
+    BOOST_REQUIRE(cell.running() == 1u);
+    worker.answerDelay = ms(0);
+    worker.restart(cell.loop->now());
+    cell.advance(ms(1500)); // the new incarnation has reported
+    worker.leaseUntil = 0;
+    cell.advance(ms(3000));
+    BOOST_TEST(worker.leaseUntil > 0);
+    BOOST_TEST(worker.leaseUntil <= cell.workers->clockOf(worker) + core::toMs(cell.times.lease));
+}
+
+//! Guards against runs counting as lost, and starting again, when a report of a former incarnation arrives late.
+BOOST_AUTO_TEST_CASE(late_report_of_a_former_incarnation_is_ignored)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.advance(ms(100));
+    fleet::WorkerReport late;
+    late.clock = fleet::WorkerClock(cell.workers->clockOf(worker));
+    late.startedAt = worker.startedAt;
+    worker.restart(cell.loop->now());
+    cell.advance(ms(2000));
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(50));
+    BOOST_REQUIRE(worker.starts.size() == 1u);
+    worker.overtakenReport = late;
+    cell.advance(ms(3000));
+    BOOST_TEST(!worker.overtakenReport.has_value());
+    BOOST_TEST(worker.starts.size() == 1u);
+    BOOST_TEST(cell.running() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(task_is_not_restarted_while_its_former_run_is_being_stopped)
+{
+    // One member of a gang of the former leader is lost, so the remaining members are stopped first.
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("gang", 4, 1000, true));
+    cell.advance(ms(200));
+    FakeWorker& worker = cell.worker("w1").running.empty() ? cell.worker("w2") : cell.worker("w1");
+    worker.running.erase(worker.running.begin());
+    cell.lead(ms(50));
+    std::set<std::uint32_t> indexes;
+    for (int n = 0; n < 200; ++n) {
+        cell.advance(ms(5));
+        indexes.clear();
+        std::size_t runs = 0;
+        for (auto& [id, it] : cell.workers->workers) {
+            for (const auto& [runId, run] : it.running) {
+                indexes.insert(runId.task.index);
+                ++runs;
+            }
+        }
+        BOOST_REQUIRE(indexes.size() == runs); // no member runs twice
+    }
+    BOOST_TEST(indexes.size() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(hung_task_is_restarted_on_another_worker)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w1").isHung = true;
+    cell.submit(jobOf("a", 1, 4000));
+    cell.submit(jobOf("b", 1, 4000));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 2u);
+    cell.worker("w2").end(cell.worker("w2").running.begin()->first, EndKind::Done);
+    cell.advance(ms(4000));
+    BOOST_TEST(cell.worker("w2").running.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(slow_worker_is_detected_despite_inaccurate_estimates)
+{
+    SpeedTracker tracker;
+    core::TimePoint now { std::chrono::hours(1) };
+    std::uint64_t state = 7;
+    const auto noise = [&state] { // factor between 1/4 and 4
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        return std::exp((double(state >> 40) / double(1 << 24) - 0.5) * 2.7);
+    };
+    for (int round = 0; round < 200; ++round) {
+        now += ms(50);
+        for (int n = 0; n < 10; ++n) {
+            const double speed = n == 3 && round >= 150 ? 0.15 : 1;
+            tracker.onProgress(core::VmId("w" + std::to_string(n)), "q",
+                { 0.2 * speed, ms(200), core::Duration(std::int64_t(1'000'000 * noise())) }, now);
+        }
+        BOOST_REQUIRE(round >= 150 || !tracker.isSlow(core::VmId("w3"), now));
+        BOOST_REQUIRE(!tracker.isSlow(core::VmId("w5"), now));
+    }
+    BOOST_TEST(tracker.isSlow(core::VmId("w3"), now));
+    BOOST_TEST(!tracker.isSlow(core::VmId("w3"), now + std::chrono::seconds(5))); // the worker is used again
+}
