Follow the list of VMs past entries that cannot be read

What is seen: one odd entry among the VMs (port 70000, 1e400, deep nesting) made the whole list of `serve` unreadable. Nodes kept the last list without a line in the log and followed no change of it: new workers got no work, leaving ones went on getting it. The other path, `dispatch`, reads each entry by itself and was not affected.

Change: the list is split into its elements before any is decoded, so that nesting and numbers of one entry do not matter to the others; entries that cannot be read are passed over and logged. A list with brackets that do not match, or without "vms", is an error as before; `{}` was taken for an empty list, and is an error now. Not taken: a higher limit of nesting (there is always a deeper entry).

--- a/src/services/internal/httpservices.cpp
+++ b/src/services/internal/httpservices.cpp
@@ -1,6 +1,7 @@
 #include "services/httpservices.h"
 
 #include "services/servicescodec.h"
+#include "telemetry/log.h"
 
 namespace sardinerun::services {
 
@@ -118,12 +119,14 @@
     {
         if (result && result.value().status == NotModified)
             return m_last;
-        VmsResult list = readAnswer<std::vector<VmInfo>>(result, decodeVms);
-        if (list) {
-            m_last = list.value();
-            m_etag = std::string(http::findHeader(result.value().headers, "etag").value_or(""));
-        }
-        return list;
+        const auto decoded = readAnswer<DecodedVms>(result, decodeVms);
+        if (!decoded)
+            return core::Failure { decoded.error() };
+        for (const std::string& it : decoded.value().unreadable)
+            telemetry::LogLine(telemetry::Severity::Warning, "vmUnreadable").with("why", it);
+        m_last = decoded.value().vms;
+        m_etag = std::string(http::findHeader(result.value().headers, "etag").value_or(""));
+        return m_last;
     }
 
     http::IHttpClientPtr m_client;
--- a/src/services/internal/servicescodec.cpp
+++ b/src/services/internal/servicescodec.cpp
@@ -1,5 +1,7 @@
 #include "services/servicescodec.h"
 
+#include "codec/listtexts.h"
+
 #include <array>
 
 namespace sardinerun::services {
@@ -130,8 +132,9 @@
     return value;
 }
 
-VmInfo decodeVm(codec::ObjectReader& reader)
+VmInfo decodeVm(const Json::Value& value)
 {
+    codec::ObjectReader reader(value);
     VmInfo it;
     it.id = decodeName<core::VmId>(reader, "id");
     const std::string role = reader.text("role", maxName);
@@ -269,14 +272,23 @@
     return codec::writeJson(value);
 }
 
-std::vector<VmInfo> decodeVms(std::string_view text)
+DecodedVms decodeVms(std::string_view text)
 {
-    const Json::Value value = codec::parseJson(text);
-    codec::ObjectReader reader(value);
-    std::vector<VmInfo> vms;
-    for (codec::ObjectReader& it : reader.objects("vms", maxRows))
-        vms.push_back(decodeVm(it));
-    return vms;
+    const codec::ListTexts list = codec::splitList(text);
+    const Json::Value envelope = codec::parseJson(list.envelope);
+    if (!codec::ObjectReader(envelope).raw("vms").isArray())
+        throw codec::DecodeError("vms", "must be a list");
+    if (list.elements.size() > maxRows)
+        throw codec::DecodeError("vms", "has too many elements");
+    DecodedVms decoded;
+    for (const std::string_view it : list.elements) {
+        try {
+            decoded.vms.push_back(codec::decodeJson(it, decodeVm));
+        } catch (const codec::DecodeError& error) {
+            decoded.unreadable.emplace_back(error.what());
+        }
+    }
+    return decoded;
 }
 
 std::string encodeSync(const WorkerSync& it)
--- a/src/services/servicescodec.h
+++ b/src/services/servicescodec.h
@@ -17,7 +17,12 @@
 std::vector<Row> decodeRows(std::string_view text);
 
 std::string encodeVms(const std::vector<VmInfo>& vms);
-std::vector<VmInfo> decodeVms(std::string_view text);
+//! A list of VMs, as far as it can be read.
+struct DecodedVms {
+    std::vector<VmInfo> vms;
+    std::vector<std::string> unreadable; //!< why each of the other entries cannot be read
+};
+DecodedVms decodeVms(std::string_view text);
 
 std::string encodeSync(const WorkerSync& it);
 WorkerSync decodeSync(std::string_view text);
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -56,6 +56,10 @@
             return setFaults(request.body);
         if (request.path == "/control/vms")
             return putVms(request.body);
+        if (request.path == "/control/odd-vms") {
+            m_oddVms = request.body;
+            return jsonResponse(200, Json::Value(Json::objectValue));
+        }
         if (request.path == "/control/stats")
             return stats();
         if (m_isDown)
@@ -99,7 +103,9 @@
             else if (const auto former = m_formerVms.find(id); former != m_formerVms.end())
                 visible.push_back(former->second);
         }
-        const std::string body = services::encodeVms(visible);
+        std::string body = services::encodeVms(visible);
+        if (!m_oddVms.empty())
+            body.insert(body.find('[') + 1, m_oddVms + (visible.empty() ? "" : ","));
         const std::string tag = std::to_string(std::hash<std::string>()(body));
         if (http::findHeader(request.headers, "if-none-match") == tag)
             return { 304, { { "etag", tag } }, "" };
@@ -122,7 +128,7 @@
 
     http::Response putVms(const std::string& body)
     {
-        for (const services::VmInfo& it : services::decodeVms(body)) {
+        for (const services::VmInfo& it : services::decodeVms(body).vms) {
             if (const auto former = m_vms.find(it.id); former != m_vms.end())
                 m_formerVms[it.id] = former->second.vm;
             m_vms[it.id] = { it, m_loop->now() };
@@ -144,6 +150,7 @@
     services::testing::FakeStore m_store;
     std::map<core::VmId, ListedVm> m_vms;
     std::map<core::VmId, services::VmInfo> m_formerVms;
+    std::string m_oddVms; //!< entries of another writer, as text
     std::vector<http::Responder> m_unanswered;
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -157,6 +157,13 @@
                           n, n % 3, self.callers[n], self.inner[n], self._platform(n), self.partitions, self.lease_ms, self.settings))
         self.nodes[n] = self._start("node-%d" % n, os.path.join(BUILD, "src", "app", "sardinerun"), "serve", "--config", path)
 
+    def add_workers(self, count):
+        """Starts further workers, which register themselves."""
+        ports = self.ports.reserve(count)
+        self.worker_ports += ports
+        self._standin("workers", "--platform", self._platform(), "--count", count, "--port", ports[0], "--cpu", 8000,
+                      "--memory", 32768, "--lease-ms", self.lease_ms, "--prefix", "added")
+
     # --- Requests to nodes
 
     def call(self, node, *arguments, **named):
--- a/tests/process/faults_tests.py
+++ b/tests/process/faults_tests.py
@@ -104,6 +104,20 @@
             refused = [it for it in cell.logged("submit") if it["outcome"] == 1]
             self.assertEqual({it["reason"] for it in refused}, {"storeDown"})
 
+    def test_odd_vms_do_not_keep_nodes_from_following_the_list(self):
+        """Guards against one odd entry among the VMs making the whole list unreadable."""
+        port = '{"id":"odd","role":"worker","state":"live","rack":"r","failureDomain":"d","host":"127.0.0.1","port":%s,"capacity":{}}'
+        deep = "[" * 100000 + "]" * 100000
+        for odd in (port % 70000, port % "18446744073709551616", port % "1e400", port % deep, deep):
+            with Cell(workers=2) as cell:
+                self.assertEqual(call(cell.platform_port, "POST", "/control/odd-vms", odd)[0], 200)
+                time.sleep(2)
+                cell.add_workers(2)
+                cell.wait_until(cell.is_ready, "new workers in use", 15)
+                self.assertTrue(cell.logged("vmUnreadable"))
+                self.assertTrue(all(it.process.poll() is None for it in cell.nodes.values()), "a node ended")
+                self.assertEqual(cell.submit(0, key="beside-odd-vms")[0], 202)
+
     def test_two_operators_at_once(self):
         with Cell() as cell:
             for _ in range(5):
