--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -69,6 +69,7 @@
     core::Duration pollPeriod
         = std::chrono::milliseconds(5); //!< interval at which a waiting lease renewal checks for ended runs
     std::function<void(const EndedRun&)> endAcknowledged; //!< called for each end that the leader has acknowledged
+    //! Called when a lease renewal reaches a worker, before it takes effect.
     std::function<void(const core::VmId&)> renewalArrives = [](const core::VmId&) {};
     core::Duration latency = std::chrono::milliseconds(2);
     core::Duration longestLease = std::chrono::seconds(10); //!< later ends of leases are shortened to this
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -361,7 +361,7 @@
     h2o_http1client_ctx_t m_context {};
     h2o_timeout_t m_ioTimeout {};
     std::map<core::HostPort, std::unique_ptr<Pool>> m_pools;
-    std::map<int, core::TimePoint> m_openedAt; //!< by descriptor; of each connection's last use of that descriptor
+    std::map<int, core::TimePoint> m_openedAt; //!< by descriptor; replaced when a new connection gets the descriptor
     const Call* m_connecting = nullptr; //!< the call for which a connection is being requested
     bool m_isPoolSweepScheduled = false;
 };
