--- a/tests/docs_tests.py
+++ b/tests/docs_tests.py
@@ -54,6 +54,23 @@
         code.add("log-lines-dropped")
         self.assertEqual(sorted(page - code), [], "log events missing from the code")
 
+    def test_named_tests(self):
+        """Every test that the pages of proofs and incidents name in full exists in the code."""
+        pages = ["docs/PROOFS.md"] + ["docs/incidents/" + it for it in os.listdir(os.path.join(SOURCE, "docs/incidents"))]
+        named = set()
+        for it in pages:
+            named |= set(re.findall(r"(?<![\w/])[a-z0-9]+(?:_[a-z0-9]+){4,}(?![\w…])", read(it)))
+        code = set()
+        for folder in ("src", "platform", "tests"):
+            for path, _, names in os.walk(os.path.join(SOURCE, folder)):
+                for name in names:
+                    if name.endswith(("_tests.cpp", "_tests.py")):
+                        text = read(os.path.join(path, name))
+                        code |= set(re.findall(r"_TEST_CASE\((\w+)", text)) | set(re.findall(r"def test_(\w+)", text))
+        code |= {"process_" + it for it in code}
+        self.assertTrue(named, "found no names of tests on the pages")
+        self.assertEqual(sorted(named - code), [], "tests missing from the code")
+
     def test_configuration(self):
         section = read("docs/OPERATIONS.md").split("## Configuration of all nodes")[1].split("\n## ")[0]
         page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
