--- a/src/codec/internal/json.cpp
+++ b/src/codec/internal/json.cpp
@@ -3,6 +3,7 @@
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
+#include <sstream>
 
 namespace sardinerun::codec {
 
@@ -28,12 +29,20 @@
     return builder;
 }
 
+Json::StreamWriterBuilder compactWriter()
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return builder;
+}
+
 } // namespace
 
 Json::Value parseJson(std::string_view text)
 {
-    static const Json::CharReaderBuilder builder = strictReader();
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    // Creating a reader evaluates all of its settings, which takes longer than parsing a short message.
+    thread_local const std::unique_ptr<Json::CharReader> reader(strictReader().newCharReader());
     Json::Value value;
     std::string problem;
     try {
@@ -47,13 +56,10 @@
 
 std::string writeJson(const Json::Value& value)
 {
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder it;
-        it["indentation"] = "";
-        it["emitUTF8"] = true;
-        return it;
-    }();
-    return Json::writeString(builder, value);
+    thread_local const std::unique_ptr<Json::StreamWriter> writer(compactWriter().newStreamWriter());
+    std::ostringstream buf;
+    writer->write(value, &buf);
+    return std::move(buf).str();
 }
 
 ObjectReader::ObjectReader(const Json::Value& value, std::string path)
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -7,12 +7,16 @@
 
 namespace sardinerun::scheduling {
 
-//! State of the fleet and the queues on which admission of a job depends.
-struct AdmissionInputs {
-    core::Resources largestWorker; //!< component-wise maximum over the workers that the queue may use
+//! The workers that a queue may use.
+struct FleetRoom {
+    core::Resources largestWorker; //!< component-wise maximum over all of them
     std::int64_t workers = 0;
-    double cores = 0; //!< total of those workers, without unresponsive and quarantined ones
+    double cores = 0; //!< in total, without unresponsive and quarantined workers
     double freeCores = 0; //!< of `cores`, those not in use
+};
+
+//! State of the fleet and the queues on which admission of a job depends.
+struct AdmissionInputs : FleetRoom {
     double coreSecondsAhead = 0; //!< pending work that would start before this job
     double lateCoreSeconds = 0; //!< pending work of jobs that can't meet their objective any more; not ahead
     //! Pending gangs of more urgent queues, which start only when all of their tasks fit.
--- a/src/scheduling/advicecandidates.h
+++ b/src/scheduling/advicecandidates.h
@@ -23,7 +23,7 @@
 //! Returns none if the step could not start on the room of the candidates, as its tickets would expire unused.
 //! `allowedShare` is the average share of the named workers that advice allows; `isReservationSoon` is true if the
 //! reserved room becomes free by about the time the advice arrives.
-std::vector<core::VmId> selectAdviceCandidates(const Demand& demand, std::vector<AdviceCandidate> candidates,
+std::vector<core::VmId> selectAdviceCandidates(const Demand& demand, const std::vector<AdviceCandidate>& candidates,
     double allowedShare, std::size_t minWorkers, bool isReservationSoon);
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -11,45 +11,56 @@
 
 //! Time constant of the average of arrivals: a few seconds, which is the length of a burst.
 constexpr double arrivalsSeconds = 6;
+//! Submissions within this time are decided by one snapshot, to which the jobs accepted meanwhile are added.
+constexpr core::Duration snapshotPeriod = std::chrono::milliseconds(20);
 
 } // namespace
 
-AdmissionInputs EngineImpl::admissionInputs(
-    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue) const
+EngineImpl::AdmissionSnapshot& EngineImpl::admissionSnapshot()
 {
-    AdmissionInputs inputs;
     const core::TimePoint now = m_dependencies.loop->now();
+    if (m_admissionSnapshot.takenAt != core::TimePoint() && now - m_admissionSnapshot.takenAt < snapshotPeriod)
+        return m_admissionSnapshot;
+    m_admissionSnapshot = {};
+    m_admissionSnapshot.takenAt = now;
     for (const auto& [id, worker] : m_workers) {
         const fleet::WorkerEntry& entry = worker->entry();
-        if (entry.service != queue.service || !worker->isListed() || entry.isDraining)
+        if (!worker->isListed() || entry.isDraining)
             continue;
-        ++inputs.workers;
-        inputs.largestWorker.cpu = std::max(inputs.largestWorker.cpu, entry.capacity.cpu);
-        inputs.largestWorker.memory = std::max(inputs.largestWorker.memory, entry.capacity.memory);
-        inputs.largestWorker.accelerators = std::max(inputs.largestWorker.accelerators, entry.capacity.accelerators);
+        FleetRoom& room = m_admissionSnapshot.rooms[entry.service];
+        ++room.workers;
+        room.largestWorker.cpu = std::max(room.largestWorker.cpu, entry.capacity.cpu);
+        room.largestWorker.memory = std::max(room.largestWorker.memory, entry.capacity.memory);
+        room.largestWorker.accelerators = std::max(room.largestWorker.accelerators, entry.capacity.accelerators);
         // A worker that has not answered a new leader yet is included, as it answers within a few milliseconds.
         if (worker->isUnresponsive() || m_health.isQuarantined(id, now))
             continue;
-        inputs.cores += double(entry.capacity.cpu.value()) / 1000;
-        inputs.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
+        room.cores += double(entry.capacity.cpu.value()) / 1000;
+        room.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
     }
-    const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
     for (const auto& [id, job] : m_active) {
-        const int priority = job->record.queue.priority;
-        if (priority > queue.priority)
-            continue;
-        const PendingWork work = job->pendingWork();
-        const core::TimePoint jobStartBy = job->startBy();
-        if (isTooLate(jobStartBy, job->objectiveAt, now)) {
-            // A round places late jobs after all jobs that can be in time, so they delay none of those.
-            inputs.lateCoreSeconds += work.coreSeconds + work.gangCoreSeconds;
-        } else if (priority < queue.priority) {
-            inputs.coreSecondsAhead += work.coreSeconds;
-            inputs.gangCoreSecondsAhead += work.gangCoreSeconds;
-        } else if (jobStartBy <= startBy) {
-            inputs.coreSecondsAhead += work.coreSeconds + work.gangCoreSeconds;
-        }
+        const core::TimePoint startBy = job->startBy();
+        // A round places late jobs after all jobs that can be in time, so they delay none of those.
+        if (isTooLate(startBy, job->objectiveAt, now))
+            m_admissionSnapshot.work.addLate(job->record.queue.priority, job->pendingWork());
+        else
+            m_admissionSnapshot.work.add(job->record.queue.priority, startBy, job->pendingWork());
     }
+    return m_admissionSnapshot;
+}
+
+AdmissionInputs EngineImpl::admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue)
+{
+    const AdmissionSnapshot& snapshot = admissionSnapshot();
+    AdmissionInputs inputs;
+    if (const auto it = snapshot.rooms.find(queue.service); it != snapshot.rooms.end())
+        static_cast<FleetRoom&>(inputs) = it->second;
+    const core::TimePoint now = m_dependencies.loop->now();
+    const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
+    const WorkAhead::Sum ahead = snapshot.work.before(queue.priority, startBy);
+    inputs.coreSecondsAhead = ahead.coreSeconds;
+    inputs.gangCoreSecondsAhead = ahead.gangCoreSeconds;
+    inputs.lateCoreSeconds = ahead.lateCoreSeconds;
     double higherPriorityLoad = 0;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
     for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n)
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -60,8 +60,10 @@
 {
     const Demand demand = demandOf(job, stage);
     const placement::IStrategy& strategy = placement::strategyOf(placementStrategy);
+    const std::vector<Candidate> allowed = candidatesFor(job, stage, now, CandidateFilter::NotDenied);
     std::vector<AdviceCandidate> candidates;
-    for (const Candidate& it : candidatesFor(job, stage, now, CandidateFilter::NotDenied)) {
+    candidates.reserve(allowed.size());
+    for (const Candidate& it : allowed) {
         std::int64_t slots = slotsIn(it.room, demand.need);
         if (demand.maxPerWorker > 0)
             slots
@@ -76,7 +78,7 @@
     const bool isReservationSoon = reservation && reservation->completeIn <= adviceLeadTime(job);
     const std::size_t minWorkers = minWorkersForAdvice(*job.record.queue.advice, demand.count);
     return selectAdviceCandidates(
-        demand, std::move(candidates), allowedShareOf(job.record.queue.name), minWorkers, isReservationSoon);
+        demand, candidates, allowedShareOf(job.record.queue.name), minWorkers, isReservationSoon);
 }
 
 core::Duration EngineImpl::adviceLeadTime(const Job& job)
@@ -160,6 +162,7 @@
         return;
     }
     updateAllowedShare(*job, advice, workers, result.value());
+    stage.reservation.reset(); // made without this advice
     const workflow::AdvicePolicy& policy = *job->record.queue.advice;
     advice.denied.insert(workers.begin(), workers.end());
     for (const fleet::Ticket& it : result.value().allowed) {
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -13,6 +13,7 @@
 #include "scheduling/placer.h"
 #include "scheduling/reservation.h"
 #include "scheduling/speedtracker.h"
+#include "scheduling/workahead.h"
 
 #include <array>
 #include <deque>
@@ -67,7 +68,15 @@
     void read(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
-    AdmissionInputs admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue) const;
+    AdmissionInputs admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue);
+    //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
+    struct AdmissionSnapshot {
+        core::TimePoint takenAt {};
+        std::map<core::ServiceId, FleetRoom> rooms;
+        WorkAhead work;
+    };
+    //! Returns a snapshot that is recent enough.
+    AdmissionSnapshot& admissionSnapshot();
     void recordArrival(int priority, double coreSeconds);
 
     // Persistence
@@ -162,6 +171,7 @@
     void startTask(const JobPtr& job, Stage& stage, std::uint32_t index, const core::VmId& worker, fleet::RunNumber run,
         const std::string& checkpoint);
     std::optional<Reservation> reservationFor(const ReadyStage& ready, core::TimePoint now);
+    std::optional<Reservation> computeReservation(const ReadyStage& ready, core::TimePoint now);
     //! Returns the times at which room of a worker becomes free, earliest first.
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
     core::Duration remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
@@ -193,7 +203,6 @@
     std::map<core::JobId, JobPtr> m_active; //!< jobs that have not ended
     std::map<core::VmId, WorkerPtr> m_workers;
     std::set<std::pair<core::VmId, fleet::RunId>> m_orphanedRuns; //!< runs that were not adopted and are being stopped
-    std::set<core::VmId> m_rostered; //!< workers whose roster entry is persisted, so that a later leader contacts them
     std::multimap<lead::LogRevision, std::function<void()>> m_afterPersisted;
     std::deque<DeferredCall> m_deferredCalls; //!< calls that wait for the end of recovery or for a configuration
     std::deque<core::JobId> m_ended; //!< ended jobs, oldest first
@@ -209,6 +218,7 @@
     //! Moving average of the arriving work by priority, in core-seconds per second.
     std::array<double, 8> m_arrivals {};
     core::TimePoint m_arrivalsAt {}; //!< when the averages were last updated
+    AdmissionSnapshot m_admissionSnapshot;
     std::optional<std::vector<fleet::WorkerEntry>> m_registryEntries; //!< content of the registry, once received
     //! Key and value of progress rows, until all tables are read.
     std::vector<std::pair<std::string, std::string>> m_readProgress;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -22,6 +22,9 @@
 //! leave too little room for other work.
 constexpr std::size_t maxReservingGangs = 1;
 constexpr core::Duration minRemainingTime = std::chrono::milliseconds(50);
+//! A reservation visits all workers and their runs. In a large fleet it is reused for some rounds; with fewer than 80
+//! workers each round computes a new one.
+constexpr core::Duration reservationAgePerWorker = std::chrono::microseconds(100);
 
 const std::map<core::VmId, std::uint32_t> noTasks;
 
@@ -87,10 +90,11 @@
             continue;
         std::optional<core::TimePoint> startBy; // computed only for jobs with a ready stage
         for (Stage& stage : job->stages) {
-            const bool isReady = stage.isOpen && stage.pending > 0 && now >= stage.notBefore
-                && (!job->stepOf(stage).isGang || (stage.live == 0 && stage.startable() == stage.pending))
-                && stage.startable() > 0;
-            if (!isReady)
+            if (!stage.isOpen || stage.pending == 0 || now < stage.notBefore)
+                continue;
+            const bool isGang = job->stepOf(stage).isGang;
+            const std::size_t startable = stage.startable();
+            if (startable == 0 || (isGang && (stage.live > 0 || startable < stage.pending)))
                 continue;
             if (!startBy)
                 startBy = job->startBy();
@@ -119,9 +123,16 @@
 void EngineImpl::buildFleetViews(core::TimePoint now)
 {
     m_fleetViews.clear();
+    const core::ServiceId* service = nullptr; // of the previous worker; most fleets have one service
+    FleetView* view = nullptr;
     for (const auto& [id, worker] : m_workers) {
-        if (worker->acceptsStarts(now) && m_rostered.contains(id) && !m_health.isQuarantined(id, now))
-            m_fleetViews[worker->entry().service].add(*worker, m_speed.isSlow(id, now));
+        if (!worker->acceptsStarts(now) || !worker->isRostered() || m_health.isQuarantined(id, now))
+            continue;
+        if (!service || *service != worker->entry().service) {
+            service = &worker->entry().service;
+            view = &m_fleetViews[*service];
+        }
+        view->add(*worker, m_speed.isSlow(id, now));
     }
 }
 
@@ -247,6 +258,21 @@
 }
 
 std::optional<Reservation> EngineImpl::reservationFor(const ReadyStage& ready, core::TimePoint now)
+{
+    Stage& stage = *ready.stage;
+    const core::Duration age = now - stage.reservedAt;
+    const core::Duration maxAge = reservationAgePerWorker * std::int64_t(m_workers.size());
+    if (stage.reservation && age < maxAge) {
+        Reservation reservation = *stage.reservation;
+        reservation.completeIn = std::max(reservation.completeIn - age, core::Duration(0));
+        return reservation;
+    }
+    stage.reservation = computeReservation(ready, now);
+    stage.reservedAt = now;
+    return stage.reservation;
+}
+
+std::optional<Reservation> EngineImpl::computeReservation(const ReadyStage& ready, core::TimePoint now)
 {
     const bool isAdvised = !ready.stage->advice.tickets.empty();
     FleetView& fleet = fleetViewOf(*ready.job);
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -155,7 +155,7 @@
     entry.address.port = static_cast<std::uint16_t>(reader.integer("port", 1, 65535));
     entry.service = core::ServiceId(reader.text("service", 200));
     addWorker(entry, false);
-    m_rostered.insert(entry.id);
+    m_workers[entry.id]->setRostered();
 }
 
 std::map<store::RowKey, std::string> EngineImpl::rosterRows() const
@@ -197,7 +197,10 @@
     for (const auto& [id, worker] : m_workers)
         written.push_back(id);
     whenPersisted(*revision, [this, written] {
-        m_rostered.insert(written.begin(), written.end());
+        for (const core::VmId& it : written) {
+            if (const auto worker = m_workers.find(it); worker != m_workers.end())
+                worker->second->setRostered();
+        }
         scheduleRound();
     });
 }
@@ -273,7 +276,6 @@
     LogLine(Severity::Info, "worker-gone").with("worker", id.value());
     it->second->detach();
     m_workers.erase(it);
-    m_rostered.erase(id);
     m_health.removeWorker(id);
     m_speed.removeWorker(id);
     m_cpuLimiters.erase(id);
--- a/src/scheduling/internal/enginewatch.cpp
+++ b/src/scheduling/internal/enginewatch.cpp
@@ -37,8 +37,8 @@
 {
     if (!m_isBarrierPassed)
         scheduleRound();
-    const std::map<fleet::RunId, WorkerRun> runs = worker.runs();
-    for (const auto& [runId, run] : runs) {
+    // A stop that is ordered here changes the state of a run, but not the set of runs.
+    for (const auto& [runId, run] : worker.runs()) {
         checkStall(worker, runId, run);
         checkSlow(worker, runId, run);
     }
--- a/src/scheduling/internal/fleetview.cpp
+++ b/src/scheduling/internal/fleetview.cpp
@@ -21,14 +21,14 @@
     m_maxRoom.cpu = std::max(m_maxRoom.cpu, room.cpu);
     m_maxRoom.memory = std::max(m_maxRoom.memory, room.memory);
     m_maxRoom.accelerators = std::max(m_maxRoom.accelerators, room.accelerators);
-    m_indexes[worker.id()] = m_workers.size();
     m_workers.push_back({ &worker, isSlow, {}, std::nullopt });
 }
 
 UsableWorker* FleetView::find(const core::VmId& id)
 {
-    const auto it = m_indexes.find(id);
-    return it == m_indexes.end() ? nullptr : &m_workers[it->second];
+    const auto it = std::lower_bound(m_workers.begin(), m_workers.end(), id,
+        [](const UsableWorker& usable, const core::VmId& id) { return usable.worker->id() < id; });
+    return it == m_workers.end() || it->worker->id() != id ? nullptr : &*it;
 }
 
 void FleetView::onTaskStarted(const core::Resources& room)
--- a/src/scheduling/internal/fleetview.h
+++ b/src/scheduling/internal/fleetview.h
@@ -4,7 +4,6 @@
 #include "scheduling/reservation.h"
 
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace sardinerun::scheduling {
@@ -21,6 +20,7 @@
 //! needed often are cached.
 class FleetView {
 public:
+    //! Adds a worker; they have to be added in the order of their ids.
     void add(const Worker& worker, bool isSlow);
     //! Returns null if the worker accepts no starts.
     UsableWorker* find(const core::VmId& id);
@@ -37,8 +37,7 @@
     void addReservation(const Reservation& reservation, bool isLate);
 
 private:
-    std::vector<UsableWorker> m_workers;
-    std::unordered_map<core::VmId, std::size_t> m_indexes; //!< indexes into `m_workers`
+    std::vector<UsableWorker> m_workers; //!< sorted by id
     double m_cores = 0;
     double m_freeCores = 0;
     std::size_t m_reservingGangs = 0; //!< gangs in time with a reservation
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -3,6 +3,8 @@
 #include "fleet/fleettypes.h"
 #include "lead/leaderlog.h"
 #include "scheduling/internal/worker.h"
+#include "scheduling/reservation.h"
+#include "scheduling/workahead.h"
 #include "store/storetypes.h"
 #include "workflow/workflowtypes.h"
 
@@ -55,6 +57,9 @@
     fleet::RunNumber newestRun;
     bool isBeingStopped = false; //!< all members of the gang are being stopped
     AdviceState advice;
+    //! Room reserved for the gang in a recent round.
+    std::optional<Reservation> reservation;
+    core::TimePoint reservedAt {};
 
     bool isDone() const { return done == tasks.size(); }
     //! Returns whether all live members of the gang have this run number.
@@ -63,12 +68,6 @@
     std::size_t startable() const;
 };
 
-//! Estimated work of the pending tasks of a job.
-struct PendingWork {
-    double coreSeconds = 0; //!< of tasks outside of gangs
-    double gangCoreSeconds = 0;
-};
-
 //! A job, from its submission until its retention period has passed.
 struct Job {
     workflow::JobRecord record;
--- a/src/scheduling/internal/speedtracker.cpp
+++ b/src/scheduling/internal/speedtracker.cpp
@@ -43,21 +43,35 @@
     record.sum = record.sum * decay + weight * difference;
     record.weight = record.weight * decay + weight;
     record.at = now;
+    if (speedOf(record) < slowSpeed)
+        m_slowWorkers.insert(worker);
+    else
+        m_slowWorkers.erase(worker);
 }
 
 bool SpeedTracker::isSlow(const core::VmId& worker, core::TimePoint now) const
 {
-    const auto it = m_workers.find(worker);
-    return it != m_workers.end() && it->second.weight * decayOf(it->second, now) >= minWeight / 2
-        && speedOf(worker) < slowSpeed;
+    if (!m_slowWorkers.contains(worker))
+        return false;
+    const Record& record = m_workers.at(worker);
+    return record.weight * decayOf(record, now) >= minWeight / 2;
+}
+
+double SpeedTracker::speedOf(const Record& it)
+{
+    return it.weight < minWeight ? 1 : std::exp(it.sum / it.weight);
 }
 
 double SpeedTracker::speedOf(const core::VmId& worker) const
 {
     const auto it = m_workers.find(worker);
-    if (it == m_workers.end() || it->second.weight < minWeight)
-        return 1;
-    return std::exp(it->second.sum / it->second.weight);
+    return it == m_workers.end() ? 1 : speedOf(it->second);
+}
+
+void SpeedTracker::removeWorker(const core::VmId& worker)
+{
+    m_workers.erase(worker);
+    m_slowWorkers.erase(worker);
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -98,6 +98,9 @@
     const std::string& rack() const { return m_entry.rack; }
 
     bool isListed() const { return m_isListed; } //!< in the registry
+    //! Whether its roster entry is persisted, so that a later leader contacts it.
+    bool isRostered() const { return m_isRostered; }
+    void setRostered() { m_isRostered = true; }
     //! Returns whether the worker has been unlisted for longer than the grace period.
     bool hasLeft(core::TimePoint now) const { return !m_isListed && now - m_unlistedAt > m_times.relistGrace; }
     bool hasAnswered() const { return m_hasAnswered; } //!< to this leader's fence
@@ -177,6 +180,7 @@
     bool m_hasAnswered = false;
     bool m_hasClock = false;
     bool m_isListed = true;
+    bool m_isRostered = false;
     core::TimePoint m_unlistedAt {};
     bool m_isRenewing = false;
     bool m_isRefreshing = false;
--- a/src/scheduling/speedtracker.h
+++ b/src/scheduling/speedtracker.h
@@ -3,6 +3,7 @@
 #include "core/types.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace sardinerun::scheduling {
@@ -25,7 +26,7 @@
     bool isSlow(const core::VmId& worker, core::TimePoint now) const;
     //! Returns the speed relative to the other workers; 1 while the samples have too little weight.
     double speedOf(const core::VmId& worker) const;
-    void removeWorker(const core::VmId& worker) { m_workers.erase(worker); }
+    void removeWorker(const core::VmId& worker);
 
 private:
     //! Statistics of the logarithm of actual over estimated speed in one queue.
@@ -39,9 +40,12 @@
         core::TimePoint at {}; //!< of the newest sample
     };
     static double decayOf(const Record& it, core::TimePoint now);
+    static double speedOf(const Record& it);
 
     std::map<std::string, QueueStats> m_queues;
     std::map<core::VmId, Record> m_workers;
+    //! Workers that were slow by their newest sample; all others are not slow. Usually there are none.
+    std::set<core::VmId> m_slowWorkers;
 };
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -108,6 +108,29 @@
     BOOST_TEST((answer.outcome == WorkflowOutcome::Accepted));
 }
 
+//! Guards against accepting a burst as a whole, since the state of the queues is evaluated only once for submissions
+//! that arrive together.
+BOOST_AUTO_TEST_CASE(jobs_accepted_in_the_same_instant_count_as_ahead_of_the_next)
+{
+    Cell cell;
+    cell.queue.stretch = 2;
+    cell.lead();
+    std::vector<WorkflowOutcome> outcomes;
+    for (int n = 0; n < 40; ++n) {
+        workflow::WorkflowCall call;
+        call.kind = workflow::CallKind::Submit;
+        call.host = "h";
+        call.path = "/q/burst" + std::to_string(n);
+        call.spec = jobOf("burst" + std::to_string(n), 8, 1000); // one second of the whole fleet
+        cell.engine->handle(call, [&outcomes](const workflow::WorkflowResult& it) { outcomes.push_back(it.outcome); });
+    }
+    cell.advance(ms(500));
+    const auto accepted = std::count(outcomes.begin(), outcomes.end(), WorkflowOutcome::Accepted);
+    BOOST_TEST(outcomes.size() == 40u);
+    BOOST_TEST(accepted >= 1);
+    BOOST_TEST(accepted <= 4); // the objective of each is three seconds
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 //! Guards against a gang that never starts, since late work leaves room free for other gangs and it needs the whole
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -6,6 +6,8 @@
 #include "scheduling/advicequeue.h"
 #include "scheduling/cpulimiter.h"
 #include "scheduling/headroom.h"
+#include "scheduling/speedtracker.h"
+#include "scheduling/workahead.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -165,3 +167,19 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(work_ahead_counts_more_urgent_jobs_and_earlier_ones_of_the_same_priority)
+{
+    const core::TimePoint at { std::chrono::hours(1) };
+    WorkAhead work;
+    work.add(0, at + ms(9000), { 5, 7 });
+    work.add(1, at, { 10, 20 });
+    work.add(1, at + ms(2000), { 100, 200 });
+    work.add(2, at, { 1000, 2000 });
+    work.addLate(1, { 3, 4 });
+    work.addLate(2, { 30, 40 });
+    const WorkAhead::Sum sum = work.before(1, at + ms(1000));
+    BOOST_TEST(sum.coreSeconds == 35); // gangs of the same priority count like other work
+    BOOST_TEST(sum.gangCoreSeconds == 7);
+    BOOST_TEST(sum.lateCoreSeconds == 7);
+}
