Ask a worker before undoing a start, and doubt silence before giving work up

Each late answer closed its connection, stopped a run that had begun, and marked workers as lost; after the lease their tasks started again, also those that had ended 'done' meanwhile.

Change: a start without an answer in time is uncertain, and the worker's next report says what became of it; only a start that a later report does not list is stopped. Answers are accepted for 3 s; only waiting for a connection ends early, as then nothing was sent. The time until a start is doubted follows the answers, and a window limits the starts without an answer (OrderWindow). A late answer to a lease renewal is used, an older report than the newest one ignored. After its lease, a silent worker that is still in the registry keeps its runs for 1.5 s more, and for 5 s if a quarter of the workers is silent, since that says more about this node. Renewals to a silent worker back off.

Replaced: start_with_a_lost_answer expected a second start, which was the fault; it now expects exactly one.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -94,7 +94,7 @@
     configSource = platform::createConfigSource(loop, store);
     dispatch::LeaderTaskDependencies leaderDependencies;
     leaderDependencies.store = store;
-    leaderDependencies.orders = platform::createWorkerOrders(client, settings.scheduling.orderTimeout);
+    leaderDependencies.orders = platform::createWorkerOrders(client);
     leaderDependencies.makeRegistry = [this] { return platform::createWorkerRegistry(loop, store); };
     leaderDependencies.client = client;
     leaderDependencies.metrics = metrics;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -47,6 +47,12 @@
     bool isDraining = false;
 };
 
+//! How long the sender of an order waits for its answer.
+struct OrderPatience {
+    core::Duration connect = std::chrono::milliseconds(500); //!< then the order is certainly not received
+    core::Duration answer = std::chrono::milliseconds(500); //!< in all
+};
+
 struct StartOrder {
     RunId runId;
     std::string payload;
@@ -55,11 +61,13 @@
     core::Epoch fence;
     std::string checkpoint; //!< checkpoint to resume from; empty: none
     std::string ticket; //!< issued by the advice service, if the queue requires one
+    OrderPatience patience;
 };
 
 struct StopOrder {
     RunId runId;
     core::Epoch fence;
+    OrderPatience patience;
 };
 
 //! Renews the lease of all runs on a worker, and requests a report of the running and ended ones.
@@ -71,6 +79,7 @@
     core::TimePoint incarnationSeenAt {};
     std::optional<WorkerClock> leaseUntil;
     core::Duration wait {}; //!< how long the worker may delay its report until a run ends
+    OrderPatience patience; //!< without `wait`
 };
 
 //! Limits the share of its requested CPU that a run may use.
@@ -78,6 +87,7 @@
     RunId runId;
     int percent = 100;
     core::Epoch fence;
+    OrderPatience patience;
 };
 
 struct RunningRun {
--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -27,6 +27,8 @@
     int delaysStarts = 0; //!< number of next start orders that are delayed until `carryOutDelayedStarts`
     std::vector<StartOrder> delayedStarts;
     core::Duration answerDelay {}; //!< of answers to orders that were carried out
+    core::Duration reportDelay {}; //!< of answers to lease renewals
+    bool losesReports = false; //!< the worker receives everything, but its answers to lease renewals are lost
     std::optional<WorkerReport> overtakenReport; //!< answers the next lease renewal
 
     void end(const RunId& runId, EndKind kind, const std::string& checkpoint = "")
@@ -73,7 +75,6 @@
     std::function<void(const core::VmId&)> renewalArrives = [](const core::VmId&) {};
     core::Duration latency = std::chrono::milliseconds(2);
     core::Duration longestLease = std::chrono::seconds(10); //!< later ends of leases are shortened to this
-    core::Duration timeout = std::chrono::milliseconds(500);
 
     //! Returns a worker's clock, which counts from the start of its incarnation.
     std::int64_t clockOf(const FakeWorker& it) const
@@ -87,15 +88,16 @@
         if (worker.delaysStarts > 0 && !worker.isSilent) {
             --worker.delaysStarts;
             worker.delayedStarts.push_back(order);
-            answerUnknown(callback);
+            answerUnknown(order.patience, callback);
             return;
         }
         carryOut(
-            to, callback, [this, order](FakeWorker& it) { return startNow(it, order); }, &FakeWorker::losesStarts);
+            to, order.patience, callback, [this, order](FakeWorker& it) { return startNow(it, order); },
+            &FakeWorker::losesStarts);
     }
     void stop(const WorkerAddress& to, const StopOrder& order, std::function<void(OrderResult)> callback) override
     {
-        carryOut(to, callback, [this, order](FakeWorker& it) -> OrderResult {
+        carryOut(to, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
             if (order.fence.value() < it.fence)
                 return core::Failure { OrderFailure { OrderFailure::Code::Fenced, "" } };
             it.close(order.runId);
@@ -107,7 +109,7 @@
     void limitCpu(
         const WorkerAddress& to, const CpuLimitOrder& order, std::function<void(OrderResult)> callback) override
     {
-        carryOut(to, callback, [this, order](FakeWorker& it) -> OrderResult {
+        carryOut(to, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
             if (order.fence.value() < it.fence)
                 return core::Failure { OrderFailure { OrderFailure::Code::Fenced, "" } };
             it.cpuLimits[order.runId] = order.percent;
@@ -131,19 +133,23 @@
 
 private:
     template <class Function>
-    void carryOut(const WorkerAddress& to, const std::function<void(OrderResult)>& callback, Function function,
-        int FakeWorker::*losses = nullptr)
+    void carryOut(const WorkerAddress& to, const OrderPatience& patience,
+        const std::function<void(OrderResult)>& callback, Function function, int FakeWorker::*losses = nullptr)
     {
-        m_loop->callAfter(latency, [this, to, callback, function, losses] {
+        m_loop->callAfter(latency, [this, to, patience, callback, function, losses] {
             FakeWorker& it = workers[to.id];
             if (it.isSilent) {
-                answerUnknown(callback);
+                answerUnknown(patience, callback);
                 return;
             }
             const OrderResult result = function(it);
             if (losses && it.*losses > 0) {
                 --(it.*losses);
-                answerUnknown(callback);
+                answerUnknown(patience, callback);
+                return;
+            }
+            if (it.answerDelay > patience.answer) {
+                answerUnknown(patience, callback);
                 return;
             }
             if (it.answerDelay > core::Duration(0))
@@ -152,9 +158,9 @@
                 callback(result);
         });
     }
-    void answerUnknown(const std::function<void(OrderResult)>& callback)
+    void answerUnknown(const OrderPatience& patience, const std::function<void(OrderResult)>& callback)
     {
-        m_loop->callAfter(timeout, [callback] {
+        m_loop->callAfter(patience.answer, [callback] {
             callback(core::Failure { OrderFailure { OrderFailure::Code::Unknown, "timeout" } });
         });
     }
@@ -196,7 +202,7 @@
         FakeWorker& it = workers[to.id];
         expireLease(it);
         if (it.isSilent || it.startedAt != incarnation) {
-            m_loop->callAfter(timeout, [callback] {
+            m_loop->callAfter(order.patience.answer, [callback] {
                 callback(core::Failure { OrderFailure { OrderFailure::Code::Unknown, "timeout" } });
             });
             return;
@@ -230,7 +236,22 @@
             report.running.push_back(run);
         }
         report.ended = it.ended;
-        callback(it.overtakenReport ? *std::exchange(it.overtakenReport, std::nullopt) : report);
+        if (it.overtakenReport)
+            report = *std::exchange(it.overtakenReport, std::nullopt);
+        answerRenewal(it, order, report, callback);
+    }
+    //! Delivers a report, or nothing if it arrives later than the leader waits for it.
+    void answerRenewal(const FakeWorker& it, const LeaseRenewal& order, const WorkerReport& report,
+        const std::function<void(LeaseRenewalResult)>& callback)
+    {
+        if (it.losesReports || it.reportDelay > order.patience.answer)
+            m_loop->callAfter(order.patience.answer, [callback] {
+                callback(core::Failure { OrderFailure { OrderFailure::Code::Unknown, "timeout" } });
+            });
+        else if (it.reportDelay > core::Duration(0))
+            m_loop->callAfter(it.reportDelay, [callback, report] { callback(report); });
+        else
+            callback(report);
     }
 
     runtime::ILoopPtr m_loop;
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -73,6 +73,8 @@
     Headers headers;
     std::string body;
     std::optional<LateConnectionBody> lateConnectionBody; //!< replaces `body` on such a connection
+    //! Time within which the request must be sent, which needs a connection; 0: `timeout` alone applies.
+    core::Duration connectTimeout {};
     core::Duration timeout = std::chrono::seconds(5); //!< for the whole exchange
     std::size_t maxResponseBytes = std::size_t(4) << 20; //!< limit for the body, ignored if streaming is enabled
     //! Responses with a longer body are streamed, without a limit on their size; 0 disables streaming. The timeout
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -70,6 +70,7 @@
     h2o_iovec_t buffer {};
     h2o_http1client_t* client = nullptr;
     runtime::TimerId timer;
+    core::TimePoint deadline {}; //!< of the whole exchange
     Response response;
     std::size_t maxBytes = 0;
     std::size_t streamAboveBytes = 0; //!< 0 disables streaming
@@ -119,7 +120,9 @@
         call->maxBytes = request.maxResponseBytes;
         call->streamAboveBytes = request.streamAboveBytes;
         call->isHeadRequest = request.method == "HEAD";
-        call->timer = m_loop->callAfter(request.timeout, [this, call] { onTimeout(call); });
+        call->deadline = m_loop->now() + request.timeout;
+        const bool hasConnectTimeout = request.connectTimeout > core::Duration(0);
+        setTimer(call, hasConnectTimeout ? std::min(request.connectTimeout, request.timeout) : request.timeout);
         m_connecting = call;
         h2o_http1client_connect_with_pool(&call->client, call, &m_context, &pool->sockets, onConnect);
         m_connecting = nullptr;
@@ -230,8 +233,17 @@
         });
     }
 
+    void setTimer(Call* call, core::Duration timeout)
+    {
+        call->timer = m_loop->callAfter(timeout, [this, call] { onTimeout(call); });
+    }
+
     void onTimeout(Call* call)
     {
+        if (const core::Duration left = call->deadline - m_loop->now(); call->isSent && left > core::Duration(0)) {
+            setTimer(call, left);
+            return;
+        }
         h2o_http1client_cancel(call->client);
         fail(call, call->isSent ? ClientError::Code::TimedOut : ClientError::Code::NotConnected, "timeout");
     }
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -88,6 +89,74 @@
     }
 }
 
+//! Guards against a process that ends, or a call that is never answered, when no descriptor is left.
+BOOST_FIXTURE_TEST_CASE(callsFailWhileNoDescriptorIsLeft, Fixture)
+{
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int next = dup(0); // the lowest free descriptor
+    close(next);
+    rlimit few = before;
+    few.rlim_cur = rlim_t(next) + 40;
+    setrlimit(RLIMIT_NOFILE, &few);
+    constexpr int calls = 400;
+    std::promise<int> done;
+    int answered = 0;
+    int notSent = 0;
+    loop->post([&] {
+        for (int n = 0; n < calls; ++n) {
+            auto request = to(n % 2 == 0 ? "/never" : "/echo");
+            request.timeout = 300ms;
+            client->send(request, [&](const http::ClientResult& it) {
+                notSent += !it && !it.error().maybeSent ? 1 : 0;
+                if (++answered == calls)
+                    done.set_value(notSent);
+            });
+        }
+    });
+    BOOST_TEST(done.get_future().get() > calls / 2);
+    setrlimit(RLIMIT_NOFILE, &before);
+    std::this_thread::sleep_for(50ms);
+    BOOST_TEST(bool(call(to("/echo"))));
+}
+
+//! Guards against requests that wait for a connection for as long as for an answer.
+BOOST_FIXTURE_TEST_CASE(aRequestWithoutAConnectionFailsAfterItsConnectTimeout, Fixture)
+{
+    const int full = socket(AF_INET, SOCK_STREAM, 0); // a listener whose queue is full accepts no further connection
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(full, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    BOOST_REQUIRE(listen(full, 0) == 0);
+    socklen_t size = sizeof address;
+    getsockname(full, reinterpret_cast<sockaddr*>(&address), &size);
+    std::vector<int> queued;
+    for (int n = 0; n < 4; ++n) {
+        queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(queued.back(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+    }
+    auto request = to("/echo");
+    request.to.port = ntohs(address.sin_port);
+    request.connectTimeout = 100ms;
+    request.timeout = 5s;
+    const core::TimePoint before = loop->now();
+    const auto result = call(request);
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(!result.error().maybeSent);
+    BOOST_TEST((loop->now() - before < 2s));
+    request = to("/never"); // connected, so only the whole timeout applies
+    request.connectTimeout = 50ms;
+    request.timeout = 300ms;
+    const core::TimePoint sent = loop->now();
+    const auto late = call(request);
+    BOOST_TEST((!late && late.error().maybeSent));
+    BOOST_TEST((loop->now() - sent >= 300ms));
+    for (const int it : queued)
+        close(it);
+    close(full);
+}
+
 //! Guards against a message for a process that has ended reaching its successor at the same address.
 BOOST_FIXTURE_TEST_CASE(aBodyForOlderConnectionsIsNotSentOnALaterOne, Fixture)
 {
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -11,6 +11,8 @@
 
 //! Time constant of the average of arrivals: a few seconds, which is the length of a burst.
 constexpr double arrivalsSeconds = 6;
+//! A worker that has not answered a new leader within this time is not counted on.
+constexpr core::Duration firstAnswerTime = std::chrono::seconds(2);
 //! Submissions within this time are decided by one snapshot, to which the jobs accepted meanwhile are added.
 constexpr core::Duration snapshotPeriod = std::chrono::milliseconds(20);
 
@@ -32,8 +34,9 @@
         room.largestWorker.cpu = std::max(room.largestWorker.cpu, entry.capacity.cpu);
         room.largestWorker.memory = std::max(room.largestWorker.memory, entry.capacity.memory);
         room.largestWorker.accelerators = std::max(room.largestWorker.accelerators, entry.capacity.accelerators);
-        // A worker that has not answered a new leader yet is included, as it answers within a few milliseconds.
-        if (worker->isUnresponsive() || m_health.isQuarantined(id, now))
+        // A worker that has not answered a new leader yet is included, as it will answer soon.
+        const bool mayAnswerSoon = !worker->hasAnswered() && now - m_wonAt < firstAnswerTime;
+        if ((worker->isUnresponsive() && !mayAnswerSoon) || m_health.isQuarantined(id, now))
             continue;
         room.cores += double(entry.capacity.cpu.value()) / 1000;
         room.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -107,6 +107,8 @@
     void stopPartialGangs();
 
     // Runs
+    //! Returns whether so many workers are silent that the cause may be this node.
+    bool isLeaderIsolated() const;
     Adoption adopt(Worker& worker, const fleet::RunningRun& run);
     void onRunning(Worker& worker, const fleet::RunId& run);
     void onEnded(Worker& worker, const fleet::EndedRun& end);
@@ -207,6 +209,7 @@
     std::deque<DeferredCall> m_deferredCalls; //!< calls that wait for the end of recovery or for a configuration
     std::deque<core::JobId> m_ended; //!< ended jobs, oldest first
     placement::HealthTracker m_health;
+    OrderWindowPtr m_orderWindow = std::make_shared<OrderWindow>();
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -248,7 +248,7 @@
         .with("address", entry.address.text())
         .with("milliCpu", entry.capacity.cpu.value());
     const WorkerPtr worker = Worker::create(m_dependencies.loop, m_dependencies.orders, entry, m_won.leader.term,
-        m_priorLeaseUntil, m_dependencies.times, workerHooks());
+        m_priorLeaseUntil, m_dependencies.times, m_orderWindow, workerHooks());
     worker->setListed(isListed);
     m_workers[entry.id] = worker;
     worker->begin();
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -15,6 +15,9 @@
 using telemetry::Severity;
 
 constexpr core::Duration failurePause = std::chrono::milliseconds(30);
+//! If one worker in this many is silent, the cause may be this node's link or processor.
+constexpr std::size_t isolationDivisor = 4;
+constexpr std::size_t minSilentWorkers = 4;
 constexpr core::Duration startFailurePause = std::chrono::milliseconds(80);
 
 } // namespace
@@ -56,6 +59,10 @@
                     it->removeWorker(id);
             });
     };
+    hooks.isLeaderIsolated = [self] {
+        const auto it = self.lock();
+        return it && it->isLeaderIsolated();
+    };
     hooks.fenced = [self](Worker& worker) {
         const auto it = self.lock();
         if (it && !std::exchange(it->m_isStopped, true))
@@ -65,6 +72,13 @@
     return hooks;
 }
 
+bool EngineImpl::isLeaderIsolated() const
+{
+    const auto silent = static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), [](const auto& it) { return it.second->isUnresponsive(); }));
+    return silent >= minSilentWorkers && silent * isolationDivisor >= m_workers.size();
+}
+
 EngineImpl::JobPtr EngineImpl::jobOf(const core::JobId& id) const
 {
     const auto it = m_jobs.find(id);
--- /dev/null
+++ b/src/scheduling/internal/orderwindow.cpp
@@ -0,0 +1,66 @@
+#include "scheduling/orderwindow.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+//! Number of answers over which their time is averaged. A few workers that never answer must not matter.
+constexpr int smoothingAnswers = 32;
+//! Answers that take longer on average mean congestion; without it they take a few milliseconds.
+constexpr core::Duration congestedAnswerTime = std::chrono::milliseconds(80);
+constexpr std::size_t minLimit = 16;
+constexpr std::size_t maxLimit = 2048;
+//! Divisor by which the limit shrinks each time.
+constexpr std::size_t shrinkDivisor = 2;
+//! The limit shrinks once in this time at most, so that the effect shows before the next step.
+constexpr core::Duration minShrinkInterval = std::chrono::milliseconds(100);
+constexpr int timeoutFactor = 4; //!< of the average time of an answer
+constexpr core::Duration maxAnswerTimeout = std::chrono::milliseconds(2000);
+constexpr core::Duration rateInterval = std::chrono::milliseconds(500);
+//! How long the window counts as limiting after it last was.
+constexpr core::Duration limitedMemory = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void OrderWindow::onSettled(core::Duration took, core::TimePoint now)
+{
+    m_inFlight -= m_inFlight > 0 ? 1 : 0;
+    m_answerTime += (took - m_answerTime) / smoothingAnswers;
+    ++m_settled;
+    if (now - m_rateAt >= rateInterval) {
+        m_rate = double(m_settled) / std::chrono::duration<double>(std::min(now - m_rateAt, limitedMemory)).count();
+        m_rateAt = now;
+        m_settled = 0;
+    }
+    adjustLimit(now);
+}
+
+void OrderWindow::adjustLimit(core::TimePoint now)
+{
+    if (m_answerTime < congestedAnswerTime) {
+        // Grows only if it is used, by one for each answer: it doubles in the time of one answer.
+        if (m_inFlight * 2 >= m_limit)
+            m_limit = std::min(m_limit + 1, maxLimit);
+        return;
+    }
+    if (now < m_shrinkAgainAt)
+        return;
+    const std::size_t used = std::min(m_limit, m_inFlight + 1);
+    m_limit = std::max(minLimit, used - used / shrinkDivisor);
+    m_shrinkAgainAt = now + std::max(m_answerTime, minShrinkInterval);
+}
+
+std::optional<double> OrderWindow::startsPerSecond(core::TimePoint now) const
+{
+    const bool isLimiting = m_limitedAt != core::TimePoint() && now - m_limitedAt < limitedMemory;
+    return isLimiting && m_rate > 0 ? std::optional(m_rate) : std::nullopt;
+}
+
+core::Duration OrderWindow::answerTimeout(core::Duration min) const
+{
+    return std::clamp(m_answerTime * timeoutFactor, min, std::max(min, maxAnswerTimeout));
+}
+
+} // namespace sardinerun::scheduling
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -12,6 +12,8 @@
 
 //! Delay between renewals while ends are not acknowledged, as these renewals don't wait at the worker.
 constexpr core::Duration unacknowledgedDelay = std::chrono::milliseconds(400);
+//! The delay between renewals of an unresponsive worker doubles up to this often.
+constexpr int maxRetryDoublings = 2;
 constexpr core::Duration samplePeriod = std::chrono::milliseconds(250);
 //! Allowance for the transmission delay of the worker's clock reading.
 constexpr core::Duration clockMargin = std::chrono::milliseconds(100);
@@ -19,20 +21,21 @@
 } // namespace
 
 WorkerPtr Worker::create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
-    core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks)
+    core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window, WorkerHooks hooks)
 {
-    return WorkerPtr(new Worker(
-        std::move(loop), std::move(orders), std::move(entry), fence, priorLeaseUntil, times, std::move(hooks)));
+    return WorkerPtr(new Worker(std::move(loop), std::move(orders), std::move(entry), fence, priorLeaseUntil, times,
+        std::move(window), std::move(hooks)));
 }
 
 Worker::Worker(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry, core::Epoch fence,
-    core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks)
+    core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window, WorkerHooks hooks)
     : m_loop(std::move(loop))
     , m_orders(std::move(orders))
     , m_entry(std::move(entry))
     , m_fence(fence)
     , m_priorLeaseUntil(priorLeaseUntil)
     , m_times(times)
+    , m_window(std::move(window))
     , m_hooks(std::move(hooks))
 {
 }
@@ -101,7 +104,7 @@
 
 void Worker::scheduleRenewal(core::Duration delay)
 {
-    if (m_isDetached || m_isRenewing)
+    if (m_isDetached || m_awaitedRenewal > 0)
         return;
     if (m_isRenewalScheduled)
         m_loop->cancel(m_renewalTimer);
@@ -115,14 +118,21 @@
     });
 }
 
+fleet::OrderPatience Worker::patience() const
+{
+    // Without a connection the order has no effect, so it is better sent elsewhere than late.
+    return { m_window->answerTimeout(m_times.orderTimeout), m_times.lateAnswerTimeout };
+}
+
 void Worker::renewLease()
 {
-    if (m_isDetached || m_isRenewing)
+    if (m_isDetached || m_awaitedRenewal > 0)
         return;
     fleet::LeaseRenewal order;
     order.fence = m_fence;
     order.acknowledgedUpTo = acknowledgeableUpTo();
     order.incarnationSeenAt = m_incarnationSeenAt;
+    order.patience = patience();
     // An unresponsive worker may still receive renewals, so the lease must not be extended while it fails to answer.
     // Otherwise the end of its runs would never be certain.
     if (m_hasClock && m_failedRenewals == 0) {
@@ -131,12 +141,18 @@
     }
     const bool mayWait = m_hasAnswered && m_failedRenewals == 0 && !hasUnacknowledgedEnds();
     order.wait = mayWait ? m_times.renewalWait : core::Duration(0);
-    m_isRenewing = true;
-    m_orders->renewLease(
-        address(), order, [self = weak_from_this(), sentAt = m_loop->now()](const fleet::LeaseRenewalResult& result) {
+    const RenewalNumber number = ++m_lastRenewal;
+    m_awaitedRenewal = number;
+    m_overdueTimer = m_loop->callAfter(order.wait + order.patience.connect, [self = weak_from_this(), number] {
+        const auto it = self.lock();
+        if (it && !it->m_isDetached)
+            it->onRenewalOverdue(number);
+    });
+    m_orders->renewLease(address(), order,
+        [self = weak_from_this(), number, sentAt = m_loop->now()](const fleet::LeaseRenewalResult& result) {
             const auto it = self.lock();
             if (it && !it->m_isDetached)
-                it->onRenewed(result, sentAt);
+                it->onRenewed(number, result, sentAt);
         });
 }
 
@@ -146,6 +162,7 @@
         return;
     fleet::LeaseRenewal order;
     order.fence = m_fence;
+    order.patience = patience();
     // No end is acknowledged here: if the parallel renewal broke off because of a restart, this one may reach the next
     // incarnation, whose end numbers mean other ends.
     m_orders->renewLease(
@@ -159,29 +176,40 @@
         });
 }
 
-void Worker::onRenewed(const fleet::LeaseRenewalResult& result, core::TimePoint sentAt)
+void Worker::onRenewed(RenewalNumber number, const fleet::LeaseRenewalResult& result, core::TimePoint sentAt)
 {
-    m_isRenewing = false;
+    const bool isAwaited = number == m_awaitedRenewal;
+    if (isAwaited) {
+        m_awaitedRenewal = 0;
+        m_loop->cancel(m_overdueTimer);
+    }
     if (!result) {
-        onRenewalFailed(result.error());
+        const bool isVerdict = result.error().code == OrderFailure::Code::Fenced
+            || result.error().code == OrderFailure::Code::OtherIncarnation;
+        if (isAwaited || isVerdict)
+            onRenewalFailed(result.error());
         return;
     }
     if (m_failedRenewals > 0)
-        telemetry::LogLine(telemetry::Severity::Info, "worker-regained").with("worker", id().value());
+        telemetry::LogLine(telemetry::Severity::Info, "worker-regained")
+            .with("worker", id().value())
+            .with("answeredAfterMs", core::toMs(m_loop->now() - sentAt));
     m_failedRenewals = 0;
     applyReport(result.value(), sentAt);
-    if (m_isDetached)
+    if (!m_isDetached)
+        scheduleRenewal(hasUnacknowledgedEnds() ? unacknowledgedDelay : core::Duration(0));
+}
+
+void Worker::onRenewalOverdue(RenewalNumber number)
+{
+    if (number != m_awaitedRenewal)
         return;
-    scheduleRenewal(hasUnacknowledgedEnds() ? unacknowledgedDelay : core::Duration(0));
+    m_awaitedRenewal = 0;
+    retryRenewal({ OrderFailure::Code::Unknown, "overdue" });
 }
 
 void Worker::onRenewalFailed(const OrderFailure& failure)
 {
-    if (++m_failedRenewals == 1)
-        telemetry::LogLine(telemetry::Severity::Warning, "worker-lost")
-            .with("worker", id().value())
-            .with("why", fleet::nameOf(failure.code))
-            .with("detail", failure.detail);
     if (failure.code == OrderFailure::Code::Fenced) {
         m_hooks.fenced(*this);
         return;
@@ -190,8 +218,25 @@
         endIncarnation();
         return;
     }
+    retryRenewal(failure);
+}
+
+void Worker::retryRenewal(const OrderFailure& failure)
+{
+    if (++m_failedRenewals == 1)
+        telemetry::LogLine(telemetry::Severity::Warning, "worker-lost")
+            .with("worker", id().value())
+            .with("why", fleet::nameOf(failure.code))
+            .with("detail", failure.detail);
     checkLeaseExpiry();
-    scheduleRenewal(m_times.renewalRetryDelay);
+    scheduleRenewal(renewalRetryDelay());
+}
+
+core::Duration Worker::renewalRetryDelay() const
+{
+    // Requests to a worker that cannot answer add to the congestion that may be the cause.
+    const int doublings = std::min((m_failedRenewals - 1) / 2, maxRetryDoublings);
+    return m_times.renewalRetryDelay * (1 << doublings);
 }
 
 void Worker::applyReport(const fleet::WorkerReport& report, core::TimePoint sentAt)
@@ -210,11 +255,15 @@
         m_acknowledgedAhead.clear();
         m_hasClock = false;
         // An order for the former incarnation may have arrived, or still arrive, with a lease on the former clock.
-        m_leaseUntil = report.clock + fleet::WorkerClock(core::toMs(m_times.longestLease + m_times.orderTimeout));
+        m_leaseUntil = report.clock + fleet::WorkerClock(core::toMs(m_times.longestLease + m_times.lateAnswerTimeout));
         m_incarnationSeenAt = {};
+        m_reportClock = {};
     } else if (report.startedAt.value() > 0) {
         m_entry.startedAt = report.startedAt;
     }
+    if (report.clock < m_reportClock)
+        return; // overtaken by a newer report, which includes all of it that still holds
+    m_reportClock = report.clock;
     m_incarnationSeenAt = std::max(m_incarnationSeenAt, sentAt);
     recordClock(report.clock);
     std::set<fleet::RunId> reported;
@@ -222,6 +271,7 @@
     applyEnds(report);
     m_hasAnswered = true;
     removeUnlistedRuns(reported, sentAt);
+    revokeUnlistedStarts(reported, sentAt);
     m_hooks.reported(*this);
 }
 
@@ -246,6 +296,8 @@
             if (!adoption.isAdopted)
                 sendStop(entry.runId);
         }
+        if (found->second.state == WorkerRun::State::StartUncertain)
+            confirmStart(entry.runId);
         WorkerRun& run = found->second;
         if (run.firstPercent < 0) {
             run.firstPercent = entry.percent;
@@ -309,8 +361,8 @@
     }
     for (const fleet::RunId& runId : unlisted) {
         RunTermination termination;
-        termination.cause = m_runs[runId].state == WorkerRun::State::StartUncertain ? RunTermination::Cause::NotStarted
-                                                                                    : RunTermination::Cause::Lost;
+        termination.cause = m_runs[runId].state == WorkerRun::State::StartRevoked ? RunTermination::Cause::NotStarted
+                                                                                  : RunTermination::Cause::Lost;
         termination.checkpoint = m_runs[runId].checkpoint;
         terminateRun(runId, termination);
     }
@@ -348,9 +400,18 @@
     }
 }
 
+core::TimePoint Worker::runsLostAt() const
+{
+    // The lease is over by then, so nothing runs any more. But what has ended before may be done, and must not start
+    // again if the worker can still say so.
+    if (!m_isListed)
+        return leaseExpiresAt();
+    return leaseExpiresAt() + (m_hooks.isLeaderIsolated() ? m_times.isolationGrace : m_times.listedWorkerGrace);
+}
+
 void Worker::checkLeaseExpiry()
 {
-    if (m_loop->now() >= leaseExpiresAt() && !m_runs.empty()) {
+    if (!m_runs.empty() && m_loop->now() >= runsLostAt()) {
         telemetry::LogLine(telemetry::Severity::Warning, "worker-lapsed")
             .with("worker", id().value())
             .with("runs", std::int64_t(m_runs.size()));
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -2,6 +2,7 @@
 
 #include "fleet/iworkerorders.h"
 #include "runtime/iloop.h"
+#include "scheduling/orderwindow.h"
 #include "scheduling/schedulingtypes.h"
 
 #include <functional>
@@ -32,13 +33,15 @@
         Ordered, //!< the start order is not answered yet
         Running,
         Stopping, //!< a stop was sent
-        StartUncertain //!< the answer to the start order was lost; a stop order rules out a later start
+        StartUncertain, //!< the start order was not answered in time; the next report shows what became of it
+        StartRevoked //!< a report did not list it, so a stop order rules out a later start
     };
     State state = State::Ordered;
     core::Resources occupiedRoom;
     core::TimePoint orderedAt {}; //!< when it was ordered or adopted
     //! When its start or stop was answered; reports requested later must list it if it still runs.
     core::TimePoint confirmedAt {};
+    core::TimePoint uncertainSince {}; //!< when its start became uncertain
     core::TimePoint progressAt {}; //!< when its percent last changed
     int percent = 0;
     int firstPercent = -1; //!< at the first report of the run; -1 before
@@ -76,6 +79,8 @@
     //! The worker rejected an order because it has restarted or another worker uses its address.
     std::function<void(Worker&)> incarnationEnded;
     std::function<void(Worker&)> fenced; //!< the worker has seen a higher fence, so another leader was elected
+    //! Returns whether so many workers are silent that the cause may be this node.
+    std::function<bool()> isLeaderIsolated = [] { return false; };
 };
 
 //! The leader's view of one worker: its room, its runs, its lease, and the exchange of orders and reports with it.
@@ -84,7 +89,8 @@
 class Worker : public std::enable_shared_from_this<Worker> {
 public:
     static WorkerPtr create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
-        core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks);
+        core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window,
+        WorkerHooks hooks);
 
     void begin(); //!< starts renewing the lease
     void detach(); //!< stops the exchange; no callback follows
@@ -126,14 +132,21 @@
 
 private:
     Worker(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry, core::Epoch fence,
-        core::TimePoint priorLeaseUntil, SchedulingTimes times, WorkerHooks hooks);
+        core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window, WorkerHooks hooks);
     fleet::WorkerAddress address() const { return { m_entry.id, m_entry.address }; }
     void scheduleRenewal(core::Duration delay);
     void renewLease();
-    void onRenewed(const fleet::LeaseRenewalResult& result, core::TimePoint sentAt);
+    //! Number of a lease renewal; 0: none.
+    using RenewalNumber = std::uint64_t;
+    void onRenewed(RenewalNumber number, const fleet::LeaseRenewalResult& result, core::TimePoint sentAt);
+    //! Treats the worker as unresponsive; an answer that arrives later is still used.
+    void onRenewalOverdue(RenewalNumber number);
     //! Requests a report immediately, in parallel to a renewal that may be waiting.
     void refreshNow();
     void onRenewalFailed(const fleet::OrderFailure& failure);
+    void retryRenewal(const fleet::OrderFailure& failure);
+    core::Duration renewalRetryDelay() const;
+    fleet::OrderPatience patience() const;
     void applyReport(const fleet::WorkerReport& report, core::TimePoint sentAt);
     void applyEnds(const fleet::WorkerReport& report);
     void applyRunning(const fleet::WorkerReport& report, std::set<fleet::RunId>& reported);
@@ -144,11 +157,18 @@
     void recordClock(const fleet::OrderResult& result, fleet::WorkerStartTime incarnation);
     void recordLease(fleet::WorkerClock until);
     void onStarted(const fleet::RunId& run, const fleet::OrderResult& result);
+    //! Handles the answer of a start order that arrived too late or may have been lost.
+    void doubtStart(const fleet::RunId& run);
+    void confirmStart(const fleet::RunId& run);
+    //! Stops runs with an uncertain start that a report requested at `sentAt` does not list.
+    void revokeUnlistedStarts(const std::set<fleet::RunId>& reported, core::TimePoint sentAt);
     void sendStop(const fleet::RunId& run);
     void onStopped(const fleet::RunId& run, const fleet::OrderResult& result);
     void terminateRun(fleet::RunId run, RunTermination termination);
     void loseAllRuns();
     void checkLeaseExpiry();
+    //! Returns the time from which runs on the unresponsive worker count as lost.
+    core::TimePoint runsLostAt() const;
     void endIncarnation();
     //! Returns the last end that the worker may discard. After a failed renewal none, as the worker may have restarted
     //! and numbered other ends the same way.
@@ -164,6 +184,7 @@
     core::Epoch m_fence;
     core::TimePoint m_priorLeaseUntil; //!< leases of former leaders have expired by then
     SchedulingTimes m_times;
+    OrderWindowPtr m_window;
     WorkerHooks m_hooks;
     std::map<fleet::RunId, WorkerRun> m_runs;
     core::Resources m_occupiedRoom;
@@ -182,11 +203,14 @@
     bool m_isListed = true;
     bool m_isRostered = false;
     core::TimePoint m_unlistedAt {};
-    bool m_isRenewing = false;
+    RenewalNumber m_lastRenewal = 0;
+    RenewalNumber m_awaitedRenewal = 0; //!< the one in flight, unless it is overdue
+    fleet::WorkerClock m_reportClock; //!< of the newest report applied
     bool m_isRefreshing = false;
     bool m_isRenewalScheduled = false;
     bool m_isDetached = false;
     runtime::TimerId m_renewalTimer;
+    runtime::TimerId m_overdueTimer; //!< of the awaited renewal
 };
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -33,11 +33,19 @@
     m_occupiedRoom = m_occupiedRoom + occupiedRoom;
     fleet::StartOrder sent = order;
     sent.fence = m_fence;
+    sent.patience = patience();
     sent.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
+    m_window->onSent();
+    m_loop->callAfter(sent.patience.connect, [self = weak_from_this(), runId = order.runId] {
+        const auto it = self.lock();
+        if (it && !it->m_isDetached)
+            it->doubtStart(runId);
+    });
     m_orders->start(address(), sent,
-        [self = weak_from_this(), runId = order.runId, incarnation = m_entry.startedAt](
-            const fleet::OrderResult& result) {
+        [self = weak_from_this(), window = m_window, runId = order.runId, incarnation = m_entry.startedAt,
+            sentAt = run.orderedAt, loop = m_loop](const fleet::OrderResult& result) {
+            window->onSettled(loop->now() - sentAt, loop->now());
             const auto it = self.lock();
             if (!it || it->m_isDetached)
                 return;
@@ -53,11 +61,7 @@
         return; // its end was reported first
     WorkerRun& run = found->second;
     if (result) {
-        run.confirmedAt = m_loop->now();
-        if (run.state == WorkerRun::State::Ordered) {
-            run.state = WorkerRun::State::Running;
-            m_hooks.running(*this, runId);
-        }
+        confirmStart(runId);
         return;
     }
     const OrderFailure::Code code = result.error().code;
@@ -67,9 +71,7 @@
         .with("worker", id().value())
         .with("why", fleet::nameOf(code));
     if (code == OrderFailure::Code::Unknown) {
-        run.state = WorkerRun::State::StartUncertain;
-        run.confirmedAt = {};
-        sendStop(runId);
+        doubtStart(runId);
         return;
     }
     if (code == OrderFailure::Code::Unhealthy)
@@ -85,13 +87,52 @@
         endIncarnation();
 }
 
+void Worker::confirmStart(const fleet::RunId& runId)
+{
+    WorkerRun& run = m_runs.at(runId);
+    const bool isAwaited = run.state == WorkerRun::State::Ordered || run.state == WorkerRun::State::StartUncertain;
+    if (!isAwaited)
+        return; // it is being stopped
+    run.confirmedAt = m_loop->now();
+    run.state = WorkerRun::State::Running;
+    m_hooks.running(*this, runId);
+}
+
+void Worker::doubtStart(const fleet::RunId& runId)
+{
+    const auto it = m_runs.find(runId);
+    if (it == m_runs.end() || it->second.state != WorkerRun::State::Ordered)
+        return;
+    // The order may have been lost, be on its way, or have been carried out. Stopping the run would waste work that
+    // has begun, so the worker is asked first.
+    it->second.state = WorkerRun::State::StartUncertain;
+    it->second.uncertainSince = m_loop->now();
+    telemetry::LogLine(telemetry::Severity::Info, "start-uncertain")
+        .with("task", fleet::textOf(runId.task))
+        .with("run", runId.run.value())
+        .with("worker", id().value())
+        .with("afterMs", core::toMs(m_loop->now() - it->second.orderedAt));
+    refreshNow();
+}
+
+void Worker::revokeUnlistedStarts(const std::set<fleet::RunId>& reported, core::TimePoint sentAt)
+{
+    for (auto& [runId, run] : m_runs) {
+        if (run.state != WorkerRun::State::StartUncertain || sentAt < run.uncertainSince || reported.contains(runId))
+            continue;
+        run.state = WorkerRun::State::StartRevoked;
+        sendStop(runId);
+    }
+}
+
 void Worker::stopRun(const fleet::RunId& runId)
 {
     const auto it = m_runs.find(runId);
-    if (it == m_runs.end() || it->second.state == WorkerRun::State::StartUncertain
+    if (it == m_runs.end() || it->second.state == WorkerRun::State::StartRevoked
         || it->second.state == WorkerRun::State::Stopping)
         return;
-    it->second.state = WorkerRun::State::Stopping;
+    it->second.state = it->second.state == WorkerRun::State::StartUncertain ? WorkerRun::State::StartRevoked
+                                                                            : WorkerRun::State::Stopping;
     it->second.confirmedAt = {};
     sendStop(runId);
 }
@@ -102,7 +143,9 @@
     if (it == m_runs.end() || it->second.isStopInFlight || m_isDetached)
         return;
     it->second.isStopInFlight = true;
-    m_orders->stop(address(), { runId, m_fence },
+    // A stop is repeated if its answer is late; it has no effect the second time.
+    const core::Duration timeout = m_window->answerTimeout(m_times.orderTimeout);
+    m_orders->stop(address(), { runId, m_fence, { timeout, timeout } },
         [self = weak_from_this(), runId, incarnation = m_entry.startedAt](const fleet::OrderResult& result) {
             const auto it = self.lock();
             if (!it || it->m_isDetached)
@@ -120,7 +163,7 @@
     it->second.isStopInFlight = false;
     if (result) {
         it->second.confirmedAt = m_loop->now();
-        if (it->second.state == WorkerRun::State::StartUncertain)
+        if (it->second.state == WorkerRun::State::StartRevoked)
             m_loop->callAfter(refreshDelay, [self = weak_from_this()] {
                 if (const auto it = self.lock())
                     it->refreshNow();
@@ -152,8 +195,8 @@
     if (it == m_runs.end() || it->second.cpuLimit == percent)
         return;
     it->second.cpuLimit = percent;
-    m_orders->limitCpu(
-        address(), { run, percent, m_fence }, [self = weak_from_this(), run](const fleet::OrderResult& result) {
+    m_orders->limitCpu(address(), { run, percent, m_fence, patience() },
+        [self = weak_from_this(), run](const fleet::OrderResult& result) {
             const auto worker = self.lock();
             if (!worker || result)
                 return;
--- /dev/null
+++ b/src/scheduling/orderwindow.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <memory>
+#include <optional>
+
+namespace sardinerun::scheduling {
+
+//! Limits the start orders of a leader that have no answer yet, by the time that answers take.
+//!
+//! Answers slow down when the leader's processor or its link is congested. Sending more orders then only lengthens the
+//! queues, until timeouts repeat orders and undo work. The limit shrinks while answers are slow, as the window of a
+//! congestion control does, and grows back while they are quick. Timeouts follow the observed time, too.
+class OrderWindow {
+public:
+    //! Records a start order that was sent.
+    void onSent() { ++m_inFlight; }
+    //! Records that a start order was answered, or is no longer awaited, `took` after it was sent.
+    void onSettled(core::Duration took, core::TimePoint now);
+
+    //! Returns the number of further start orders that may be sent.
+    std::size_t room() const { return m_inFlight < m_limit ? m_limit - m_inFlight : 0; }
+    bool isFull() const { return room() == 0; }
+    //! Records that work waits because the window is full.
+    void onLimited(core::TimePoint now) { m_limitedAt = now; }
+    //! Returns the rate at which starts are settled if the window has limited them recently; nothing otherwise.
+    std::optional<double> startsPerSecond(core::TimePoint now) const;
+
+    //! Returns the average time until an answer.
+    core::Duration answerTime() const { return m_answerTime; }
+    //! Returns how long to wait for an answer before asking what became of the order.
+    core::Duration answerTimeout(core::Duration min) const;
+
+private:
+    void adjustLimit(core::TimePoint now);
+
+    std::size_t m_inFlight = 0;
+    std::size_t m_limit = 512;
+    core::Duration m_answerTime {}; //!< moving average
+    core::TimePoint m_shrinkAgainAt {};
+    core::TimePoint m_limitedAt {};
+    core::TimePoint m_rateAt {}; //!< beginning of the interval in which settled orders are counted
+    std::size_t m_settled = 0; //!< in that interval
+    double m_rate = 0; //!< settled orders per second in the previous interval
+};
+
+using OrderWindowPtr = std::shared_ptr<OrderWindow>;
+
+} // namespace sardinerun::scheduling
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -11,11 +11,17 @@
     core::Duration longestLease = std::chrono::seconds(10); //!< maximum that workers grant, also to a former leader
     //! How long a worker may delay its reply until a run ends.
     core::Duration renewalWait = std::chrono::milliseconds(1000);
-    //! Time beyond renewalWait after which a lease renewal counts as lost.
-    core::Duration renewalTimeout = std::chrono::milliseconds(600);
-    core::Duration renewalRetryDelay = std::chrono::milliseconds(250); //!< after a failed lease renewal
-    //! Time after which the answer to an order counts as lost; workers answer within a few milliseconds.
+    core::Duration renewalRetryDelay = std::chrono::milliseconds(250); //!< after a lease renewal without an answer
+    //! Minimum time after which the leader asks what became of an order without an answer; workers answer within a few
+    //! milliseconds, and the time grows with that of the answers.
     core::Duration orderTimeout = std::chrono::milliseconds(220);
+    //! How long the answer to an order or to a lease renewal is still accepted.
+    core::Duration lateAnswerTimeout = std::chrono::milliseconds(3000);
+    //! How long after the end of its lease the runs of a silent worker count as lost if it is still in the registry. It
+    //! is alive then, and its report may show that they have ended.
+    core::Duration listedWorkerGrace = std::chrono::milliseconds(1500);
+    //! Replaces `listedWorkerGrace` while many workers are silent, as the cause may be this node.
+    core::Duration isolationGrace = std::chrono::milliseconds(5000);
     //! Default and upper limit for the timeout of a caller.
     core::Duration callTimeout = std::chrono::milliseconds(2500);
     core::Duration stopGrace = std::chrono::milliseconds(900); //!< maximum time that a worker takes to stop a task
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -6,6 +6,7 @@
 #include "scheduling/advicequeue.h"
 #include "scheduling/cpulimiter.h"
 #include "scheduling/headroom.h"
+#include "scheduling/orderwindow.h"
 #include "scheduling/speedtracker.h"
 #include "scheduling/workahead.h"
 
@@ -183,3 +184,48 @@
     BOOST_TEST(sum.gangCoreSeconds == 7);
     BOOST_TEST(sum.lateCoreSeconds == 7);
 }
+
+BOOST_AUTO_TEST_CASE(order_window_shrinks_while_answers_are_slow_and_grows_back)
+{
+    OrderWindow window;
+    core::TimePoint now { std::chrono::hours(1) };
+    const std::size_t initial = window.room();
+    // Sends as many orders as allowed every 10 ms; `answerTime` later they are answered.
+    const auto play = [&](core::Duration answerTime, int steps) {
+        for (int n = 0; n < steps; ++n) {
+            const std::size_t sent = window.room();
+            for (std::size_t k = 0; k < sent; ++k)
+                window.onSent();
+            now += ms(10);
+            for (std::size_t k = 0; k < sent; ++k)
+                window.onSettled(answerTime, now);
+        }
+    };
+    play(ms(5), 20);
+    BOOST_TEST(window.room() >= initial);
+    BOOST_TEST(window.answerTimeout(ms(220)) == ms(220));
+    play(ms(400), 300);
+    BOOST_TEST(window.room() <= initial / 8);
+    BOOST_TEST(window.room() > 0u);
+    BOOST_TEST(window.answerTimeout(ms(220)) > ms(1000));
+    play(ms(5), 100);
+    BOOST_TEST(window.room() >= initial);
+}
+
+//! Guards against a few workers that never answer and so slow down the starts on all others.
+BOOST_AUTO_TEST_CASE(order_window_is_not_affected_by_a_few_silent_workers)
+{
+    OrderWindow window;
+    core::TimePoint now { std::chrono::hours(1) };
+    const std::size_t initial = window.room();
+    for (int n = 0; n < 4000; ++n) {
+        now += ms(1);
+        window.onSent();
+        window.onSettled(n % 20 == 0 ? ms(220) : ms(4), now);
+    }
+    BOOST_TEST(window.room() >= initial);
+    BOOST_TEST(!window.startsPerSecond(now).has_value()); // nothing waited for it
+    window.onLimited(now);
+    BOOST_REQUIRE(window.startsPerSecond(now).has_value());
+    BOOST_TEST(*window.startsPerSecond(now) > 900);
+}
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -48,7 +48,7 @@
     }
     BOOST_TEST(most == 1u);
     BOOST_TEST(cell.running() == 1u);
-    BOOST_TEST(cell.starts() >= 2u);
+    BOOST_TEST(cell.starts() == 1u); // the report of the worker confirms it
 }
 
 BOOST_AUTO_TEST_CASE(delayed_start_order_runs_no_task_twice)
@@ -315,3 +315,126 @@
     BOOST_TEST(tracker.isSlow(core::VmId("w3"), now));
     BOOST_TEST(!tracker.isSlow(core::VmId("w3"), now + std::chrono::seconds(5))); // the worker is used again
 }
+
+//! Guards against stopping and repeating work whose start was confirmed late, for example over a congested link.
+BOOST_AUTO_TEST_CASE(run_whose_start_is_confirmed_late_goes_on)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    worker.answerDelay = ms(900);
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.running() == 3u);
+    BOOST_TEST(worker.starts.size() == 3u);
+    BOOST_TEST(worker.ended.empty()); // none was stopped
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(500));
+    BOOST_TEST((cell.stateOf(jobOf("a", 3, 1000)) == JobState::Completed));
+}
+
+//! Guards against repeating work that has run, since the answer to its start was lost.
+BOOST_AUTO_TEST_CASE(run_whose_start_was_confirmed_by_a_lost_answer_goes_on)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    worker.losesStarts = 2;
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(4500));
+    BOOST_TEST(cell.running() == 3u);
+    BOOST_TEST(worker.starts.size() == 3u);
+    BOOST_TEST(worker.ended.empty());
+}
+
+//! Guards against gangs that fall apart, since one answer was late.
+BOOST_AUTO_TEST_CASE(gang_goes_on_when_the_start_of_a_member_is_confirmed_late)
+{
+    Cell cell;
+    cell.lead();
+    cell.worker("w2").answerDelay = ms(700);
+    cell.submit(jobOf("gang", 6, 1000, true));
+    cell.advance(ms(2500));
+    BOOST_TEST(cell.running() == 6u);
+    BOOST_TEST(cell.starts() == 6u);
+}
+
+//! Guards against giving up workers whose reports take longer than usual, for example over a congested link.
+BOOST_AUTO_TEST_CASE(worker_whose_reports_are_late_keeps_its_runs)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.submit(jobOf("a", 2, 1000));
+    cell.advance(ms(100));
+    worker.reportDelay = ms(1200);
+    cell.advance(ms(20000));
+    BOOST_TEST(cell.running() == 2u); // its lease was renewed all the while
+    BOOST_TEST(worker.starts.size() == 2u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(4000));
+    BOOST_TEST((cell.stateOf(jobOf("a", 2, 1000)) == JobState::Completed));
+    BOOST_TEST(worker.starts.size() == 2u);
+}
+
+//! Guards against repeating work of a worker that is alive: it is in the registry and has finished its run, only its
+//! reports do not arrive until shortly after its lease.
+BOOST_AUTO_TEST_CASE(run_that_ended_while_reports_were_lost_is_not_repeated)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(300));
+    FakeWorker& worker = cell.worker("w1").running.empty() ? cell.worker("w2") : cell.worker("w1");
+    worker.losesReports = true;
+    cell.advance(ms(1500));
+    cell.endAll(EndKind::Done);
+    for (int n = 0; n < 1000 && cell.workers->clockOf(worker) <= worker.leaseUntil + 800; ++n)
+        cell.advance(ms(10));
+    worker.losesReports = false;
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.starts() == 1u);
+    BOOST_TEST((cell.stateOf(jobOf("a", 1, 1000)) == JobState::Completed));
+}
+
+//! Guards against a leader that gives up the work of a fleet, since its own link or processor is congested.
+BOOST_AUTO_TEST_CASE(silence_of_many_workers_at_once_is_doubted_for_longer)
+{
+    Cell cell;
+    cell.entries.clear();
+    for (int n = 0; n < 12; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    cell.submit(jobOf("a", 12, 4000));
+    cell.advance(ms(300));
+    BOOST_REQUIRE(cell.running() == 12u);
+    for (int n = 0; n < 5; ++n)
+        cell.worker("w" + std::to_string(n)).losesReports = true;
+    cell.advance(ms(1000));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(7500)); // the leases have expired, and the other workers have room
+    for (int n = 0; n < 5; ++n)
+        cell.worker("w" + std::to_string(n)).losesReports = false;
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.starts() == 12u);
+    BOOST_TEST((cell.stateOf(jobOf("a", 12, 4000)) == JobState::Completed));
+}
+
+//! Guards against counting a run as lost because an older report, which does not list it yet, arrives after its start.
+BOOST_AUTO_TEST_CASE(report_that_was_overtaken_by_a_newer_one_is_ignored)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(1500));
+    fleet::WorkerReport old;
+    old.clock = fleet::WorkerClock(cell.workers->clockOf(worker));
+    old.startedAt = worker.startedAt;
+    old.running.push_back(worker.running.begin()->second);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(1000)); // the end is reported, persisted and acknowledged
+    worker.overtakenReport = old;
+    cell.advance(ms(1500));
+    BOOST_TEST(!worker.overtakenReport.has_value());
+    BOOST_TEST(worker.closed[old.running[0].runId.task].value() == 1); // no stop was ordered for the ended run
+    cell.submit(jobOf("b", 4, 1000));
+    cell.advance(ms(500));
+    BOOST_TEST(cell.running() == 4u); // its room is free
+}
