Keep the lead under load: refuse new work instead of handing over

Change: a leader hands over at once only if its VM has become slow: a fixed computation takes 1.8 times its best time (VmSpeed). Otherwise it keeps the lead, refuses new jobs while its timers are 40 ms late (resends of accepted jobs, reads and cancels are answered), and hands over once after 8 s of overload, not again within 60 s (YieldPolicy). Admission counts the starts that the leader can order if the window of start orders limits them. A new leader contacts 64 workers at once and the others at 2 a millisecond.

Tests: leader_overload in src/dispatch, overload_admission and the policies in src/scheduling; a leader that keeps its lead fails with the former rule by construction (it released after 1.5 s).

--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -15,11 +15,7 @@
 //! A node that has not polled for this long is no longer listed to the other nodes.
 constexpr core::Duration proxyRetention = std::chrono::seconds(10);
 constexpr core::Duration lagTimerPeriod = std::chrono::milliseconds(50);
-//! A new leader is busy taking over, so it does not release the leadership within this time.
-constexpr core::Duration yieldDelay = std::chrono::milliseconds(1500);
-//! If the former leader was overloaded as well, the cause is the load and not the VM, and changing leaders would add
-//! to it.
-constexpr core::Duration longYieldDelay = std::chrono::seconds(12);
+constexpr core::Duration speedSamplePeriod = std::chrono::milliseconds(100);
 //! How long an overloaded node does not stand for election after it has released the leadership.
 constexpr core::Duration overloadPause = std::chrono::seconds(6);
 constexpr core::Duration formerLeaderRetryDelay = std::chrono::milliseconds(400);
@@ -55,7 +51,8 @@
         m_dependencies.leaderTimes, m_dependencies.candidacyDelay, std::move(hooks));
     m_election->start();
     every(leaderQueryPeriod, [this] { queryNextNode(); });
-    every(lagTimerPeriod, [this] { checkLag(); });
+    every(lagTimerPeriod, [this] { checkLoad(); });
+    every(speedSamplePeriod, [this] { sampleSpeed(); });
 }
 
 void LeaderTask::receive(LeaderMessage message)
@@ -94,7 +91,7 @@
         .with("formerReleased", std::int64_t(won.isFormerReleased));
     m_dependencies.metrics->set(telemetry::Metric::Leading, {}, 1);
     m_term = won.leader.term;
-    m_mayYieldAt = now() + (won.wasFormerOverloaded ? longYieldDelay : yieldDelay);
+    m_yieldPolicy.emplace(now(), won.wasFormerOverloaded);
     m_lag.reset();
     m_isYielding = false;
     m_advice = scheduling::AdviceQueue::create(loop());
@@ -168,15 +165,30 @@
     }
 }
 
-void LeaderTask::checkLag()
+void LeaderTask::sampleSpeed()
+{
+    const core::TimePoint before = now();
+    m_speedSample = computeSpeedSample();
+    m_speed.onSample(now() - before);
+}
+
+void LeaderTask::checkLoad()
 {
     m_lag.onTimer(now());
-    if (!m_engine || m_isYielding || now() < m_mayYieldAt || !m_lag.isOverloaded())
+    if (!m_engine)
         return;
+    m_engine->setLoopLateness(m_lag.lateness());
+    if (!m_isYielding && m_yieldPolicy->mustYield(now(), m_lag.isOverloaded(), m_speed.isSlowed()))
+        yieldLeadership();
+}
+
+void LeaderTask::yieldLeadership()
+{
     m_isYielding = true;
     LogLine(Severity::Warning, "lead-yielded")
         .with("term", std::int64_t(m_term.value()))
-        .with("latenessMs", m_lag.lateness() / std::chrono::milliseconds(1));
+        .with("latenessMs", m_lag.lateness() / std::chrono::milliseconds(1))
+        .with("vmSlowed", std::int64_t(m_speed.isSlowed()));
     const std::weak_ptr weak = std::static_pointer_cast<LeaderTask>(shared_from_this());
     m_engine->release(true, [weak, term = m_term] {
         const auto it = weak.lock();
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -2,6 +2,8 @@
 
 #include "dispatch/dispatchtypes.h"
 #include "dispatch/lagmeter.h"
+#include "dispatch/vmspeed.h"
+#include "dispatch/yieldpolicy.h"
 #include "fleet/iworkerorders.h"
 #include "fleet/iworkerregistry.h"
 #include "http/ihttpclient.h"
@@ -43,8 +45,10 @@
     void queryNode(const core::HostPort& node, bool isRejectedByStore,
         std::function<void(const std::optional<protocol::LeaderHint>&)> callback);
     void inviteOthers();
-    //! Releases the leadership if this VM is overloaded, so that another node takes over.
-    void checkLag();
+    //! Measures the load of this VM. A leader that is overloaded rejects new work, or releases the leadership.
+    void checkLoad();
+    void yieldLeadership();
+    void sampleSpeed();
     void queryFormerLeader(const core::HostPort& former, core::Epoch term);
     //! Asks the next of the other nodes for the leader while none is known or the known one is suspected.
     void queryNextNode();
@@ -67,7 +71,9 @@
     std::optional<lead::LeaderRow> m_leader; //!< as last read from the store
     core::Epoch m_term; //!< of this node's leadership
     LagMeter m_lag;
-    core::TimePoint m_mayYieldAt {}; //!< from then on this node may release the leadership because of overload
+    VmSpeed m_speed;
+    std::uint64_t m_speedSample = 0; //!< result of the last computation for `m_speed`
+    std::optional<YieldPolicy> m_yieldPolicy; //!< of this node's leadership
     bool m_isYielding = false;
     std::optional<lead::LeaderRow> m_publishedLeader; //!< the leader as last published to the other tasks
     bool m_isSuspected = false; //!< the published leader does not answer
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -21,6 +21,9 @@
     double lateCoreSeconds = 0; //!< pending work of jobs that can't meet their objective any more; not ahead
     //! Pending gangs of more urgent queues, which start only when all of their tasks fit.
     double gangCoreSecondsAhead = 0;
+    double tasksAhead = 0; //!< pending tasks that would start before this job
+    //! Rate at which the leader can order starts, if it is what limits them now.
+    std::optional<double> startsPerSecond;
     double higherPriorityShare = 0; //!< average share of the cores that more urgent work uses
     core::Duration adviceWait {}; //!< expected duration of an advice request of this queue
 };
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -53,6 +53,8 @@
     virtual void handle(const workflow::WorkflowCall& call, AnswerCallback callback) = 0;
     //! Persists all pending changes, releases the leadership, and then calls `done`.
     virtual void release(bool isOverloaded, std::function<void()> done) = 0;
+    //! Sets how late the loop's timers are. While they are too late, new jobs are refused.
+    virtual void setLoopLateness(core::Duration lateness) = 0;
     //! Notifies the engine that the former leader sends no more orders.
     virtual void setFormerLeaderGone() = 0;
 };
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -42,6 +42,12 @@
     return inputs.coreSecondsAhead + inputs.gangCoreSecondsAhead * gangWeight;
 }
 
+//! Returns the time until the leader has ordered the starts ahead of a job.
+core::Duration startWait(const AdmissionInputs& inputs)
+{
+    return inputs.startsPerSecond ? seconds(inputs.tasksAhead / *inputs.startsPerSecond) : core::Duration(0);
+}
+
 } // namespace
 
 double coreSecondsOf(const workflow::JobSpec& spec)
@@ -84,7 +90,8 @@
         return std::nullopt; // due later or running without end, so the current load is irrelevant
     const double usable
         = inputs.cores * usableShare * (1 - std::min(inputs.higherPriorityShare, maxHigherPriorityShare));
-    const core::Duration wait = seconds(coreSecondsBefore(inputs) / std::max(usable, 0.001)) + inputs.adviceWait;
+    const core::Duration roomWait = seconds(coreSecondsBefore(inputs) / std::max(usable, 0.001));
+    const core::Duration wait = std::max(roomWait, startWait(inputs)) + inputs.adviceWait;
     const core::Duration chain = workflow::criticalPath(spec);
     const core::Duration objective = objectiveOf(spec, queue);
     if (wait + chain <= objective)
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -64,6 +64,8 @@
     inputs.coreSecondsAhead = ahead.coreSeconds;
     inputs.gangCoreSecondsAhead = ahead.gangCoreSeconds;
     inputs.lateCoreSeconds = ahead.lateCoreSeconds;
+    inputs.tasksAhead = ahead.tasks;
+    inputs.startsPerSecond = m_orderWindow->startsPerSecond(now);
     double higherPriorityLoad = 0;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
     for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n)
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -21,6 +21,12 @@
 constexpr core::Duration maxCallDeferral = std::chrono::milliseconds(400);
 constexpr core::Duration notNowRetryAfter = std::chrono::milliseconds(400);
 
+//! While the loop's timers are this late on average, the leader refuses new jobs. What it has accepted, and calls about
+//! it, come first.
+constexpr core::Duration maxLoopLateness = std::chrono::milliseconds(40);
+constexpr core::Duration overloadRetryAfter = std::chrono::milliseconds(1000);
+constexpr const char* overloadReason = "the leader is overloaded";
+
 WorkflowResult answerOf(WorkflowOutcome outcome, std::string reason = "")
 {
     WorkflowResult it;
@@ -89,6 +95,10 @@
         answerDuplicate(*known, callback);
         return;
     }
+    if (m_loopLateness >= maxLoopLateness) {
+        refuseUnderOverload(call, *queue, callback);
+        return;
+    }
     if (!m_log->isUp()) {
         callback(notNow("the store does not answer"));
         return;
@@ -129,6 +139,22 @@
     accept(call, *queue, callback);
 }
 
+void EngineImpl::refuseUnderOverload(
+    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback)
+{
+    // Decided before anything is computed: a refusal has to cost much less than the work that it keeps away.
+    m_dependencies.metrics->add(telemetry::Metric::WorkRefused, { { "queue", queue.name } });
+    LogLine(Severity::Info, "intake")
+        .with("job", call.spec.id.value())
+        .with("queue", queue.name)
+        .with("latenessMs", core::toMs(m_loopLateness))
+        .with("outcome", "refused")
+        .with("why", overloadReason);
+    WorkflowResult answer = answerOf(WorkflowOutcome::Refused, overloadReason);
+    answer.retryAfter = overloadRetryAfter;
+    callback(answer);
+}
+
 void EngineImpl::answerDuplicate(Job& job, const AnswerCallback& callback)
 {
     if (job.isPersisted)
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -34,6 +34,7 @@
     void setWorkers(const std::vector<fleet::WorkerEntry>& entries) override;
     void handle(const workflow::WorkflowCall& call, AnswerCallback callback) override;
     void release(bool isOverloaded, std::function<void()> done) override;
+    void setLoopLateness(core::Duration lateness) override { m_loopLateness = lateness; }
     void setFormerLeaderGone() override;
 
 private:
@@ -57,6 +58,8 @@
     bool canAnswer(const workflow::WorkflowCall& call) const;
     void retryDeferredCalls();
     void submit(const workflow::WorkflowCall& call, const AnswerCallback& callback);
+    void refuseUnderOverload(
+        const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback);
     void answerDuplicate(Job& job, const AnswerCallback& callback);
     void accept(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback);
     void onAccepted(const JobPtr& job);
@@ -98,6 +101,8 @@
     //! Writes the rows of the roster that have changed.
     void persistRoster();
     void addWorker(const fleet::WorkerEntry& entry, bool isListed);
+    //! Returns when to contact a worker that was just added.
+    core::Duration firstContactDelay() const;
     WorkerHooks workerHooks();
     void removeDepartedWorkers(); //!< those that have left and have no runs
     void removeWorker(const core::VmId& id);
@@ -209,6 +214,7 @@
     std::deque<DeferredCall> m_deferredCalls; //!< calls that wait for the end of recovery or for a configuration
     std::deque<core::JobId> m_ended; //!< ended jobs, oldest first
     placement::HealthTracker m_health;
+    core::Duration m_loopLateness {};
     OrderWindowPtr m_orderWindow = std::make_shared<OrderWindow>();
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -202,8 +202,16 @@
 
 void EngineImpl::placeStage(const ReadyStage& ready, core::TimePoint now)
 {
+    if (m_orderWindow->isFull()) {
+        m_orderWindow->onLimited(now);
+        return; // a ticket would expire before its start is ordered
+    }
     Demand demand = demandOf(*ready.job, *ready.stage);
     demand.count = startLimit(ready, demand, now);
+    if (!demand.isAllOrNothing && demand.count > m_orderWindow->room()) {
+        demand.count = static_cast<std::uint32_t>(m_orderWindow->room());
+        m_orderWindow->onLimited(now);
+    }
     // Single tasks that fit on no worker are skipped early; a gang may still reserve room.
     FleetView& fleet = fleetViewOf(*ready.job);
     const bool mayStart = demand.count > 0 && (demand.isAllOrNothing || demand.need.fitsIn(fleet.maxRoom()));
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -19,6 +19,11 @@
 constexpr core::Duration readRetryDelay = std::chrono::milliseconds(150);
 constexpr std::int64_t runsPerTerm = 4096; //!< run numbers of each term; those of a later term are higher
 
+//! A new leader contacts this many workers at once, and the others one after the other, so that its processor and link
+//! remain free for calls meanwhile.
+constexpr std::int64_t contactedAtOnce = 64;
+constexpr core::Duration contactInterval = std::chrono::microseconds(500);
+
 //! The roster is spread over rows, so that each fits into the store with thousands of workers.
 constexpr std::uint32_t rosterRowCount = 32;
 
@@ -251,7 +256,7 @@
         m_priorLeaseUntil, m_dependencies.times, m_orderWindow, workerHooks());
     worker->setListed(isListed);
     m_workers[entry.id] = worker;
-    worker->begin();
+    worker->begin(firstContactDelay());
 }
 
 void EngineImpl::removeDepartedWorkers()
@@ -283,6 +288,13 @@
         persistRoster();
 }
 
+core::Duration EngineImpl::firstContactDelay() const
+{
+    const auto waiting = std::count_if(m_workers.begin(), m_workers.end(),
+        [](const auto& it) { return !it.second->hasAnswered() && !it.second->isUnresponsive(); });
+    return waiting <= contactedAtOnce ? core::Duration(0) : contactInterval * (waiting - contactedAtOnce);
+}
+
 bool EngineImpl::tryPassBarrier()
 {
     if (m_isBarrierPassed)
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -125,6 +125,8 @@
 
 void EngineImpl::onRunning(Worker&, const fleet::RunId& run)
 {
+    if (m_orderWindow->startsPerSecond(m_dependencies.loop->now()))
+        scheduleRound(); // the window has room for a further start
     const JobPtr job = jobOf(run.task.job);
     if (!job || job->hasEnded())
         return;
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -47,6 +47,7 @@
             continue;
         const double cores = double(roomOf(step).cpu.value()) / 1000;
         const double coreSecondsPerTask = cores * std::chrono::duration<double>(step.estimate).count();
+        sum.tasks += double(it.pending);
         (step.isGang ? sum.gangCoreSeconds : sum.coreSeconds) += coreSecondsPerTask * double(it.pending);
     }
     return sum;
--- a/src/scheduling/internal/workahead.cpp
+++ b/src/scheduling/internal/workahead.cpp
@@ -5,7 +5,8 @@
 void WorkAhead::add(int priority, core::TimePoint startBy, const PendingWork& work)
 {
     Level& level = m_levels[priority];
-    level.jobs.push_back({ startBy, work.total() });
+    level.jobs.push_back({ startBy, work.total(), work.tasks });
+    level.sum.tasks += work.tasks;
     level.sum.coreSeconds += work.coreSeconds;
     level.sum.gangCoreSeconds += work.gangCoreSeconds;
 }
@@ -25,10 +26,15 @@
         if (levelPriority < priority) {
             sum.coreSeconds += level.sum.coreSeconds;
             sum.gangCoreSeconds += level.sum.gangCoreSeconds;
+            sum.tasks += level.sum.tasks;
             continue;
         }
-        for (const JobWork& it : level.jobs)
-            sum.coreSeconds += it.startBy <= startBy ? it.coreSeconds : 0;
+        for (const JobWork& it : level.jobs) {
+            if (it.startBy > startBy)
+                continue;
+            sum.coreSeconds += it.coreSeconds;
+            sum.tasks += it.tasks;
+        }
     }
     return sum;
 }
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -40,9 +40,12 @@
 {
 }
 
-void Worker::begin()
+void Worker::begin(core::Duration delay)
 {
-    renewLease();
+    if (delay > core::Duration(0))
+        scheduleRenewal(delay);
+    else
+        renewLease();
 }
 
 void Worker::detach()
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -92,7 +92,7 @@
         core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window,
         WorkerHooks hooks);
 
-    void begin(); //!< starts renewing the lease
+    void begin(core::Duration delay); //!< starts renewing the lease after a delay
     void detach(); //!< stops the exchange; no callback follows
     void setEntry(fleet::WorkerEntry entry);
     void setListed(bool isListed);
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -108,6 +108,45 @@
     BOOST_TEST((answer.outcome == WorkflowOutcome::Accepted));
 }
 
+//! Guards against a leader that is busy with new jobs and cannot see through what it has accepted. Resends of accepted
+//! jobs must not be refused, as they may have run.
+BOOST_AUTO_TEST_CASE(overloaded_leader_refuses_only_new_jobs)
+{
+    Cell cell;
+    cell.lead();
+    const auto known = jobOf("known", 1, 1000);
+    BOOST_TEST((cell.submit(known) == WorkflowOutcome::Accepted));
+    cell.engine->setLoopLateness(ms(60));
+    const auto refused = cell.callEngine(workflow::CallKind::Submit, jobOf("new", 1, 1000));
+    BOOST_TEST((refused.outcome == WorkflowOutcome::Refused));
+    BOOST_TEST((refused.retryAfter > ms(0)));
+    BOOST_TEST((cell.submit(known) == WorkflowOutcome::Accepted));
+    BOOST_TEST((cell.callEngine(workflow::CallKind::Read, known).outcome == WorkflowOutcome::Found));
+    BOOST_TEST((cell.callEngine(workflow::CallKind::Cancel, known).outcome == WorkflowOutcome::Cancelled));
+    cell.engine->setLoopLateness(ms(5));
+    BOOST_TEST((cell.submit(jobOf("later", 1, 1000)) == WorkflowOutcome::Accepted));
+}
+
+//! Guards against sending ever more orders over a congested link: each start is ordered once, and all of them run.
+BOOST_AUTO_TEST_CASE(starts_are_paced_while_answers_are_slow)
+{
+    Cell cell;
+    cell.queue.stretch = 100;
+    cell.entries.clear();
+    for (int n = 0; n < 100; ++n)
+        cell.addWorker("w" + std::to_string(n), 8000);
+    cell.lead();
+    for (auto& [id, worker] : cell.workers->workers)
+        worker.answerDelay = ms(600);
+    for (int n = 0; n < 40; ++n)
+        BOOST_TEST((cell.submit(jobOf("job" + std::to_string(n), 20, 1000)) == WorkflowOutcome::Accepted));
+    cell.workers->percentOf
+        = [&cell](const fleet::RunId&) { return int(cell.loop->now().time_since_epoch() / ms(200) % 97); };
+    cell.advance(ms(20000));
+    BOOST_TEST(cell.running() == 800u);
+    BOOST_TEST(cell.starts() == 800u);
+}
+
 //! Guards against accepting a burst as a whole, since the state of the queues is evaluated only once for submissions
 //! that arrive together.
 BOOST_AUTO_TEST_CASE(jobs_accepted_in_the_same_instant_count_as_ahead_of_the_next)
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -229,3 +229,16 @@
     BOOST_REQUIRE(window.startsPerSecond(now).has_value());
     BOOST_TEST(*window.startsPerSecond(now) > 900);
 }
+
+//! Guards against accepting what the leader's processor or link cannot start in time, while workers have room.
+BOOST_AUTO_TEST_CASE(job_is_refused_if_the_leader_cannot_order_its_starts_in_time)
+{
+    Submission it;
+    it.inputs.freeCores = 100;
+    it.inputs.tasksAhead = 1000;
+    BOOST_TEST(!it.isRefused()); // starts are not limited
+    it.inputs.startsPerSecond = 500;
+    BOOST_TEST(!it.isRefused());
+    it.inputs.startsPerSecond = 50;
+    BOOST_TEST(it.isRefused());
+}
--- a/src/scheduling/workahead.h
+++ b/src/scheduling/workahead.h
@@ -11,6 +11,7 @@
 struct PendingWork {
     double coreSeconds = 0; //!< of tasks outside of gangs
     double gangCoreSeconds = 0;
+    double tasks = 0; //!< number of pending tasks
 
     double total() const { return coreSeconds + gangCoreSeconds; }
 };
@@ -26,6 +27,7 @@
         double coreSeconds = 0; //!< of more urgent tasks outside of gangs, and of all tasks of equal priority
         double gangCoreSeconds = 0; //!< of more urgent gangs
         double lateCoreSeconds = 0; //!< of late jobs, which in fact start after all others
+        double tasks = 0; //!< without those of late jobs
     };
 
     //! Adds the work of a job; `startBy` is its latest start that is expected to meet its objective.
@@ -39,6 +41,7 @@
     struct JobWork {
         core::TimePoint startBy {};
         double coreSeconds = 0;
+        double tasks = 0;
     };
     struct Level {
         std::vector<JobWork> jobs;
