Ask for advice about a wide step in parallel

Cause: one request names at most 100 workers, about a third of which are allowed, and a step had one request at a time. A step that needs more tickets than that waited for one request after the other, 0.9 to 2.7 s each, while tickets live 2 to 2.5 s: a wide gang never started beside free workers.

Change: while at least half of 16 or more nodes are free, a step sends up to four requests at once, about workers that no open request or valid ticket covers, as many as its tasks still need by the learned share. Fewer nodes: as before.

Tests (overload_wide_steps), seen failing: a gang of 150 started 0 tasks, a step of 150 single tasks 68 in 2.5 s; now 150 and 150.

--- a/src/dispatch/vmspeed.h
+++ b/src/dispatch/vmspeed.h
@@ -8,7 +8,8 @@
 
 //! Detects that this VM computes slower than it did, from the duration of a fixed computation.
 //!
-//! Late timers alone do not tell a slow VM from one with too much work. On a slow VM this computation takes longer, too.
+//! Late timers alone do not tell a slow VM from one with too much work. On a slow VM this computation takes longer,
+//! too.
 class VmSpeed {
 public:
     void onSample(core::Duration took);
--- a/src/scheduling/advicequeue.h
+++ b/src/scheduling/advicequeue.h
@@ -40,6 +40,8 @@
     std::size_t waiting() const { return m_waiting.size(); }
     //! Returns the number of nodes to which a request of this cost could be assigned now.
     std::size_t freeNodes(core::Duration cost) const;
+    //! Returns whether so many nodes are free that one step may use several of them.
+    bool hasSpareNodes() const;
 
 private:
     struct QueuedRequest {
--- a/src/scheduling/internal/advicequeue.cpp
+++ b/src/scheduling/internal/advicequeue.cpp
@@ -10,6 +10,8 @@
 constexpr core::Duration longCost = std::chrono::milliseconds(150);
 //! Long requests leave one in this many nodes free.
 constexpr std::size_t reservedDivisor = 3;
+//! With fewer nodes none is spare, even if most are free at the moment.
+constexpr std::size_t minNodesForSpare = 16;
 constexpr core::Duration pollTimeout = std::chrono::milliseconds(900);
 //! Time beyond the expected duration after which a request counts as failed, as its node may have failed.
 constexpr core::Duration answerTimeoutSlack = std::chrono::milliseconds(500);
@@ -61,6 +63,12 @@
     return canAssign(cost) && m_waiting.size() < m_polls.size() ? m_polls.size() - m_waiting.size() : 0;
 }
 
+bool AdviceQueue::hasSpareNodes() const
+{
+    const std::size_t nodes = m_polls.size() + m_inFlight.size();
+    return nodes >= minNodesForSpare && m_waiting.empty() && m_polls.size() * 2 >= nodes;
+}
+
 void AdviceQueue::assignRequests()
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end() && !m_polls.empty();) {
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -27,6 +27,8 @@
 //! Naming additional workers may cost up to this multiple (three halves) of the fixed time of a request.
 constexpr std::int64_t costFactor = 3;
 constexpr std::int64_t costDivisor = 2;
+//! Maximum number of requests for one step at a time; each goes to another node.
+constexpr std::size_t maxOpenRequests = 4;
 
 //! Returns the room that is reserved on a worker, or null.
 const core::Resources* reservedOn(const core::VmId& worker, const std::optional<Reservation>& reservation)
@@ -37,6 +39,15 @@
     return it == reservation->reserved.end() ? nullptr : &it->second;
 }
 
+//! Returns the number of tasks of a step that fit on a worker.
+std::int64_t taskSlotsIn(const Candidate& it, const Demand& demand)
+{
+    const std::int64_t slots = slotsIn(it.room, demand.need);
+    if (demand.maxPerWorker == 0)
+        return slots;
+    return std::clamp<std::int64_t>(std::int64_t(demand.maxPerWorker) - std::int64_t(it.tasksOfStep), 0, slots);
+}
+
 //! Returns the minimum number of workers to name. A wider choice may take about as long as the fixed time of a request;
 //! steps with few tasks need fewer workers.
 std::size_t minWorkersForAdvice(const workflow::AdvicePolicy& policy, std::uint32_t tasks)
@@ -56,24 +67,26 @@
 }
 
 std::vector<core::VmId> EngineImpl::workersForAdvice(
-    const Job& job, const Stage& stage, core::TimePoint now, const std::optional<Reservation>& reservation)
+    const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation, bool isAdditional)
 {
-    const Demand demand = demandOf(job, stage);
+    const Job& job = *ready.job;
+    const AdviceState& advice = ready.stage->advice;
+    Demand demand = demandOf(job, *ready.stage);
+    if (isAdditional)
+        demand.count = tasksWithoutTicket(ready, now);
     const placement::IStrategy& strategy = placement::strategyOf(placementStrategy);
-    const std::vector<Candidate> allowed = candidatesFor(job, stage, now, CandidateFilter::NotDenied);
+    const std::vector<Candidate> notDenied = candidatesFor(job, *ready.stage, now, CandidateFilter::NotDenied);
     std::vector<AdviceCandidate> candidates;
-    candidates.reserve(allowed.size());
-    for (const Candidate& it : allowed) {
-        std::int64_t slots = slotsIn(it.room, demand.need);
-        if (demand.maxPerWorker > 0)
-            slots
-                = std::clamp<std::int64_t>(std::int64_t(demand.maxPerWorker) - std::int64_t(it.tasksOfStep), 0, slots);
+    candidates.reserve(notDenied.size());
+    for (const Candidate& it : notDenied) {
+        const auto ticket = advice.tickets.find(it.worker);
+        const bool isAllowed = ticket != advice.tickets.end();
+        const bool isCovered = advice.requested.contains(it.worker) || (isAllowed && ticket->second.validUntil > now);
+        if (!demand.need.fitsIn(it.capacity) || (isAdditional && isCovered))
+            continue;
         const core::Resources* reserved = reservedOn(it.worker, reservation);
-        if (reserved)
-            slots = std::max(slots, slotsIn(*reserved, demand.need));
-        if (demand.need.fitsIn(it.capacity))
-            candidates.push_back({ it.worker, slots, reserved != nullptr, stage.advice.tickets.contains(it.worker),
-                scoreOf(demand, it, strategy) });
+        const std::int64_t slots = std::max(taskSlotsIn(it, demand), reserved ? slotsIn(*reserved, demand.need) : 0);
+        candidates.push_back({ it.worker, slots, reserved != nullptr, isAllowed, scoreOf(demand, it, strategy) });
     }
     const bool isReservationSoon = reservation && reservation->completeIn <= adviceLeadTime(job);
     const std::size_t minWorkers = minWorkersForAdvice(*job.record.queue.advice, demand.count);
@@ -81,6 +94,22 @@
         demand, candidates, allowedShareOf(job.record.queue.name), minWorkers, isReservationSoon);
 }
 
+std::uint32_t EngineImpl::tasksWithoutTicket(const ReadyStage& ready, core::TimePoint now)
+{
+    const Demand demand = demandOf(*ready.job, *ready.stage);
+    const AdviceState& advice = ready.stage->advice;
+    const double share = allowedShareOf(ready.job->record.queue.name);
+    double covered = 0;
+    for (const Candidate& it : candidatesFor(*ready.job, *ready.stage, now, CandidateFilter::NotDenied)) {
+        const auto ticket = advice.tickets.find(it.worker);
+        if (advice.requested.contains(it.worker))
+            covered += double(taskSlotsIn(it, demand)) * (ticket != advice.tickets.end() ? 1 : share);
+        else if (ticket != advice.tickets.end() && ticket->second.validUntil > now)
+            covered += double(taskSlotsIn(it, demand));
+    }
+    return covered >= demand.count ? 0 : demand.count - static_cast<std::uint32_t>(covered);
+}
+
 core::Duration EngineImpl::adviceLeadTime(const Job& job)
 {
     return job.record.queue.advice->costOf(typicalWorkers) + adviceMargin;
@@ -89,7 +118,7 @@
 bool EngineImpl::needsAdvice(const ReadyStage& ready, core::TimePoint now) const
 {
     const AdviceState& advice = ready.stage->advice;
-    if (advice.isRequested || now < advice.nextRequestAt)
+    if (advice.openRequests > 0 || now < advice.nextRequestAt)
         return false;
     // Single tasks found no room on the allowed workers, but other workers may have some.
     if (!ready.job->stepOf(*ready.stage).isGang)
@@ -99,20 +128,30 @@
         [expiresBy](const auto& it) { return it.second.validUntil > expiresBy; });
 }
 
+bool EngineImpl::needsMoreAdvice(const ReadyStage& ready, core::TimePoint now)
+{
+    const AdviceState& advice = ready.stage->advice;
+    const bool mayAsk = now >= advice.nextRequestAt && advice.openRequests < maxOpenRequests
+        && (advice.openRequests > 0 || !advice.tickets.empty());
+    return mayAsk && m_dependencies.advice->hasSpareNodes() && tasksWithoutTicket(ready, now) > 0;
+}
+
 void EngineImpl::requestAdvice(
     const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation)
 {
-    if (!needsAdvice(ready, now))
+    const bool isAdditional = !needsAdvice(ready, now);
+    if (isAdditional && !needsMoreAdvice(ready, now))
         return;
     Stage& stage = *ready.stage;
     AdviceState& advice = stage.advice;
     const workflow::AdvicePolicy& policy = *ready.job->record.queue.advice;
     if (m_dependencies.advice->freeNodes(policy.perRequest) == 0 && ready.priority > 0)
         return; // a later round decides again, once a node is free
-    const std::vector<core::VmId> workers = workersForAdvice(*ready.job, stage, now, reservation);
+    const std::vector<core::VmId> workers = workersForAdvice(ready, now, reservation, isAdditional);
     if (workers.empty())
         return;
-    advice.isRequested = true;
+    ++advice.openRequests;
+    advice.requested.insert(workers.begin(), workers.end());
     fleet::AdviceRequest request;
     request.job = ready.job->record.spec.id;
     request.occurrence = stage.occurrence;
@@ -149,7 +188,9 @@
     const core::TimePoint now = m_dependencies.loop->now();
     Stage& stage = job->stages[stageIndex];
     AdviceState& advice = stage.advice;
-    advice.isRequested = false;
+    --advice.openRequests;
+    for (const core::VmId& it : workers)
+        advice.requested.erase(it);
     scheduleRound();
     LogLine(Severity::Info, "advice")
         .with("job", job->record.spec.id.value())
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -98,7 +98,7 @@
         .with("slots", slots)
         .with("workersWithRoom", workersWithRoom)
         .with("tickets", std::int64_t(gang.stage->advice.tickets.size()))
-        .with("adviceOpen", std::int64_t(gang.stage->advice.isRequested))
+        .with("adviceOpen", std::int64_t(gang.stage->advice.openRequests))
         .with("waitedMs", core::toMs(now - gang.stage->openedAt));
 }
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -164,8 +164,14 @@
         const Job& job, const Stage& stage, core::TimePoint now, CandidateFilter filter);
     Demand demandOf(const Job& job, const Stage& stage) const;
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
+    //! Selects the workers to name. An additional request names none for which tickets are valid or requested.
     std::vector<core::VmId> workersForAdvice(
-        const Job& job, const Stage& stage, core::TimePoint now, const std::optional<Reservation>& reservation);
+        const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation, bool isAdditional);
+    //! Returns the number of tasks of a step that may start neither on the workers with a valid ticket nor, as far as
+    //! is expected, on those for which advice is requested.
+    std::uint32_t tasksWithoutTicket(const ReadyStage& ready, core::TimePoint now);
+    //! Returns whether one more request may be sent beside the open ones or the valid tickets.
+    bool needsMoreAdvice(const ReadyStage& ready, core::TimePoint now);
     double allowedShareOf(const std::string& queue) const;
     //! Returns how long before the start of a gang its advice is requested.
     static core::Duration adviceLeadTime(const Job& job);
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -39,7 +39,8 @@
 struct AdviceState {
     std::map<core::VmId, IssuedTicket> tickets;
     std::unordered_set<core::VmId> denied; //!< workers on which the step may never run
-    bool isRequested = false;
+    std::size_t openRequests = 0;
+    std::unordered_set<core::VmId> requested; //!< workers that the open requests name
     core::TimePoint nextRequestAt {};
 };
 
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -69,6 +69,26 @@
     });
 }
 
+//! Answers the advice requests of a node after the time that they take, allowing one in three workers for each job.
+void adviseInTime(Cell& cell, const core::NodeId& node)
+{
+    cell.advice->poll(node, [&cell, node](AdviceQueue::RequestId id, const fleet::AdviceRequest& request) {
+        if (id == 0) {
+            adviseInTime(cell, node);
+            return;
+        }
+        fleet::Advice advice;
+        for (const core::VmId& it : request.workers) {
+            if (std::hash<std::string>()(request.job.value() + it.value()) % 3 == 0)
+                advice.allowed.push_back({ it, "ticket" });
+        }
+        cell.loop->callAfter(cell.queue.advice->costOf(request.workers.size()), [&cell, node, id, advice] {
+            cell.advice->answer(id, fleet::AdviceResult(advice));
+            adviseInTime(cell, node);
+        });
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(overload_admission)
@@ -245,3 +265,44 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(overload_wide_steps)
+
+//! Guards against a gang that never starts beside free workers, since it needs more tickets than one advice request
+//! brings and the tickets of one request expire before the next one is answered.
+BOOST_AUTO_TEST_CASE(gang_that_needs_several_advice_requests_starts)
+{
+    Cell cell;
+    cell.queue.advice = workflow::AdvicePolicy { ms(250), std::chrono::microseconds(6500), ms(2000) };
+    cell.entries.clear();
+    for (int n = 0; n < 900; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    for (int n = 0; n < 40; ++n)
+        adviseInTime(cell, core::NodeId("n" + std::to_string(n)));
+    auto gang = jobOf("gang", 150, 1000, true);
+    gang.steps[0].maxPerWorker = 1;
+    BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
+    cell.advance(ms(4000));
+    BOOST_TEST(startsOf(cell, gang) == 150u);
+}
+
+//! Guards against a wide step of single tasks that waits for one advice request after the other.
+BOOST_AUTO_TEST_CASE(single_tasks_of_a_wide_step_start_together)
+{
+    Cell cell;
+    cell.queue.advice = workflow::AdvicePolicy { ms(250), std::chrono::microseconds(6500), ms(2000) };
+    cell.entries.clear();
+    for (int n = 0; n < 600; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    for (int n = 0; n < 40; ++n)
+        adviseInTime(cell, core::NodeId("n" + std::to_string(n)));
+    auto job = jobOf("wide", 150, 1000);
+    job.steps[0].maxPerWorker = 1;
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+    cell.advance(ms(2500));
+    BOOST_TEST(startsOf(cell, job) == 150u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
