Bound the connections to each worker, and pause accepting without descriptors

Each start order in a burst opened a connection of its own to the worker, kept for ten seconds.

Change: requests to one address may share a number of connections; others wait for their turn, and have certainly not been sent until then. A listener that cannot accept for lack of descriptors pauses for 100 ms. The backlog line names the lateness of the loop, the time of answers and the starts that the window leaves.

Tests: the spinning listener, seen failing; shared connections and a request that waits too long, new with the mechanism.

--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -73,6 +73,9 @@
     Headers headers;
     std::string body;
     std::optional<LateConnectionBody> lateConnectionBody; //!< replaces `body` on such a connection
+    //! Requests to this address that are under way at the same time, each on its own connection; further ones wait.
+    //! 0: no limit.
+    std::size_t maxConnections = 0;
     //! Time within which the request must be sent, which needs a connection; 0: `timeout` alone applies.
     core::Duration connectTimeout {};
     core::Duration timeout = std::chrono::seconds(5); //!< for the whole exchange
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -2,7 +2,9 @@
 
 #include "http/internal/clientbodysource.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <deque>
 #include <map>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -63,7 +65,10 @@
     void cancelExchange() override;
 
     H2oClient* owner = nullptr;
+    core::HostPort to;
     Pool* pool = nullptr;
+    std::size_t maxConnections = 0; //!< to this address; 0: no limit
+    bool isActive = false; //!< otherwise it waits for another call to end
     ClientCallback callback;
     std::string requestBytes; //!< serialized request
     std::optional<LateConnectionRequest> lateConnectionRequest; //!< replaces `requestBytes` on such a connection
@@ -86,7 +91,9 @@
 //! Connection pool of one address.
 struct Pool {
     h2o_socketpool_t sockets {};
-    std::size_t inUse = 0; //!< calls in progress
+    std::size_t inUse = 0; //!< calls in progress, including those that wait for a connection
+    std::size_t active = 0; //!< calls that have a connection or are connecting
+    std::deque<Call*> waiting; //!< for one of the others to end
     core::TimePoint lastUsedAt {};
 };
 
@@ -111,6 +118,7 @@
         }
         auto* call = new Call; // freed by finish
         call->owner = this;
+        call->to = request.to;
         call->pool = pool;
         ++pool->inUse;
         call->callback = std::move(callback);
@@ -123,12 +131,41 @@
         call->deadline = m_loop->now() + request.timeout;
         const bool hasConnectTimeout = request.connectTimeout > core::Duration(0);
         setTimer(call, hasConnectTimeout ? std::min(request.connectTimeout, request.timeout) : request.timeout);
+        call->maxConnections = request.maxConnections;
+        if (mayConnect(call))
+            connect(call);
+        else
+            pool->waiting.push_back(call);
+    }
+
+private:
+    static bool mayConnect(const Call* call)
+    {
+        return call->maxConnections == 0 || call->pool->active < call->maxConnections;
+    }
+
+    void connect(Call* call)
+    {
+        call->isActive = true;
+        ++call->pool->active;
         m_connecting = call;
-        h2o_http1client_connect_with_pool(&call->client, call, &m_context, &pool->sockets, onConnect);
+        h2o_http1client_connect_with_pool(&call->client, call, &m_context, &call->pool->sockets, onConnect);
         m_connecting = nullptr;
     }
 
-private:
+    void connectWaiting(const core::HostPort& to)
+    {
+        const auto it = m_pools.find(to);
+        if (it == m_pools.end())
+            return;
+        Pool& pool = *it->second;
+        while (!pool.waiting.empty() && mayConnect(pool.waiting.front())) {
+            Call* call = pool.waiting.front();
+            pool.waiting.pop_front();
+            connect(call);
+        }
+    }
+
     Pool* poolFor(const core::HostPort& to)
     {
         if (const auto it = m_pools.find(to); it != m_pools.end())
@@ -190,8 +227,20 @@
     void release(Call* call)
     {
         m_loop->cancel(call->timer);
-        --call->pool->inUse;
-        call->pool->lastUsedAt = m_loop->now();
+        Pool& pool = *call->pool;
+        --pool.inUse;
+        pool.lastUsedAt = m_loop->now();
+        if (!call->isActive) {
+            std::erase(pool.waiting, call);
+            return;
+        }
+        --pool.active;
+        // Posted, since h2o returns the connection to the pool only after its callback.
+        if (!pool.waiting.empty())
+            m_loop->post([self = weak_from_this(), to = call->to] {
+                if (const auto client = self.lock())
+                    client->connectWaiting(to);
+            });
     }
 
     void finish(Call* call, ClientResult result)
@@ -244,7 +293,8 @@
             setTimer(call, left);
             return;
         }
-        h2o_http1client_cancel(call->client);
+        if (call->isActive)
+            h2o_http1client_cancel(call->client);
         fail(call, call->isSent ? ClientError::Code::TimedOut : ClientError::Code::NotConnected, "timeout");
     }
 
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -1,6 +1,7 @@
 #include "http/h2oserver.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <openssl/err.h>
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
+//! Pause after a connection that could not be accepted for lack of descriptors or memory.
+constexpr core::Duration acceptPause = std::chrono::milliseconds(100);
 constexpr std::size_t maxSendBytes = std::size_t(64) << 10; //!< passed to h2o in one call
 
 class H2oServer;
@@ -103,7 +106,7 @@
 }
 
 //! Owns the listening socket, the h2o context and the requests in progress. Runs on one loop.
-class H2oServer : public IHttpServer {
+class H2oServer : public IHttpServer, public std::enable_shared_from_this<H2oServer> {
 public:
     H2oServer(runtime::EventLoopPtr loop, Handler handler)
         : m_loop(std::move(loop))
@@ -244,8 +247,22 @@
         if (error)
             return;
         auto* self = static_cast<H2oServer*>(listener->data);
+        errno = 0;
         if (h2o_socket_t* socket = h2o_evloop_socket_accept(listener))
             h2o_accept(&self->m_accept, socket);
+        else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+            self->pauseAccepting();
+    }
+
+    //! The connection that could not be accepted keeps the listener readable, so the loop would spin.
+    void pauseAccepting()
+    {
+        h2o_socket_read_stop(m_listener);
+        m_loop->callAfter(acceptPause, [self = weak_from_this()] {
+            const auto server = self.lock();
+            if (server && server->m_listener)
+                h2o_socket_read_start(server->m_listener, onAccept);
+        });
     }
 
     void configure(const ServerOptions& options)
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
 #include <future>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -120,6 +121,88 @@
     BOOST_TEST(bool(call(to("/echo"))));
 }
 
+//! Guards against a burst of requests to one address that uses up the descriptors of the process.
+BOOST_FIXTURE_TEST_CASE(requestsToOneAddressShareItsConnections, Fixture)
+{
+    const auto openDescriptors = [] {
+        return std::distance(
+            std::filesystem::directory_iterator("/proc/self/fd"), std::filesystem::directory_iterator());
+    };
+    const auto before = openDescriptors();
+    constexpr int calls = 100;
+    std::promise<void> done;
+    int answered = 0;
+    std::atomic<int> succeeded = 0;
+    std::ptrdiff_t most = 0;
+    loop->post([&] {
+        for (int n = 0; n < calls; ++n) {
+            auto request = to("/echo", "hello");
+            request.maxConnections = 3;
+            client->send(request, [&](const http::ClientResult& it) {
+                succeeded += it && it.value().body == "hello!" ? 1 : 0;
+                most = std::max(most, openDescriptors() - before);
+                if (++answered == calls)
+                    done.set_value();
+            });
+        }
+    });
+    done.get_future().get();
+    BOOST_TEST(succeeded == calls);
+    BOOST_TEST(most <= 6); // both ends of three connections
+}
+
+//! Guards against requests that were never sent counting as perhaps received.
+BOOST_FIXTURE_TEST_CASE(aRequestThatWaitsForItsTurnTooLongWasNotSent, Fixture)
+{
+    std::promise<http::ClientResult> done;
+    loop->post([&] {
+        auto blocking = to("/never");
+        blocking.maxConnections = 1;
+        blocking.timeout = 400ms;
+        client->send(blocking, [](const http::ClientResult&) {});
+        auto waiting = to("/echo");
+        waiting.maxConnections = 1;
+        waiting.connectTimeout = 100ms;
+        client->send(waiting, [&](http::ClientResult it) { done.set_value(std::move(it)); });
+    });
+    const auto result = done.get_future().get();
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(!result.error().maybeSent);
+    std::this_thread::sleep_for(500ms);
+    auto next = to("/echo", "next");
+    next.maxConnections = 1;
+    BOOST_TEST(bool(call(next)));
+}
+
+//! Guards against a thread that spins while connections wait that it has no descriptor to accept.
+BOOST_FIXTURE_TEST_CASE(aServerWithoutDescriptorsDoesNotSpin, Fixture)
+{
+    call(to("/echo")); // the threads run
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    rlimit few = before;
+    few.rlim_cur = rlim_t(client) + 1;
+    setrlimit(RLIMIT_NOFILE, &few);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(server->port());
+    BOOST_REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    const auto cpuMs = [] {
+        timespec it {};
+        clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &it);
+        return it.tv_sec * 1000 + it.tv_nsec / 1'000'000;
+    };
+    const auto atFirst = cpuMs();
+    std::this_thread::sleep_for(400ms);
+    BOOST_TEST(cpuMs() - atFirst < 100);
+    setrlimit(RLIMIT_NOFILE, &before);
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(bool(call(to("/echo")))); // connections are accepted again
+    close(client);
+}
+
 //! Guards against requests that wait for a connection for as long as for an answer.
 BOOST_FIXTURE_TEST_CASE(aRequestWithoutAConnectionFailsAfterItsConnectTimeout, Fixture)
 {
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -75,7 +75,10 @@
         .with("steps", backlog.counts[0][0])
         .with("lateSteps", backlog.counts[0][1])
         .with("lateCoreSeconds", std::int64_t(backlog.lateCoreSeconds))
-        .with("roundMs", core::toMs(m_longestRound));
+        .with("roundMs", core::toMs(m_longestRound))
+        .with("latenessMs", core::toMs(m_loopLateness))
+        .with("answerMs", core::toMs(m_orderWindow->answerTime()))
+        .with("startsLeft", std::int64_t(m_orderWindow->room()));
 }
 
 void EngineImpl::logWaitingGang(const ReadyStage& gang, core::TimePoint now)
