Process test: all answers of the workers are late

The stand-in of the deployment delays each answer of its workers by 0.7 s, as a congested link does.

--- a/standins/deploymentstandin.cpp
+++ b/standins/deploymentstandin.cpp
@@ -171,6 +171,8 @@
         fleet::testing::FakeWorker& it = m_tasks.worker(workerId(number));
         it.isSilent = flagOf(value, "silent");
         it.losesStarts = static_cast<int>(platform::integerOf(value, "losesStarts"));
+        it.answerDelay = std::chrono::milliseconds(platform::integerOf(value, "answerDelayMs"));
+        it.reportDelay = it.answerDelay;
         if (flagOf(value, "reborn"))
             crash(number);
         publishWorker(number, flagOf(value, "draining"));
--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -13,6 +13,9 @@
 using platform::integerOf;
 using platform::textOf;
 
+//! The client decides how long it waits; an answer is sent even if it does not wait any more.
+constexpr fleet::OrderPatience answerWheneverReady { std::chrono::seconds(30), std::chrono::seconds(30) };
+
 const char* reasonText(OrderFailure::Code code)
 {
     static const std::map<OrderFailure::Code, const char*> it { { OrderFailure::Code::Fenced, "fence" },
@@ -111,12 +114,14 @@
     order.leaseUntil = fleet::WorkerClock(integerOf(body, "deadline_ms"));
     order.fence = fenceOf(body);
     order.checkpoint = textOf(body, "last_checkpoint");
+    order.patience = answerWheneverReady;
     m_workers->start({ id, {} }, order, resultHandler(id, std::move(responder)));
 }
 
 void TasksStandin::stop(const core::VmId& id, const Json::Value& body, http::Responder responder)
 {
-    m_workers->stop({ id, {} }, { runOf(body), fenceOf(body) }, resultHandler(id, std::move(responder)));
+    m_workers->stop(
+        { id, {} }, { runOf(body), fenceOf(body), answerWheneverReady }, resultHandler(id, std::move(responder)));
 }
 
 void TasksStandin::renewLease(const core::VmId& id, const Json::Value& body, http::Responder responder)
@@ -128,6 +133,7 @@
         order.leaseUntil = fleet::WorkerClock(integerOf(body, "deadline_ms"));
     order.wait = std::chrono::milliseconds(integerOf(body, "wait_ms"));
     order.incarnationSeenAt = m_loop->now(); // received by the current incarnation
+    order.patience = answerWheneverReady;
     m_workers->renewLease({ id, {} }, order, [this, id, responder](const fleet::LeaseRenewalResult& result) mutable {
         if (result)
             responder.send(jsonResponse(200, encodeReport(result.value())));
--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -298,6 +298,18 @@
                 cell.wait_state(0, job)
             self.check_no_task_ran_twice(cell)
 
+    def test_work_goes_on_while_all_answers_of_the_workers_are_late(self):
+        """A slow link delays each answer by 0.7 s: nothing is stopped, given up or started a second time."""
+        with Deployment() as cell:
+            for n in range(4):
+                cell.control("worker", {"number": n, "answerDelayMs": 700})
+            jobs = [cell.submit_until_accepted(n % 3, step(4), step(2, after=[0]), work_ms=1500) for n in range(3)]
+            jobs.append(cell.submit_until_accepted(0, step(3, gang=True), work_ms=1500))
+            for job in jobs:
+                cell.wait_state(1, job, timeout=60)
+            self.assertEqual(cell.stats()["starts"], 21)
+            self.check_no_task_ran_twice(cell)
+
     def test_a_refusal_is_logged_with_its_outcome(self):
         with Deployment() as cell:
             job, status = cell.submit(0, step(1, cpu=9000))
