--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -15,6 +15,8 @@
 constexpr double maxHigherPriorityShare = 0.8;
 //! If this share of the fleet is free, the waiting gangs can't use the free room, but other work can.
 constexpr double freeShareBesideGangs = 0.12;
+//! While the leader is congested, confirmations and reports of ends are late, too, and the rate of starts varies.
+constexpr double congestionMargin = 1.6;
 constexpr core::Duration minRetryAfter = std::chrono::milliseconds(300);
 constexpr core::Duration maxRetryAfter = std::chrono::seconds(10);
 
@@ -45,7 +47,8 @@
 //! Returns the time until the leader has ordered the starts ahead of a job.
 core::Duration startWait(const AdmissionInputs& inputs)
 {
-    return inputs.startsPerSecond ? seconds(inputs.tasksAhead / *inputs.startsPerSecond) : core::Duration(0);
+    return inputs.startsPerSecond ? seconds(inputs.tasksAhead / *inputs.startsPerSecond * congestionMargin)
+                                  : core::Duration(0);
 }
 
 } // namespace
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -27,6 +27,7 @@
         : loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
         , store(std::make_shared<FakeRowStore>(loop))
         , workers(std::make_shared<FakeWorkers>(loop))
+        , orders(workers)
     {
         queue.name = "q";
         queue.host = "h";
@@ -121,6 +122,7 @@
     runtime::ManualLoopPtr loop;
     std::shared_ptr<FakeRowStore> store;
     std::shared_ptr<FakeWorkers> workers;
+    fleet::IWorkerOrdersPtr orders; //!< by which the leader reaches the workers; by default they are `workers`
     workflow::QueuePolicy queue;
     std::vector<workflow::QueuePolicy> moreQueues;
     std::vector<fleet::WorkerEntry> entries;
@@ -139,7 +141,7 @@
         hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
         hooks.won = [this](const lead::WonElection& won) {
             advice = AdviceQueue::create(loop);
-            EngineDependencies dependencies { loop, store, workers, advice, telemetry::Metrics::create(), times,
+            EngineDependencies dependencies { loop, store, orders, advice, telemetry::Metrics::create(), times,
                 leaderTimes };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
             workflow::QueueConfig config;
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -1,6 +1,7 @@
 //! Load patterns under which one queue got too little: gangs beside single tasks while the fleet is nearly full.
 
 #include "scheduling/tests/cell.h"
+#include "scheduling/tests/overloadrun.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -167,6 +168,23 @@
     BOOST_TEST(cell.starts() == 800u);
 }
 
+//! Guards against a leader that serves less the more is asked of it: beyond its capacity it refuses what it cannot see
+//! through in time, and starts nothing in vain.
+BOOST_AUTO_TEST_CASE(work_in_time_stays_flat_up_to_four_times_the_capacity)
+{
+    constexpr int workers = 60;
+    constexpr double ordersPerSecond = 600;
+    const double capacity = overloadCapacity(workers, ordersPerSecond);
+    const OverloadFigures full = playOverload(workers, ordersPerSecond, capacity, 12, 1);
+    BOOST_TEST(full.inTime >= full.asked * 95 / 100);
+    for (const double load : { 2.0, 4.0 }) {
+        const OverloadFigures it = playOverload(workers, ordersPerSecond, capacity * load, 12, 1);
+        BOOST_TEST(it.inTime >= full.inTime * 9 / 10);
+        BOOST_TEST(it.inTime >= it.accepted * 95 / 100);
+        BOOST_TEST(it.starts == std::size_t(it.accepted) * overloadTasksPerJob);
+    }
+}
+
 //! Guards against accepting a burst as a whole, since the state of the queues is evaluated only once for submissions
 //! that arrive together.
 BOOST_AUTO_TEST_CASE(jobs_accepted_in_the_same_instant_count_as_ahead_of_the_next)
