Bound the time of a round, with a share for late jobs

Change: a round spends 20 ms on jobs that can be in time, in order, and 5 ms on late ones, which take turns after the first. Whether a step needs more advice is checked every 40 ms, from its tickets only.

--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -18,7 +18,8 @@
     const double capacity = overloadCapacity(workers, ordersPerSecond);
     std::printf("load,asked,accepted,in_time,starts_of_each_task\n");
     for (const double load : { 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 4.0 }) {
-        const OverloadFigures it = playOverload(workers, ordersPerSecond, capacity * load, seconds, unsigned(number(4, 1)));
+        const OverloadFigures it
+            = playOverload(workers, ordersPerSecond, capacity * load, seconds, unsigned(number(4, 1)));
         std::printf("%.2f,%.1f,%.1f,%.1f,%.3f\n", load, double(it.asked) / seconds, double(it.accepted) / seconds,
             double(it.inTime) / seconds, double(it.starts) / std::max(1, it.accepted) / overloadTasksPerJob);
         std::fflush(stdout);
--- a/src/fleet/testing/congestedorders.h
+++ b/src/fleet/testing/congestedorders.h
@@ -16,31 +16,26 @@
     {
     }
 
-    void start(const WorkerAddress& to, const StartOrder& order,
-        std::function<void(OrderResult)> callback) override
+    void start(const WorkerAddress& to, const StartOrder& order, std::function<void(OrderResult)> callback) override
     {
-        afterQueue(order.patience.connect, std::move(callback), [this, to, order](auto reply) {
-            m_workers->start(to, order, std::move(reply));
-        });
+        afterQueue(order.patience.connect, std::move(callback),
+            [this, to, order](auto reply) { m_workers->start(to, order, std::move(reply)); });
     }
-    void stop(const WorkerAddress& to, const StopOrder& order,
-        std::function<void(OrderResult)> callback) override
+    void stop(const WorkerAddress& to, const StopOrder& order, std::function<void(OrderResult)> callback) override
     {
-        afterQueue(order.patience.connect, std::move(callback), [this, to, order](auto reply) {
-            m_workers->stop(to, order, std::move(reply));
-        });
+        afterQueue(order.patience.connect, std::move(callback),
+            [this, to, order](auto reply) { m_workers->stop(to, order, std::move(reply)); });
     }
-    void limitCpu(const WorkerAddress& to, const CpuLimitOrder& order,
-        std::function<void(OrderResult)> callback) override
+    void limitCpu(
+        const WorkerAddress& to, const CpuLimitOrder& order, std::function<void(OrderResult)> callback) override
     {
         m_workers->limitCpu(to, order, std::move(callback));
     }
-    void renewLease(const WorkerAddress& to, const LeaseRenewal& order,
-        std::function<void(LeaseRenewalResult)> callback) override
+    void renewLease(
+        const WorkerAddress& to, const LeaseRenewal& order, std::function<void(LeaseRenewalResult)> callback) override
     {
-        m_loop->callAfter(queueDelay(), [this, to, order, callback = std::move(callback)] {
-            m_workers->renewLease(to, order, callback);
-        });
+        m_loop->callAfter(queueDelay(),
+            [this, to, order, callback = std::move(callback)] { m_workers->renewLease(to, order, callback); });
     }
 
 private:
@@ -51,8 +46,7 @@
     }
 
     //! Orders that wait for longer than their sender does are not sent.
-    template <class Send>
-    void afterQueue(core::Duration patience, std::function<void(OrderResult)> callback, Send send)
+    template <class Send> void afterQueue(core::Duration patience, std::function<void(OrderResult)> callback, Send send)
     {
         const core::Duration delay = queueDelay();
         if (delay > patience) {
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -29,6 +29,7 @@
 constexpr std::int64_t costDivisor = 2;
 //! Maximum number of requests for one step at a time; each goes to another node.
 constexpr std::size_t maxOpenRequests = 4;
+constexpr core::Duration moreAdviceCheckInterval = std::chrono::milliseconds(40);
 
 //! Returns the room that is reserved on a worker, or null.
 const core::Resources* reservedOn(const core::VmId& worker, const std::optional<Reservation>& reservation)
@@ -98,14 +99,17 @@
 {
     const Demand demand = demandOf(*ready.job, *ready.stage);
     const AdviceState& advice = ready.stage->advice;
-    const double share = allowedShareOf(ready.job->record.queue.name);
     double covered = 0;
-    for (const Candidate& it : candidatesFor(*ready.job, *ready.stage, now, CandidateFilter::NotDenied)) {
-        const auto ticket = advice.tickets.find(it.worker);
-        if (advice.requested.contains(it.worker))
-            covered += double(taskSlotsIn(it, demand)) * (ticket != advice.tickets.end() ? 1 : share);
-        else if (ticket != advice.tickets.end() && ticket->second.validUntil > now)
-            covered += double(taskSlotsIn(it, demand));
+    for (const Candidate& it : candidatesFor(*ready.job, *ready.stage, now, CandidateFilter::Ticket))
+        covered += double(taskSlotsIn(it, demand));
+    const double share = allowedShareOf(ready.job->record.queue.name);
+    FleetView& fleet = fleetViewOf(*ready.job);
+    for (const core::VmId& id : advice.requested) {
+        const UsableWorker* usable = fleet.find(id);
+        if (!usable)
+            continue;
+        const Candidate candidate { id, usable->worker->freeRoom() - usable->reserved, {}, {}, 0, false };
+        covered += double(taskSlotsIn(candidate, demand)) * (advice.tickets.contains(id) ? 1 : share);
     }
     return covered >= demand.count ? 0 : demand.count - static_cast<std::uint32_t>(covered);
 }
@@ -130,10 +134,13 @@
 
 bool EngineImpl::needsMoreAdvice(const ReadyStage& ready, core::TimePoint now)
 {
-    const AdviceState& advice = ready.stage->advice;
-    const bool mayAsk = now >= advice.nextRequestAt && advice.openRequests < maxOpenRequests
-        && (advice.openRequests > 0 || !advice.tickets.empty());
-    return mayAsk && m_dependencies.advice->hasSpareNodes() && tasksWithoutTicket(ready, now) > 0;
+    AdviceState& advice = ready.stage->advice;
+    const bool mayAsk = now >= advice.nextRequestAt && now >= advice.checkMoreAt
+        && advice.openRequests < maxOpenRequests && (advice.openRequests > 0 || !advice.tickets.empty());
+    if (!mayAsk || !m_dependencies.advice->hasSpareNodes())
+        return false;
+    advice.checkMoreAt = now + moreAdviceCheckInterval;
+    return tasksWithoutTicket(ready, now) > 0;
 }
 
 void EngineImpl::requestAdvice(
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -151,6 +151,8 @@
     void scheduleRound();
     void runRound();
     std::vector<ReadyStage> readyStages(core::TimePoint now);
+    //! Places the stages in order, within the time that a round may take.
+    void placeStages(std::vector<ReadyStage>& all, core::TimePoint now);
     void placeStage(const ReadyStage& ready, core::TimePoint now);
     //! Starts tasks on workers that may run them; returns false if it started none.
     bool startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now);
@@ -228,6 +230,7 @@
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
     core::Duration m_roundCost {}; //!< duration of the last round
+    std::size_t m_lateStageOffset = 0; //!< number of late stages to skip, as former rounds have placed them
     core::Duration m_longestRound {}; //!< since the last report of the backlog
     core::TimePoint m_backlogReportedAt {};
     //! Moving average of the arriving work by priority, in core-seconds per second.
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -18,6 +18,10 @@
 constexpr core::Duration roundDelay = std::chrono::milliseconds(8);
 //! Pause after a round, as a multiple of its duration.
 constexpr int roundCostFactor = 3;
+//! Time that a round spends on placing jobs that can be in time, and on late ones. With many hundred waiting steps in
+//! a large fleet a round would take so long that the leader answers nobody meanwhile.
+constexpr core::Duration roundBudget = std::chrono::milliseconds(20);
+constexpr core::Duration lateRoundBudget = std::chrono::milliseconds(5);
 //! Maximum number of gangs with reserved room, each of those in time and of the late ones; more reservations would
 //! leave too little room for other work.
 constexpr std::size_t maxReservingGangs = 1;
@@ -73,15 +77,38 @@
         return;
     tryPassBarrier();
     buildFleetViews(now);
-    const std::vector<ReadyStage> all = readyStages(now);
+    std::vector<ReadyStage> all = readyStages(now);
     recordWaitingGangs(all);
-    for (const ReadyStage& it : all)
-        placeStage(it, now);
+    placeStages(all, now);
     m_roundCost = m_dependencies.loop->now() - now;
     m_longestRound = std::max(m_longestRound, m_roundCost);
     reportBacklog(all, now);
 }
 
+void EngineImpl::placeStages(std::vector<ReadyStage>& all, core::TimePoint now)
+{
+    const auto place = [&](auto first, auto last, core::Duration budget) {
+        const core::TimePoint until = m_dependencies.loop->now() + budget;
+        for (auto it = first; it != last; ++it) {
+            placeStage(*it, now);
+            if (m_dependencies.loop->now() >= until)
+                return std::next(it);
+        }
+        return last;
+    };
+    const auto late = std::find_if(all.begin(), all.end(), [](const ReadyStage& it) { return it.isLate; });
+    place(all.begin(), late, roundBudget);
+    if (late == all.end())
+        return;
+    // The first late gang may have room reserved, so it has its turn in each round. The others take turns.
+    const auto others = std::next(late);
+    const auto count = std::distance(others, all.end());
+    if (count > 0)
+        std::rotate(others, others + std::ptrdiff_t(m_lateStageOffset) % count, all.end());
+    const auto placedUpTo = place(late, all.end(), lateRoundBudget);
+    m_lateStageOffset = placedUpTo == all.end() ? 0 : m_lateStageOffset + std::size_t(placedUpTo - late);
+}
+
 std::vector<EngineImpl::ReadyStage> EngineImpl::readyStages(core::TimePoint now)
 {
     std::vector<ReadyStage> all;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -42,6 +42,7 @@
     std::size_t openRequests = 0;
     std::unordered_set<core::VmId> requested; //!< workers that the open requests name
     core::TimePoint nextRequestAt {};
+    core::TimePoint checkMoreAt {}; //!< when to check again whether more requests are needed beside the open ones
 };
 
 //! One step of one occurrence.
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -24,7 +24,8 @@
 class Cell {
 public:
     Cell()
-        : loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
+        : clock(std::make_shared<runtime::ManualClock>())
+        , loop(std::make_shared<runtime::ManualLoop>(clock))
         , store(std::make_shared<FakeRowStore>(loop))
         , workers(std::make_shared<FakeWorkers>(loop))
         , orders(workers)
@@ -119,6 +120,7 @@
         }
     }
 
+    runtime::ManualClockPtr clock;
     runtime::ManualLoopPtr loop;
     std::shared_ptr<FakeRowStore> store;
     std::shared_ptr<FakeWorkers> workers;
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -90,6 +90,25 @@
     });
 }
 
+//! Orders that take the leader a millisecond each.
+class SlowOrders : public FakeWorkers {
+public:
+    explicit SlowOrders(Cell& cell)
+        : FakeWorkers(cell.loop)
+        , m_clock(cell.clock)
+    {
+    }
+    void start(const fleet::WorkerAddress& to, const fleet::StartOrder& order,
+        std::function<void(fleet::OrderResult)> callback) override
+    {
+        m_clock->advance(ms(1));
+        FakeWorkers::start(to, order, std::move(callback));
+    }
+
+private:
+    runtime::ManualClockPtr m_clock;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(overload_admission)
@@ -284,6 +303,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(overload_rounds)
+
+//! Guards against rounds that visit hundreds of waiting steps while nobody is answered, and against late jobs that are
+//! never visited then.
+BOOST_AUTO_TEST_CASE(long_backlog_is_placed_in_short_rounds_with_a_share_for_late_jobs)
+{
+    Cell cell;
+    cell.workers = std::make_shared<SlowOrders>(cell);
+    cell.orders = cell.workers;
+    cell.queue.stretch = 100;
+    addBatchQueue(cell); // with the same long objective
+    cell.queue.stretch = 1;
+    cell.entries.clear();
+    for (int n = 0; n < 100; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    for (int n = 0; n < 100; ++n)
+        cell.callEngine(workflow::CallKind::Submit, blockerOf("blocker" + std::to_string(n)), ms(400), "/batch/");
+    cell.advance(ms(500));
+    BOOST_REQUIRE(cell.running() == 100u);
+    for (int n = 0; n < 40; ++n)
+        BOOST_TEST((cell.submit(jobOf("late" + std::to_string(n), 1, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(5000)); // they are late now
+    for (int n = 0; n < 200; ++n)
+        cell.callEngine(workflow::CallKind::Submit, jobOf("timely" + std::to_string(n), 1, 1000), ms(400), "/batch/");
+    const std::size_t before = cell.starts();
+    cell.endAll(EndKind::Done);
+    std::size_t mostAtOnce = 0; // starts in one round
+    const auto startsOfKind = [&cell](const std::string& prefix) {
+        std::size_t n = 0;
+        for (const auto& [id, worker] : cell.workers->workers)
+            n += std::size_t(std::count_if(worker.starts.begin(), worker.starts.end(),
+                [&prefix](const auto& it) { return it.runId.task.job.value().starts_with(prefix); }));
+        return n;
+    };
+    std::size_t lateAtHalf = 0;
+    for (int n = 0; n < 4000 && cell.starts() < before + 240; ++n) {
+        const std::size_t atFirst = cell.starts();
+        cell.advance(ms(1));
+        mostAtOnce = std::max(mostAtOnce, cell.starts() - atFirst);
+        if (startsOfKind("timely") <= 100)
+            lateAtHalf = startsOfKind("late");
+    }
+    BOOST_TEST(cell.starts() == before + 240);
+    BOOST_TEST(mostAtOnce <= 30u); // of a millisecond each; the loop answers others in between
+    BOOST_TEST(lateAtHalf >= 10u);
+    BOOST_TEST(lateAtHalf < 40u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(overload_wide_steps)
 
 //! Guards against a gang that never starts beside free workers, since it needs more tickets than one advice request
--- a/src/scheduling/tests/overloadrun.h
+++ b/src/scheduling/tests/overloadrun.h
@@ -16,7 +16,6 @@
     return (ordersPerSecond - workers) / (3.0 * overloadTasksPerJob);
 }
 
-
 //! What became of the jobs of a run.
 struct OverloadFigures {
     int asked = 0;
@@ -26,7 +25,8 @@
 };
 
 //! Submits jobs at a rate to a leader that carries a limited number of orders per second.
-inline OverloadFigures playOverload(int workers, double ordersPerSecond, double jobsPerSecond, int seconds, unsigned seed)
+inline OverloadFigures playOverload(
+    int workers, double ordersPerSecond, double jobsPerSecond, int seconds, unsigned seed)
 {
     constexpr std::int64_t milliCpuPerTask = 1000;
     constexpr int runMs = 1000;
