Count the leader's own processor time in admission

Change: a round that cannot place all jobs in time limits the starts like a full window, so admission uses the rate of starts.

--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -97,7 +97,8 @@
         return last;
     };
     const auto late = std::find_if(all.begin(), all.end(), [](const ReadyStage& it) { return it.isLate; });
-    place(all.begin(), late, roundBudget);
+    if (place(all.begin(), late, roundBudget) != late)
+        m_orderWindow->onLimited(now); // the processor is what limits the starts
     if (late == all.end())
         return;
     // The first late gang may have room reserved, so it has its turn in each round. The others take turns.
--- a/src/scheduling/orderwindow.h
+++ b/src/scheduling/orderwindow.h
@@ -22,9 +22,9 @@
     //! Returns the number of further start orders that may be sent.
     std::size_t room() const { return m_inFlight < m_limit ? m_limit - m_inFlight : 0; }
     bool isFull() const { return room() == 0; }
-    //! Records that work waits because the window is full.
+    //! Records that work waits because the window is full, or the leader has no time to start it.
     void onLimited(core::TimePoint now) { m_limitedAt = now; }
-    //! Returns the rate at which starts are settled if the window has limited them recently; nothing otherwise.
+    //! Returns the rate at which starts are settled if the leader has limited them recently; nothing otherwise.
     std::optional<double> startsPerSecond(core::TimePoint now) const;
 
     //! Returns the average time until an answer.
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -347,6 +347,23 @@
             lateAtHalf = startsOfKind("late");
     }
     BOOST_TEST(cell.starts() == before + 240);
+    // While its processor limits the starts, the leader accepts only what it can start in time.
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(1000));
+    std::size_t accepted = 0;
+    for (int n = 0; n < 200; ++n) {
+        workflow::WorkflowCall call;
+        call.kind = workflow::CallKind::Submit;
+        call.host = "h";
+        call.path = "/q/burst" + std::to_string(n);
+        call.spec = jobOf("burst" + std::to_string(n), 20, 100);
+        cell.engine->handle(call, [&accepted](const workflow::WorkflowResult& it) {
+            accepted += it.outcome == WorkflowOutcome::Accepted ? 1 : 0;
+        });
+        cell.advance(ms(10));
+    }
+    BOOST_TEST(accepted < 120u); // of 200, with 2,000 tasks a second
+    BOOST_TEST(accepted > 10u);
     BOOST_TEST(mostAtOnce <= 30u); // of a millisecond each; the loop answers others in between
     BOOST_TEST(lateAtHalf >= 10u);
     BOOST_TEST(lateAtHalf < 40u);
