--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -1,10 +1,9 @@
 #include "http/h2oclient.h"
 
-#include "http/internal/clientbodysource.h"
+#include "http/internal/clientcall.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <deque>
 #include <map>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -25,23 +24,6 @@
 //! Upper limit for h2o; the actual timeout is a separate timer for each request.
 constexpr std::uint64_t ioTimeoutMs = 300'000;
 
-bool isReservedHeader(const std::string& name)
-{
-    return name == "host" || name == "content-length" || name == "connection" || name == "transfer-encoding"
-        || name == "keep-alive" || name == "upgrade" || name == "te" || name == "expect";
-}
-
-std::string serialize(const ClientRequest& request, const std::string& body)
-{
-    std::string buf = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + request.to.text() + "\r\n";
-    for (const Header& it : request.headers) {
-        if (!isReservedHeader(it.name))
-            buf += it.name + ": " + it.value + "\r\n";
-    }
-    buf += "content-length: " + std::to_string(body.size()) + "\r\n\r\n";
-    return buf + body;
-}
-
 //! Returns true if the server has closed the connection and no bytes are left to read.
 bool isAtEnd(h2o_socket_t* socket)
 {
@@ -49,53 +31,7 @@
     return recv(h2o_socket_get_fd(socket), &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-class H2oClient;
-
-struct Pool;
-
-//! A serialized request for connections that were opened after a given time.
-struct LateConnectionRequest {
-    core::TimePoint openedAfter;
-    std::string bytes;
-};
-
-//! One request in progress, until its response or stream has ended.
-struct Call : IClientExchange {
-    void resumeReading() override;
-    void cancelExchange() override;
-
-    H2oClient* owner = nullptr;
-    core::HostPort to;
-    Pool* pool = nullptr;
-    std::size_t maxConnections = 0; //!< to this address; 0: no limit
-    bool isActive = false; //!< otherwise it waits for another call to end
-    ClientCallback callback;
-    std::string requestBytes; //!< serialized request
-    std::optional<LateConnectionRequest> lateConnectionRequest; //!< replaces `requestBytes` on such a connection
-    h2o_iovec_t buffer {};
-    h2o_http1client_t* client = nullptr;
-    runtime::TimerId timer;
-    core::TimePoint deadline {}; //!< of the whole exchange
-    Response response;
-    std::size_t maxBytes = 0;
-    std::size_t streamAboveBytes = 0; //!< 0 disables streaming
-    std::optional<std::size_t> contentLength;
-    bool isStreamed = false;
-    std::weak_ptr<ClientBodySource> stream; //!< of a streamed response; expired once its receiver has dropped it
-    h2o_socket_cb pausedReadCallback = nullptr; //!< set while reading is paused
-    bool isHeadRequest = false;
-    bool isSent = false;
-    bool isChunked = false;
-};
-
-//! Connection pool of one address.
-struct Pool {
-    h2o_socketpool_t sockets {};
-    std::size_t inUse = 0; //!< calls in progress, including those that wait for a connection
-    std::size_t active = 0; //!< calls that have a connection or are connecting
-    std::deque<Call*> waiting; //!< for one of the others to end
-    core::TimePoint lastUsedAt {};
-};
+} // namespace
 
 class H2oClient : public IHttpClient, public std::enable_shared_from_this<H2oClient> {
 public:
@@ -440,8 +376,6 @@
     owner->endStream(this, BodyPart::State::Truncated);
 }
 
-} // namespace
-
 IHttpClientPtr createClient(const runtime::EventLoopPtr& loop)
 {
     return std::make_shared<H2oClient>(loop);
