Judge congestion by the median of the answers, not by their mean

Also, the first order after a pause set the rate of starts to one a second, which refused jobs for half a second.

Change: a moving median; congestion of the leader slows down all answers. An order leaves the window when its start is doubted. After a pause the rate is unknown. Tests: order_window_is_not_affected_by_a_few_silent_workers (extended, seen failing: 16 of 512), the pause, and starts_go_on_while_a_quarter_of_the_workers_answers_late (passed at once: fake workers' patience ends it otherwise).

--- a/src/scheduling/internal/orderwindow.cpp
+++ b/src/scheduling/internal/orderwindow.cpp
@@ -1,14 +1,16 @@
 #include "scheduling/orderwindow.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sardinerun::scheduling {
 
 namespace {
 
-//! Number of answers over which their time is averaged. A few workers that never answer must not matter.
-constexpr int smoothingAnswers = 32;
-//! Answers that take longer on average mean congestion; without it they take a few milliseconds.
+//! Divisor of the step by which the median moves towards an answer, and the smallest step.
+constexpr int medianStepDivisor = 16;
+constexpr core::Duration minMedianStep = std::chrono::microseconds(500);
+//! Most answers taking longer means congestion; without it they take a few milliseconds.
 constexpr core::Duration congestedAnswerTime = std::chrono::milliseconds(80);
 constexpr std::size_t minLimit = 16;
 constexpr std::size_t maxLimit = 2048;
@@ -16,7 +18,7 @@
 constexpr std::size_t shrinkDivisor = 2;
 //! The limit shrinks once in this time at most, so that the effect shows before the next step.
 constexpr core::Duration minShrinkInterval = std::chrono::milliseconds(100);
-constexpr int timeoutFactor = 4; //!< of the average time of an answer
+constexpr int timeoutFactor = 4; //!< of the median time of an answer
 constexpr core::Duration maxAnswerTimeout = std::chrono::milliseconds(2000);
 constexpr core::Duration rateInterval = std::chrono::milliseconds(500);
 //! How long the window counts as limiting after it last was.
@@ -24,13 +26,34 @@
 
 } // namespace
 
+OrderWindow::Order::Order(std::shared_ptr<OrderWindow> window, core::TimePoint sentAt)
+    : m_window(std::move(window))
+    , m_sentAt(sentAt)
+{
+}
+
+void OrderWindow::Order::settle(core::TimePoint now)
+{
+    if (!std::exchange(m_isSettled, true))
+        m_window->onSettled(now - m_sentAt, now);
+}
+
+OrderWindow::OrderPtr OrderWindow::send(core::TimePoint now)
+{
+    onSent();
+    return std::make_shared<Order>(shared_from_this(), now);
+}
+
 void OrderWindow::onSettled(core::Duration took, core::TimePoint now)
 {
     m_inFlight -= m_inFlight > 0 ? 1 : 0;
-    m_answerTime += (took - m_answerTime) / smoothingAnswers;
+    const core::Duration step = std::max(m_answerTime / medianStepDivisor, minMedianStep);
+    m_answerTime = took > m_answerTime ? std::min(m_answerTime + step, took) : std::max(m_answerTime - step, took);
     ++m_settled;
     if (now - m_rateAt >= rateInterval) {
-        m_rate = double(m_settled) / std::chrono::duration<double>(std::min(now - m_rateAt, limitedMemory)).count();
+        const core::Duration elapsed = now - m_rateAt;
+        // After a pause the rate is not known.
+        m_rate = elapsed < limitedMemory ? double(m_settled) / std::chrono::duration<double>(elapsed).count() : 0;
         m_rateAt = now;
         m_settled = 0;
     }
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -36,16 +36,18 @@
     sent.patience = patience();
     sent.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
-    m_window->onSent();
-    m_loop->callAfter(sent.patience.connect, [self = weak_from_this(), runId = order.runId] {
-        const auto it = self.lock();
-        if (it && !it->m_isDetached)
-            it->doubtStart(runId);
-    });
+    const OrderWindow::OrderPtr windowOrder = m_window->send(run.orderedAt);
+    m_loop->callAfter(
+        sent.patience.connect, [self = weak_from_this(), windowOrder, loop = m_loop, runId = order.runId] {
+            windowOrder->settle(loop->now());
+            const auto it = self.lock();
+            if (it && !it->m_isDetached)
+                it->doubtStart(runId);
+        });
     m_orders->start(address(), sent,
-        [self = weak_from_this(), window = m_window, runId = order.runId, incarnation = m_entry.startedAt,
-            sentAt = run.orderedAt, loop = m_loop](const fleet::OrderResult& result) {
-            window->onSettled(loop->now() - sentAt, loop->now());
+        [self = weak_from_this(), windowOrder, loop = m_loop, runId = order.runId, incarnation = m_entry.startedAt](
+            const fleet::OrderResult& result) {
+            windowOrder->settle(loop->now());
             const auto it = self.lock();
             if (!it || it->m_isDetached)
                 return;
--- a/src/scheduling/orderwindow.h
+++ b/src/scheduling/orderwindow.h
@@ -12,8 +12,24 @@
 //! Answers slow down when the leader's processor or its link is congested. Sending more orders then only lengthens the
 //! queues, until timeouts repeat orders and undo work. The limit shrinks while answers are slow, as the window of a
 //! congestion control does, and grows back while they are quick. Timeouts follow the observed time, too.
-class OrderWindow {
+class OrderWindow : public std::enable_shared_from_this<OrderWindow> {
 public:
+    //! A start order that was sent. It counts until it is answered, or its worker is asked what became of it.
+    class Order {
+    public:
+        Order(std::shared_ptr<OrderWindow> window, core::TimePoint sentAt);
+        void settle(core::TimePoint now); //!< has an effect once
+
+    private:
+        std::shared_ptr<OrderWindow> m_window;
+        core::TimePoint m_sentAt;
+        bool m_isSettled = false;
+    };
+    using OrderPtr = std::shared_ptr<Order>;
+
+    //! Records a start order and returns it; it must be settled.
+    OrderPtr send(core::TimePoint now);
+
     //! Records a start order that was sent.
     void onSent() { ++m_inFlight; }
     //! Records that a start order was answered, or is no longer awaited, `took` after it was sent.
@@ -27,7 +43,8 @@
     //! Returns the rate at which starts are settled if the leader has limited them recently; nothing otherwise.
     std::optional<double> startsPerSecond(core::TimePoint now) const;
 
-    //! Returns the average time until an answer.
+    //! Returns the median time until an answer. Congestion of the leader slows down all answers; some workers that
+    //! never answer do not change the median.
     core::Duration answerTime() const { return m_answerTime; }
     //! Returns how long to wait for an answer before asking what became of the order.
     core::Duration answerTimeout(core::Duration min) const;
@@ -37,7 +54,7 @@
 
     std::size_t m_inFlight = 0;
     std::size_t m_limit = 512;
-    core::Duration m_answerTime {}; //!< moving average
+    core::Duration m_answerTime {}; //!< moving median
     core::TimePoint m_shrinkAgainAt {};
     core::TimePoint m_limitedAt {};
     core::TimePoint m_rateAt {}; //!< beginning of the interval in which settled orders are counted
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -204,6 +204,27 @@
     }
 }
 
+//! Guards against taking workers that answer nothing for congestion of the leader (incident inc-cca9 of
+//! helgefest-bergen-grown): the others had room, and nothing started on them.
+BOOST_AUTO_TEST_CASE(starts_go_on_while_a_quarter_of_the_workers_answers_late)
+{
+    Cell cell;
+    cell.queue.stretch = 100;
+    cell.entries.clear();
+    for (int n = 0; n < 80; ++n)
+        cell.addWorker("w" + std::to_string(n), 32000);
+    cell.lead();
+    for (int n = 0; n < 20; ++n)
+        cell.worker("w" + std::to_string(n * 4)).answerDelay = ms(5000);
+    for (int n = 0; n < 100; ++n)
+        BOOST_TEST((cell.submit(jobOf("job" + std::to_string(n), 20, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(1500));
+    std::size_t onOthers = 0;
+    for (const auto& [id, worker] : cell.workers->workers)
+        onOthers += worker.answerDelay == ms(0) ? worker.running.size() : 0;
+    BOOST_TEST(onOthers >= 1300u); // of 2,000 tasks, about 500 of which were ordered on the late ones
+}
+
 //! Guards against accepting a burst as a whole, since the state of the queues is evaluated only once for submissions
 //! that arrive together.
 BOOST_AUTO_TEST_CASE(jobs_accepted_in_the_same_instant_count_as_ahead_of_the_next)
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -224,10 +224,22 @@
         window.onSettled(n % 20 == 0 ? ms(220) : ms(4), now);
     }
     BOOST_TEST(window.room() >= initial);
+    for (int n = 0; n < 4000; ++n) { // a third of them answers very late
+        now += ms(1);
+        window.onSent();
+        window.onSettled(n % 3 == 0 ? ms(3000) : ms(4), now);
+    }
+    BOOST_TEST(window.room() >= initial);
+    BOOST_TEST(window.answerTimeout(ms(220)) == ms(220));
     BOOST_TEST(!window.startsPerSecond(now).has_value()); // nothing waited for it
     window.onLimited(now);
     BOOST_REQUIRE(window.startsPerSecond(now).has_value());
     BOOST_TEST(*window.startsPerSecond(now) > 900);
+    now += ms(5000); // after a pause, one settled order says nothing about the rate
+    window.onSent();
+    window.onSettled(ms(4), now);
+    window.onLimited(now);
+    BOOST_TEST(!window.startsPerSecond(now).has_value());
 }
 
 //! Guards against accepting what the leader's processor or link cannot start in time, while workers have room.
