--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -36,18 +36,21 @@
     sent.patience = patience();
     sent.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
-    const OrderWindow::OrderPtr windowOrder = m_window->send(run.orderedAt);
-    m_loop->callAfter(
-        sent.patience.connect, [self = weak_from_this(), windowOrder, loop = m_loop, runId = order.runId] {
-            windowOrder->settle(loop->now());
-            const auto it = self.lock();
-            if (it && !it->m_isDetached)
-                it->doubtStart(runId);
-        });
+    // The callbacks don't own the loop, as they would keep it, and it keeps them.
+    const auto settle = [windowOrder = m_window->send(run.orderedAt), loop = std::weak_ptr(m_loop)] {
+        if (const auto it = loop.lock())
+            windowOrder->settle(it->now());
+    };
+    m_loop->callAfter(sent.patience.connect, [self = weak_from_this(), settle, runId = order.runId] {
+        settle();
+        const auto it = self.lock();
+        if (it && !it->m_isDetached)
+            it->doubtStart(runId);
+    });
     m_orders->start(address(), sent,
-        [self = weak_from_this(), windowOrder, loop = m_loop, runId = order.runId, incarnation = m_entry.startedAt](
+        [self = weak_from_this(), settle, runId = order.runId, incarnation = m_entry.startedAt](
             const fleet::OrderResult& result) {
-            windowOrder->settle(loop->now());
+            settle();
             const auto it = self.lock();
             if (!it || it->m_isDetached)
                 return;
