--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import os
 import random
@@ -98,7 +99,7 @@
         self.case = case
         self.server = Server(self.handle)
         self.rows = {}  # (table, part, key) -> (value in base64, version)
-        self.history = []  # (version, table, part, key, value or None)
+        self.history = {}  # table -> list of (version, part, key, value or None), oldest first
         self.version = 0
         self.changed = asyncio.Event()
         self.is_down = False  # answers 503 to everything, the runners' and the operator's writes included
@@ -118,7 +119,7 @@
             self.rows.pop((table, part, key), None)
         else:
             self.rows[(table, part, key)] = (value, self.version)
-        self.history.append((self.version, table, part, key, value))
+        self.history.setdefault(table, []).append((self.version, part, key, value))
 
     def envelope(self, **more):
         return dict(more, ver=self.version, now_ms=int(time.monotonic() * 1000))
@@ -151,14 +152,15 @@
     async def feed(self, table, after, wait_s):
         until = time.monotonic() + wait_s
         while True:
-            rows = [self.row(t, p, k, v, version) for version, t, p, k, v in self.history
-                    if t == table and version > after]
+            changes = self.history.get(table, [])
+            first = bisect.bisect_right(changes, after, key=lambda it: it[0])
+            rows = [self.row(table, p, k, v, version) for version, p, k, v in changes[first:]]
             left = until - time.monotonic()
             if rows or left <= 0 or self.is_down:
                 await asyncio.sleep(STORE_LATENCY_S)
                 return (503, {}) if self.is_down else (200, self.envelope(rows=rows))
             try:
-                await asyncio.wait_for(self.changed.wait(), min(left, 0.1))
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
             except asyncio.TimeoutError:
                 pass
 
@@ -168,7 +170,7 @@
             return 503, {}
         sets, drops = transaction.get("set_keys") or [], transaction.get("remove") or []
         expected = transaction.get("expected_rev") or []
-        too_large = [row["key"] for row in sets if len(base64.b64decode(row["value"])) > ROW_BYTES]
+        too_large = [row["key"] for row in sets if decoded_size(row["value"]) > ROW_BYTES]
         if too_large or len(sets) + len(drops) + len(expected) > 100:
             self.rejected_writes += 1
             self.case.note("store-rejects", rows=too_large, entries=len(sets) + len(drops) + len(expected))
@@ -185,10 +187,15 @@
         return 200, self.envelope()
 
 
+def decoded_size(text):
+    return len(text) // 4 * 3 - text[-2:].count("=")
+
+
 class Run:
     def __init__(self, number, spec, room, started):
         self.number = number
         self.spec = spec
+        self.ms = json.loads(spec)["ms"]
         self.room = room
         self.started = started
 
@@ -346,8 +353,7 @@
         now = time.monotonic()
         running = []
         for task, run in self.running.items():
-            ms = json.loads(run.spec)["ms"]
-            percent = min(99, int((now - run.started) * 100000 / ms))
+            percent = min(99, int((now - run.started) * 100000 / run.ms))
             running.append([task, run.number, "", percent, run.room])
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running,
                      "ended_runs": self.ended[:ENDS_PER_REPORT]}
@@ -403,9 +409,15 @@
 
 
 def free_port():
-    with socket.socket() as it:
-        it.bind(("127.0.0.1", 0))
-        return it.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(20000, 30000)
+        with socket.socket() as it:
+            try:
+                it.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 async def request(port, method, path, body=None, timeout_s=3.0):
