--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,53 +1,60 @@
-"""The leader changes while jobs of a queue with a large `max_attempts` are accepted and run."""
+"""A gang whose tasks name no resources is handed in."""
 
 import asyncio
 import json
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 import deployment
 
-MAX_ATTEMPTS = 2147483647  # an operator's "no limit"
-JOBS = 10
-WORK_MS = 6000
-DOWN_S = 3.0  # as node_kill of the site file
-VISIBLE_S = 3.0  # bounds.visible_ms
-CONTACT_S = 3.0  # bounds.contact_ms
+MEMORY_MB = 260  # limits.memory_mb
+RESTART_S = 3.0  # "restarted after a short delay"
+WORK_MS = 500
+LENGTH_S = 60
+EVERY_S = 0.25
 
 
 async def play(case):
     await case.begin(nodes=3, runners=[("runner-a", 32000), ("runner-b", 32000)])
-    case.configure(2, max_attempts=MAX_ATTEMPTS)
-    await asyncio.sleep(4)
-    steps = [{"count": 2, "cpu": 1000, "mem_mb": 64, "estimate_ms": WORK_MS}]
-    jobs = [await case.submit(steps, json.dumps({"ms": WORK_MS})) for _ in range(JOBS)]
-    accepted = [job for job, status in jobs if status == 200]
-    if len(accepted) != JOBS:
-        raise RuntimeError("%d jobs were accepted" % len(accepted))
-    await asyncio.sleep(1)
-    if case.has_trouble:
-        leader = case.leader()
-        await leader.kill()
-        case.spawn(leader.restart(DOWN_S))
-    # All machines are in touch again `contact_ms` after the restart of the process; more than `visible_ms` has passed.
-    await asyncio.sleep(DOWN_S + CONTACT_S + VISIBLE_S)
-    unknown = []
-    for job in accepted:
-        answers = [await case.ask(job, node=node) for node in case.live_nodes()]
-        if any(it is not None and it[0] == 410 for it in answers):
-            unknown.append(job)
-
-    async def completed():
-        answers = [await case.ask(job) for job in accepted]
-        return all(it is not None and it[1].get("state") == "completed" for it in answers)
-    is_completed = await case.wait_until(completed, 14)
-    done = {it["task"] for it in case.of("end") if it["how"] == "done"}
-    return bool(unknown), [
-        "accepted jobs: %d, answered 410 later: %d, all completed: %s" % (len(accepted), len(unknown), is_completed),
-        "tasks of accepted jobs: %d, ended done: %d, stopped: %d" % (
-            2 * JOBS, len(done), len([it for it in case.of("end") if it["how"] == "stopped"]))]
+    for node in case.nodes:
+        case.spawn(node.supervise(MEMORY_MB, RESTART_S))
+    await asyncio.sleep(2)
+    step = {"count": 2, "estimate_ms": WORK_MS, "gang": True}
+    if not case.has_trouble:
+        step.update(cpu=1000, mem_mb=64)
+    else:
+        step.update(cpu=0)  # only for the record of the stand-in; a field of value 0 is omitted on the wire
+    jobs = []
+    until = time.monotonic() + LENGTH_S
+    while time.monotonic() < until and (case.has_trouble or len(jobs) < 80):
+        jobs.append(await submit(case, step))
+        await asyncio.sleep(EVERY_S)
+    ended = case.of("node-ended")
+    per_machine = {node.name: len([it for it in ended if it["node"] == node.name]) for node in case.nodes}
+    often = [name for name, count in per_machine.items() if count >= 3]
+    accepted = [status for status in jobs if status == 200]
+    return len(often) >= 2, [
+        "machines: %d, processes that ended by themselves: %d (%s)" % (
+            len(case.nodes), len(ended), ", ".join("%s %d" % it for it in per_machine.items())),
+        "how: %s" % ", ".join(sorted({it["why"] for it in ended})),
+        "gangs handed in: %d, accepted: %d" % (len(jobs), len(accepted))]
+
+
+async def submit(case, step):
+    wire = {name: value for name, value in step.items() if value}
+    live = case.live_nodes()
+    if not live:
+        return None
+    job = deployment.new_id()
+    case.rooms[job] = [step["cpu"]]
+    node = live[len(case.events) % len(live)]
+    answer = await deployment.request(node.ports[0], "POST", deployment.PREFIX + job,
+                                      {"spec": json.dumps({"ms": WORK_MS}), "steps": [wire]})
+    case.note("post", job=job, node=node.name, status=answer[0] if answer else None)
+    return answer[0] if answer else None
 
 
 deployment.main(FOLDER, play)
