--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -1,5 +1,7 @@
 #include "lead/leaderlog.h"
 
+#include "telemetry/log.h"
+
 #include <algorithm>
 
 namespace sardinerun::lead {
@@ -10,6 +12,8 @@
 constexpr std::size_t maxGroupRows = 90;
 //! Maximum bytes of values in one transaction; the store accepts 1 MB, and encoding for transport adds a third.
 constexpr std::size_t maxGroupBytes = 600'000;
+//! A row that was rejected this often when it was sent alone is dropped, if the store accepted a write in between.
+constexpr int maxRejections = 2;
 
 } // namespace
 
@@ -29,6 +33,7 @@
     , m_headVersion(headVersion)
     , m_times(times)
     , m_hooks(std::move(hooks))
+    , m_groupLimit(maxGroupRows)
     , m_heartbeatAt(m_loop->now())
     , m_lastSuccessSentAt(m_loop->now())
 {
@@ -57,6 +62,8 @@
     const auto it = m_pendingByKey.find(key);
     if (it == m_pendingByKey.end())
         return false; // sent, or already persisted
+    if (it->second->mayBeCommitted)
+        return false;
     m_pending.erase(it->second);
     m_pendingByKey.erase(it);
     return std::none_of(m_group.begin(), m_group.end(), [&key](const Pending& sent) { return sent.key == key; });
@@ -119,7 +126,8 @@
 void LeaderLog::formGroup()
 {
     std::size_t bytes = 0;
-    while (!m_pending.empty() && m_group.size() < maxGroupRows && bytes < maxGroupBytes) {
+    const std::size_t limit = m_mustProbe ? 0 : m_groupLimit;
+    while (!m_pending.empty() && m_group.size() < limit && bytes < maxGroupBytes) {
         Pending& it = m_pending.front();
         bytes += it.value ? it.value->size() : 0;
         m_pendingByKey.erase(it.key);
@@ -181,6 +189,9 @@
     m_lastSuccessSentAt = std::max(m_lastSuccessSentAt, sentAt);
     m_isGroupOpen = false;
     m_groupTime = m_loop->now() - m_groupAt;
+    // After a probe, the row under suspicion is sent alone once more.
+    if (!std::exchange(m_mustProbe, false))
+        m_groupLimit = std::min(m_groupLimit * 2, maxGroupRows);
     if (!std::exchange(m_isUp, true))
         m_hooks.availability(true);
     const std::vector<Pending> group = std::exchange(m_group, {});
@@ -220,26 +231,67 @@
     m_hooks.leadershipLost(leader ? leader->node.value() : "unreadable leader row");
 }
 
+void LeaderLog::requeueGroup()
+{
+    std::reverse(m_group.begin(), m_group.end());
+    for (Pending& it : m_group) {
+        it.mayBeCommitted = it.mayBeCommitted || m_mayBeCommitted;
+        // A newer value takes over the older revision; otherwise that revision would be reported as persisted too
+        // early.
+        if (const auto newer = m_pendingByKey.find(it.key); newer != m_pendingByKey.end()) {
+            it.value = std::move(newer->second->value);
+            it.rejections = 0;
+            m_pending.erase(newer->second);
+        }
+        m_pending.push_front(std::move(it));
+        m_pendingByKey[m_pending.front().key] = m_pending.begin();
+    }
+    m_group.clear();
+    m_isGroupOpen = false;
+}
+
+void LeaderLog::dropRejected(const store::StoreFailure& failure)
+{
+    const Pending dropped = std::move(m_group.front());
+    m_group.clear();
+    m_isGroupOpen = false;
+    telemetry::LogLine(telemetry::Severity::Error, "write-rejected")
+        .with("table", dropped.key.table)
+        .with("key", dropped.key.key)
+        .with("bytes", dropped.value ? std::int64_t(dropped.value->size()) : 0)
+        .with("why", failure.detail);
+    m_hooks.rejected({ dropped.key, dropped.revision, dropped.mayBeCommitted || m_mayBeCommitted });
+}
+
+bool LeaderLog::isolateRejected(const store::StoreFailure& failure)
+{
+    if (m_group.empty())
+        return false;
+    if (m_group.size() > 1) {
+        m_groupLimit = (m_group.size() + 1) / 2;
+        requeueGroup();
+        return true;
+    }
+    m_groupLimit = 1;
+    if (++m_group.front().rejections >= maxRejections) {
+        dropRejected(failure);
+        return true;
+    }
+    m_mustProbe = true;
+    requeueGroup();
+    return true;
+}
+
 void LeaderLog::onFailure(const store::StoreFailure& failure)
 {
+    if (failure.code == store::StoreFailure::Code::Rejected && isolateRejected(failure)) {
+        scheduleWake(core::Duration(0));
+        return;
+    }
     m_mayBeCommitted = m_mayBeCommitted || failure.code == store::StoreFailure::Code::Unknown
         || failure.code == store::StoreFailure::Code::BadAnswer;
-    if (!m_mayBeCommitted) {
-        // The write had no effect, so its rows return to the queue, where they can be withdrawn or replaced.
-        std::reverse(m_group.begin(), m_group.end());
-        for (Pending& it : m_group) {
-            // A newer value takes over the older revision; otherwise that revision would be reported as persisted too
-            // early.
-            if (const auto newer = m_pendingByKey.find(it.key); newer != m_pendingByKey.end()) {
-                it.value = std::move(newer->second->value);
-                m_pending.erase(newer->second);
-            }
-            m_pending.push_front(std::move(it));
-            m_pendingByKey[m_pending.front().key] = m_pending.begin();
-        }
-        m_group.clear();
-        m_isGroupOpen = false;
-    }
+    if (!m_mayBeCommitted)
+        requeueGroup(); // the write had no effect
     const core::TimePoint now = m_loop->now();
     if (m_isUp || m_mayBeCommitted)
         m_rejectedSince = now;
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -14,12 +14,22 @@
 using LogRevision
     = core::Strong<struct LogRevisionTag, std::uint64_t>; //!< position of a value in the order of `put` calls
 
+//! A value that the store rejects for good.
+struct RejectedWrite {
+    store::RowKey key;
+    LogRevision revision;
+    bool mayBeCommitted = false; //!< an earlier answer about it was lost, so the store may have it after all
+};
+
 //! Callbacks of a log to its owner.
 struct LeaderLogHooks {
     //! All values up to this revision are persisted.
     std::function<void(LogRevision)> persisted;
     //! Another node leads; the log writes nothing more.
     std::function<void(const std::string& why)> leadershipLost;
+    //! The store rejects this value, but accepts other writes. The value was dropped, and `persisted` does not include
+    //! it.
+    std::function<void(const RejectedWrite&)> rejected = [](const RejectedWrite&) {};
     std::function<void(bool isUp)> availability = [](bool) {};
     //! The store has rejected this node's writes for `LeaderTimes::rejectionTimeout`; it may accept those of other
     //! nodes.
@@ -30,6 +40,9 @@
 //!
 //! A write whose answer was lost is sent again under the same conditions. The head row shows whether the first one took
 //! effect; a copy that arrives later fails, because it expects an older version of that row.
+//!
+//! A group that the store rejects as invalid is split until the row at fault is alone, so that one bad row does not stop
+//! the writes of other jobs.
 class LeaderLog : public std::enable_shared_from_this<LeaderLog> {
 public:
     static std::shared_ptr<LeaderLog> create(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
@@ -57,6 +70,8 @@
         store::RowKey key;
         std::optional<std::string> value;
         LogRevision revision;
+        bool mayBeCommitted = false; //!< it was sent, and that answer was lost or unreadable
+        int rejections = 0; //!< number of times that the store rejected it when it was sent alone
     };
     LeaderLog(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader, core::RowVersion leaderVersion,
         core::RowVersion headVersion, LeaderTimes times, LeaderLogHooks hooks);
@@ -69,6 +84,12 @@
     void onCommitted(core::RowVersion version, core::TimePoint sentAt);
     void onConflict(const store::StoreFailure& failure, core::TimePoint sentAt);
     void onFailure(const store::StoreFailure& failure);
+    //! Splits a group that the store has rejected as invalid, or drops its only row once that row is known to be at
+    //! fault. Returns false if the group has no rows.
+    bool isolateRejected(const store::StoreFailure& failure);
+    void dropRejected(const store::StoreFailure& failure);
+    //! Returns the rows of the open group to the queue, where they can be withdrawn or replaced.
+    void requeueGroup();
     std::string headValue() const;
 
     runtime::ILoopPtr m_loop;
@@ -85,6 +106,8 @@
     bool m_groupReleases = false; //!< the open group releases the leadership
     bool m_isGroupOpen = false; //!< a group was sent and its outcome is unknown
     bool m_mayBeCommitted = false; //!< an answer to the open group was lost or unreadable
+    std::size_t m_groupLimit; //!< maximum rows of the next group
+    bool m_mustProbe = false; //!< the next group has no rows, to learn whether the store accepts any write
     bool m_isInFlight = false;
     bool m_isWakeSet = false;
     core::TimePoint m_wakeAt {};
--- /dev/null
+++ b/src/lead/tests/leaderlog_tests.cpp
@@ -0,0 +1,118 @@
+#define BOOST_TEST_MODULE lead
+#include "lead/election.h"
+#include "lead/leaderlog.h"
+#include "runtime/manualloop.h"
+#include "store/testing/fakerowstore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::lead;
+using store::testing::FakeRowStore;
+
+namespace {
+
+store::RowKey keyOf(int n)
+{
+    return { "jobs", "", "job-" + std::to_string(1000 + n) };
+}
+
+//! The log of a leader that has just won its first term.
+struct Leader {
+    Leader()
+        : loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
+        , store(std::make_shared<FakeRowStore>(loop))
+    {
+        ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<LeaderRow>&) {};
+        hooks.won = [this](const WonElection& won) { begin(won); };
+        election = Election::create(
+            loop, store, core::NodeId("n1"), { "127.0.0.1", 7000 }, times, core::Duration(0), std::move(hooks));
+        election->start();
+        advance(3000);
+    }
+    void begin(const WonElection& won)
+    {
+        LeaderLogHooks hooks;
+        hooks.persisted = [this](LogRevision it) { persisted = it; };
+        hooks.rejected = [this](const RejectedWrite& it) { rejected.push_back(it.key); };
+        hooks.leadershipLost = [this](const std::string&) { isLost = true; };
+        hooks.rejectedByStore = [this] { isRejectedByStore = true; };
+        log = LeaderLog::create(
+            loop, store, won.leader, won.leaderVersion, won.headVersion, times, std::move(hooks));
+        log->start();
+    }
+    void advance(std::int64_t ms) { loop->advance(std::chrono::milliseconds(ms)); }
+    std::size_t storedJobs() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            store->rows.begin(), store->rows.end(), [](const auto& it) { return it.first.table == "jobs"; }));
+    }
+
+    runtime::ManualLoopPtr loop;
+    std::shared_ptr<FakeRowStore> store;
+    LeaderTimes times;
+    ElectionPtr election;
+    LeaderLogPtr log;
+    LogRevision persisted;
+    std::vector<store::RowKey> rejected;
+    bool isLost = false;
+    bool isRejectedByStore = false;
+};
+
+} // namespace
+
+//! Guards against one row that the store rejects for good and that stops the writes of all jobs and the heartbeat.
+BOOST_AUTO_TEST_CASE(a_row_that_the_store_rejects_for_good_stops_no_other_row)
+{
+    for (const int bad : { 0, 1, 37, 88, 89, 150 }) {
+        Leader leader;
+        leader.store->rejects = [bad](const store::RowUpdate& it) { return it.key == keyOf(bad); };
+        LogRevision last;
+        for (int n = 0; n < 200; ++n)
+            last = leader.log->put(keyOf(n), "value");
+        leader.advance(1500);
+        BOOST_TEST(leader.storedJobs() == 199u);
+        BOOST_REQUIRE(leader.rejected.size() == 1u);
+        BOOST_TEST((leader.rejected.front() == keyOf(bad)));
+        BOOST_TEST((leader.persisted == last));
+        BOOST_TEST(leader.log->isUp());
+        BOOST_TEST(!leader.isLost);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_value_too_large_for_the_store_is_dropped_alone)
+{
+    Leader leader;
+    leader.log->put(keyOf(1), std::string(store::maxValueBytes + 1, 'x'));
+    leader.log->put(keyOf(2), "value");
+    leader.advance(500);
+    BOOST_TEST(leader.rejected.size() == 1u);
+    BOOST_TEST(leader.storedJobs() == 1u);
+}
+
+//! A store that rejects everything for a while says nothing about a single row, so none is lost.
+BOOST_AUTO_TEST_CASE(no_row_is_dropped_while_the_store_rejects_everything)
+{
+    Leader leader;
+    leader.store->rejectsAll = 12;
+    for (int n = 0; n < 5; ++n)
+        leader.log->put(keyOf(n), "value");
+    leader.advance(4000);
+    BOOST_TEST(leader.rejected.empty());
+    BOOST_TEST(leader.storedJobs() == 5u);
+    BOOST_TEST(!leader.isLost);
+}
+
+//! Guards against the answer "not run" for a row that may be in the store.
+BOOST_AUTO_TEST_CASE(a_row_whose_answer_was_lost_is_not_withdrawn_after_a_rejection)
+{
+    Leader leader;
+    leader.store->losesAnswers = 1;
+    leader.log->put(keyOf(1), "value");
+    leader.advance(22); // it has taken effect, and its answer is lost
+    leader.store->rejectsAll = 1;
+    leader.advance(125); // the repetition is rejected
+    BOOST_TEST(leader.store->rejectsAll == 0);
+    BOOST_TEST(!leader.log->withdraw(keyOf(1)));
+}
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -51,6 +51,10 @@
         if (const auto it = self.lock())
             it->onPersisted(revision);
     };
+    hooks.rejected = [self = weak_from_this()](const lead::RejectedWrite& write) {
+        if (const auto it = self.lock())
+            it->onWriteRejected(write);
+    };
     hooks.availability = [self = weak_from_this()](bool isUp) {
         if (const auto it = self.lock())
             it->onStoreAvailability(isUp);
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -59,6 +59,10 @@
         m_deferredCalls.push_back({ call, std::move(callback), m_dependencies.loop->now() + maxCallDeferral });
         return;
     }
+    if (m_unreadableJobs.contains(call.spec.id)) {
+        callback(notNow("the record of the job cannot be read"));
+        return;
+    }
     // indexed by workflow::CallKind
     static constexpr std::array<CallHandler, 4> handlers { &EngineImpl::submit, &EngineImpl::read, &EngineImpl::cancel,
         &EngineImpl::countPending };
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -84,6 +84,12 @@
 
     // Persistence
     lead::LogRevision persistProgress(Job& job);
+    //! Persists that a task of the stage has failed.
+    lead::LogRevision persistFailure(Job& job, std::size_t stage, std::size_t task);
+    //! Persists in rows of their own the failures that were read from the row of the job's progress.
+    void persistSeparateFailures(Job& job);
+    //! Drops what waits for a write that the store has rejected for good. A job whose record it was is not accepted.
+    void onWriteRejected(const lead::RejectedWrite& write);
     void whenPersisted(lead::LogRevision revision, std::function<void()> action);
     void onPersisted(lead::LogRevision revision);
     void onStoreAvailability(bool isUp);
@@ -93,6 +99,11 @@
     // Recovery and workers
     void readTable(const std::string& table, const std::string& after);
     void applyRow(const std::string& table, const store::StoredRow& row);
+    void applyProgress(const core::JobId& id, const std::string& value);
+    void applyFailures(const store::RowKey& key, const std::string& value);
+    //! Sets a job aside whose record cannot be read. Its callers are asked to retry, as it may be readable for another
+    //! build.
+    void holdUnreadable(const core::JobId& id, const char* event, const std::string& why);
     void onTablesRead();
     //! The roster is the persisted list of the workers that leaders have used; a new leader adds all of them.
     void loadRoster(const std::string& value);
@@ -130,10 +141,16 @@
     void checkStall(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     void markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end);
     void markTaskDone(Stage& stage, std::uint32_t index);
+    //! Counts a failed run of a task, and ends the job if it was the last one that its queue allows.
     void countFailure(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker);
+    //! Records where a run failed, so that the task and others avoid the worker.
+    void noteFailedRun(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker);
     void stopGang(const JobPtr& job, Stage& stage);
     void stopLive(const Job& job, const Stage& stage);
+    //! Opens the stages that are due and whose earlier steps are done.
     void openStages(const JobPtr& job);
+    void openStage(Job& job, std::size_t index);
+    bool isDue(const workflow::JobSpec& spec, std::uint32_t occurrence) const;
     JobPtr jobOf(const core::JobId& id) const;
     //! A job and one of its stages; the stage is null if the job is unknown or has ended.
     struct JobStage {
@@ -238,8 +255,9 @@
     core::TimePoint m_arrivalsAt {}; //!< when the averages were last updated
     AdmissionSnapshot m_admissionSnapshot;
     std::optional<std::vector<fleet::WorkerEntry>> m_registryEntries; //!< content of the registry, once received
-    //! Key and value of progress rows, until all tables are read.
-    std::vector<std::pair<std::string, std::string>> m_readProgress;
+    std::vector<store::StoredRow> m_readProgress; //!< rows of the progress of jobs, until all tables are read
+    std::vector<store::StoredRow> m_readFailures; //!< rows of failed runs, until all tables are read
+    std::set<core::JobId> m_unreadableJobs;
     std::map<store::RowKey, std::string> m_rosterRows; //!< as last read or written
     core::TimePoint m_priorLeaseUntil {}; //!< leases of former leaders have expired by then
     core::TimePoint m_wonAt {};
--- a/src/scheduling/internal/enginepersistence.cpp
+++ b/src/scheduling/internal/enginepersistence.cpp
@@ -20,6 +20,32 @@
     return m_log->put(progressKey(job.record.spec.id), workflow::encodeProgress(job.record));
 }
 
+lead::LogRevision EngineImpl::persistFailure(Job& job, std::size_t stage, std::size_t task)
+{
+    if (!workflow::storesFailuresSeparately(job.record))
+        return persistProgress(job);
+    const workflow::FailureBlock block = workflow::failureBlockOf(job.record, stage, task);
+    job.failureRows.insert(block);
+    return m_log->put(failuresKey(job.record.spec.id, block), workflow::encodeFailures(job.record, block));
+}
+
+void EngineImpl::onWriteRejected(const lead::RejectedWrite& write)
+{
+    m_afterPersisted.erase(write.revision);
+    m_dependencies.metrics->add(telemetry::Metric::WorkWritesRejected, { { "table", write.key.table } });
+    const JobPtr job = write.key.table == jobKey({}).table ? jobOf(core::JobId(write.key.key)) : nullptr;
+    if (!job || job->isPersisted)
+        return;
+    m_jobs.erase(job->record.spec.id);
+    m_active.erase(job->record.spec.id);
+    job->record.state = JobState::Cancelled;
+    workflow::WorkflowResult answer;
+    answer.outcome = write.mayBeCommitted ? workflow::WorkflowOutcome::Uncertain : workflow::WorkflowOutcome::Refused;
+    answer.reason = "the store rejects its record";
+    for (const AnswerCallback& it : std::exchange(job->submitCallbacks, {}))
+        it(answer);
+}
+
 void EngineImpl::whenPersisted(lead::LogRevision revision, std::function<void()> action)
 {
     m_afterPersisted.emplace(revision, std::move(action));
@@ -69,6 +95,8 @@
     const lead::LogRevision revision = persistProgress(*job);
     job->endRevision = revision;
     m_log->put(jobKey(id), std::nullopt);
+    for (const workflow::FailureBlock it : std::exchange(job->failureRows, {}))
+        m_log->put(failuresKey(id, it), std::nullopt);
     whenPersisted(revision, [this, job, state] {
         job->visibleState = state;
         job->isPersisted = true;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -117,7 +117,8 @@
         if (job->isRecovered && !m_isBarrierPassed)
             continue;
         std::optional<core::TimePoint> startBy; // computed only for jobs with a ready stage
-        for (Stage& stage : job->stages) {
+        for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
+            Stage& stage = job->stages[n];
             if (!stage.isOpen || stage.pending == 0 || now < stage.notBefore)
                 continue;
             const bool isGang = job->stepOf(stage).isGang;
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -36,7 +36,7 @@
 //! Returns the tables in the order in which they are read.
 const std::vector<std::string>& tablesToRead()
 {
-    static const std::vector<std::string> it { "jobs", "progress", "roster" };
+    static const std::vector<std::string> it { "jobs", "progress", "failures", "roster" };
     return it;
 }
 
@@ -74,7 +74,11 @@
 void EngineImpl::applyRow(const std::string& table, const store::StoredRow& row)
 {
     if (table == "progress") {
-        m_readProgress.emplace_back(row.key.key, row.value);
+        m_readProgress.push_back(row);
+        return;
+    }
+    if (table == "failures") {
+        m_readFailures.push_back(row);
         return;
     }
     if (table == "roster") {
@@ -85,23 +89,59 @@
         const JobPtr job = std::make_shared<Job>(makeJob(workflow::decodeJob(row.value)));
         m_jobs[core::JobId(row.key.key)] = job;
     } catch (const codec::DecodeError& error) {
-        LogLine(Severity::Error, "record-unreadable").with("job", row.key.key).with("why", error.what());
+        holdUnreadable(core::JobId(row.key.key), "record-unreadable", error.what());
     }
 }
 
-void EngineImpl::onTablesRead()
+void EngineImpl::holdUnreadable(const core::JobId& id, const char* event, const std::string& why)
 {
-    for (const auto& [key, value] : std::exchange(m_readProgress, {})) {
-        JobPtr& job = m_jobs[core::JobId(key)];
-        workflow::JobRecord record = job ? job->record : workflow::JobRecord();
-        try {
-            workflow::decodeProgress(value, record);
-        } catch (const codec::DecodeError& error) {
-            LogLine(Severity::Error, "progress-unreadable").with("job", key).with("why", error.what());
-        }
-        record.spec.id = core::JobId(key);
-        job = std::make_shared<Job>(makeJob(std::move(record)));
+    LogLine(Severity::Error, event).with("job", id.value()).with("why", why);
+    m_unreadableJobs.insert(id);
+    m_jobs.erase(id);
+    m_dependencies.metrics->set(telemetry::Metric::WorkRecordsUnreadable, {}, double(m_unreadableJobs.size()));
+}
+
+void EngineImpl::applyProgress(const core::JobId& id, const std::string& value)
+{
+    if (m_unreadableJobs.contains(id))
+        return;
+    JobPtr& job = m_jobs[id];
+    workflow::JobRecord record = job ? job->record : workflow::JobRecord();
+    try {
+        workflow::decodeProgress(value, record);
+    } catch (const codec::DecodeError& error) {
+        // Without its progress, tasks that are done would run again.
+        holdUnreadable(id, "progress-unreadable", error.what());
+        return;
     }
+    record.spec.id = id;
+    job = std::make_shared<Job>(makeJob(std::move(record)));
+}
+
+void EngineImpl::applyFailures(const store::RowKey& key, const std::string& value)
+{
+    const auto parts = parseFailuresKey(key);
+    if (!parts || m_unreadableJobs.contains(parts->job))
+        return;
+    const JobPtr job = jobOf(parts->job);
+    if (!job || job->hasEnded()) {
+        m_log->put(key, std::nullopt); // left behind by a leader that ended before it deleted the row
+        return;
+    }
+    try {
+        workflow::decodeFailures(value, job->record);
+        job->failureRows.insert(parts->block);
+    } catch (const codec::DecodeError& error) {
+        holdUnreadable(parts->job, "failures-unreadable", error.what());
+    }
+}
+
+void EngineImpl::onTablesRead()
+{
+    for (const store::StoredRow& it : std::exchange(m_readProgress, {}))
+        applyProgress(core::JobId(it.key.key), it.value);
+    for (const store::StoredRow& it : std::exchange(m_readFailures, {}))
+        applyFailures(it.key, it.value);
     const core::TimePoint now = m_dependencies.loop->now();
     const core::RuntimeClock::duration none {};
     const std::int64_t baseRun = std::int64_t(m_won.leader.term.value() - 1) * runsPerTerm;
@@ -123,6 +163,7 @@
             job->hasStarted = job->hasStarted || stage.done > 0;
         }
         m_active[id] = job;
+        persistSeparateFailures(*job);
     }
     m_areTablesRead = true;
     for (const auto& [key, value] : m_rosterRows)
@@ -139,6 +180,16 @@
     retryDeferredCalls();
 }
 
+void EngineImpl::persistSeparateFailures(Job& job)
+{
+    if (!workflow::storesFailuresSeparately(job.record))
+        return;
+    for (const workflow::FailureBlock it : workflow::failureBlocks(job.record)) {
+        if (job.failureRows.insert(it).second)
+            m_log->put(failuresKey(job.record.spec.id, it), workflow::encodeFailures(job.record, it));
+    }
+}
+
 void EngineImpl::loadRoster(const std::string& value)
 {
     try {
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -156,9 +156,17 @@
     if (end.kind == EndKind::Done && !job->stepOf(*stage).isLongRunning) {
         m_health.onSuccess(worker.id());
         markDone(job, *stage, end);
-    } else if (end.kind == EndKind::Failed) {
+    } else if (end.kind == EndKind::Failed && !job->stepOf(*stage).isLongRunning) {
         countFailure(job, *stage, end, worker.id());
+        if (!job->hasEnded()) {
+            const std::size_t index = job->stepOf(*stage).isGang ? 0 : end.runId.task.index;
+            acknowledgeWhenPersisted(worker, end.number, persistFailure(*job, job->indexOf(*stage), index));
+            return;
+        }
     } else {
+        // Tasks that last may fail any number of times, so nothing is recorded.
+        if (end.kind == EndKind::Failed)
+            noteFailedRun(job, *stage, end, worker.id());
         worker.acknowledgeEnd(worker.entry().startedAt, end.number);
         return;
     }
@@ -202,8 +210,7 @@
 
 void EngineImpl::markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end)
 {
-    const std::size_t stageIndex = stage.occurrence * job->record.spec.steps.size() + stage.step;
-    workflow::StageProgress& progress = job->record.stages[stageIndex];
+    workflow::StageProgress& progress = job->record.stages[job->indexOf(stage)];
     const bool isGang = job->stepOf(stage).isGang;
     const std::uint32_t first = isGang ? 0 : end.runId.task.index;
     const std::uint32_t last = isGang ? static_cast<std::uint32_t>(stage.tasks.size()) - 1 : first;
@@ -219,29 +226,29 @@
     if (!stage.isDone())
         return;
     openStages(job);
-    const bool isAll = std::all_of(job->stages.begin(), job->stages.end(), [](const Stage& it) { return it.isDone(); });
-    if (isAll)
+    if (job->firstUndone == job->stages.size())
         endJob(job, workflow::JobState::Completed, "all tasks are done");
 }
 
 void EngineImpl::countFailure(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker)
 {
-    const workflow::StepSpec& step = job->stepOf(stage);
-    const std::uint32_t index = step.isGang ? 0 : end.runId.task.index;
-    const std::size_t stageIndex = stage.occurrence * job->record.spec.steps.size() + stage.step;
-    workflow::StageProgress& progress = job->record.stages[stageIndex];
-    if (!progress.failedRuns[index].insert(end.runId.run.value()).second)
+    const std::uint32_t index = job->stepOf(stage).isGang ? 0 : end.runId.task.index;
+    workflow::FailedRuns& failed = job->record.stages[job->indexOf(stage)].failedRuns[index];
+    if (!failed.insert(end.runId.run.value()))
         return; // counted already, perhaps by a former leader
+    noteFailedRun(job, stage, end, worker);
+    if (failed.size() >= job->record.queue.maxAttempts)
+        endJob(job, workflow::JobState::Failed, "a task has failed as often as its queue allows");
+}
+
+void EngineImpl::noteFailedRun(const JobPtr& job, Stage& stage, const fleet::EndedRun& end, const core::VmId& worker)
+{
     stage.tasks[end.runId.task.index].avoidedWorker = worker;
     if (m_health.onFailure(
             worker, job->record.spec.id, core::Duration(0), m_workers.size(), m_dependencies.loop->now()))
         LogLine(Severity::Warning, "worker-set-aside")
             .with("worker", worker.value())
             .with("why", "failures of several jobs in a row");
-    if (step.isLongRunning)
-        return;
-    if (progress.failedRuns[index].size() >= job->record.queue.maxAttempts)
-        endJob(job, workflow::JobState::Failed, "a task has failed as often as its queue allows");
 }
 
 void EngineImpl::onRunTerminated(Worker& worker, const fleet::RunId& run, const RunTermination& termination)
@@ -304,30 +311,42 @@
     }
 }
 
+bool EngineImpl::isDue(const workflow::JobSpec& spec, std::uint32_t occurrence) const
+{
+    if (spec.occurrences == 0)
+        return true;
+    return m_dependencies.loop->wallNow().value() >= spec.firstDueAt.value() + occurrence * core::toMs(spec.interval);
+}
+
 void EngineImpl::openStages(const JobPtr& job)
 {
     const workflow::JobSpec& spec = job->record.spec;
     const std::size_t steps = spec.steps.size();
-    for (Stage& stage : job->stages) {
+    job->skipDoneStages();
+    for (std::size_t n = job->firstUndone; n < job->stages.size(); ++n) {
+        Stage& stage = job->stages[n];
         if (stage.isOpen)
             continue;
+        if (!isDue(spec, stage.occurrence))
+            return; // and neither are later occurrences
         const auto& after = spec.steps[stage.step].after;
         const bool isUnblocked = std::all_of(after.begin(), after.end(),
-            [&](std::uint32_t n) { return job->stages[stage.occurrence * steps + n].isDone(); });
-        if (!isUnblocked)
-            continue;
-        if (spec.occurrences > 0) {
-            const std::int64_t due = spec.firstDueAt.value() + stage.occurrence * core::toMs(spec.interval);
-            if (m_dependencies.loop->wallNow().value() < due)
-                continue;
-        }
-        stage.isOpen = true;
-        stage.openedAt = m_dependencies.loop->now();
-        const workflow::StepSpec& step = spec.steps[stage.step];
-        if (step.isGang)
-            m_headroom.onGangArrival(job->record.queue.priority, coresOf(step));
-        scheduleRound();
+            [&](std::uint32_t step) { return job->stages[stage.occurrence * steps + step].isDone(); });
+        if (isUnblocked)
+            openStage(*job, n);
     }
 }
 
+void EngineImpl::openStage(Job& job, std::size_t index)
+{
+    Stage& stage = job.stages[index];
+    stage.isOpen = true;
+    stage.openedAt = m_dependencies.loop->now();
+    job.openedEnd = std::max(job.openedEnd, index + 1);
+    const workflow::StepSpec& step = job.stepOf(stage);
+    if (step.isGang)
+        m_headroom.onGangArrival(job.record.queue.priority, coresOf(step));
+    scheduleRound();
+}
+
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/internal/jobs.h"
 
+#include "core/numbers.h"
+
 #include <algorithm>
 
 namespace sardinerun::scheduling {
@@ -38,10 +40,20 @@
     return &stages[n];
 }
 
+void Job::skipDoneStages()
+{
+    while (firstUndone < stages.size() && stages[firstUndone].isDone())
+        ++firstUndone;
+}
+
 PendingWork Job::pendingWork() const
 {
     PendingWork sum;
-    for (const Stage& it : stages) {
+    const std::size_t steps = record.spec.steps.size();
+    const bool isScheduled = record.spec.occurrences > 0;
+    const std::size_t end = isScheduled ? (openedEnd + steps - 1) / steps * steps : stages.size();
+    for (std::size_t n = firstUndone; n < end; ++n) {
+        const Stage& it = stages[n];
         const workflow::StepSpec& step = stepOf(it);
         if (step.isLongRunning)
             continue;
@@ -103,6 +115,22 @@
     return { "progress", "", id.value() };
 }
 
+store::RowKey failuresKey(const core::JobId& id, workflow::FailureBlock block)
+{
+    return { "failures", "", id.value() + "/" + std::to_string(block.value()) };
+}
+
+std::optional<FailuresKeyParts> parseFailuresKey(const store::RowKey& key)
+{
+    const std::size_t slash = key.key.rfind('/');
+    if (slash == std::string::npos)
+        return std::nullopt;
+    const auto block = core::parseUnsigned(std::string_view(key.key).substr(slash + 1), INT32_MAX);
+    if (!block)
+        return std::nullopt;
+    return FailuresKeyParts { core::JobId(key.key.substr(0, slash)), workflow::FailureBlock(std::int64_t(*block)) };
+}
+
 double coresOf(const workflow::StepSpec& step)
 {
     return double(step.count) * double(roomOf(step).cpu.value()) / 1000;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -6,6 +6,7 @@
 #include "scheduling/reservation.h"
 #include "scheduling/workahead.h"
 #include "store/storetypes.h"
+#include "workflow/workflowcodec.h"
 #include "workflow/workflowtypes.h"
 
 #include <functional>
@@ -74,6 +75,9 @@
 struct Job {
     workflow::JobRecord record;
     std::vector<Stage> stages;
+    //! Stages that may have something to do lie from `firstUndone` to `openedEnd`. A scheduled job has many others.
+    std::size_t firstUndone = 0; //!< all stages before this index are done
+    std::size_t openedEnd = 0; //!< no stage from this index on was opened
     core::TimePoint acceptedAt {};
     core::TimePoint objectiveAt {}; //!< a job that ends later counts as late
     //! State that is reported to callers; final states are reported only once persisted.
@@ -83,12 +87,16 @@
     bool hasStarted = false; //!< the start of a task was confirmed
     core::TimePoint endedAt {};
     lead::LogRevision endRevision; //!< revision that persists its final state
+    std::set<workflow::FailureBlock> failureRows; //!< stored rows of failed runs
     //! Callers that wait for its acceptance.
     std::vector<std::function<void(const workflow::WorkflowResult&)>> submitCallbacks;
 
+    std::size_t indexOf(const Stage& it) const { return it.occurrence * record.spec.steps.size() + it.step; }
     const workflow::StepSpec& stepOf(const Stage& it) const { return record.spec.steps[it.step]; }
     Stage* find(const fleet::TaskId& task);
     bool hasEnded() const { return workflow::isFinal(record.state); }
+    void skipDoneStages();
+    //! Returns the pending work of the occurrences that are due.
     PendingWork pendingWork() const;
     //! Returns the estimated time of the longest chain of steps that are not done.
     core::Duration remainingChain() const;
@@ -111,5 +119,14 @@
 store::RowKey jobKey(const core::JobId& id);
 //! Key of the row with the progress and the final state of a job.
 store::RowKey progressKey(const core::JobId& id);
+//! Key of the row with the failed runs of a block of tasks.
+store::RowKey failuresKey(const core::JobId& id, workflow::FailureBlock block);
+//! The job and the block of tasks that a key of failed runs names.
+struct FailuresKeyParts {
+    core::JobId job;
+    workflow::FailureBlock block;
+};
+//! Returns nothing if the key was not made by `failuresKey`.
+std::optional<FailuresKeyParts> parseFailuresKey(const store::RowKey& key);
 
 } // namespace sardinerun::scheduling
--- /dev/null
+++ b/src/scheduling/tests/largejobs_tests.cpp
@@ -0,0 +1,181 @@
+//! Tests of jobs at the limits of what a caller may submit: many occurrences, tasks and failures.
+
+#include "scheduling/tests/cell.h"
+#include "workflow/workflowcodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::scheduling;
+using namespace sardinerun::scheduling::testing;
+using fleet::EndKind;
+using workflow::JobState;
+using workflow::WorkflowOutcome;
+
+namespace {
+
+constexpr std::uint32_t mostOccurrences = 10'000;
+
+//! A job of two short steps that run once a minute.
+workflow::JobSpec scheduledJob(const Cell& cell, const std::string& id)
+{
+    workflow::JobSpec spec = jobOf(id, 1, 1000);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = { 0 };
+    spec.occurrences = mostOccurrences;
+    spec.firstDueAt = cell.loop->wallNow();
+    spec.interval = std::chrono::minutes(1);
+    return spec;
+}
+
+std::size_t storedRows(const Cell& cell, const std::string& table)
+{
+    return static_cast<std::size_t>(std::count_if(cell.store->rows.begin(), cell.store->rows.end(),
+        [&table](const auto& it) { return it.first.table == table; }));
+}
+
+std::size_t largestStoredValue(const Cell& cell)
+{
+    std::size_t bytes = 0;
+    for (const auto& [key, row] : cell.store->rows)
+        bytes = std::max(bytes, row.value.size());
+    return bytes;
+}
+
+} // namespace
+
+//! Guards against the progress of one job that outgrows its row, so that the store rejects all writes of the leader.
+BOOST_AUTO_TEST_CASE(job_of_many_occurrences_does_not_stop_other_jobs)
+{
+    Cell cell;
+    cell.lead();
+    const auto scheduled = scheduledJob(cell, "scheduled");
+    BOOST_TEST((cell.submit(scheduled) == WorkflowOutcome::Accepted));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 1u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(500));
+    const auto other = jobOf("other", 1, 1000);
+    BOOST_TEST((cell.submit(other) == WorkflowOutcome::Accepted));
+    cell.advance(ms(300));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(500));
+    BOOST_TEST((cell.stateOf(other) == JobState::Completed));
+    BOOST_TEST((cell.callEngine(workflow::CallKind::Cancel, scheduled).outcome == WorkflowOutcome::Cancelled));
+    for (auto& [id, it] : cell.workers->workers)
+        BOOST_TEST(it.ended.empty()); // all ends are acknowledged
+    BOOST_TEST(largestStoredValue(cell) <= store::maxValueBytes);
+}
+
+BOOST_AUTO_TEST_CASE(job_of_many_occurrences_goes_on_under_a_new_leader)
+{
+    Cell cell;
+    cell.lead();
+    const auto scheduled = scheduledJob(cell, "scheduled");
+    cell.submit(scheduled);
+    cell.advance(ms(300));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    cell.lead();
+    cell.advance(ms(1000));
+    BOOST_TEST(cell.starts() == 2u); // the second step runs, the first one does not start again
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(60'000));
+    BOOST_TEST(cell.starts() == 3u); // the next occurrence is due
+}
+
+//! Guards against failures that are not persisted, or counted twice, as they are stored beside the progress.
+BOOST_AUTO_TEST_CASE(failures_of_a_large_job_are_counted_across_leaders)
+{
+    Cell cell;
+    cell.queue.maxAttempts = 3;
+    cell.lead();
+    auto job = jobOf("a", 1000, 40);
+    job.steps[0].need.memory = core::MebiBytes(1);
+    BOOST_TEST((cell.submit(job) == WorkflowOutcome::Accepted));
+    for (int n = 0; n < 2; ++n) {
+        cell.advance(ms(500));
+        cell.endAll(EndKind::Failed);
+        cell.advance(ms(1000));
+        for (auto& [id, it] : cell.workers->workers)
+            BOOST_TEST(it.ended.empty());
+        BOOST_TEST((cell.stateOf(job) == JobState::Running));
+        cell.endAll(EndKind::Stopped);
+        cell.lead();
+    }
+    BOOST_TEST(storedRows(cell, "failures") > 0u);
+    BOOST_TEST(largestStoredValue(cell) <= store::maxValueBytes);
+    cell.advance(ms(20'000)); // set-aside workers are tried again
+    cell.endAll(EndKind::Failed);
+    cell.advance(ms(1000));
+    BOOST_TEST((cell.stateOf(job) == JobState::Failed));
+    BOOST_TEST(storedRows(cell, "failures") == 0u);
+}
+
+//! Guards against a record of failures that grows for as long as a task that lasts fails again and again.
+BOOST_AUTO_TEST_CASE(failures_of_a_long_running_task_are_not_recorded)
+{
+    Cell cell;
+    cell.lead();
+    auto job = jobOf("a", 2, 1000);
+    job.steps[0].isLongRunning = true;
+    cell.submit(job);
+    cell.advance(ms(300));
+    const std::size_t before = largestStoredValue(cell);
+    for (int n = 0; n < 200; ++n) {
+        cell.endAll(EndKind::Failed);
+        cell.advance(ms(200));
+    }
+    cell.advance(ms(20'000));
+    BOOST_TEST(largestStoredValue(cell) <= before + 100);
+    for (auto& [id, it] : cell.workers->workers)
+        BOOST_TEST(it.ended.empty());
+    BOOST_TEST(cell.running() == 2u);
+}
+
+//! Guards against a job whose record cannot be read and that is dropped: its caller would be told that it is unknown.
+BOOST_AUTO_TEST_CASE(job_with_an_unreadable_record_is_held)
+{
+    Cell cell;
+    cell.lead();
+    const auto unreadable = jobOf("a", 1, 1000);
+    const auto withoutProgress = jobOf("b", 1, 1000);
+    cell.submit(unreadable);
+    cell.submit(withoutProgress);
+    cell.advance(ms(100));
+    cell.store->rows[{ "jobs", "", "a" }].value = "{\"spec\":[]}";
+    store::StoredRow& progress = cell.store->rows[{ "progress", "", "b" }];
+    progress.key = { "progress", "", "b" };
+    progress.value = "{\"stages\":3}";
+    cell.lead();
+    cell.advance(ms(1000));
+    for (const auto& it : { unreadable, withoutProgress }) {
+        BOOST_TEST((cell.callEngine(workflow::CallKind::Read, it).outcome == WorkflowOutcome::NotNow));
+        BOOST_TEST((cell.callEngine(workflow::CallKind::Cancel, it).outcome == WorkflowOutcome::NotNow));
+        BOOST_TEST((cell.submit(it) == WorkflowOutcome::NotNow));
+    }
+    const auto other = jobOf("c", 1, 1000);
+    BOOST_TEST((cell.submit(other) == WorkflowOutcome::Accepted));
+}
+
+//! Guards against a submission that is refused although it will run, or that stops others.
+BOOST_AUTO_TEST_CASE(job_whose_record_the_store_rejects_is_refused_alone)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->rejects = [](const store::RowUpdate& it) { return it.value && it.key.key == "bad"; };
+    workflow::WorkflowCall call;
+    call.kind = workflow::CallKind::Submit;
+    call.host = "h";
+    call.path = "/q/bad";
+    call.spec = jobOf("bad", 1, 1000);
+    std::optional<WorkflowOutcome> outcome;
+    cell.engine->handle(call, [&outcome](const workflow::WorkflowResult& it) { outcome = it.outcome; });
+    const auto good = jobOf("good", 1, 1000);
+    BOOST_TEST((cell.submit(good) == WorkflowOutcome::Accepted));
+    cell.advance(ms(500));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((*outcome == WorkflowOutcome::Refused));
+    BOOST_TEST(cell.starts() == 1u);
+    BOOST_TEST((cell.callEngine(workflow::CallKind::Read, call.spec).outcome == WorkflowOutcome::NoJob));
+}
--- a/src/store/internal/tablewatch.cpp
+++ b/src/store/internal/tablewatch.cpp
@@ -17,6 +17,8 @@
         return "conflict";
     case StoreFailure::Code::HistoryGone:
         return "history-gone";
+    case StoreFailure::Code::Rejected:
+        return "rejected";
     case StoreFailure::Code::BadAnswer:
         return "bad-answer";
     }
--- a/src/store/storetypes.h
+++ b/src/store/storetypes.h
@@ -54,6 +54,7 @@
         Unknown, //!< the answer was lost; the call may have taken effect or may do so later
         Conflict, //!< a condition is not met; without effect
         HistoryGone, //!< the store no longer retains the requested changes
+        Rejected, //!< the call is invalid; without effect, and so is a repetition
         BadAnswer //!< the answer cannot be decoded
     };
     Code code = Code::Unavailable;
--- a/src/store/testing/fakerowstore.h
+++ b/src/store/testing/fakerowstore.h
@@ -3,6 +3,7 @@
 #include "runtime/iloop.h"
 #include "store/irowstore.h"
 
+#include <functional>
 #include <map>
 
 namespace sardinerun::store::testing {
@@ -18,6 +19,8 @@
     bool isDown = false; //!< all calls fail without effect
     bool isSilent = false; //!< requests for changes that arrive now are lost
     int losesAnswers = 0; //!< number of next commits that take effect but whose answers are lost
+    std::function<bool(const RowUpdate&)> rejects; //!< rejects all transactions with such an update
+    int rejectsAll = 0; //!< number of next commits that are rejected, whatever they contain
     core::Duration latency = std::chrono::milliseconds(8);
     std::map<RowKey, StoredRow> rows;
     std::map<RowKey, StoredRow> deleted; //!< deleted rows, reported as changes
@@ -70,9 +73,13 @@
         if (isDown)
             return core::Failure { StoreFailure {} };
         ++commits;
+        if (rejectsAll > 0) {
+            --rejectsAll;
+            return core::Failure { StoreFailure { StoreFailure::Code::Rejected, "rejects all", {} } };
+        }
         for (const RowUpdate& it : transaction.updates) {
-            if (it.value && it.value->size() > maxValueBytes)
-                return core::Failure { StoreFailure { StoreFailure::Code::BadAnswer, "value too large", {} } };
+            if ((it.value && it.value->size() > maxValueBytes) || (rejects && rejects(it)))
+                return core::Failure { StoreFailure { StoreFailure::Code::Rejected, "value too large", {} } };
         }
         StoreFailure conflict { StoreFailure::Code::Conflict, "", {} };
         bool isMet = true;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -44,6 +44,8 @@
     WorkStepsWaiting,
     WorkCores,
     WorkRoundSeconds,
+    WorkWritesRejected,
+    WorkRecordsUnreadable,
     Leading,
     LogLinesDropped
 };
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -40,6 +40,18 @@
     return names[static_cast<std::size_t>(it)];
 }
 
+bool FailedRuns::insert(std::int64_t run)
+{
+    const bool isForgotten = m_older > 0 && !m_recorded.empty() && run < *m_recorded.begin();
+    if (isForgotten || !m_recorded.insert(run).second)
+        return false;
+    if (m_recorded.size() > maxRecorded) {
+        m_recorded.erase(m_recorded.begin());
+        ++m_older;
+    }
+    return true;
+}
+
 StageProgress initialProgress(std::size_t tasks)
 {
     StageProgress it;
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -2,6 +2,7 @@
 
 #include "core/types.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -92,12 +93,32 @@
 
 const char* nameOf(JobState it);
 
+//! The failed runs of one task. Its size is bounded, whatever the number of failures.
+//!
+//! Ends arrive in any order and sometimes twice, so the numbers of the newest runs are recorded. Older ones are counted:
+//! a run that is older than all recorded ones counts as known.
+class FailedRuns {
+public:
+    static constexpr std::size_t maxRecorded = 16; //!< runs whose numbers are recorded
+
+    //! Records a failed run; returns false if it is known.
+    bool insert(std::int64_t run);
+    //! Adds older runs whose numbers are no longer recorded.
+    void setOlder(std::uint32_t count) { m_older = std::max(m_older, count); }
+    std::size_t size() const { return m_older + m_recorded.size(); }
+    const std::set<std::int64_t>& recorded() const { return m_recorded; }
+    std::uint32_t older() const { return m_older; }
+    bool operator==(const FailedRuns&) const = default;
+
+private:
+    std::set<std::int64_t> m_recorded;
+    std::uint32_t m_older = 0;
+};
+
 //! Progress of the tasks of one step in one occurrence.
 struct StageProgress {
     std::vector<bool> done;
-    //! Numbers of the failed runs of each task; those of a gang are recorded for its first task. Ends arrive in any
-    //! order and sometimes twice, so a counter would not be enough.
-    std::vector<std::set<std::int64_t>> failedRuns;
+    std::vector<FailedRuns> failedRuns; //!< of each task; those of a gang are recorded for its first task
 };
 
 //! The state of a job that must outlive the leader.
