Show adopted jobs as running

Callers saw a job that runs as pending from a change of the leader to its end.

Cause: adoption and recovery set only `hasStarted`; the state shown is set by the first confirmed start of the same leader. Change: one function sets both. Test: new_leader_shows_the_jobs_that_it_adopts_as_running, seen failing on the commit before.

--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -160,7 +160,8 @@
         job->objectiveAt = job->acceptedAt + objectiveOf(job->record.spec, job->record.queue);
         for (Stage& stage : job->stages) {
             stage.newestRun = fleet::RunNumber(baseRun);
-            job->hasStarted = job->hasStarted || stage.done > 0;
+            if (stage.done > 0)
+                job->setStarted();
         }
         m_active[id] = job;
         persistSeparateFailures(*job);
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -119,7 +119,7 @@
     task.checkpoint = run.checkpoint;
     --stage->pending;
     ++stage->live;
-    job->hasStarted = true;
+    job->setStarted();
     return { true, roomOf(job->stepOf(*stage)) };
 }
 
@@ -130,12 +130,10 @@
     const JobPtr job = jobOf(run.task.job);
     if (!job || job->hasEnded())
         return;
-    if (!std::exchange(job->hasStarted, true)) {
+    if (!job->hasStarted)
         m_dependencies.metrics->observe(telemetry::Metric::WorkStartSeconds, { { "queue", job->record.queue.name } },
             std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
-        if (job->visibleState == workflow::JobState::Pending)
-            job->visibleState = workflow::JobState::Running;
-    }
+    job->setStarted();
 }
 
 void EngineImpl::onEnded(Worker& worker, const fleet::EndedRun& end)
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -40,6 +40,13 @@
     return &stages[n];
 }
 
+void Job::setStarted()
+{
+    hasStarted = true;
+    if (visibleState == workflow::JobState::Pending)
+        visibleState = workflow::JobState::Running;
+}
+
 void Job::skipDoneStages()
 {
     while (firstUndone < stages.size() && stages[firstUndone].isDone())
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -92,6 +92,8 @@
     std::vector<std::function<void(const workflow::WorkflowResult&)>> submitCallbacks;
 
     std::size_t indexOf(const Stage& it) const { return it.occurrence * record.spec.steps.size() + it.step; }
+    //! Records that a task of the job has started.
+    void setStarted();
     const workflow::StepSpec& stepOf(const Stage& it) const { return record.spec.steps[it.step]; }
     Stage* find(const fleet::TaskId& task);
     bool hasEnded() const { return workflow::isFinal(record.state); }
--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -101,6 +101,19 @@
     BOOST_TEST(cell.starts() == 7u);
 }
 
+//! Guards against jobs that are shown as pending until they end, once the leader has changed.
+BOOST_AUTO_TEST_CASE(new_leader_shows_the_jobs_that_it_adopts_as_running)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(200));
+    BOOST_TEST((cell.stateOf(job) == JobState::Running));
+    cell.lead();
+    BOOST_TEST((cell.stateOf(job) == JobState::Running));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_refuses_no_job_because_workers_have_not_answered_yet)
 {
     Cell cell;
