--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -336,3 +336,22 @@
     cell.advance(ms(1400)); // well before the leader timeout
     BOOST_TEST(bool(cell.engine));
 }
+
+//! Guards against a record that one leader writes and the next one cannot read.
+BOOST_AUTO_TEST_CASE(job_of_a_queue_without_a_limit_of_attempts_survives_a_change_of_leader)
+{
+    for (const std::uint32_t attempts : { 1'000'001u, 2147483647u, UINT32_MAX }) {
+        Cell cell;
+        cell.queue.maxAttempts = attempts;
+        cell.lead();
+        const auto job = jobOf("a", 2, 1000);
+        cell.submit(job);
+        cell.advance(ms(300));
+        cell.lead();
+        BOOST_TEST((cell.callEngine(workflow::CallKind::Read, job).outcome == WorkflowOutcome::Found));
+        cell.endAll(EndKind::Done);
+        cell.advance(ms(500));
+        BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+        BOOST_TEST(cell.starts() == 2u);
+    }
+}
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -1,6 +1,7 @@
 #include "workflow/workflowcodec.h"
 
 #include "codec/json.h"
+#include "workflow/workflowlimits.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,8 +12,6 @@
 
 using codec::DecodeError;
 
-constexpr std::int64_t maxMs = std::int64_t(1) << 50;
-constexpr std::uint32_t maxTasks = 1'000'000; //!< of one job; limits the memory that a damaged record can request
 
 std::int64_t toMicros(core::Duration it)
 {
@@ -42,12 +41,9 @@
             throw DecodeError(name, "must be a whole number");
         return it.asInt64();
     }
-    std::uint32_t count(const char* name) const
+    std::uint32_t count(const char* name, std::int64_t max) const
     {
-        const std::int64_t it = integer(name);
-        if (it < 0 || it > std::int64_t(maxTasks))
-            throw DecodeError(name, "out of range");
-        return static_cast<std::uint32_t>(it);
+        return static_cast<std::uint32_t>(integerUpTo(name, max));
     }
     std::string text(const char* name) const
     {
@@ -66,8 +62,8 @@
             throw DecodeError(name, "out of range");
         return it;
     }
-    core::Duration readMs(const char* name) const { return std::chrono::milliseconds(integerUpTo(name, maxMs)); }
-    core::Duration readUs(const char* name) const { return core::Duration(integerUpTo(name, maxMs * 1000)); }
+    core::Duration readMs(const char* name) const { return std::chrono::milliseconds(integerUpTo(name, limits::maxDurationMs)); }
+    core::Duration readUs(const char* name) const { return core::Duration(integerUpTo(name, limits::maxDurationUs)); }
     const Json::Value& list(const char* name) const
     {
         const Json::Value& it = m_value[name];
@@ -122,7 +118,7 @@
 {
     const FieldReader reader(from);
     StepSpec it;
-    it.count = reader.count("count");
+    it.count = reader.count("count", limits::maxTasksOfStep);
     it.need.cpu = core::MilliCpu(reader.integer("cpu"));
     it.need.memory = core::MebiBytes(reader.integer("memory"));
     it.need.accelerators = core::Accelerators(reader.integer("accelerators"));
@@ -133,14 +129,14 @@
     it.mustShareRack = reader.flag("shareRack");
     it.requiredLabel = reader.text("label");
     it.dataRack = reader.text("dataRack");
-    it.maxPerWorker = reader.count("maxPerWorker");
+    it.maxPerWorker = reader.count("maxPerWorker", limits::maxTasksOfStep);
     it.savesCheckpoints = reader.flag("checkpoints");
     it.mayRunTwice = reader.flag("mayRunTwice");
     it.isLongRunning = reader.flag("longRunning");
     it.image = reader.text("image");
     it.latencyTarget = reader.readMs("latencyTargetMs");
     it.usesSpareCpu = reader.flag("leftOverCpu");
-    it.maxUnavailable = reader.count("maxUnavailable");
+    it.maxUnavailable = reader.count("maxUnavailable", limits::maxTasksOfStep);
     return it;
 }
 
@@ -156,6 +152,7 @@
     put(to, "stretchThousandths", std::int64_t(it.stretch * 1000));
     put(to, "latencyTargetMs", core::toMs(it.latencyTarget));
     if (it.advice) {
+        put(to, "advised", 1); // the times may all be 0
         put(to, "adviceUs", toMicros(it.advice->perRequest));
         put(to, "advicePerWorkerUs", toMicros(it.advice->perWorker));
         put(to, "adviceValidUs", toMicros(it.advice->validity));
@@ -171,11 +168,11 @@
     it.host = reader.text("host");
     it.pathPrefix = reader.text("prefix");
     it.service = core::ServiceId(reader.text("service"));
-    it.priority = static_cast<int>(reader.integer("priority"));
-    it.maxAttempts = reader.count("maxAttempts");
+    it.priority = static_cast<int>(reader.integerUpTo("priority", limits::maxPriority));
+    it.maxAttempts = reader.count("maxAttempts", limits::maxAttempts);
     it.stretch = double(reader.integer("stretchThousandths")) / 1000;
     it.latencyTarget = reader.readMs("latencyTargetMs");
-    if (reader.integer("adviceValidUs") > 0)
+    if (reader.flag("advised") || reader.integer("adviceValidUs") > 0)
         it.advice = AdvicePolicy { reader.readUs("adviceUs"), reader.readUs("advicePerWorkerUs"),
             reader.readUs("adviceValidUs") };
     return it;
@@ -342,10 +339,10 @@
     it.payload = reader.text("payload");
     for (const Json::Value& step : reader.list("steps"))
         it.steps.push_back(decodeStep(step));
-    it.occurrences = reader.count("occurrences");
+    it.occurrences = reader.count("occurrences", limits::maxOccurrences);
     it.firstDueAt = core::WallTime(reader.integer("firstDueAt"));
     it.interval = reader.readMs("intervalMs");
-    if (taskCount(it) > maxTasks)
+    if (taskCount(it) > limits::maxTasksOfJob)
         throw DecodeError("steps", "too many tasks");
     return it;
 }
