--- a/src/scheduling/internal/reservation.cpp
+++ b/src/scheduling/internal/reservation.cpp
@@ -7,29 +7,32 @@
 
 namespace {
 
-//! Room for one task on a worker, with the time at which it becomes free.
-struct Slot {
+//! Room for some tasks on a worker, with the time at which it becomes free.
+struct Slots {
     core::Duration freeIn {};
     bool isLastResort = false;
     std::size_t number = 0; //!< index among all slots; breaks ties
+    std::int64_t count = 0;
     const FutureWorker* worker = nullptr;
 
-    bool operator<(const Slot& it) const
-    {
-        return std::tie(isLastResort, freeIn, number) < std::tie(it.isLastResort, it.freeIn, it.number);
-    }
+    auto sortKey() const { return std::tie(isLastResort, freeIn, number); }
 };
 
-void addSlots(const Demand& demand, const FutureWorker& it, std::vector<Slot>& slots)
+//! Adds an entry for each time at which room becomes free, not one for each task: a task may need so little that any
+//! number of them fits on a worker.
+void addSlots(const Demand& demand, const FutureWorker& it, std::vector<Slots>& slots)
 {
-    std::int64_t maxSlots = slotsIn(it.candidate.capacity, demand.need);
+    std::int64_t maxSlots = std::min<std::int64_t>(slotsIn(it.candidate.capacity, demand.need), demand.count);
     if (demand.maxPerWorker > 0)
         maxSlots = std::min<std::int64_t>(maxSlots, std::int64_t(demand.maxPerWorker) - it.candidate.tasksOfStep);
     core::Resources room = it.candidate.room;
     std::int64_t found = 0;
     const auto addSlotsUntil = [&](core::Duration freeIn) {
-        for (const std::int64_t limit = std::min(slotsIn(room, demand.need), maxSlots); found < limit; ++found)
-            slots.push_back({ freeIn, it.candidate.isLastResort, slots.size(), &it });
+        const std::int64_t limit = std::min(slotsIn(room, demand.need), maxSlots);
+        if (limit <= found)
+            return;
+        slots.push_back({ freeIn, it.candidate.isLastResort, slots.size(), limit - found, &it });
+        found = limit;
     };
     addSlotsUntil(core::Duration(0));
     for (const RoomEvent& event : it.events) {
@@ -42,18 +45,24 @@
 
 std::optional<Reservation> reserve(const Demand& demand, const std::vector<FutureWorker>& workers)
 {
-    std::vector<Slot> slots;
+    std::vector<Slots> slots;
     for (const FutureWorker& it : workers)
         addSlots(demand, it, slots);
-    if (slots.size() < demand.count)
-        return std::nullopt;
-    std::partial_sort(slots.begin(), slots.begin() + demand.count, slots.end());
+    std::sort(
+        slots.begin(), slots.end(), [](const Slots& a, const Slots& b) { return a.sortKey() < b.sortKey(); });
     Reservation reservation;
-    for (std::size_t n = 0; n < demand.count; ++n) {
-        core::Resources& reserved = reservation.reserved[slots[n].worker->candidate.worker];
-        reserved = reserved + demand.need;
-        reservation.completeIn = std::max(reservation.completeIn, slots[n].freeIn);
+    std::int64_t missing = demand.count;
+    for (const Slots& it : slots) {
+        if (missing <= 0)
+            break;
+        const std::int64_t used = std::min(it.count, missing);
+        core::Resources& reserved = reservation.reserved[it.worker->candidate.worker];
+        reserved = reserved + demand.need * used;
+        reservation.completeIn = std::max(reservation.completeIn, it.freeIn);
+        missing -= used;
     }
+    if (missing > 0)
+        return std::nullopt;
     return reservation;
 }
 
--- a/src/scheduling/tests/scheduling_tests.cpp
+++ b/src/scheduling/tests/scheduling_tests.cpp
@@ -331,3 +331,36 @@
     demand.count = 7;
     BOOST_TEST(!reserve(demand, { worker("slow", 0, 900), worker("half", 2000, 500), worker("soon", 0, 100) }));
 }
+
+//! Guards against a reservation with an entry for each task that fits on a worker: any number of tasks that request
+//! nothing fits.
+BOOST_AUTO_TEST_CASE(reservation_for_a_gang_that_requests_nothing_is_small)
+{
+    Demand demand;
+    demand.count = 20'000;
+    demand.isAllOrNothing = true;
+    const core::Resources whole { core::MilliCpu(4000), core::MebiBytes(8000), core::Accelerators(0) };
+    std::vector<FutureWorker> workers(1100);
+    for (std::size_t n = 0; n < workers.size(); ++n) {
+        workers[n].candidate.worker = core::VmId("w" + std::to_string(n));
+        workers[n].candidate.capacity = whole;
+        workers[n].candidate.room = whole;
+    }
+    const auto it = reserve(demand, workers);
+    BOOST_REQUIRE(bool(it));
+    BOOST_TEST(it->reserved.size() == 1u);
+    BOOST_TEST((it->completeIn == ms(0)));
+}
+
+//! The same gang, through admission and rounds that come before its record is persisted.
+BOOST_AUTO_TEST_CASE(gang_that_requests_nothing_runs)
+{
+    Cell cell;
+    cell.store->latency = ms(60); // several rounds come before the record is persisted
+    cell.lead(ms(2000));
+    auto gang = jobOf("a", 2, 0, true);
+    gang.steps[0].need = {};
+    BOOST_TEST((cell.submit(gang) == WorkflowOutcome::Accepted));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 2u);
+}
