--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -118,7 +118,10 @@
     WorkerClock clock;
     WorkerStartTime startedAt; //!< 0 if the worker does not report it
     std::vector<RunningRun> running;
-    std::vector<EndedRun> ended;
+    std::vector<EndedRun> ended; //!< ends that are not acknowledged, the oldest first
+    //! Whether more ends may follow, which the worker lists once these are acknowledged. A run that such a report does
+    //! not list may have ended in any way.
+    bool mayHaveMoreEnds = false;
 };
 
 struct OrderFailure {
--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -3,6 +3,7 @@
 #include "fleet/iworkerorders.h"
 #include "runtime/iloop.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -74,6 +75,7 @@
     //! Called when a lease renewal reaches a worker, before it takes effect.
     std::function<void(const core::VmId&)> renewalArrives = [](const core::VmId&) {};
     core::Duration latency = std::chrono::milliseconds(2);
+    std::size_t endsPerReport = 500; //!< further ends are listed once these are acknowledged
     core::Duration longestLease = std::chrono::seconds(10); //!< later ends of leases are shortened to this
 
     //! Returns a worker's clock, which counts from the start of its incarnation.
@@ -235,7 +237,9 @@
                 run.percent = percentOf ? percentOf(runId) : std::min(run.percent + 1, 99);
             report.running.push_back(run);
         }
-        report.ended = it.ended;
+        const std::size_t listed = std::min(it.ended.size(), endsPerReport);
+        report.ended.assign(it.ended.begin(), it.ended.begin() + std::ptrdiff_t(listed));
+        report.mayHaveMoreEnds = listed == endsPerReport;
         if (it.overtakenReport)
             report = *std::exchange(it.overtakenReport, std::nullopt);
         answerRenewal(it, order, report, callback);
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -96,6 +96,7 @@
         m_acknowledgedUpTo = {};
         m_lastEnd = {};
         m_acknowledgedAhead.clear();
+        m_hasListedAllEnds = false;
         m_hasClock = false;
         // An order for the former incarnation may have arrived, or still arrive, with a lease on the former clock.
         m_leaseUntil = report.clock + fleet::WorkerClock(core::toMs(m_times.longestLease + m_times.lateAnswerTimeout));
@@ -113,8 +114,12 @@
     applyRunning(report, reported);
     applyEnds(report);
     m_hasAnswered = true;
-    removeUnlistedRuns(reported, sentAt);
-    revokeUnlistedStarts(reported, sentAt);
+    // The end of a run that is not listed may be among those that follow, so the run is not lost.
+    if (!report.mayHaveMoreEnds) {
+        m_hasListedAllEnds = true;
+        removeUnlistedRuns(reported, sentAt);
+        revokeUnlistedStarts(reported, sentAt);
+    }
     m_hooks.reported(*this);
 }
 
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -96,6 +96,8 @@
     void detach(); //!< stops the exchange; no callback follows
     void setEntry(fleet::WorkerEntry entry);
     void setListed(bool isListed);
+    //! Sets when the leases of former leaders have expired at the latest.
+    void setPriorLeaseUntil(core::TimePoint until) { m_priorLeaseUntil = until; }
 
     const fleet::WorkerEntry& entry() const { return m_entry; }
     const core::VmId& id() const { return m_entry.id; }
@@ -115,9 +117,9 @@
     bool acceptsStarts(core::TimePoint now) const;
     //! Returns the time by which all runs on the worker have certainly ended if it stays unresponsive.
     core::TimePoint leaseExpiresAt() const;
-    //! Returns whether no run of a former leader can be there unnoticed: the worker has answered or its lease has
-    //! expired.
-    bool areFormerRunsKnown(core::TimePoint now) const { return m_hasAnswered || now >= leaseExpiresAt(); }
+    //! Returns whether no run or end of a former leader can be there unnoticed: the worker has listed all of them, or
+    //! its lease has expired.
+    bool areFormerRunsKnown(core::TimePoint now) const { return m_hasListedAllEnds || now >= leaseExpiresAt(); }
 
     void startRun(const fleet::StartOrder& order, const core::Resources& occupiedRoom);
     void stopRun(const fleet::RunId& run);
@@ -199,6 +201,7 @@
     core::TimePoint m_startsPausedUntil {};
     int m_failedRenewals = 0; //!< number of consecutive failures
     bool m_hasAnswered = false;
+    bool m_hasListedAllEnds = false; //!< a report of the current incarnation included all of its ends
     bool m_hasClock = false;
     bool m_isListed = true;
     bool m_isRostered = false;
--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -337,6 +337,27 @@
     BOOST_TEST(bool(cell.engine));
 }
 
+//! Guards against a first page of ends that is taken for the whole list: tasks whose end is on a later page ran again.
+BOOST_AUTO_TEST_CASE(new_leader_starts_no_task_whose_end_is_not_on_the_first_page)
+{
+    Cell cell;
+    cell.lead();
+    auto job = jobOf("a", 1400, 5);
+    job.steps[0].need.memory = core::MebiBytes(1);
+    cell.submit(job);
+    cell.advance(ms(3000));
+    BOOST_REQUIRE(cell.starts() == 1400u);
+    cell.engine.reset();
+    cell.former.reset();
+    cell.endAll(EndKind::Done);
+    BOOST_REQUIRE(cell.worker("w1").ended.size() > cell.workers->endsPerReport);
+    cell.lead();
+    cell.advance(ms(4000));
+    BOOST_TEST(cell.starts() == 1400u);
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+    BOOST_TEST(cell.worker("w1").ended.empty());
+}
+
 //! Guards against a record that one leader writes and the next one cannot read.
 BOOST_AUTO_TEST_CASE(job_of_a_queue_without_a_limit_of_attempts_survives_a_change_of_leader)
 {
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -438,3 +438,23 @@
     cell.advance(ms(500));
     BOOST_TEST(cell.running() == 4u); // its room is free
 }
+
+//! Guards against runs that count as lost since their ends are not on the first page of a worker's report, as further
+//! ends are listed only once the first ones are acknowledged.
+BOOST_AUTO_TEST_CASE(run_whose_end_is_not_on_the_first_page_is_not_lost)
+{
+    OneWorkerCell cell;
+    auto job = jobOf("a", 700, 5);
+    job.steps[0].need.memory = core::MebiBytes(1);
+    cell.submit(job);
+    cell.advance(ms(3000));
+    BOOST_REQUIRE(cell.starts() == 700u);
+    cell.store->isDown = true; // nothing can be acknowledged
+    cell.advance(ms(100));
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(1500));
+    cell.store->isDown = false;
+    cell.advance(ms(3000));
+    BOOST_TEST(cell.starts() == 700u);
+    BOOST_TEST((cell.stateOf(job) == JobState::Completed));
+}
