--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -45,6 +45,8 @@
     std::set<std::string> labels; //!< the worker's kind and rack
     std::string rack;
     bool isDraining = false;
+
+    bool operator==(const WorkerEntry&) const = default;
 };
 
 //! How long the sender of an order waits for its answer.
--- a/src/store/internal/tablewatch.cpp
+++ b/src/store/internal/tablewatch.cpp
@@ -98,6 +98,14 @@
         });
 }
 
+void TableWatch::requestChangesLater()
+{
+    m_loop->callAfter(m_options.gatherTime, [self = weak_from_this()] {
+        if (const auto it = self.lock())
+            it->requestChanges();
+    });
+}
+
 void TableWatch::requestChanges()
 {
     if (m_isStopped)
@@ -121,10 +129,14 @@
             }
             it->recordSuccess();
             it->m_version = std::max(it->m_version, result.value().version);
-            if (!result.value().rows.empty())
+            const bool hasChanged = !result.value().rows.empty();
+            if (hasChanged)
                 it->m_hooks.changed(result.value().rows);
             it->m_hooks.confirmed(startedAt);
-            it->requestChanges();
+            if (hasChanged && it->m_options.gatherTime > core::Duration(0))
+                it->requestChangesLater();
+            else
+                it->requestChanges();
         });
 }
 
--- a/src/store/tablewatch.h
+++ b/src/store/tablewatch.h
@@ -28,6 +28,8 @@
         core::Duration wait = std::chrono::seconds(1);
         core::Duration retryPause = std::chrono::milliseconds(150);
         core::Duration maxRetryPause = std::chrono::milliseconds(300);
+        //! Pause after changes before more are requested. Rows that change all the time then cost one request for many.
+        core::Duration gatherTime {};
     };
     static std::shared_ptr<TableWatch> create(
         runtime::ILoopPtr loop, IRowStorePtr store, Options options, WatchHooks hooks);
@@ -39,6 +41,7 @@
     TableWatch(runtime::ILoopPtr loop, IRowStorePtr store, Options options, WatchHooks hooks);
     void readAll(std::vector<StoredRow> gathered, const std::string& after, core::TimePoint startedAt);
     void requestChanges();
+    void requestChangesLater();
     void retryLater(const std::function<void()>& retry);
     void recordFailure(const StoreFailure& failure);
     void recordSuccess();
--- a/src/store/testing/fakerowstore.h
+++ b/src/store/testing/fakerowstore.h
@@ -26,6 +26,7 @@
     std::map<RowKey, StoredRow> deleted; //!< deleted rows, reported as changes
     std::uint64_t version = 0;
     int commits = 0;
+    int changesRequests = 0;
 
     static constexpr std::size_t pageRows = 500; //!< maximum rows returned by one read
 
@@ -56,6 +57,7 @@
     void changes(const std::string& table, core::RowVersion after, core::Duration wait,
         std::function<void(PageResult)> callback) override
     {
+        ++changesRequests;
         if (isSilent) {
             m_loop->callAfter(wait + changesTimeoutSlack, [callback] {
                 callback(core::Failure { StoreFailure { StoreFailure::Code::Unknown, "timeout", {} } });
