A worker that restarts: wait for its new entry, and leave starts on their way open

LIMIT: a runner that came back smaller got work by the capacity and the labels of its former incarnation until its new entry arrived. The entry names the incarnation that wrote it, so starts wait for one that is not older than the reports. TWICE: all runs counted as lost with the former incarnation, also a start whose order had no answer yet and then reached the next one; the task started elsewhere beside it. Such starts remain open, and are settled like any start without an answer. A stop that the former incarnation answered is sent again. Test: start_on_its_way_during_a_restart_runs_once.

Both tests were seen failing on (two starts by the former entry; two runs at once).

--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -302,9 +302,7 @@
             LogLine(Severity::Info, "worker-draining")
                 .with("worker", entry.id.value())
                 .with("draining", std::int64_t(entry.isDraining));
-        fleet::WorkerEntry merged = entry;
-        merged.startedAt = found->second->entry().startedAt; // only the worker's own reports detect a restart
-        found->second->setEntry(merged);
+        found->second->setEntry(entry);
         found->second->setListed(true);
     }
     for (const auto& [id, worker] : m_workers) {
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -29,6 +29,7 @@
     , m_times(times)
     , m_window(std::move(window))
     , m_hooks(std::move(hooks))
+    , m_listedIncarnation(m_entry.startedAt)
 {
 }
 
@@ -47,6 +48,8 @@
 
 void Worker::setEntry(fleet::WorkerEntry entry)
 {
+    m_listedIncarnation = entry.startedAt;
+    entry.startedAt = m_entry.startedAt;
     m_entry = std::move(entry);
 }
 
@@ -59,7 +62,7 @@
 
 bool Worker::acceptsStarts(core::TimePoint now) const
 {
-    return isReachable() && !hasLeft(now) && !m_entry.isDraining && now >= m_startsPausedUntil;
+    return isReachable() && !hasLeft(now) && !m_entry.isDraining && !isEntryOutdated() && now >= m_startsPausedUntil;
 }
 
 fleet::WorkerClock Worker::clockNow() const
@@ -90,7 +93,7 @@
         = report.startedAt.value() > 0 && m_entry.startedAt.value() > 0 && report.startedAt != m_entry.startedAt;
     if (isNewIncarnation) {
         // The worker has restarted: its former runs are gone, and the numbering of its ends starts again.
-        loseAllRuns();
+        loseConfirmedRuns();
         m_formerIncarnations.insert(m_entry.startedAt);
         m_entry.startedAt = report.startedAt;
         m_acknowledgedUpTo = {};
@@ -248,6 +251,29 @@
     }
 }
 
+void Worker::loseConfirmedRuns()
+{
+    std::vector<fleet::RunId> lost;
+    std::vector<fleet::RunId> revoked;
+    for (auto& [runId, run] : m_runs) {
+        using State = WorkerRun::State;
+        if (run.state == State::Running || run.state == State::Stopping)
+            lost.push_back(runId);
+        else if (run.state == State::StartRevoked)
+            revoked.push_back(runId);
+    }
+    for (const fleet::RunId& it : lost) {
+        RunTermination termination;
+        termination.checkpoint = m_runs[it].checkpoint;
+        terminateRun(it, termination);
+    }
+    // The former incarnation's answer to a stop says nothing about the next one.
+    for (const fleet::RunId& it : revoked) {
+        m_runs[it].confirmedAt = {};
+        sendStop(it);
+    }
+}
+
 void Worker::endIncarnation()
 {
     const WorkerPtr self = shared_from_this();
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -94,6 +94,7 @@
 
     void begin(core::Duration delay); //!< starts renewing the lease after a delay
     void detach(); //!< stops the exchange; no callback follows
+    //! Updates the registry entry. Only the worker's own reports detect a restart.
     void setEntry(fleet::WorkerEntry entry);
     void setListed(bool isListed);
     //! Sets when the leases of former leaders have expired at the latest.
@@ -168,6 +169,9 @@
     void onStopped(const fleet::RunId& run, const fleet::OrderResult& result);
     void terminateRun(fleet::RunId run, RunTermination termination);
     void loseAllRuns();
+    //! Loses the runs that the former incarnation had. A start without an answer may still reach the next one, so its
+    //! outcome remains open.
+    void loseConfirmedRuns();
     void checkLeaseExpiry();
     //! Returns the time from which runs on the unresponsive worker count as lost.
     core::TimePoint runsLostAt() const;
@@ -178,6 +182,11 @@
     {
         return m_failedRenewals == 0 ? m_acknowledgedUpTo : fleet::EndNumber();
     }
+    //! Returns whether the registry entry is of a former incarnation, whose capacity and labels may differ.
+    bool isEntryOutdated() const
+    {
+        return m_listedIncarnation.value() > 0 && m_listedIncarnation < m_entry.startedAt;
+    }
     bool hasUnacknowledgedEnds() const { return m_lastEnd.value() > m_acknowledgedUpTo.value(); }
 
     runtime::ILoopPtr m_loop;
@@ -193,6 +202,7 @@
     fleet::WorkerClock m_clock; //!< last reading received
     core::TimePoint m_clockAt {}; //!< when the reading arrived
     fleet::WorkerClock m_leaseUntil; //!< latest lease end that was sent
+    fleet::WorkerStartTime m_listedIncarnation; //!< the one that wrote the registry entry; 0 if the entry doesn't say so
     std::set<fleet::WorkerStartTime> m_formerIncarnations;
     core::TimePoint m_incarnationSeenAt {}; //!< when its last report was requested
     fleet::EndNumber m_lastEnd; //!< highest number reported
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -458,3 +458,59 @@
     BOOST_TEST(cell.starts() == 700u);
     BOOST_TEST((cell.stateOf(job) == JobState::Completed));
 }
+
+//! Guards against work for a worker that came back smaller, by the capacity of its former incarnation.
+BOOST_AUTO_TEST_CASE(restarted_worker_gets_no_work_by_its_former_entry)
+{
+    Cell cell;
+    cell.entries.pop_back();
+    cell.entries[0].startedAt = fleet::WorkerStartTime(1);
+    FakeWorker& worker = cell.worker("w1");
+    worker.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    worker.restart(cell.loop->now());
+    cell.advance(ms(1500));
+    cell.submit(jobOf("a", 1, 3000));
+    cell.engine->setWorkers(cell.entries); // the entry lags
+    cell.advance(ms(500));
+    BOOST_TEST(worker.starts.empty());
+    cell.entries[0].startedAt = worker.startedAt;
+    cell.entries[0].capacity.cpu = core::MilliCpu(2000);
+    cell.engine->setWorkers(cell.entries);
+    cell.advance(ms(500));
+    BOOST_TEST(worker.starts.empty()); // it can't hold the task
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(500));
+    BOOST_TEST(worker.starts.size() == 1u);
+}
+
+//! Guards against a start that reaches the next incarnation of a worker and runs beside a second one: the first report of
+//! that incarnation, sent before the order arrived, does not list it.
+BOOST_AUTO_TEST_CASE(start_on_its_way_during_a_restart_runs_once)
+{
+    Cell cell;
+    for (const char* it : { "w1", "w2" })
+        cell.worker(it).startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    cell.worker("w1").delaysStarts = 1;
+    cell.worker("w2").delaysStarts = 1;
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(20));
+    const std::string first = cell.worker("w1").delayedStarts.empty() ? "w2" : "w1";
+    const std::string other = first == "w1" ? "w2" : "w1";
+    cell.worker(other).delaysStarts = 0;
+    cell.worker(first).restart(cell.loop->now());
+    fleet::WorkerReport report;
+    report.startedAt = cell.worker(first).startedAt;
+    cell.worker(first).overtakenReport = report;
+    cell.advance(ms(60)); // its first report is applied
+    for (fleet::StartOrder& it : cell.worker(first).delayedStarts)
+        it.leaseUntil = fleet::WorkerClock(1'000'000);
+    cell.workers->carryOutDelayedStarts(core::VmId(first));
+    std::size_t most = 0;
+    for (int n = 0; n < 100; ++n) {
+        cell.advance(ms(20));
+        most = std::max(most, cell.running());
+    }
+    BOOST_TEST(most == 1u);
+}
