Do not extend leases without authority while most workers are silent

Change: past its authority, a leader extends leases only while it reaches most workers. Then a later leader reaches some of them, too, and these reject the orders of the former one. Work goes on in a long outage of the store, in which nobody is elected.

What remains: two leaders that reach disjoint sets of workers, the former one most of them.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -127,6 +127,7 @@
     // Runs
     //! Returns whether so many workers are silent that the cause may be this node.
     bool isLeaderIsolated() const;
+    bool mayExtendLeases() const;
     Adoption adopt(Worker& worker, const fleet::RunningRun& run);
     void onRunning(Worker& worker, const fleet::RunId& run);
     void onEnded(Worker& worker, const fleet::EndedRun& end);
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -66,6 +66,10 @@
         const auto it = self.lock();
         return it && it->isLeaderIsolated();
     };
+    hooks.mayExtendLeases = [self] {
+        const auto it = self.lock();
+        return it && it->mayExtendLeases();
+    };
     hooks.fenced = [self](Worker& worker) {
         const auto it = self.lock();
         if (it && !std::exchange(it->m_isStopped, true))
@@ -82,6 +86,14 @@
     return silent >= minSilentWorkers && silent * isolationDivisor >= m_workers.size();
 }
 
+bool EngineImpl::mayExtendLeases() const
+{
+    // In an outage of the store no other node can be elected, and work must go on. A leader that is cut off can't tell
+    // this from an outage that is its own. While it reaches most workers, a later leader reaches some of them, too, and
+    // these reject its orders; otherwise it might keep runs alive that the later leader takes for ended.
+    return m_dependencies.loop->now() < m_log->authorityUntil() || !isLeaderIsolated();
+}
+
 EngineImpl::JobPtr EngineImpl::jobOf(const core::JobId& id) const
 {
     const auto it = m_jobs.find(id);
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -81,6 +81,8 @@
     std::function<void(Worker&)> fenced; //!< the worker has seen a higher fence, so another leader was elected
     //! Returns whether so many workers are silent that the cause may be this node.
     std::function<bool()> isLeaderIsolated = [] { return false; };
+    //! Returns whether leases may be extended: no other leader can rely on their end.
+    std::function<bool()> mayExtendLeases = [] { return true; };
 };
 
 //! The leader's view of one worker: its room, its runs, its lease, and the exchange of orders and reports with it.
--- a/src/scheduling/internal/workerlease.cpp
+++ b/src/scheduling/internal/workerlease.cpp
@@ -69,7 +69,7 @@
     order.patience = patience();
     // An unresponsive worker may still receive renewals, so the lease must not be extended while it fails to answer.
     // Otherwise the end of its runs would never be certain.
-    if (m_hasClock && m_failedRenewals == 0) {
+    if (m_hasClock && m_failedRenewals == 0 && m_hooks.mayExtendLeases()) {
         order.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
         recordLease(*order.leaseUntil);
     }
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -514,3 +514,32 @@
     }
     BOOST_TEST(most == 1u);
 }
+
+//! Guards against a leader that is cut off from the store and from most workers, and keeps runs alive on the others while
+//! a later leader takes them for ended.
+BOOST_AUTO_TEST_CASE(isolated_leader_without_authority_extends_no_leases)
+{
+    Cell cell;
+    for (int n = 3; n <= 8; ++n)
+        cell.addWorker("w" + std::to_string(n));
+    cell.lead();
+    cell.submit(jobOf("a", 8, 4000));
+    cell.advance(ms(500));
+    BOOST_REQUIRE(cell.running() == 8u);
+    cell.store->isDown = true;
+    for (int n = 2; n <= 8; ++n)
+        cell.worker("w" + std::to_string(n)).isSilent = true;
+    cell.advance(cell.leaderTimes.authorityTimeout + cell.times.lease * 11 / 10 + ms(200));
+    BOOST_TEST(cell.worker("w1").running.empty()); // its lease has expired
+}
+
+BOOST_AUTO_TEST_CASE(leases_are_extended_in_a_long_outage_of_the_store)
+{
+    Cell cell;
+    cell.lead();
+    cell.submit(jobOf("a", 2, 3000));
+    cell.advance(ms(500));
+    cell.store->isDown = true;
+    cell.advance(cell.leaderTimes.authorityTimeout + ms(20'000));
+    BOOST_TEST(cell.running() == 2u);
+}
