Delete records of ended jobs that were left behind

A later leader ran an ended job again: its progress is deleted after the retention period, but its record was still there. Two ways led there: a leader that ended between the write of the final state and the deletion; and a submission without an answer whose job had been cancelled: withdrawing its record withdrew the queued deletion.

Change: a new leader deletes the record of a job whose stored state is final, and nothing is withdrawn for a job that has ended.

Tests, both seen failing on: ended_job_whose_record_was_left_behind_does_not_run_again, record_of_a_job_cancelled_before_its_acceptance_is_deleted.

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -224,7 +224,8 @@
     const JobPtr job = jobOf(id);
     if (!job || job->isPersisted || m_isStopped)
         return;
-    if (withdrawUnpersisted(job, "the store does not answer in time"))
+    // What is queued for a job that was cancelled meanwhile is the deletion of its record, which may be in the store.
+    if (!job->hasEnded() && withdrawUnpersisted(job, "the store does not answer in time"))
         return;
     for (const AnswerCallback& it : std::exchange(job->submitCallbacks, {}))
         it(answerOf(WorkflowOutcome::Uncertain, "the store has not answered"));
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -130,7 +130,12 @@
         return;
     }
     record.spec.id = id;
+    const bool hasRecord = job != nullptr;
     job = std::make_shared<Job>(makeJob(std::move(record)));
+    // A leader that ended between its writes left the record behind. Without the progress, which is deleted after the
+    // retention period, a later leader would run the job again.
+    if (hasRecord && job->hasEnded())
+        m_log->put(jobKey(id), std::nullopt);
 }
 
 void EngineImpl::applyFailures(const store::RowKey& key, const std::string& value)
--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -424,3 +424,47 @@
     }
     BOOST_TEST(entries == 100u);
 }
+
+//! Guards against a job that runs again long after its end: its leader ended between the write of its final state and the
+//! deletion of its record, and the final state is deleted after the retention period.
+BOOST_AUTO_TEST_CASE(ended_job_whose_record_was_left_behind_does_not_run_again)
+{
+    Cell cell;
+    cell.lead();
+    const auto job = jobOf("a", 1, 1000);
+    cell.submit(job);
+    cell.advance(ms(100));
+    const store::RowKey key { "jobs", "", "a" };
+    const store::StoredRow record = cell.store->rows.at(key);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_REQUIRE(!cell.store->rows.contains(key));
+    cell.store->rows[key] = record; // as if its deletion had not been written
+    cell.lead();
+    cell.advance(cell.times.jobRetention + ms(1000));
+    cell.lead();
+    cell.advance(ms(20'000));
+    BOOST_TEST(cell.starts() == 1u);
+    BOOST_TEST(!cell.store->rows.contains(key));
+}
+
+//! The same by another way: the deletion was withdrawn as if it were the record of a submission without an answer.
+BOOST_AUTO_TEST_CASE(record_of_a_job_cancelled_before_its_acceptance_is_deleted)
+{
+    Cell cell;
+    cell.lead();
+    cell.store->latency = ms(300);
+    workflow::WorkflowCall call;
+    call.kind = workflow::CallKind::Submit;
+    call.host = "h";
+    call.path = "/q/a";
+    call.spec = jobOf("a", 1, 1000);
+    call.timeout = ms(100);
+    cell.engine->handle(call, [](const workflow::WorkflowResult&) {});
+    cell.advance(ms(50)); // the record is on its way
+    call.kind = workflow::CallKind::Cancel;
+    cell.engine->handle(call, [](const workflow::WorkflowResult&) {});
+    cell.advance(ms(3000));
+    BOOST_TEST(!cell.store->rows.contains(store::RowKey { "jobs", "", "a" }));
+    BOOST_TEST(cell.starts() == 0u);
+}
