Refuse jobs while the leader holds too many tasks

Ten scheduled jobs of 20,000 tasks were accepted in the test; each takes 13 MB, and a node's limit may be 160 MB.

Change: admission counts the tasks held, and refuses with a Retry-After above 80,000, which took 53 MB in the test (66 MB of the process beside 13 MB for a small one).

--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -42,6 +42,7 @@
         room.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
     }
     for (const auto& [id, job] : m_active) {
+        m_admissionSnapshot.tasksHeld += job->tasks;
         const core::TimePoint startBy = job->startBy();
         // A round places late jobs after all jobs that can be in time, so they delay none of those.
         if (isTooLate(startBy, job->objectiveAt, now))
@@ -58,6 +59,7 @@
     AdmissionInputs inputs;
     if (const auto it = snapshot.rooms.find(queue.service); it != snapshot.rooms.end())
         static_cast<FleetRoom&>(inputs) = it->second;
+    inputs.tasksHeld = snapshot.tasksHeld;
     const core::TimePoint now = m_dependencies.loop->now();
     const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
     const WorkAhead::Sum ahead = snapshot.work.before(queue.priority, startBy);
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -195,6 +195,7 @@
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
     recordArrival(queue.priority, coreSecondsOf(call.spec));
+    m_admissionSnapshot.tasksHeld += job->tasks;
     m_admissionSnapshot.work.add(queue.priority, job->startBy(), job->pendingWork());
     const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), std::move(row));
     whenPersisted(revision, [this, job] { onAccepted(job); });
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -75,6 +75,7 @@
     //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
     struct AdmissionSnapshot {
         core::TimePoint takenAt {};
+        std::size_t tasksHeld = 0;
         std::map<core::ServiceId, FleetRoom> rooms;
         WorkAhead work;
     };
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -107,6 +107,7 @@
             stage.done += progress.done[k] ? 1 : 0;
         }
         stage.pending = stage.tasks.size() - stage.done;
+        job.tasks += stage.tasks.size();
         job.stages.push_back(std::move(stage));
     }
     return job;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -75,6 +75,7 @@
 struct Job {
     workflow::JobRecord record;
     std::vector<Stage> stages;
+    std::size_t tasks = 0; //!< of all stages
     //! Stages that may have something to do lie from `firstUndone` to `openedEnd`. A scheduled job has many others.
     std::size_t firstUndone = 0; //!< all stages before this index are done
     std::size_t openedEnd = 0; //!< no stage from this index on was opened
--- a/src/scheduling/tests/largejobs_tests.cpp
+++ b/src/scheduling/tests/largejobs_tests.cpp
@@ -179,3 +179,25 @@
     BOOST_TEST(cell.starts() == 1u);
     BOOST_TEST((cell.callEngine(workflow::CallKind::Read, call.spec).outcome == WorkflowOutcome::NoJob));
 }
+
+//! Guards against a leader that holds more tasks than its VM has memory for.
+BOOST_AUTO_TEST_CASE(jobs_are_refused_while_too_many_tasks_are_held)
+{
+    Cell cell;
+    cell.lead();
+    std::vector<workflow::JobSpec> accepted;
+    workflow::WorkflowResult answer;
+    for (int n = 0; n < 10 && accepted.size() == std::size_t(n); ++n) {
+        auto job = scheduledJob(cell, "scheduled-" + std::to_string(n));
+        job.firstDueAt = core::WallTime(job.firstDueAt.value() + 3'600'000);
+        answer = cell.callEngine(workflow::CallKind::Submit, job);
+        if (answer.outcome == WorkflowOutcome::Accepted)
+            accepted.push_back(job);
+    }
+    BOOST_TEST(accepted.size() == 4u);
+    BOOST_TEST((answer.outcome == WorkflowOutcome::Refused));
+    BOOST_TEST((answer.retryAfter > core::Duration(0)));
+    cell.callEngine(workflow::CallKind::Cancel, accepted.front());
+    cell.advance(ms(100));
+    BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkflowOutcome::Accepted));
+}
