Soak: jobs at the limits of what a caller may send, and checks of cancels and memory

A share of the jobs now requests nothing, has 500 tasks or more for each worker, 10,000 occurrences, or 20 steps; the limit of attempts is drawn up to the largest number; cancels of scheduled jobs must be acknowledged once the faults have ended, and no node may exceed 260 MB.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,8 +4,9 @@
 
 Faults overlap: nodes are killed, paused, stopped with SIGTERM, and started again; connections to the store are cut; the
 store is down or loses answers; workers are silent, restart, and lose answers to start orders. Callers submit jobs to random
-nodes and resend them when there is no answer. Checks that no task runs twice, that no job starts that was refused or never
-submitted, and that every accepted job completes in the end. Stops only the processes that it started, by their ids.
+nodes and resend them when there is no answer; some jobs are at the limits of what a caller may send. Checks that no task runs
+twice, that no job starts that was refused or never submitted, that every accepted job completes in the end, that cancels are
+acknowledged, and that no node needs more memory than a VM has. Stops only the processes that it started, by their ids.
 """
 
 import argparse
@@ -23,6 +24,24 @@
 ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
 ATTEMPTS = 12
 SETTLE_SECONDS = 60  # covers two takeovers, a lease of ten seconds, and the pending jobs
+CANCEL_SECONDS = 6  # for the acknowledgement of a cancel once all faults have ended
+MEMORY_MB = 260
+ODD_SHARE = 0.12  # of the jobs
+ENDS_PER_REPORT = 500  # a worker lists further ends once these are acknowledged
+MAX_ATTEMPTS = [3, 1_000_001, 2_147_483_647, 4_294_967_295]
+
+
+def odd_job(pick, workers):
+    """Returns the steps, the work time and the schedule of a job at a limit of what a caller may send."""
+    kind = pick.choice(["nothing requested", "wide", "scheduled", "many steps"])
+    if kind == "nothing requested":
+        return [{"count": pick.choice([1, 2, 40]), "estimate_ms": 300, "gang": pick.random() < 0.7}], 300, {}
+    if kind == "wide":
+        return [step(pick.choice([ENDS_PER_REPORT, ENDS_PER_REPORT + 40]) * workers, 5, 1200, mem_mb=1)], 1200, {}
+    if kind == "scheduled":
+        schedule = {"repeat_count": 10_000, "interval_ms": 60_000, "start_at_ms": int(time.time() * 1000)}
+        return [step(1, 100, 100), step(1, 100, 100, after=[0])], 100, schedule
+    return [step(1, 50, 20, after=[n - 1] if n else []) for n in range(20)], 20, {}
 
 
 class Caller(threading.Thread):
@@ -31,13 +50,16 @@
     def __init__(self, cell, seed, until):
         super().__init__(daemon=True)
         self.cell, self.random, self.until = cell, random.Random(seed), until
+        self.odd = random.Random("odd-%s" % seed)  # of its own, so that the other jobs are those of the seed
         self.jobs = {}
+        self.scheduled = set()  # jobs that do not complete within the run
+        self.wide = 0
 
     def run(self):
         while time.time() < self.until:
             job = new_id()
             self.jobs[job] = UNKNOWN
-            self.jobs[job] = self.submit(job)
+            self.jobs[job] = self.submit_odd(job) if self.odd.random() < ODD_SHARE else self.submit(job)
             time.sleep(self.random.uniform(0.02, 0.3))
 
     def submit(self, job):
@@ -45,11 +67,23 @@
         steps = [step(pick.randint(1, 5), pick.choice([500, 1000, 2000]), 400, gang=pick.random() < 0.3)]
         if pick.random() < 0.4:
             steps.append(step(pick.randint(1, 3), 1000, 200, after=[0]))
-        work_ms = pick.choice([50, 300, 1500])
+        return self.send(job, steps, pick.choice([50, 300, 1500]), {}, pick)
+
+    def submit_odd(self, job):
+        steps, work_ms, schedule = odd_job(self.odd, self.cell.worker_count)
+        if schedule:
+            self.scheduled.add(job)
+        if steps[0]["count"] > ENDS_PER_REPORT:
+            if self.wide:
+                return self.submit(job)
+            self.wide += 1
+        return self.send(job, steps, work_ms, schedule, self.odd)
+
+    def send(self, job, steps, work_ms, schedule, pick):
         may_be_accepted = False
         for _ in range(ATTEMPTS):
             node = pick.randrange(len(self.cell.nodes))
-            status = self.cell.submit(node, *steps, work_ms=work_ms, job=job)[1]
+            status = self.cell.submit(node, *steps, work_ms=work_ms, job=job, **schedule)[1]
             if status == 200:
                 return ACCEPTED
             if status in (429, 503) and not may_be_accepted:
@@ -162,7 +196,28 @@
             self.cell.control("worker", {"number": n, "losesStarts": 2})
 
 
+def memory_mb(pid):
+    try:
+        with open("/proc/%d/status" % pid) as text:
+            return next(int(it.split()[1]) // 1024 for it in text if it.startswith("VmRSS"))
+    except (OSError, StopIteration):
+        return 0
+
+
+def check_cancels(cell, callers):
+    """Cancels the scheduled jobs that were accepted, which would run for days."""
+    for job in [it for caller in callers for it in caller.scheduled if caller.jobs[it] == ACCEPTED]:
+        until = time.time() + CANCEL_SECONDS
+        status = None
+        while time.time() < until and status not in (200, 202, 204, 410):
+            status = cell.call(0, "DELETE", job)[0]
+            time.sleep(0.1)
+        assert status in (200, 202, 204), "cancel of the accepted job %s: %s" % (job, status)
+
+
 def check_while_running(cell, callers):
+    for it in cell.nodes:
+        assert memory_mb(it.process.pid) <= MEMORY_MB, "a node needs %d MB" % memory_mb(it.process.pid)
     stats = cell.stats()
     if not isinstance(stats, dict):
         return
@@ -174,7 +229,8 @@
 
 
 def check_end(cell, callers):
-    accepted = [job for it in callers for job, outcome in it.jobs.items() if outcome == ACCEPTED]
+    accepted = [job for it in callers for job, outcome in it.jobs.items()
+                if outcome == ACCEPTED and job not in it.scheduled]
     until = time.time() + SETTLE_SECONDS
     left = set(accepted)
     while left and time.time() < until:
@@ -191,6 +247,7 @@
 def run(seed, seconds, nodes, workers):
     with Deployment(nodes=nodes, workers=workers, cpu=8000, relays=True) as cell:
         cell.worker_count = workers
+        cell.configure(2, max_attempts=random.Random("config-%d" % seed).choice(MAX_ATTEMPTS))
         try:
             until = time.time() + seconds
             callers = [Caller(cell, "%d-%d" % (seed, n), until) for n in range(4)]
@@ -211,6 +268,7 @@
             for it in callers:
                 it.join()
             cell.control("rows", {})
+            check_cancels(cell, callers)
             accepted, submitted = check_end(cell, callers)
             print("seed %d: passed, %d of %d jobs accepted, %d starts" % (seed, accepted, submitted, cell.stats()["starts"]))
         except AssertionError as error:
--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -66,9 +66,9 @@
         self.nodes[n] = self.start("node-%d" % n, os.path.join(BUILD, "src", "app", "sardinerun"), "dispatch",
                                    "--config", path)
 
-    def configure(self, version, advice=False):
+    def configure(self, version, advice=False, max_attempts=3):
         route = {"name": "plans", "host": "lids.example", "path_prefix": PREFIX, "service": "lid-orders",
-                 "max_attempts": 3, "stretch": 6, "target_latency_ms": 20000, "priority": 1}
+                 "max_attempts": max_attempts, "stretch": 6, "target_latency_ms": 20000, "priority": 1}
         if advice:
             route["advice"] = {"decision_ms": 5, "each_ms": 1, "valid_ms": 4000}
         self.control("config", {"version": version, "routes": [route],
@@ -95,9 +95,9 @@
     def call(self, node, method, job, body=None, timeout=6):
         return call(self.node_ports[node][0], method, PREFIX + job, body, headers=DEADLINE_HEADERS, timeout=timeout)
 
-    def submit(self, node, *steps, work_ms=200, job=None):
+    def submit(self, node, *steps, work_ms=200, job=None, **more):
         job = job or new_id()
-        return job, self.call(node, "POST", job, {"spec": str(work_ms), "steps": list(steps)})[0]
+        return job, self.call(node, "POST", job, dict({"spec": str(work_ms), "steps": list(steps)}, **more))[0]
 
     def submit_until_accepted(self, node, *steps, work_ms=200):
         """Submits a job under the same id until it is accepted, as a caller does. Returns the id."""
