--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -41,8 +41,8 @@
 //! A write whose answer was lost is sent again under the same conditions. The head row shows whether the first one took
 //! effect; a copy that arrives later fails, because it expects an older version of that row.
 //!
-//! A group that the store rejects as invalid is split until the row at fault is alone, so that one bad row does not stop
-//! the writes of other jobs.
+//! A group that the store rejects as invalid is split until the row at fault is alone, so that one bad row does not
+//! stop the writes of other jobs.
 class LeaderLog : public std::enable_shared_from_this<LeaderLog> {
 public:
     static std::shared_ptr<LeaderLog> create(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
--- a/src/lead/tests/leaderlog_tests.cpp
+++ b/src/lead/tests/leaderlog_tests.cpp
@@ -38,8 +38,7 @@
         hooks.rejected = [this](const RejectedWrite& it) { rejected.push_back(it.key); };
         hooks.leadershipLost = [this](const std::string&) { isLost = true; };
         hooks.rejectedByStore = [this] { isRejectedByStore = true; };
-        log = LeaderLog::create(
-            loop, store, won.leader, won.leaderVersion, won.headVersion, times, std::move(hooks));
+        log = LeaderLog::create(loop, store, won.leader, won.leaderVersion, won.headVersion, times, std::move(hooks));
         log->start();
     }
     void advance(std::int64_t ms) { loop->advance(std::chrono::milliseconds(ms)); }
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -17,7 +17,8 @@
 constexpr double freeShareBesideGangs = 0.12;
 //! While the leader is congested, confirmations and reports of ends are late, too, and the rate of starts varies.
 constexpr double congestionMargin = 1.6;
-//! The leader keeps all tasks of jobs that have not ended in memory, at most about 1 KB for each. Its VM may have 160 MB.
+//! The leader keeps all tasks of jobs that have not ended in memory, at most about 1 KB for each. Its VM may have 160
+//! MB.
 constexpr std::size_t maxTasksHeld = 80'000;
 constexpr core::Duration minRetryAfter = std::chrono::milliseconds(300);
 constexpr core::Duration maxRetryAfter = std::chrono::seconds(10);
--- a/src/scheduling/internal/reservation.cpp
+++ b/src/scheduling/internal/reservation.cpp
@@ -48,8 +48,7 @@
     std::vector<Slots> slots;
     for (const FutureWorker& it : workers)
         addSlots(demand, it, slots);
-    std::sort(
-        slots.begin(), slots.end(), [](const Slots& a, const Slots& b) { return a.sortKey() < b.sortKey(); });
+    std::sort(slots.begin(), slots.end(), [](const Slots& a, const Slots& b) { return a.sortKey() < b.sortKey(); });
     Reservation reservation;
     std::int64_t missing = demand.count;
     for (const Slots& it : slots) {
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -185,10 +185,7 @@
         return m_failedRenewals == 0 ? m_acknowledgedUpTo : fleet::EndNumber();
     }
     //! Returns whether the registry entry is of a former incarnation, whose capacity and labels may differ.
-    bool isEntryOutdated() const
-    {
-        return m_listedIncarnation.value() > 0 && m_listedIncarnation < m_entry.startedAt;
-    }
+    bool isEntryOutdated() const { return m_listedIncarnation.value() > 0 && m_listedIncarnation < m_entry.startedAt; }
     bool hasUnacknowledgedEnds() const { return m_lastEnd.value() > m_acknowledgedUpTo.value(); }
 
     runtime::ILoopPtr m_loop;
@@ -204,7 +201,8 @@
     fleet::WorkerClock m_clock; //!< last reading received
     core::TimePoint m_clockAt {}; //!< when the reading arrived
     fleet::WorkerClock m_leaseUntil; //!< latest lease end that was sent
-    fleet::WorkerStartTime m_listedIncarnation; //!< the one that wrote the registry entry; 0 if the entry doesn't say so
+    fleet::WorkerStartTime
+        m_listedIncarnation; //!< the one that wrote the registry entry; 0 if the entry doesn't say so
     std::set<fleet::WorkerStartTime> m_formerIncarnations;
     core::TimePoint m_incarnationSeenAt {}; //!< when its last report was requested
     fleet::EndNumber m_lastEnd; //!< highest number reported
--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -425,8 +425,8 @@
     BOOST_TEST(entries == 100u);
 }
 
-//! Guards against a job that runs again long after its end: its leader ended between the write of its final state and the
-//! deletion of its record, and the final state is deleted after the retention period.
+//! Guards against a job that runs again long after its end: its leader ended between the write of its final state and
+//! the deletion of its record, and the final state is deleted after the retention period.
 BOOST_AUTO_TEST_CASE(ended_job_whose_record_was_left_behind_does_not_run_again)
 {
     Cell cell;
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -266,8 +266,8 @@
     while (chosen.size() < demand.count) {
         Candidate* best = nullptr;
         for (Candidate& it : candidates) {
-            const bool isEligible = demand.need.fitsIn(it.room)
-                && (demand.maxPerWorker == 0 || it.tasksOfStep < demand.maxPerWorker);
+            const bool isEligible
+                = demand.need.fitsIn(it.room) && (demand.maxPerWorker == 0 || it.tasksOfStep < demand.maxPerWorker);
             if (isEligible && (!best || scoreOf(demand, it, strategy) > scoreOf(demand, *best, strategy)))
                 best = &it;
         }
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -484,8 +484,8 @@
     BOOST_TEST(worker.starts.size() == 1u);
 }
 
-//! Guards against a start that reaches the next incarnation of a worker and runs beside a second one: the first report of
-//! that incarnation, sent before the order arrived, does not list it.
+//! Guards against a start that reaches the next incarnation of a worker and runs beside a second one: the first report
+//! of that incarnation, sent before the order arrived, does not list it.
 BOOST_AUTO_TEST_CASE(start_on_its_way_during_a_restart_runs_once)
 {
     Cell cell;
@@ -515,8 +515,8 @@
     BOOST_TEST(most == 1u);
 }
 
-//! Guards against a leader that is cut off from the store and from most workers, and keeps runs alive on the others while
-//! a later leader takes them for ended.
+//! Guards against a leader that is cut off from the store and from most workers, and keeps runs alive on the others
+//! while a later leader takes them for ended.
 BOOST_AUTO_TEST_CASE(isolated_leader_without_authority_extends_no_leases)
 {
     Cell cell;
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -12,7 +12,6 @@
 
 using codec::DecodeError;
 
-
 std::int64_t toMicros(core::Duration it)
 {
     return it.count();
@@ -62,7 +61,10 @@
             throw DecodeError(name, "out of range");
         return it;
     }
-    core::Duration readMs(const char* name) const { return std::chrono::milliseconds(integerUpTo(name, limits::maxDurationMs)); }
+    core::Duration readMs(const char* name) const
+    {
+        return std::chrono::milliseconds(integerUpTo(name, limits::maxDurationMs));
+    }
     core::Duration readUs(const char* name) const { return core::Duration(integerUpTo(name, limits::maxDurationUs)); }
     const Json::Value& list(const char* name) const
     {
--- a/src/workflow/workflowlimits.h
+++ b/src/workflow/workflowlimits.h
@@ -6,8 +6,8 @@
 
 //! Bounds of the values of jobs and queues.
 //!
-//! Admission rejects what exceeds them, so each of them has to be accepted by the decoders of the stored records, too: a
-//! leader must be able to read what any other leader has written.
+//! Admission rejects what exceeds them, so each of them has to be accepted by the decoders of the stored records, too:
+//! a leader must be able to read what any other leader has written.
 namespace sardinerun::workflow::limits {
 
 constexpr std::size_t maxSteps = 1000;
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -95,8 +95,8 @@
 
 //! The failed runs of one task. Its size is bounded, whatever the number of failures.
 //!
-//! Ends arrive in any order and sometimes twice, so the numbers of the newest runs are recorded. Older ones are counted:
-//! a run that is older than all recorded ones counts as known.
+//! Ends arrive in any order and sometimes twice, so the numbers of the newest runs are recorded. Older ones are
+//! counted: a run that is older than all recorded ones counts as known.
 class FailedRuns {
 public:
     static constexpr std::size_t maxRecorded = 16; //!< runs whose numbers are recorded
