Log which leader an election replaces and which workers count as settled unheard

Change: lead-won names the former leader as the election saw it and since when; former-leader-gone says why, also when the node takes itself for it; each worker that was not heard at the barrier has a line of its own; start and run-over have the term, run-over the authority that was left. WonElection carries the former leader's row as one optional value. No decision changes.

Unit tests of lead, scheduling and dispatch pass.

--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -84,14 +84,25 @@
     m_dependencies.update({ leader, m_engine != nullptr });
 }
 
+void LeaderTask::logWon(const lead::WonElection& won) const
+{
+    LogLine line(Severity::Info, "lead-won");
+    line.with("term", std::int64_t(won.leader.term.value()));
+    if (!won.former)
+        return;
+    const lead::LeaderRow& former = won.former->row;
+    line.with("formerNode", former.node.value())
+        .with("formerTerm", std::int64_t(former.term.value()))
+        .with("formerSeenMs", core::toMs(now() - won.former->seenAt))
+        .with("formerReleased", std::int64_t(former.isReleased));
+}
+
 void LeaderTask::onWon(const lead::WonElection& won)
 {
-    LogLine(Severity::Info, "lead-won")
-        .with("term", std::int64_t(won.leader.term.value()))
-        .with("formerReleased", std::int64_t(won.isFormerReleased));
+    logWon(won);
     m_dependencies.metrics->set(telemetry::Metric::Leading, {}, 1);
     m_term = won.leader.term;
-    m_yieldPolicy.emplace(now(), won.wasFormerOverloaded);
+    m_yieldPolicy.emplace(now(), won.former && won.former->row.wasOverloaded);
     m_lag.reset();
     m_isYielding = false;
     m_advice = scheduling::AdviceQueue::create(loop());
@@ -126,8 +137,8 @@
             it->m_engine->setWorkers(entries);
     });
     publishLeader(won.leader);
-    if (won.hadFormer && !won.isFormerReleased)
-        queryFormerLeader(won.formerAddress, m_term);
+    if (won.former && !won.former->row.isReleased)
+        queryFormerLeader(won.former->row.address, m_term);
 }
 
 void LeaderTask::queryNode(const core::HostPort& node, bool isRejectedByStore,
@@ -228,6 +239,7 @@
 void LeaderTask::queryFormerLeader(const core::HostPort& former, core::Epoch term)
 {
     if (former == m_dependencies.address) {
+        LogLine(Severity::Info, "former-leader-gone").with("address", former.text()).with("why", "this node");
         m_engine->setFormerLeaderGone();
         return;
     }
@@ -237,7 +249,9 @@
         if (!it || !it->m_engine || it->m_term != term)
             return;
         if (hint && !hint->isLeading) {
-            LogLine(Severity::Info, "former-leader-gone").with("address", former.text());
+            LogLine(Severity::Info, "former-leader-gone")
+                .with("address", former.text())
+                .with("why", "it does not lead");
             it->m_engine->setFormerLeaderGone();
             return;
         }
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -39,6 +39,7 @@
 private:
     void onLeader(const std::optional<lead::LeaderRow>& leader);
     void onWon(const lead::WonElection& won);
+    void logWon(const lead::WonElection& won) const;
     void onLeadershipLost(const std::string& why);
     void endLeadership();
     //! Asks a node which leader it has recorded; if this node leads, the query also announces its term.
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -9,16 +9,18 @@
 
 namespace sardinerun::lead {
 
+//! The leader that the winner of an election replaces.
+struct FormerLeader {
+    LeaderRow row; //!< as last seen
+    core::TimePoint seenAt; //!< when this node saw its last heartbeat
+};
+
 //! Result of a won election.
 struct WonElection {
     LeaderRow leader;
     core::RowVersion leaderVersion;
     core::RowVersion headVersion;
-    core::TimePoint formerSeenAt; //!< when this node saw the former leader's last heartbeat
-    bool hadFormer = false;
-    core::HostPort formerAddress;
-    bool isFormerReleased = false; //!< the former leader had released the leadership
-    bool wasFormerOverloaded = false; //!< the former leader stepped down for lack of CPU
+    std::optional<FormerLeader> former; //!< nothing for the first leader
 };
 
 struct ElectionHooks {
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -165,11 +165,8 @@
     won.leader = claimed;
     won.leaderVersion = result.value();
     won.headVersion = result.value();
-    won.formerSeenAt = m_seenAt;
-    won.hadFormer = m_row.has_value();
-    won.formerAddress = m_row ? m_row->address : core::HostPort();
-    won.isFormerReleased = m_row && m_row->isReleased;
-    won.wasFormerOverloaded = m_row && m_row->wasOverloaded;
+    if (m_row)
+        won.former = FormerLeader { *m_row, m_seenAt };
     m_isLeading = true;
     m_version = result.value();
     m_row = claimed;
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -36,11 +36,11 @@
     , m_arrivalsAt(m_dependencies.loop->now())
     , m_wonAt(m_dependencies.loop->now())
 {
-    if (!won.hadFormer)
+    if (!won.former)
         return;
     // A former leader that is still alive may renew leases until its authority times out.
     const core::TimePoint authorityEnd
-        = won.isFormerReleased ? m_wonAt : won.formerSeenAt + m_dependencies.leaderTimes.authorityTimeout;
+        = won.former->row.isReleased ? m_wonAt : won.former->seenAt + m_dependencies.leaderTimes.authorityTimeout;
     m_priorLeaseUntil = std::max(authorityEnd, m_wonAt) + m_dependencies.times.lease * 11 / 10;
 }
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -123,6 +123,8 @@
     //! Passes the barrier, and returns true, once no run of a former leader can be there unnoticed. Until then no task
     //! of a recovered job starts.
     bool tryPassBarrier();
+    //! Logs that the barrier is passed, and each worker that counts as settled without having listed its runs.
+    void logBarrier(core::TimePoint now) const;
     void stopPartialGangs();
 
     // Runs
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -359,6 +359,7 @@
         .with("task", fleet::textOf(order.runId.task))
         .with("run", run.value())
         .with("worker", worker.value())
+        .with("term", std::int64_t(m_won.leader.term.value()))
         .with("waitedMs", core::toMs(m_dependencies.loop->now() - stage.openedAt));
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -384,11 +384,30 @@
             return false;
     }
     m_isBarrierPassed = true;
+    logBarrier(now);
+    stopPartialGangs();
+    return true;
+}
+
+void EngineImpl::logBarrier(core::TimePoint now) const
+{
+    std::int64_t listed = 0;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker->hasListedAllEnds()) {
+            ++listed;
+            continue;
+        }
+        LogLine(Severity::Warning, "worker-settled-unheard")
+            .with("worker", id.value())
+            .with("answered", std::int64_t(worker->hasAnswered()))
+            .with("listed", std::int64_t(worker->isListed()))
+            .with("priorLeaseMs", core::toMs(m_priorLeaseUntil - m_wonAt));
+    }
     LogLine(Severity::Info, "workers-settled")
+        .with("term", std::int64_t(m_won.leader.term.value()))
         .with("workers", std::int64_t(m_workers.size()))
+        .with("heard", listed)
         .with("afterMs", core::toMs(now - m_wonAt));
-    stopPartialGangs();
-    return true;
 }
 
 void EngineImpl::stopPartialGangs()
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -287,7 +287,9 @@
             .with("run", run.run.value())
             .with("worker", worker.id().value())
             .with("why", termination.cause == RunTermination::Cause::Lost ? "lost" : "not started")
-            .with("ranMs", core::toMs(termination.runTime));
+            .with("ranMs", core::toMs(termination.runTime))
+            .with("term", std::int64_t(m_won.leader.term.value()))
+            .with("authorityLeftMs", core::toMs(m_log->authorityUntil() - now));
     task.state = TaskProgress::State::Pending;
     if (!termination.checkpoint.empty())
         task.checkpoint = termination.checkpoint;
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -120,6 +120,8 @@
     bool acceptsStarts(core::TimePoint now) const;
     //! Returns the time by which all runs on the worker have certainly ended if it stays unresponsive.
     core::TimePoint leaseExpiresAt() const;
+    //! Returns whether a report of the current incarnation included all of its ends.
+    bool hasListedAllEnds() const { return m_hasListedAllEnds; }
     //! Returns whether no run or end of a former leader can be there unnoticed: the worker has listed all of them, or
     //! its lease has expired.
     bool areFormerRunsKnown(core::TimePoint now) const { return m_hasListedAllEnds || now >= leaseExpiresAt(); }
