--- /dev/null
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -0,0 +1,165 @@
+//! Tests of leaders that are cut off from the store, from each other and from workers, on a paused clock.
+
+#include "dispatch/tests/partitionedcell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using namespace sardinerun::dispatch;
+using namespace sardinerun::dispatch::testing;
+using workflow::WorkflowOutcome;
+
+namespace {
+
+constexpr int longWorkMs = 100'000; //!< longer than the tests
+
+//! A leader with a job, and another node. Cuts divide the workers in two: those with tasks of the job, and the others.
+struct DividedCell : PartitionedCell {
+    DividedCell(int nodeCount, int workerCount, int workMs, std::uint32_t tasks = 2)
+        : PartitionedCell(nodeCount, workerCount)
+    {
+        waitForLeader();
+        first = leader();
+        BOOST_REQUIRE(submit(first, "a", tasks, workMs) == WorkflowOutcome::Accepted);
+        advance(ms(100));
+        busy = workersOf("a");
+        for (int n = 0; n < workerCount; ++n) {
+            if (std::find(busy.begin(), busy.end(), n) == busy.end())
+                idle.push_back(n);
+        }
+        BOOST_REQUIRE(!busy.empty() && !idle.empty());
+    }
+
+    //! Parts a node from these workers and from all other nodes.
+    void cutOff(int n, const std::vector<int>& unreached, bool isCut = true)
+    {
+        for (const int it : unreached)
+            setWorkerCut(n, it, isCut);
+        for (int other = 0; other < nodeCount(); ++other) {
+            if (other != n)
+                setNodeCut(n, other, isCut);
+        }
+    }
+    int other() const { return first == 0 ? 1 : 0; }
+    void cutStore(int n) { node(n).links.store = StoreLink::Silent; }
+    void checkNothingRanTwice() const
+    {
+        for (const std::string& it : ranTwice)
+            BOOST_ERROR(it);
+    }
+
+    int first = 0; //!< number of the first leader
+    std::vector<int> busy;
+    std::vector<int> idle;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(partitions)
+
+//! Guards against two runs at once: a new leader whose watch showed it its own claim before the answer to it took
+//! itself for its predecessor, and so did not wait for the workers that only the predecessor reached.
+BOOST_AUTO_TEST_CASE(new_leader_that_sees_its_own_claim_first_waits_for_the_workers_of_its_predecessor)
+{
+    DividedCell cell(2, 6, longWorkMs);
+    cell.node(cell.other()).store->commitAnswerDelay = ms(30);
+    cell.cutStore(cell.first);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutOff(cell.other(), cell.busy);
+    cell.advance(ms(11'000)); // the predecessor still has authority
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
+//! The same by another way: the answer to the claim was lost, and the node claimed the leadership again.
+BOOST_AUTO_TEST_CASE(new_leader_that_has_claimed_twice_waits_for_the_workers_of_its_predecessor)
+{
+    DividedCell cell(2, 6, longWorkMs);
+    cell.cutStore(cell.first);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutOff(cell.other(), cell.busy);
+    cell.advance(ms(1500));
+    cell.store->losesAnswers = 1;
+    cell.advance(ms(10'000));
+    BOOST_TEST(cell.leader() == cell.other());
+    BOOST_TEST(cell.node(cell.other()).term == 3u);
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against two runs at once after two changes of leader: the second leader has released the leadership, but the
+//! first one is still alive.
+BOOST_AUTO_TEST_CASE(leader_after_one_that_released_waits_for_the_workers_of_those_before_it)
+{
+    DividedCell cell(3, 6, longWorkMs);
+    cell.cutStore(cell.first);
+    cell.cutOff(cell.first, cell.idle);
+    for (int n = 0; n < 3; ++n) {
+        if (n != cell.first)
+            cell.cutOff(n, cell.busy);
+    }
+    for (int n = 0; n < 3; ++n) { // the other two reach each other
+        for (int m = 0; m < n; ++m) {
+            if (n != cell.first && m != cell.first)
+                cell.setNodeCut(n, m, false);
+        }
+    }
+    cell.advance(ms(3200));
+    const int second = cell.leader();
+    BOOST_REQUIRE(second != cell.first);
+    cell.node(second).task->address().send(StepDown {});
+    cell.advance(ms(1000));
+    const int third = cell.leader();
+    BOOST_REQUIRE((third != second && third != cell.first && third >= 0));
+    cell.advance(ms(7000));
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against two runs at once: a leader whose release took effect, but whose answer was lost, went on extending
+//! leases.
+BOOST_AUTO_TEST_CASE(leader_that_may_have_released_extends_no_leases)
+{
+    DividedCell cell(2, 6, longWorkMs);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutOff(cell.other(), cell.busy);
+    cell.node(cell.first).store->commitAnswerDelay = ms(20);
+    cell.node(cell.first).task->address().send(StepDown {});
+    cell.advance(ms(25)); // the release is in the store, and its answer on the way
+    cell.cutStore(cell.first);
+    cell.advance(ms(10'000));
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against a task that starts again after its end: a leader that had been replaced took a run for lost whose end
+//! the next leader had acknowledged.
+BOOST_AUTO_TEST_CASE(leader_that_was_replaced_does_not_restart_the_runs_that_it_has_lost_sight_of)
+{
+    DividedCell cell(2, 6, 1500);
+    cell.cutStore(cell.first);
+    cell.cutOff(cell.first, cell.busy);
+    cell.cutOff(cell.other(), cell.idle);
+    cell.advance(ms(12'500));
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against two runs at once: a leader that was cut off from the store, but reached most workers, extended their
+//! leases for ever, and the next leader counted them as ended after authority and lease.
+BOOST_AUTO_TEST_CASE(leader_without_authority_does_not_extend_leases_because_it_reaches_most_workers)
+{
+    DividedCell cell(2, 10, longWorkMs);
+    cell.cutStore(cell.first);
+    std::vector<int> last { cell.idle.back() };
+    std::vector<int> most;
+    for (int n = 0; n < 10; ++n) {
+        if (n != last[0])
+            most.push_back(n);
+    }
+    cell.cutOff(cell.first, last);
+    cell.cutOff(cell.other(), most);
+    cell.advance(ms(25'000));
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
