Record the former leader when the leadership is claimed, not when the claim is answered

Cause: an election took the row that its watch had shown last for the former leader's when its claim was answered. The watch can show the claim itself before that. Then the new leader's predecessor had its own address, counted as gone at once, and the barrier ended 5.5 s after the election, while the true predecessor had authority, and extended leases, for up to 12 s.

Change: the claim carries the leader that it replaces.

--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -57,8 +57,13 @@
     void applyRow(const store::StoredRow* row);
     void check();
     bool mayClaim() const;
+    //! A claim of the leadership, and the leader that it replaces if it succeeds.
+    struct Claim {
+        LeaderRow leader;
+        std::optional<FormerLeader> former;
+    };
     void claim();
-    void onClaimed(const store::CommitResult& result, const LeaderRow& claimed);
+    void onClaimed(const store::CommitResult& result, const Claim& claim);
 
     runtime::ILoopPtr m_loop;
     store::IRowStorePtr m_store;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -134,7 +134,11 @@
 void Election::claim()
 {
     m_isClaiming = true;
-    LeaderRow claimed;
+    // The watch may show the claim before its answer arrives, so the former leader is recorded here.
+    Claim claim;
+    if (m_row)
+        claim.former = FormerLeader { *m_row, m_seenAt };
+    LeaderRow& claimed = claim.leader;
     claimed.node = m_self;
     claimed.address = m_address;
     claimed.term = core::Epoch((m_row ? m_row->term.value() : 0) + 1);
@@ -142,13 +146,13 @@
     transaction.conditions = { { leaderKey(), m_version } };
     transaction.updates
         = { { leaderKey(), encodeLeaderRow(claimed) }, { headKey(), std::to_string(claimed.term.value()) + ".0" } };
-    m_store->commit(std::move(transaction), [self = weak_from_this(), claimed](const store::CommitResult& result) {
+    m_store->commit(std::move(transaction), [self = weak_from_this(), claim](const store::CommitResult& result) {
         if (const auto it = self.lock())
-            it->onClaimed(result, claimed);
+            it->onClaimed(result, claim);
     });
 }
 
-void Election::onClaimed(const store::CommitResult& result, const LeaderRow& claimed)
+void Election::onClaimed(const store::CommitResult& result, const Claim& claim)
 {
     m_isClaiming = false;
     if (!result) {
@@ -162,14 +166,13 @@
         return;
     }
     WonElection won;
-    won.leader = claimed;
+    won.leader = claim.leader;
     won.leaderVersion = result.value();
     won.headVersion = result.value();
-    if (m_row)
-        won.former = FormerLeader { *m_row, m_seenAt };
+    won.former = claim.former;
     m_isLeading = true;
     m_version = result.value();
-    m_row = claimed;
+    m_row = claim.leader;
     m_seenAt = m_loop->now();
     m_hooks.leaderSeen(m_row);
     m_hooks.won(won);
