Count the authority of leaders before the last one, unless that one had settled

Cause: a predecessor that has released the leadership, or is gone, shortened the barrier to one lease. That says nothing about the leader before it, which may be cut off from the store, but alive, with authority and workers of its own. The same when the answer to a claim is lost: the node claims again, and its predecessor is itself.

Change: the leader's row says whether its leader has passed its barrier (settled). Until then, the authority of earlier leaders counts from the time at which this node first saw that leader's term, as they have written nothing since. Rows of former builds count as not settled.

Ordinary hand-overs wait no longer: a leader settles once it has heard all workers.

--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -94,7 +94,8 @@
     line.with("formerNode", former.node.value())
         .with("formerTerm", std::int64_t(former.term.value()))
         .with("formerSeenMs", core::toMs(now() - won.former->seenAt))
-        .with("formerReleased", std::int64_t(former.isReleased));
+        .with("formerReleased", std::int64_t(former.isReleased))
+        .with("formerSettled", std::int64_t(former.isSettled));
 }
 
 void LeaderTask::onWon(const lead::WonElection& won)
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -13,8 +13,14 @@
 struct FormerLeader {
     LeaderRow row; //!< as last seen
     core::TimePoint seenAt; //!< when this node saw its last heartbeat
+    core::TimePoint termSeenAt; //!< when this node first saw its term; leaders before it have written nothing since
 };
 
+//! Returns the time from which no former leader gives orders or extends leases. `isGone`: the last one has certainly
+//! stopped.
+core::TimePoint formerAuthorityEnd(
+    const FormerLeader& former, bool isGone, core::TimePoint now, const LeaderTimes& times);
+
 //! Result of a won election.
 struct WonElection {
     LeaderRow leader;
@@ -77,6 +83,7 @@
     core::RowVersion m_version;
     core::RowVersion m_headVersion;
     core::TimePoint m_seenAt {}; //!< when this node last saw the row change, or resumed
+    core::TimePoint m_termSeenAt {}; //!< when this node first saw the term of the row
     bool m_isRead = false;
     bool m_isClaiming = false;
     bool m_isLeading = false;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+core::TimePoint formerAuthorityEnd(
+    const FormerLeader& former, bool isGone, core::TimePoint now, const LeaderTimes& times)
+{
+    const bool hasStopped = isGone || former.row.isReleased;
+    core::TimePoint end = hasStopped ? now : former.seenAt + times.authorityTimeout;
+    // A leader that has stopped says nothing about those before it, which may be cut off, but alive.
+    if (!former.row.isSettled)
+        end = std::max(end, former.termSeenAt + times.authorityTimeout);
+    return std::max(end, now);
+}
+
 ElectionPtr Election::create(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self,
     core::HostPort address, LeaderTimes times, core::Duration candidacyDelay, ElectionHooks hooks)
 {
@@ -98,9 +109,12 @@
 {
     if (row && row->version <= m_version)
         return; // older than the known state
+    const std::optional<LeaderRow> former = std::move(m_row);
     m_version = row ? row->version : core::RowVersion();
     m_row = row && !row->isDeleted ? decodeLeaderRow(row->value) : std::nullopt;
     m_seenAt = m_loop->now();
+    if (!former || !m_row || former->term != m_row->term)
+        m_termSeenAt = m_seenAt;
     m_invitedTerm = {}; // the leader has reached the store, or another node leads
     m_isSuspected = m_isSuspected && m_row && m_row->term.value() == m_suspectedTerm;
     m_hooks.leaderSeen(m_row);
@@ -137,7 +151,7 @@
     // The watch may show the claim before its answer arrives, so the former leader is recorded here.
     Claim claim;
     if (m_row)
-        claim.former = FormerLeader { *m_row, m_seenAt };
+        claim.former = FormerLeader { *m_row, m_seenAt, m_termSeenAt };
     LeaderRow& claimed = claim.leader;
     claimed.node = m_self;
     claimed.address = m_address;
@@ -174,6 +188,7 @@
     m_version = result.value();
     m_row = claim.leader;
     m_seenAt = m_loop->now();
+    m_termSeenAt = m_seenAt;
     m_hooks.leaderSeen(m_row);
     m_hooks.won(won);
 }
--- a/src/lead/internal/leadtypes.cpp
+++ b/src/lead/internal/leadtypes.cpp
@@ -16,6 +16,7 @@
     to["beat"] = Json::UInt64(it.heartbeat);
     to["released"] = it.isReleased;
     to["overloaded"] = it.wasOverloaded;
+    to["settled"] = it.isSettled;
     return codec::writeJson(to);
 }
 
@@ -32,6 +33,7 @@
         it.heartbeat = static_cast<std::uint64_t>(reader.integer("beat", 0, INT64_MAX));
         it.isReleased = reader.flagOr("released", false);
         it.wasOverloaded = reader.flagOr("overloaded", false);
+        it.isSettled = reader.flagOr("settled", false);
         return it;
     } catch (const codec::DecodeError&) {
         return std::nullopt; // callers treat the row as naming no leader; LeaderLog reports it as the reason
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -58,6 +58,9 @@
     //! Releases the leadership in the leader's row once all values are persisted, then calls `done`.
     void release(bool isOverloaded, std::function<void()> done);
 
+    //! Records in the leader's row, with the next heartbeat, that nothing of earlier leaders can run unnoticed.
+    void setSettled() { m_leader.isSettled = true; }
+
     bool isUp() const { return m_isUp; }
     //! Returns the estimated time until a row queued now is persisted, from the queue length and the last group's time.
     core::Duration expectedDelay() const;
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -21,6 +21,8 @@
     std::uint64_t heartbeat = 0; //!< incremented by each renewal of the lease
     bool isReleased = false; //!< the leader has stopped; another node may claim the leadership immediately
     bool wasOverloaded = false; //!< the leader stepped down because its VM had too little CPU
+    //! Nothing that an earlier leader has ordered can run unnoticed any more, so its authority does not matter.
+    bool isSettled = false;
 };
 
 std::string encodeLeaderRow(const LeaderRow& it);
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -36,12 +36,17 @@
     , m_arrivalsAt(m_dependencies.loop->now())
     , m_wonAt(m_dependencies.loop->now())
 {
-    if (!won.former)
-        return;
-    // A former leader that is still alive may renew leases until its authority times out.
+    m_priorLeaseUntil = formerLeasesEnd(false);
+}
+
+core::TimePoint EngineImpl::formerLeasesEnd(bool isFormerGone) const
+{
+    if (!m_won.former)
+        return {};
+    // A former leader that is still alive may extend leases until its authority times out.
     const core::TimePoint authorityEnd
-        = won.former->row.isReleased ? m_wonAt : won.former->seenAt + m_dependencies.leaderTimes.authorityTimeout;
-    m_priorLeaseUntil = std::max(authorityEnd, m_wonAt) + m_dependencies.times.lease * 11 / 10;
+        = lead::formerAuthorityEnd(*m_won.former, isFormerGone, m_dependencies.loop->now(), m_dependencies.leaderTimes);
+    return authorityEnd + m_dependencies.times.lease * 11 / 10;
 }
 
 void EngineImpl::start()
@@ -85,7 +90,7 @@
 
 void EngineImpl::setFormerLeaderGone()
 {
-    m_priorLeaseUntil = std::min(m_priorLeaseUntil, m_dependencies.loop->now() + m_dependencies.times.lease * 11 / 10);
+    m_priorLeaseUntil = std::min(m_priorLeaseUntil, formerLeasesEnd(true));
     for (const auto& [id, worker] : m_workers)
         worker->setPriorLeaseUntil(m_priorLeaseUntil);
 }
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -98,6 +98,8 @@
     void removeExpiredJobs();
 
     // Recovery and workers
+    //! Returns when the leases that former leaders may have extended are over for certain.
+    core::TimePoint formerLeasesEnd(bool isFormerGone) const;
     void readTable(const std::string& table, const std::string& after);
     void applyRow(const std::string& table, const store::StoredRow& row);
     void applyProgress(const core::JobId& id, const std::string& value);
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -384,6 +384,7 @@
             return false;
     }
     m_isBarrierPassed = true;
+    m_log->setSettled();
     logBarrier(now);
     stopPartialGangs();
     return true;
