Extend no leases once the release of the leadership may have taken effect

Cause: a leader that releases sends no more starts, but its workers' leases were extended until the answer to the release came. If the release took effect and the answer was lost, the next leader waited one lease from its election, while the former one went on extending for 12 s.

Change: LeaderLog tells whether the release may have taken effect; no lease is extended from then on.

Evidence: leader_that_may_have_released_extends_no_leases failed before (two tasks at 6.1 s) and passes.

--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -61,6 +61,9 @@
     //! Records in the leader's row, with the next heartbeat, that nothing of earlier leaders can run unnoticed.
     void setSettled() { m_leader.isSettled = true; }
 
+    //! Returns whether the release of the leadership may have taken effect, so that another node may lead.
+    bool mayBeReleased() const { return m_isGroupOpen && m_groupReleases && (m_isInFlight || m_mayBeCommitted); }
+
     bool isUp() const { return m_isUp; }
     //! Returns the estimated time until a row queued now is persisted, from the queue length and the last group's time.
     core::Duration expectedDelay() const;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -88,6 +88,9 @@
 
 bool EngineImpl::mayExtendLeases() const
 {
+    // The next leader waits only for the leases that a leader has given before it released the leadership.
+    if (m_log->mayBeReleased())
+        return false;
     // In an outage of the store no other node can be elected, and work must go on. A leader that is cut off can't tell
     // this from an outage that is its own. While it reaches most workers, a later leader reaches some of them, too, and
     // these reject its orders; otherwise it might keep runs alive that the later leader takes for ended.
