Count a leader's authority from the heartbeat or claim that others have seen

Cause: the next leader counts its predecessor's authority from the last heartbeat that it saw. The predecessor counted it from its last write of any kind, up to 0.8 s later, from the repetition of a heartbeat whose first answer was lost, seconds later, and after an election from the answer to its claim. The barrier has 0.4 s to spare.

Change: authority counts from the first sending of the last heartbeat that took effect, and before the first one from the sending of the claim.

Evidence: authority_counts_from_the_last_heartbeat_that_others_have_seen and authority_counts_from_the_claim_and_not_from_its_answer check it at each millisecond; both failed before and pass.

--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -26,6 +26,7 @@
     LeaderRow leader;
     core::RowVersion leaderVersion;
     core::RowVersion headVersion;
+    core::TimePoint claimedAt; //!< when the claim was sent
     std::optional<FormerLeader> former; //!< nothing for the first leader
 };
 
@@ -66,6 +67,7 @@
     //! A claim of the leadership, and the leader that it replaces if it succeeds.
     struct Claim {
         LeaderRow leader;
+        core::TimePoint sentAt;
         std::optional<FormerLeader> former;
     };
     void claim();
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -150,6 +150,7 @@
     m_isClaiming = true;
     // The watch may show the claim before its answer arrives, so the former leader is recorded here.
     Claim claim;
+    claim.sentAt = m_loop->now();
     if (m_row)
         claim.former = FormerLeader { *m_row, m_seenAt, m_termSeenAt };
     LeaderRow& claimed = claim.leader;
@@ -183,6 +184,7 @@
     won.leader = claim.leader;
     won.leaderVersion = result.value();
     won.headVersion = result.value();
+    won.claimedAt = claim.sentAt;
     won.former = claim.former;
     m_isLeading = true;
     m_version = result.value();
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -17,25 +17,24 @@
 
 } // namespace
 
-LeaderLogPtr LeaderLog::create(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
-    core::RowVersion leaderVersion, core::RowVersion headVersion, LeaderTimes times, LeaderLogHooks hooks)
+LeaderLogPtr LeaderLog::create(
+    runtime::ILoopPtr loop, store::IRowStorePtr store, const WonElection& won, LeaderTimes times, LeaderLogHooks hooks)
 {
-    return LeaderLogPtr(new LeaderLog(
-        std::move(loop), std::move(store), std::move(leader), leaderVersion, headVersion, times, std::move(hooks)));
+    return LeaderLogPtr(new LeaderLog(std::move(loop), std::move(store), won, times, std::move(hooks)));
 }
 
-LeaderLog::LeaderLog(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
-    core::RowVersion leaderVersion, core::RowVersion headVersion, LeaderTimes times, LeaderLogHooks hooks)
+LeaderLog::LeaderLog(
+    runtime::ILoopPtr loop, store::IRowStorePtr store, const WonElection& won, LeaderTimes times, LeaderLogHooks hooks)
     : m_loop(std::move(loop))
     , m_store(std::move(store))
-    , m_leader(std::move(leader))
-    , m_leaderVersion(leaderVersion)
-    , m_headVersion(headVersion)
+    , m_leader(won.leader)
+    , m_leaderVersion(won.leaderVersion)
+    , m_headVersion(won.headVersion)
     , m_times(times)
     , m_hooks(std::move(hooks))
     , m_groupLimit(maxGroupRows)
     , m_heartbeatAt(m_loop->now())
-    , m_lastSuccessSentAt(m_loop->now())
+    , m_heartbeatSentAt(won.claimedAt)
 {
 }
 
@@ -185,8 +184,9 @@
     if (m_groupHasHeartbeat) {
         m_leaderVersion = version;
         m_heartbeatAt = sentAt + m_times.heartbeat;
+        // It may have taken effect when it was first sent, although its answer came to a repetition.
+        m_heartbeatSentAt = m_groupAt;
     }
-    m_lastSuccessSentAt = std::max(m_lastSuccessSentAt, sentAt);
     m_isGroupOpen = false;
     m_groupTime = m_loop->now() - m_groupAt;
     // After a probe, the row under suspicion is sent alone once more.
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lead/leadtypes.h"
+#include "lead/election.h"
 #include "runtime/iloop.h"
 #include "store/irowstore.h"
 
@@ -45,8 +45,8 @@
 //! stop the writes of other jobs.
 class LeaderLog : public std::enable_shared_from_this<LeaderLog> {
 public:
-    static std::shared_ptr<LeaderLog> create(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader,
-        core::RowVersion leaderVersion, core::RowVersion headVersion, LeaderTimes times, LeaderLogHooks hooks);
+    static std::shared_ptr<LeaderLog> create(runtime::ILoopPtr loop, store::IRowStorePtr store, const WonElection& won,
+        LeaderTimes times, LeaderLogHooks hooks);
 
     void start();
     void stop() { m_isStopped = true; }
@@ -68,7 +68,7 @@
     //! Returns the estimated time until a row queued now is persisted, from the queue length and the last group's time.
     core::Duration expectedDelay() const;
     //! Returns the time until which this leader's orders cannot collide with those of another leader.
-    core::TimePoint authorityUntil() const { return m_lastSuccessSentAt + m_times.authorityTimeout; }
+    core::TimePoint authorityUntil() const { return m_heartbeatSentAt + m_times.authorityTimeout; }
     core::Epoch term() const { return m_leader.term; }
 
 private:
@@ -79,8 +79,8 @@
         bool mayBeCommitted = false; //!< it was sent, and that answer was lost or unreadable
         int rejections = 0; //!< number of times that the store rejected it when it was sent alone
     };
-    LeaderLog(runtime::ILoopPtr loop, store::IRowStorePtr store, LeaderRow leader, core::RowVersion leaderVersion,
-        core::RowVersion headVersion, LeaderTimes times, LeaderLogHooks hooks);
+    LeaderLog(runtime::ILoopPtr loop, store::IRowStorePtr store, const WonElection& won, LeaderTimes times,
+        LeaderLogHooks hooks);
     void scheduleWake(core::Duration delay);
     void onWake();
     bool isHeartbeatDue() const;
@@ -127,7 +127,8 @@
     core::TimePoint m_groupAt {}; //!< when the open group was first sent
     core::Duration m_groupTime {}; //!< from first sending the last group to its commit
     core::TimePoint m_heartbeatAt {};
-    core::TimePoint m_lastSuccessSentAt {}; //!< when the last write that succeeded was sent
+    //! When the last heartbeat that succeeded, or else the claim, was first sent. Other nodes have seen it later.
+    core::TimePoint m_heartbeatSentAt {};
     std::function<void()> m_released;
 };
 
--- a/src/lead/tests/leaderlog_tests.cpp
+++ b/src/lead/tests/leaderlog_tests.cpp
@@ -19,17 +19,34 @@
 
 //! The log of a leader that has just won its first term.
 struct Leader {
-    Leader()
+    explicit Leader(core::Duration commitAnswerDelay = {})
         : loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
         , store(std::make_shared<FakeRowStore>(loop))
     {
+        store->commitAnswerDelay = commitAnswerDelay;
         ElectionHooks hooks;
         hooks.leaderSeen = [](const std::optional<LeaderRow>&) {};
         hooks.won = [this](const WonElection& won) { begin(won); };
         election = Election::create(
             loop, store, core::NodeId("n1"), { "127.0.0.1", 7000 }, times, core::Duration(0), std::move(hooks));
         election->start();
-        advance(3000);
+        advance(commitAnswerDelay > core::Duration(0) ? 500 : 3000);
+    }
+    //! Checks at each millisecond that the leader's authority ends before others take it for ended, who see its
+    //! heartbeats.
+    void checkAuthority(std::int64_t forMs)
+    {
+        for (std::int64_t n = 0; n < forMs; ++n) {
+            advance(1);
+            const auto row = store->rows.find(leaderKey());
+            const core::RowVersion version = row == store->rows.end() ? core::RowVersion() : row->second.version;
+            if (version != heartbeatVersion) {
+                heartbeatVersion = version;
+                heartbeatAt = loop->now();
+            }
+            if (log)
+                BOOST_REQUIRE((log->authorityUntil() <= heartbeatAt + times.authorityTimeout));
+        }
     }
     void begin(const WonElection& won)
     {
@@ -38,7 +55,7 @@
         hooks.rejected = [this](const RejectedWrite& it) { rejected.push_back(it.key); };
         hooks.leadershipLost = [this](const std::string&) { isLost = true; };
         hooks.rejectedByStore = [this] { isRejectedByStore = true; };
-        log = LeaderLog::create(loop, store, won.leader, won.leaderVersion, won.headVersion, times, std::move(hooks));
+        log = LeaderLog::create(loop, store, won, times, std::move(hooks));
         log->start();
     }
     void advance(std::int64_t ms) { loop->advance(std::chrono::milliseconds(ms)); }
@@ -55,6 +72,8 @@
     LeaderLogPtr log;
     LogRevision persisted;
     std::vector<store::RowKey> rejected;
+    core::RowVersion heartbeatVersion;
+    core::TimePoint heartbeatAt;
     bool isLost = false;
     bool isRejectedByStore = false;
 };
@@ -115,3 +134,29 @@
     BOOST_TEST(leader.store->rejectsAll == 0);
     BOOST_TEST(!leader.log->withdraw(keyOf(1)));
 }
+
+//! Guards against two runs at once: the next leader counts its predecessor's authority from the last heartbeat, the
+//! predecessor counted it from its last write, or from the repetition of a heartbeat.
+BOOST_AUTO_TEST_CASE(authority_counts_from_the_last_heartbeat_that_others_have_seen)
+{
+    Leader leader;
+    for (int n = 0; n < 100; ++n) { // other writes between the heartbeats
+        leader.log->put(keyOf(n), "value");
+        leader.checkAuthority(17);
+    }
+    leader.store->losesAnswers = 1; // of a heartbeat, which is repeated only after an outage
+    leader.checkAuthority(800);
+    leader.store->isDown = true;
+    leader.checkAuthority(1500);
+    leader.store->isDown = false;
+    leader.checkAuthority(1500);
+    BOOST_TEST(!leader.isLost);
+}
+
+//! Guards against two runs at once: a claim whose answer came late gave authority from the answer on.
+BOOST_AUTO_TEST_CASE(authority_counts_from_the_claim_and_not_from_its_answer)
+{
+    Leader leader(std::chrono::milliseconds(1500));
+    leader.checkAuthority(3000);
+    BOOST_TEST(bool(leader.log));
+}
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -74,8 +74,8 @@
         if (const auto it = self.lock())
             it->m_hooks.rejectedByStore();
     };
-    m_log = lead::LeaderLog::create(m_dependencies.loop, m_dependencies.store, m_won.leader, m_won.leaderVersion,
-        m_won.headVersion, m_dependencies.leaderTimes, std::move(hooks));
+    m_log = lead::LeaderLog::create(
+        m_dependencies.loop, m_dependencies.store, m_won, m_dependencies.leaderTimes, std::move(hooks));
     m_log->start();
     readTable("jobs", "");
     tick();
--- a/src/store/testing/fakerowstore.h
+++ b/src/store/testing/fakerowstore.h
@@ -22,6 +22,7 @@
     std::function<bool(const RowUpdate&)> rejects; //!< rejects all transactions with such an update
     int rejectsAll = 0; //!< number of next commits that are rejected, whatever they contain
     core::Duration latency = std::chrono::milliseconds(8);
+    core::Duration commitAnswerDelay {}; //!< by which the answer to a commit comes later than its effect
     std::map<RowKey, StoredRow> rows;
     std::map<RowKey, StoredRow> deleted; //!< deleted rows, reported as changes
     std::uint64_t version = 0;
@@ -32,7 +33,13 @@
 
     void commit(RowTransaction transaction, std::function<void(CommitResult)> callback) override
     {
-        m_loop->callAfter(latency, [this, transaction, callback] { callback(apply(transaction)); });
+        m_loop->callAfter(latency, [this, transaction, callback] {
+            const CommitResult result = apply(transaction);
+            if (commitAnswerDelay > core::Duration(0))
+                m_loop->callAfter(commitAnswerDelay, [callback, result] { callback(result); });
+            else
+                callback(result);
+        });
     }
     void read(const std::string& table, const std::string& part, const std::string& after,
         std::function<void(PageResult)> callback) override
