Confirm the leadership before acting on silence

Cause: a leader without contact to a worker takes its runs for lost after 6.6 to 10.1 s, and may give orders until 12 s after its last heartbeat. The next leader is elected after 2.4 s and acknowledges the ends on every worker that it reaches. So the former one started tasks again that were done. The same cause elsewhere: a leader that had been replaced passed its own barrier by time, while a third one had reached the workers that it waited for and adopted their runs.

Change: a run counts as lost, and a barrier as passed by time, only once a heartbeat has taken effect that was sent afterwards, with an answer within 1.2 s, before which no other node claims. A run that a late report lists meanwhile goes on. Ends and failures that a worker reports need no confirmation: its report shows that it obeys this leader. Cost: one group of the store, about 20 ms; in an outage of the store lost runs start again only after it.

--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -143,6 +143,28 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against two runs at once: a leader that had been replaced passed its barrier by time, although a later leader
+//! had reached the workers that it waited for, and had adopted their runs.
+BOOST_AUTO_TEST_CASE(leader_that_was_replaced_does_not_pass_its_barrier_by_time)
+{
+    DividedCell cell(3, 6, longWorkMs);
+    const int second = (cell.first + 1) % 3;
+    const int third = (cell.first + 2) % 3;
+    cell.cutStore(cell.first);
+    cell.cutStore(third);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutOff(second, cell.busy);
+    cell.cutOff(third, cell.idle);
+    cell.advance(ms(5500));
+    BOOST_TEST(cell.leader() == second);
+    cell.node(third).links.store = StoreLink::Up;
+    cell.advance(ms(900));
+    cell.cutStore(second);
+    cell.advance(ms(13'000));
+    BOOST_TEST(cell.leader() == third);
+    cell.checkNothingRanTwice();
+}
+
 //! Guards against two runs at once: a leader that was cut off from the store, but reached most workers, extended their
 //! leases for ever, and the next leader counted them as ended after authority and lease.
 BOOST_AUTO_TEST_CASE(leader_without_authority_does_not_extend_leases_because_it_reaches_most_workers)
--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinerun::lead {
 
@@ -84,9 +85,30 @@
     return groupTime * groups + (m_isGroupOpen ? groupTime - openTime : core::Duration(0));
 }
 
+void LeaderLog::confirmLeadership(std::function<void()> confirmed)
+{
+    m_confirmations.push_back({ m_sequence + 1, std::move(confirmed) });
+    scheduleWake(core::Duration(0));
+}
+
+void LeaderLog::runConfirmations()
+{
+    // After a later answer, another node may have claimed the leadership meanwhile.
+    if (!m_groupHasHeartbeat || m_loop->now() - m_groupAt >= m_times.suspectedLeaderTimeout)
+        return;
+    const auto isAnswered = [this](const Confirmation& it) { return it.sequence <= m_sequence; };
+    const auto end = std::stable_partition(m_confirmations.begin(), m_confirmations.end(), isAnswered);
+    std::vector<Confirmation> answered(std::make_move_iterator(m_confirmations.begin()), std::make_move_iterator(end));
+    m_confirmations.erase(m_confirmations.begin(), end);
+    for (const Confirmation& it : answered)
+        it.confirmed();
+}
+
 bool LeaderLog::isHeartbeatDue() const
 {
-    return m_leader.isReleased ? m_pending.empty() : m_loop->now() >= m_heartbeatAt;
+    if (m_leader.isReleased)
+        return m_pending.empty();
+    return m_loop->now() >= m_heartbeatAt || !m_confirmations.empty();
 }
 
 void LeaderLog::scheduleWake(core::Duration delay)
@@ -113,7 +135,7 @@
     if (m_isStopped || m_isInFlight)
         return;
     if (!m_isGroupOpen) {
-        if (m_pending.empty() && !isHeartbeatDue()) {
+        if (!mustWrite()) {
             scheduleWake(m_heartbeatAt - m_loop->now());
             return;
         }
@@ -196,6 +218,7 @@
         m_hooks.availability(true);
     const std::vector<Pending> group = std::exchange(m_group, {});
     m_isStopped = m_groupReleases;
+    runConfirmations();
     const bool isIdle = m_pending.empty() && !m_leader.isReleased;
     scheduleWake(isIdle ? m_heartbeatAt - m_loop->now() : core::Duration(0));
     if (!group.empty())
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -55,6 +55,10 @@
     //! Removes a queued value of a row. Returns true only if it was queued and no value was sent that may get
     //! persisted.
     bool withdraw(const store::RowKey& key);
+    //! Calls `confirmed` once a heartbeat that was sent after this call has taken effect, and its answer came so soon
+    //! that no other node can lead yet. What silence has suggested may then be acted on. Never calls it after a
+    //! replacement.
+    void confirmLeadership(std::function<void()> confirmed);
     //! Releases the leadership in the leader's row once all values are persisted, then calls `done`.
     void release(bool isOverloaded, std::function<void()> done);
 
@@ -83,6 +87,8 @@
         LeaderLogHooks hooks);
     void scheduleWake(core::Duration delay);
     void onWake();
+    bool mustWrite() const { return !m_pending.empty() || isHeartbeatDue() || !m_confirmations.empty(); }
+    void runConfirmations();
     bool isHeartbeatDue() const;
     void formGroup();
     void sendGroup();
@@ -129,6 +135,12 @@
     core::TimePoint m_heartbeatAt {};
     //! When the last heartbeat that succeeded, or else the claim, was first sent. Other nodes have seen it later.
     core::TimePoint m_heartbeatSentAt {};
+    //! A question whether this leader still leads.
+    struct Confirmation {
+        std::uint64_t sequence = 0; //!< number of the first group that answers it
+        std::function<void()> confirmed;
+    };
+    std::vector<Confirmation> m_confirmations;
     std::function<void()> m_released;
 };
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -124,7 +124,9 @@
     void removeWorker(const core::VmId& id);
     //! Passes the barrier, and returns true, once no run of a former leader can be there unnoticed. Until then no task
     //! of a recovered job starts.
-    bool tryPassBarrier();
+    bool tryPassBarrier(bool isLeadershipConfirmed = false);
+    //! Asks whether this leader still leads, and tries to pass the barrier again then.
+    void confirmBarrier();
     //! Logs that the barrier is passed, and each worker that counts as settled without having listed its runs.
     void logBarrier(core::TimePoint now) const;
     void stopPartialGangs();
@@ -140,6 +142,13 @@
     //! Acknowledges the end of a run of an ended job once the job's final state is persisted.
     void acknowledgeWithJob(Worker& worker, fleet::EndNumber number, const JobPtr& job);
     void onRunTerminated(Worker& worker, const fleet::RunId& run, const RunTermination& termination);
+    //! Returns whether the task's current run is this one on this worker.
+    static bool isCurrentRun(const TaskProgress& task, const core::VmId& worker, const fleet::RunId& run);
+    //! Ends a run that no report shows any more, once it is certain that no later leader knows more about it.
+    void confirmLoss(const core::VmId& worker, const fleet::RunId& run, const RunTermination& termination);
+    //! Makes a task ready to start again, whose current run is over.
+    void endCurrentRun(const JobPtr& job, Stage& stage, const core::VmId& worker, const fleet::RunId& run,
+        const RunTermination& termination);
     void onProgress(Worker& worker, const fleet::RunId& run, double share, core::Duration elapsed);
     void onReport(Worker& worker);
     static core::Duration timePerPercent(const WorkerRun& run); //!< 0 if unknown
@@ -273,6 +282,7 @@
     core::TimePoint m_wonAt {};
     bool m_areTablesRead = false;
     bool m_isBarrierPassed = false;
+    bool m_isBarrierInQuestion = false; //!< it can be passed by time, and a confirmation of the leadership is awaited
     bool m_isRoundScheduled = false;
     bool m_isReleasing = false;
     bool m_isStopped = false;
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -372,16 +372,22 @@
     return waiting <= contactedAtOnce ? core::Duration(0) : contactInterval * (waiting - contactedAtOnce);
 }
 
-bool EngineImpl::tryPassBarrier()
+bool EngineImpl::tryPassBarrier(bool isLeadershipConfirmed)
 {
     if (m_isBarrierPassed)
         return true;
     const core::TimePoint now = m_dependencies.loop->now();
     if (!m_areTablesRead || !m_registryEntries)
         return false;
+    bool areAllHeard = true;
     for (const auto& [id, worker] : m_workers) {
         if (!worker->areFormerRunsKnown(now))
             return false;
+        areAllHeard = areAllHeard && worker->hasListedAllEnds();
+    }
+    if (!areAllHeard && !isLeadershipConfirmed) {
+        confirmBarrier();
+        return false;
     }
     m_isBarrierPassed = true;
     m_log->setSettled();
@@ -390,6 +396,18 @@
     return true;
 }
 
+void EngineImpl::confirmBarrier()
+{
+    // This leader has not heard some workers. A later one may have, and have acknowledged the ends of their runs.
+    if (std::exchange(m_isBarrierInQuestion, true))
+        return;
+    m_log->confirmLeadership([this] {
+        m_isBarrierInQuestion = false;
+        tryPassBarrier(true);
+        scheduleRound();
+    });
+}
+
 void EngineImpl::logBarrier(core::TimePoint now) const
 {
     std::int64_t listed = 0;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -113,6 +113,14 @@
 {
     const JobPtr job = jobOf(run.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.runId.task) : nullptr;
+    // A run whose loss is not confirmed yet is listed after all.
+    if (stage && isCurrentRun(stage->tasks[run.runId.task.index], worker.id(), run.runId)) {
+        LogLine(Severity::Info, "run-found")
+            .with("task", fleet::textOf(run.runId.task))
+            .with("run", run.runId.run.value())
+            .with("worker", worker.id().value());
+        return { true, roomOf(job->stepOf(*stage)) };
+    }
     const bool isKnown = stage && stage->tasks[run.runId.task.index].state == TaskProgress::State::Pending
         && stage->tasks[run.runId.task.index].orphanedRuns == 0;
     const bool fitsGang = stage && (!job->stepOf(*stage).isGang || stage->isGangRun(run.runId.run));
@@ -280,15 +288,44 @@
         --task.orphanedRuns;
         return;
     }
-    const bool isNewest = task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker.id();
-    if (!isNewest)
+    if (!isCurrentRun(task, worker.id(), run))
         return;
+    if (termination.cause == RunTermination::Cause::Lost)
+        confirmLoss(worker.id(), run, termination);
+    else
+        endCurrentRun(job, *stage, worker.id(), run, termination);
+}
+
+bool EngineImpl::isCurrentRun(const TaskProgress& task, const core::VmId& worker, const fleet::RunId& run)
+{
+    return task.state == TaskProgress::State::Live && task.run == run.run && task.worker == worker;
+}
+
+void EngineImpl::confirmLoss(const core::VmId& worker, const fleet::RunId& run, const RunTermination& termination)
+{
+    // A later leader may have reached the worker, and have read and acknowledged the end of this run.
+    m_log->confirmLeadership([this, worker, run, termination] {
+        const auto [job, stage] = findActive(run.task);
+        if (!stage || !isCurrentRun(stage->tasks[run.task.index], worker, run))
+            return; // its end was reported meanwhile
+        const auto found = m_workers.find(worker);
+        if (found != m_workers.end() && found->second->runs().contains(run))
+            return; // a late report lists it
+        endCurrentRun(job, *stage, worker, run, termination);
+        scheduleRound();
+    });
+}
+
+void EngineImpl::endCurrentRun(const JobPtr& job, Stage& stage, const core::VmId& worker, const fleet::RunId& run,
+    const RunTermination& termination)
+{
+    TaskProgress& task = stage.tasks[run.task.index];
     const core::TimePoint now = m_dependencies.loop->now();
     if (termination.cause != RunTermination::Cause::Ended)
         LogLine(Severity::Info, "run-over")
             .with("task", fleet::textOf(run.task))
             .with("run", run.run.value())
-            .with("worker", worker.id().value())
+            .with("worker", worker.value())
             .with("why", termination.cause == RunTermination::Cause::Lost ? "lost" : "not started")
             .with("ranMs", core::toMs(termination.runTime))
             .with("term", std::int64_t(m_won.leader.term.value()))
@@ -296,14 +333,14 @@
     task.state = TaskProgress::State::Pending;
     if (!termination.checkpoint.empty())
         task.checkpoint = termination.checkpoint;
-    --stage->live;
-    ++stage->pending;
+    --stage.live;
+    ++stage.pending;
     const bool hasNotStarted = termination.cause == RunTermination::Cause::NotStarted;
-    stage->notBefore = now + (hasNotStarted ? startFailurePause : failurePause);
+    stage.notBefore = now + (hasNotStarted ? startFailurePause : failurePause);
     if (hasNotStarted && termination.startFailure == fleet::OrderFailure::Code::BadTicket)
-        stage->advice.tickets.erase(worker.id());
-    if (job->stepOf(*stage).isGang)
-        stopGang(job, *stage);
+        stage.advice.tickets.erase(worker);
+    if (job->stepOf(stage).isGang)
+        stopGang(job, stage);
 }
 
 void EngineImpl::stopGang(const JobPtr& job, Stage& stage)
