Extend leases without authority only while no other node leads

Cause: past its authority a leader went on extending leases while less than a quarter of the workers was silent. If the next leader reaches just those few, no worker ends the former leadership, and after 17.5 s the next leader starts what the former one keeps alive.

Change: past its authority a leader asks every node that it knows twice a second whether it leads; leases are extended for 1.5 s from the oldest answer that it doesn't. A node that does not answer may lead, so then they are not. A new leader's barrier allows for these 1.5 s. Nodes that fall silent together with the store stay known. Cost: an outage of the store of over 17 s in which a node is silent, too, ends the running work; the same in a deployment without advice, where the leader does not know the nodes.

The check that a long outage of the store ends no work, leases_are_extended_in_a_long_outage_of_the_store, expected leases without any evidence, which is the fault; it is replaced by leases_are_extended_in_a_long_outage_of_the_store_while_no_other_node_leads, which also checks that they end without it, and by work_goes_on_in_a_long_outage_of_the_store_while_all_nodes_answer with four real leader tasks over 40 s.

--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -51,6 +51,7 @@
         m_dependencies.leaderTimes, m_dependencies.candidacyDelay, std::move(hooks));
     m_election->start();
     every(leaderQueryPeriod, [this] { queryNextNode(); });
+    every(m_dependencies.leaderTimes.replacementCheckPeriod, [this] { checkReplacement(); });
     every(lagTimerPeriod, [this] { checkLoad(); });
     every(speedSamplePeriod, [this] { sampleSpeed(); });
 }
@@ -106,6 +107,9 @@
     m_yieldPolicy.emplace(now(), won.former && won.former->row.wasOverloaded);
     m_lag.reset();
     m_isYielding = false;
+    m_adviceProxies.clear();
+    for (const core::HostPort& it : m_nodes)
+        m_adviceProxies[it] = now(); // known from the former leader, until they poll this one
     m_advice = scheduling::AdviceQueue::create(loop());
     scheduling::EngineDependencies dependencies { loop(), m_dependencies.store, m_dependencies.orders, m_advice,
         m_dependencies.metrics, m_dependencies.times, m_dependencies.leaderTimes };
@@ -177,6 +181,44 @@
     }
 }
 
+void LeaderTask::checkReplacement()
+{
+    if (!m_engine || now() < m_engine->authorityUntil()) {
+        m_notLeadingAt.clear();
+        return;
+    }
+    const std::weak_ptr weak = std::static_pointer_cast<LeaderTask>(shared_from_this());
+    for (const auto& [address, polledAt] : m_adviceProxies) {
+        if (address == m_dependencies.address)
+            continue;
+        m_notLeadingAt.emplace(address, core::TimePoint());
+        queryNode(address, false,
+            [weak, term = m_term, address, askedAt = now()](const std::optional<protocol::LeaderHint>& hint) {
+                const auto it = weak.lock();
+                if (it && it->m_engine && it->m_term == term)
+                    it->onReplacementAnswer(address, askedAt, hint);
+            });
+    }
+}
+
+void LeaderTask::onReplacementAnswer(
+    const core::HostPort& node, core::TimePoint askedAt, const std::optional<protocol::LeaderHint>& hint)
+{
+    if (!hint || !m_notLeadingAt.contains(node))
+        return;
+    if (hint->leader && hint->leader->term > m_term) {
+        onLeadershipLost("another node knows the leader of a later term");
+        return;
+    }
+    m_notLeadingAt[node] = askedAt;
+    // One node that does not answer may lead.
+    core::TimePoint oldest = askedAt;
+    for (const auto& [address, at] : m_notLeadingAt)
+        oldest = std::min(oldest, at);
+    if (oldest > core::TimePoint())
+        m_engine->setUnreplacedUntil(oldest + m_dependencies.leaderTimes.replacementCheckValidity);
+}
+
 void LeaderTask::sampleSpeed()
 {
     const core::TimePoint before = now();
@@ -374,7 +416,10 @@
 
 protocol::AdviceAssignment LeaderTask::withKnownNodes(protocol::AdviceAssignment assignment)
 {
-    const core::TimePoint oldest = now() - proxyRetention;
+    // Nodes that fell silent together with the store may have elected another leader, so they stay known.
+    const core::TimePoint heardAt
+        = m_engine ? m_engine->authorityUntil() - m_dependencies.leaderTimes.authorityTimeout : now();
+    const core::TimePoint oldest = heardAt - proxyRetention;
     std::erase_if(m_adviceProxies, [oldest](const auto& it) { return it.second < oldest; });
     assignment.nodes.push_back(m_dependencies.address);
     for (const auto& [address, at] : m_adviceProxies)
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -46,6 +46,10 @@
     void queryNode(const core::HostPort& node, bool isRejectedByStore,
         std::function<void(const std::optional<protocol::LeaderHint>&)> callback);
     void inviteOthers();
+    //! Asks the other nodes, while this node leads without authority, whether one of them leads.
+    void checkReplacement();
+    void onReplacementAnswer(
+        const core::HostPort& node, core::TimePoint askedAt, const std::optional<protocol::LeaderHint>& hint);
     //! Measures the load of this VM. A leader that is overloaded rejects new work, or releases the leadership.
     void checkLoad();
     void yieldLeadership();
@@ -81,6 +85,8 @@
     std::vector<core::HostPort> m_nodes; //!< other nodes that may know the leader
     std::size_t m_nextNode = 0; //!< index of the next one to query
     std::map<core::HostPort, core::TimePoint> m_adviceProxies; //!< while leading: time of each node's last poll
+    //! While leading without authority: when each node was asked that has answered that it does not lead.
+    std::map<core::HostPort, core::TimePoint> m_notLeadingAt;
 };
 
 using LeaderTaskPtr = std::shared_ptr<LeaderTask>;
--- a/src/dispatch/tests/partitionedcell.h
+++ b/src/dispatch/tests/partitionedcell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/adviceproxy.h"
 #include "dispatch/leadertask.h"
 #include "fleet/testing/fakeworkers.h"
 #include "runtime/manualloop.h"
@@ -222,7 +223,13 @@
 struct Node;
 using Nodes = std::vector<std::unique_ptr<Node>>;
 
-//! Carries the questions of one node to the leader tasks of others.
+//! An advice service that is never asked, as no queue needs advice.
+class NoAdvice : public fleet::IAdviceClient {
+public:
+    void requestAdvice(const fleet::AdviceRequest&, std::function<void(fleet::AdviceResult)>) override { }
+};
+
+//! Carries the questions and polls of one node to the leader tasks of others.
 class NodeClient : public http::IHttpClient {
 public:
     NodeClient(runtime::ILoopPtr loop, core::HostPort self, Nodes& nodes)
@@ -234,6 +241,9 @@
     void send(http::ClientRequest request, http::ClientCallback callback) override;
 
 private:
+    using Answer = std::function<void(std::string body)>;
+    static LeaderMessage messageOf(const http::ClientRequest& request, const runtime::ILoopPtr& loop, Answer answer);
+
     runtime::ILoopPtr m_loop;
     core::HostPort m_self;
     Nodes& m_nodes;
@@ -245,6 +255,7 @@
     std::shared_ptr<NodeLoop> loop;
     std::shared_ptr<PartitionedStore> store;
     std::shared_ptr<LeaderTask> task;
+    AdviceProxyPtr adviceProxy; //!< by its polls the leader knows the nodes
     bool isLeading = false;
     std::uint64_t term = 0; //!< of the leader that it knows
 };
@@ -260,12 +271,26 @@
         m_nodes.begin(), m_nodes.end(), [&request](const auto& it) { return it->address == request.to; });
     if (found == m_nodes.end() || (*found)->links.cutNodes.contains(m_self))
         return;
+    (*found)->task->address().send(messageOf(request, m_loop, [answer](std::string body) {
+        if (const auto callback = std::exchange(*answer, nullptr))
+            callback(http::Response { 200, {}, std::move(body), {} });
+    }));
+}
+
+inline LeaderMessage NodeClient::messageOf(
+    const http::ClientRequest& request, const runtime::ILoopPtr& loop, Answer answer)
+{
+    if (request.target == protocol::advicePollPath) {
+        auto reply = [answer = std::move(answer)](
+                         const protocol::AdviceAssignment& it) { answer(protocol::encodeAdviceAssignment(it)); };
+        return PollAdvice { protocol::decodeAdvicePoll(request.body),
+            runtime::Reply<protocol::AdviceAssignment>(loop, std::move(reply)) };
+    }
     const protocol::LeaderHint hint = protocol::decodeLeaderHint(request.body);
-    (*found)->task->address().send(LeaderQuery { hint.isLeading ? hint.leader : std::nullopt, hint.isRejectedByStore,
-        runtime::Reply<protocol::LeaderHint>(m_loop, [answer](const protocol::LeaderHint& it) {
-            if (const auto callback = std::exchange(*answer, nullptr))
-                callback(http::Response { 200, {}, protocol::encodeLeaderHint(it), {} });
-        }) });
+    auto reply
+        = [answer = std::move(answer)](const protocol::LeaderHint& it) { answer(protocol::encodeLeaderHint(it)); };
+    return LeaderQuery { hint.isLeading ? hint.leader : std::nullopt, hint.isRejectedByStore,
+        runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) };
 }
 
 //! Several nodes, one store and some workers on one paused clock, with links that can be cut one by one. Tasks run for
@@ -443,15 +468,20 @@
         dependencies.orders = std::make_shared<PartitionedOrders>(it->loop, workers, it->links);
         dependencies.makeRegistry
             = [this, loop = it->loop] { return std::make_shared<FixedRegistry>(loop, m_entries); };
-        dependencies.client = std::make_shared<NodeClient>(it->loop, it->address, m_nodes);
+        const auto client = std::make_shared<NodeClient>(it->loop, it->address, m_nodes);
+        dependencies.client = client;
         dependencies.metrics = telemetry::Metrics::create();
         dependencies.self = core::NodeId("n" + std::to_string(n));
         dependencies.address = it->address;
         dependencies.update = [node = it.get()](const LeaderUpdate& update) {
             node->isLeading = update.isSelf;
             node->term = update.leader ? update.leader->term.value() : 0;
+            node->adviceProxy->address().send(update);
         };
+        const core::NodeId id = dependencies.self;
         it->task = LeaderTask::create(it->loop, std::move(dependencies));
+        it->adviceProxy
+            = AdviceProxy::create(it->loop, client, it->task->address(), std::make_shared<NoAdvice>(), id, it->address);
         it->task->address().send(configuration());
         m_nodes.push_back(std::move(it));
     }
--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -184,4 +184,21 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against work that is lost in a long outage of the store, in which no other node can lead.
+BOOST_AUTO_TEST_CASE(work_goes_on_in_a_long_outage_of_the_store_while_all_nodes_answer)
+{
+    DividedCell cell(4, 6, longWorkMs);
+    cell.advance(ms(2000));
+    for (int n = 0; n < 4; ++n)
+        cell.cutStore(n);
+    cell.advance(ms(40'000));
+    BOOST_TEST(cell.workersOf("a").size() == cell.busy.size());
+    for (int n = 0; n < 4; ++n)
+        cell.node(n).links.store = StoreLink::Up;
+    cell.advance(ms(10'000));
+    BOOST_TEST(cell.workersOf("a").size() == cell.busy.size());
+    BOOST_TEST(cell.starts == 2);
+    cell.checkNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -20,11 +20,14 @@
     const FormerLeader& former, bool isGone, core::TimePoint now, const LeaderTimes& times)
 {
     const bool hasStopped = isGone || former.row.isReleased;
-    core::TimePoint end = hasStopped ? now : former.seenAt + times.authorityTimeout;
+    core::TimePoint end = now;
+    // A leader without authority may extend leases while this node's last answer that it does not lead counts.
+    if (!hasStopped)
+        end = std::max(former.seenAt + times.authorityTimeout, now + times.replacementCheckValidity);
     // A leader that has stopped says nothing about those before it, which may be cut off, but alive.
     if (!former.row.isSettled)
         end = std::max(end, former.termSeenAt + times.authorityTimeout);
-    return std::max(end, now);
+    return end;
 }
 
 ElectionPtr Election::create(runtime::ILoopPtr loop, store::IRowStorePtr store, core::NodeId self,
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -45,6 +45,10 @@
     core::Duration spread = std::chrono::milliseconds(300); //!< range over which candidacies are spread
     //! A leader that has not reached the store for this long sends no more orders.
     core::Duration authorityTimeout = std::chrono::seconds(12);
+    //! How often a leader without authority asks the other nodes whether one of them leads.
+    core::Duration replacementCheckPeriod = std::chrono::milliseconds(500);
+    //! How long an answer that none of them leads counts, from the question on.
+    core::Duration replacementCheckValidity = std::chrono::milliseconds(1500);
     core::Duration rejectionTimeout
         = std::chrono::milliseconds(350); //!< how long the store must reject the leader before it invites others
     core::Duration groupInterval = std::chrono::milliseconds(12); //!< minimum interval between two writes
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -55,6 +55,10 @@
     virtual void release(bool isOverloaded, std::function<void()> done) = 0;
     //! Sets how late the loop's timers are. While they are too late, new jobs are refused.
     virtual void setLoopLateness(core::Duration lateness) = 0;
+    //! Returns the time until which this leader's orders cannot collide with those of another leader.
+    virtual core::TimePoint authorityUntil() const = 0;
+    //! Sets until when it is known, without authority, that no other node gives orders. Leases are extended until then.
+    virtual void setUnreplacedUntil(core::TimePoint until) = 0;
     //! Notifies the engine that the former leader sends no more orders.
     virtual void setFormerLeaderGone() = 0;
 };
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -35,6 +35,8 @@
     void handle(const workflow::WorkflowCall& call, AnswerCallback callback) override;
     void release(bool isOverloaded, std::function<void()> done) override;
     void setLoopLateness(core::Duration lateness) override { m_loopLateness = lateness; }
+    core::TimePoint authorityUntil() const override { return m_log->authorityUntil(); }
+    void setUnreplacedUntil(core::TimePoint until) override { m_unreplacedUntil = until; }
     void setFormerLeaderGone() override;
 
 private:
@@ -279,6 +281,7 @@
     std::map<std::uint32_t, std::string> m_rosterRows; //!< values by number of the row, as last read or written
     std::set<std::uint32_t> m_outdatedRosterRows; //!< to be written by `persistRoster`
     core::TimePoint m_priorLeaseUntil {}; //!< leases of former leaders have expired by then
+    core::TimePoint m_unreplacedUntil {}; //!< until then no other node gives orders, with or without authority
     core::TimePoint m_wonAt {};
     bool m_areTablesRead = false;
     bool m_isBarrierPassed = false;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -92,9 +92,8 @@
     if (m_log->mayBeReleased())
         return false;
     // In an outage of the store no other node can be elected, and work must go on. A leader that is cut off can't tell
-    // this from an outage that is its own. While it reaches most workers, a later leader reaches some of them, too, and
-    // these reject its orders; otherwise it might keep runs alive that the later leader takes for ended.
-    return m_dependencies.loop->now() < m_log->authorityUntil() || !isLeaderIsolated();
+    // this from an outage that is its own, so it goes by what the other nodes say.
+    return m_dependencies.loop->now() < std::max(m_log->authorityUntil(), m_unreplacedUntil);
 }
 
 EngineImpl::JobPtr EngineImpl::jobOf(const core::JobId& id) const
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -533,13 +533,20 @@
     BOOST_TEST(cell.worker("w1").running.empty()); // its lease has expired
 }
 
-BOOST_AUTO_TEST_CASE(leases_are_extended_in_a_long_outage_of_the_store)
+//! Guards against work that is lost in a long outage of the store, and against leases that a leader without authority
+//! extends although another node may lead.
+BOOST_AUTO_TEST_CASE(leases_are_extended_in_a_long_outage_of_the_store_while_no_other_node_leads)
 {
     Cell cell;
     cell.lead();
     cell.submit(jobOf("a", 2, 3000));
     cell.advance(ms(500));
     cell.store->isDown = true;
-    cell.advance(cell.leaderTimes.authorityTimeout + ms(20'000));
+    for (int n = 0; n < 64; ++n) {
+        cell.advance(cell.leaderTimes.replacementCheckPeriod);
+        cell.engine->setUnreplacedUntil(cell.loop->now() + cell.leaderTimes.replacementCheckValidity);
+    }
     BOOST_TEST(cell.running() == 2u);
+    cell.advance(cell.leaderTimes.replacementCheckValidity + cell.times.lease * 11 / 10 + ms(200));
+    BOOST_TEST(cell.running() == 0u);
 }
