Ignore the answer to a claim once a later term has begun

Cause: a claim that took effect, but whose answer came seconds later, made its node lead although another one had won the next term meanwhile. It noticed with the next heartbeat that it saw; without the store it would have had authority until then.

Evidence: claim_that_is_answered_after_a_later_term_has_begun_wins_nothing failed before and passes.

--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -183,6 +183,8 @@
         }
         return;
     }
+    if (m_row && m_row->term > claim.leader.term)
+        return; // the answer came so late that another node has won a later term
     WonElection won;
     won.leader = claim.leader;
     won.leaderVersion = result.value();
--- a/src/lead/tests/leaderlog_tests.cpp
+++ b/src/lead/tests/leaderlog_tests.cpp
@@ -160,3 +160,25 @@
     leader.checkAuthority(3000);
     BOOST_TEST(bool(leader.log));
 }
+
+//! Guards against two leaders: a node whose claim was answered only after another node had won a later term began to
+//! lead.
+BOOST_AUTO_TEST_CASE(claim_that_is_answered_after_a_later_term_has_begun_wins_nothing)
+{
+    Leader leader(std::chrono::milliseconds(4500));
+    std::vector<std::string> winners;
+    const auto candidate = [&](const char* name) {
+        ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<LeaderRow>&) {};
+        hooks.won = [&winners, name](const WonElection&) { winners.emplace_back(name); };
+        auto it = Election::create(leader.loop, leader.store, core::NodeId(name), { "127.0.0.1", 7001 }, leader.times,
+            core::Duration(0), std::move(hooks));
+        it->start();
+        return it;
+    };
+    leader.store->commitAnswerDelay = {};
+    const ElectionPtr other = candidate("n2");
+    leader.advance(4500); // the claim of n1 has been answered
+    BOOST_TEST(winners.size() == 1u);
+    BOOST_TEST(!leader.log);
+}
