--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -184,6 +184,28 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against a leader that goes on for ever although a node that it reaches knows its successor.
+BOOST_AUTO_TEST_CASE(leader_without_authority_ends_when_another_node_knows_a_later_term)
+{
+    DividedCell cell(3, 6, longWorkMs);
+    const int second = (cell.first + 1) % 3;
+    const int third = (cell.first + 2) % 3;
+    cell.cutStore(cell.first);
+    cell.node(third).links.store = StoreLink::Silent; // until the second node has won
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutOff(second, cell.busy);
+    cell.setNodeCut(second, third, false);
+    cell.advance(ms(4000));
+    BOOST_REQUIRE(cell.leader() == second);
+    cell.node(third).links.store = StoreLink::Up;
+    cell.advance(ms(2000));
+    BOOST_REQUIRE(cell.node(third).term == 2u);
+    cell.setNodeCut(cell.first, third, false);
+    cell.advance(ms(8000));
+    BOOST_TEST(!cell.node(cell.first).isLeading);
+    cell.checkNothingRanTwice();
+}
+
 //! Guards against a caller who is told that there is no such job by a leader that has been replaced, although the next
 //! one has accepted the job.
 BOOST_AUTO_TEST_CASE(leader_that_may_have_been_replaced_does_not_deny_a_job)
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -73,8 +73,12 @@
     core::Duration expectedDelay() const;
     //! Returns the time until which this leader's orders cannot collide with those of another leader.
     core::TimePoint authorityUntil() const { return m_heartbeatSentAt + m_times.authorityTimeout; }
-    //! Returns whether another node may lead by now, as this one's last heartbeat is so old.
-    bool mayBeReplaced() const { return m_loop->now() - m_heartbeatSentAt >= m_times.suspectedLeaderTimeout; }
+    //! Returns whether another node may lead by now: this one's last heartbeat is old, or the store turns it away,
+    //! which makes it invite others.
+    bool mayBeReplaced() const
+    {
+        return !m_isUp || m_loop->now() - m_heartbeatSentAt >= m_times.suspectedLeaderTimeout;
+    }
     core::Epoch term() const { return m_leader.term; }
 
 private:
