Test: a repeated heartbeat that carries the release; fails

Callers can see tasks run twice: LeaderLog::sendGroup encodes m_leader anew when it repeats a group, so a heartbeat formed before release() carries the release, while m_groupReleases, and with it mayBeReleased(), stays false. If that answer is lost, the leader extends leases for the rest of its 12 s, and the next leader waits for one lease only. After a received answer the log does not stop either.

--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -201,4 +201,35 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against two runs at once: a heartbeat that was sent again after the release had begun carried the release,
+//! but did not count as one. When its answer was lost, the leader went on extending leases.
+BOOST_AUTO_TEST_CASE(leader_whose_repeated_heartbeat_carries_the_release_extends_no_leases)
+{
+    DividedCell cell(2, 6, longWorkMs);
+    Node& first = cell.node(cell.first);
+    for (const int it : cell.idle)
+        cell.setWorkerCut(cell.first, it, true);
+    for (const int it : cell.busy)
+        cell.setWorkerCut(cell.other(), it, true);
+    cell.cutStore(cell.first);
+    cell.advance(ms(900)); // a heartbeat has been sent, and was lost
+    first.task->address().send(StepDown {});
+    cell.advance(ms(50));
+    first.links.store = StoreLink::Up;
+    first.store->commitAnswerDelay = ms(20);
+    const auto isReleased = [&cell] {
+        const auto row = lead::decodeLeaderRow(cell.store->rows.at(lead::leaderKey()).value);
+        return row && row->isReleased;
+    };
+    for (int n = 0; n < 1000 && !isReleased(); ++n)
+        cell.advance(ms(1));
+    BOOST_REQUIRE(isReleased());
+    BOOST_TEST(cell.leader() == cell.first);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutStore(cell.first); // the answer is lost
+    cell.advance(ms(10'000));
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
