--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -232,4 +232,23 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against two runs at once: a node that the leader has not heard for ten seconds is not asked whether it leads.
+//! When it does, a leader without authority goes on extending leases on the word of the others.
+BOOST_AUTO_TEST_CASE(leader_without_authority_extends_no_leases_while_a_node_that_was_cut_off_earlier_may_lead)
+{
+    DividedCell cell(3, 10, longWorkMs);
+    const int next = (cell.first + 1) % 3;
+    const int last = (cell.first + 2) % 3;
+    cell.cutOff(next, cell.busy);
+    cell.advance(ms(12'000)); // all nodes reach the store, so nothing changes
+    BOOST_REQUIRE(cell.leader() == cell.first);
+    for (const int it : cell.idle)
+        cell.setWorkerCut(cell.first, it, true);
+    cell.cutStore(cell.first);
+    cell.cutStore(last);
+    cell.advance(ms(25'000));
+    BOOST_TEST(cell.leader() == next);
+    cell.checkNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
