Test: a start that was decided before a pause; fails

Callers can see tasks run twice: runRound checks the authority once, but Worker::startRun computes the lease from the time at which it sends. A leader that is paused in a round goes on with it and gives leases of 5 s from then on, so a worker that the next leader has not reached starts a task that the next leader counts as free.

--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -468,3 +468,66 @@
     BOOST_TEST(!cell.store->rows.contains(store::RowKey { "jobs", "", "a" }));
     BOOST_TEST(cell.starts() == 0u);
 }
+
+namespace {
+
+//! Orders of a leader whose process is paused after it has sent a start order.
+class OrdersBeforePause : public fleet::IWorkerOrders {
+public:
+    explicit OrdersBeforePause(Cell& cell)
+        : m_cell(cell)
+    {
+    }
+
+    void start(const fleet::WorkerAddress& to, const fleet::StartOrder& order,
+        std::function<void(fleet::OrderResult)> callback) override
+    {
+        leases.push_back(order.leaseUntil);
+        m_cell.workers->start(to, order, std::move(callback));
+        if (std::exchange(m_pause, core::Duration(0)) > core::Duration(0)) {
+            m_cell.store->isDown = true; // for this leader; meanwhile another one leads
+            m_cell.clock->advance(pause);
+        }
+    }
+    void stop(const fleet::WorkerAddress& to, const fleet::StopOrder& order,
+        std::function<void(fleet::OrderResult)> callback) override
+    {
+        m_cell.workers->stop(to, order, std::move(callback));
+    }
+    void limitCpu(const fleet::WorkerAddress& to, const fleet::CpuLimitOrder& order,
+        std::function<void(fleet::OrderResult)> callback) override
+    {
+        m_cell.workers->limitCpu(to, order, std::move(callback));
+    }
+    void renewLease(const fleet::WorkerAddress& to, const fleet::LeaseRenewal& order,
+        std::function<void(fleet::LeaseRenewalResult)> callback) override
+    {
+        m_cell.workers->renewLease(to, order, std::move(callback));
+    }
+
+    std::vector<fleet::WorkerClock> leases; //!< of the start orders that were sent
+    static constexpr core::Duration pause = std::chrono::seconds(20); //!< longer than authority and lease
+
+private:
+    Cell& m_cell;
+    core::Duration m_pause = pause;
+};
+
+} // namespace
+
+//! Guards against two runs at once: a leader that was paused between the check of its authority and an order gave that
+//! order a lease from the time at which it went on, so the worker does not refuse it as late.
+BOOST_AUTO_TEST_CASE(start_that_was_decided_before_a_pause_has_a_lease_of_its_decision)
+{
+    Cell cell;
+    const auto orders = std::make_shared<OrdersBeforePause>(cell);
+    cell.orders = orders;
+    cell.lead();
+    BOOST_REQUIRE((cell.submit(jobOf("a", 2, 1000)) == WorkflowOutcome::Accepted));
+    cell.advance(ms(30));
+    BOOST_REQUIRE(orders->leases.size() == 2u);
+    // The next leader counts on no lease after this.
+    const core::TimePoint end = cell.engine->authorityUntil() + cell.times.lease * 11 / 10;
+    for (const fleet::WorkerClock it : orders->leases)
+        BOOST_TEST(it.value() <= end.time_since_epoch() / std::chrono::milliseconds(1));
+}
