Test: the wait after several leaders that released; fails

Callers can see accepted jobs wait: a leader that has released before its barrier was passed is not settled, so the next one waits for 12 s and a lease from the term of that one, even if each former leader has released. Each further hand-over within that time begins the wait anew. One silent worker is enough.

Evidence: with one release the waiting tasks start 5.5 s after the election, with two of them, 4 s apart, 13.5 s after the second election.

--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -288,4 +288,28 @@
     }
 }
 
+//! Guards against accepted jobs that wait after each release of the leadership: all former leaders have released, so
+//! the leader has to wait for no more than one lease of a silent worker.
+BOOST_AUTO_TEST_CASE(leader_after_several_that_released_waits_for_one_lease_of_a_silent_worker)
+{
+    DividedCell cell(3, 6, longWorkMs);
+    BOOST_REQUIRE(cell.submit(cell.first, "b", 30, 2000) == WorkflowOutcome::Accepted);
+    cell.advance(ms(1000)); // the others wait for room
+    for (int n = 0; n < 3; ++n)
+        cell.setWorkerCut(n, cell.idle[0], true);
+    for (int n = 0; n < 2; ++n) {
+        const int leader = cell.leader();
+        cell.node(leader).task->address().send(StepDown {});
+        for (int k = 0; k < 200 && (cell.leader() == leader || cell.leader() < 0); ++k)
+            cell.advance(ms(10));
+        BOOST_REQUIRE((cell.leader() != leader && cell.leader() >= 0));
+        if (n == 0)
+            cell.advance(ms(4000));
+    }
+    const int before = cell.starts;
+    cell.advance(ms(5500 + 1000));
+    BOOST_TEST(cell.starts > before);
+    cell.checkNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
