--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -239,4 +239,115 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against two runs at once: a heartbeat that was sent again after the release had begun carried the release,
+//! but did not count as one. When its answer was lost, the leader went on extending leases.
+BOOST_AUTO_TEST_CASE(leader_whose_repeated_heartbeat_carries_the_release_extends_no_leases)
+{
+    DividedCell cell(2, 6, longWorkMs);
+    Node& first = cell.node(cell.first);
+    for (const int it : cell.idle)
+        cell.setWorkerCut(cell.first, it, true);
+    for (const int it : cell.busy)
+        cell.setWorkerCut(cell.other(), it, true);
+    cell.cutStore(cell.first);
+    cell.advance(ms(900)); // a heartbeat has been sent, and was lost
+    first.task->address().send(StepDown {});
+    cell.advance(ms(50));
+    first.links.store = StoreLink::Up;
+    first.store->commitAnswerDelay = ms(20);
+    const auto isReleased = [&cell] {
+        const auto row = lead::decodeLeaderRow(cell.store->rows.at(lead::leaderKey()).value);
+        return row && row->isReleased;
+    };
+    for (int n = 0; n < 1000 && !isReleased(); ++n)
+        cell.advance(ms(1));
+    BOOST_REQUIRE(isReleased());
+    BOOST_TEST(cell.leader() == cell.first);
+    cell.cutOff(cell.first, cell.idle);
+    cell.cutStore(cell.first); // the answer is lost
+    cell.advance(ms(10'000));
+    BOOST_TEST(cell.leader() == cell.other());
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against two runs at once: a node that the leader has not heard for ten seconds is not asked whether it leads.
+//! When it does, a leader without authority goes on extending leases on the word of the others.
+BOOST_AUTO_TEST_CASE(leader_without_authority_extends_no_leases_while_a_node_that_was_cut_off_earlier_may_lead)
+{
+    DividedCell cell(3, 10, longWorkMs);
+    const int next = (cell.first + 1) % 3;
+    const int last = (cell.first + 2) % 3;
+    cell.cutOff(next, cell.busy);
+    cell.advance(ms(12'000)); // all nodes reach the store, so nothing changes
+    BOOST_REQUIRE(cell.leader() == cell.first);
+    for (const int it : cell.idle)
+        cell.setWorkerCut(cell.first, it, true);
+    cell.cutStore(cell.first);
+    cell.cutStore(last);
+    cell.advance(ms(25'000));
+    BOOST_TEST(cell.leader() == next);
+    cell.checkNothingRanTwice();
+}
+
+//! Guards against two runs at once: a leader after one that released counts on the end of the one before it, which may
+//! extend leases for as long as this node's last answer counts that it does not lead.
+BOOST_AUTO_TEST_CASE(leader_after_one_that_released_in_an_outage_waits_for_leases_extended_on_its_own_word)
+{
+    for (int phase = 0; phase < 1000; phase += 200) {
+        DividedCell cell(3, 6, longWorkMs);
+        cell.cutStore(cell.first);
+        for (int n = 0; n < 3; ++n) {
+            for (const int it : n == cell.first ? cell.idle : cell.busy)
+                cell.setWorkerCut(n, it, true);
+        }
+        for (const int n : { 1, 2 })
+            cell.setNodeCut(cell.first, (cell.first + n) % 3, true);
+        cell.advance(ms(3500));
+        const int second = cell.leader();
+        const int third = 3 - cell.first - second;
+        BOOST_REQUIRE((second >= 0 && second != cell.first));
+        cell.node(second).task->address().send(StepDown {});
+        for (int n = 0; n < 500 && cell.node(third).term > 0; ++n)
+            cell.advance(ms(1));
+        cell.cutStore(second);
+        cell.cutStore(third);
+        for (const int n : { second, third })
+            cell.setNodeCut(cell.first, n, false);
+        cell.advance(ms(15'000 + phase)); // the first leader extends leases, as no node leads
+        BOOST_REQUIRE(cell.workersOf("a").size() == cell.busy.size());
+        cell.node(third).links.store = StoreLink::Up;
+        for (int n = 0; n < 3000 && !cell.node(third).isLeading; ++n)
+            cell.advance(ms(1));
+        BOOST_REQUIRE(cell.node(third).isLeading);
+        cell.setNodeCut(cell.first, third, true);
+        cell.setNodeCut(cell.first, second, true);
+        cell.advance(ms(9000));
+        cell.checkNothingRanTwice();
+    }
+}
+
+//! Guards against accepted jobs that wait after each release of the leadership: all former leaders have released, so
+//! the leader has to wait for no more than one lease of a silent worker.
+BOOST_AUTO_TEST_CASE(leader_after_several_that_released_waits_for_one_lease_of_a_silent_worker)
+{
+    DividedCell cell(3, 6, longWorkMs);
+    BOOST_REQUIRE(cell.submit(cell.first, "b", 30, 2000) == WorkflowOutcome::Accepted);
+    cell.advance(ms(1000)); // the others wait for room
+    for (int n = 0; n < 3; ++n)
+        cell.setWorkerCut(n, cell.idle[0], true);
+    for (int n = 0; n < 2; ++n) {
+        const int leader = cell.leader();
+        cell.node(leader).task->address().send(StepDown {});
+        for (int k = 0; k < 200 && (cell.leader() == leader || cell.leader() < 0); ++k)
+            cell.advance(ms(10));
+        BOOST_REQUIRE((cell.leader() != leader && cell.leader() >= 0));
+        if (n == 0)
+            cell.advance(ms(4000));
+    }
+    const int before = cell.starts;
+    cell.advance(ms(5500 + 1000));
+    BOOST_TEST(cell.starts > before);
+    cell.checkNothingRanTwice();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
