Repeat a heartbeat as it was first sent

Cause: a group that was sent again encoded the leader's row anew. A heartbeat formed before the release then carried the release, but did not count as one, so the leader went on extending leases when the answer was lost.

Change: the row is kept with the group.

--- a/src/lead/internal/leaderlog.cpp
+++ b/src/lead/internal/leaderlog.cpp
@@ -159,6 +159,7 @@
     m_groupReleases = m_groupHasHeartbeat && m_leader.isReleased;
     if (m_groupHasHeartbeat)
         ++m_leader.heartbeat;
+    m_groupLeader = m_leader;
     ++m_sequence;
     m_isGroupOpen = true;
     m_groupAt = m_loop->now();
@@ -176,7 +177,7 @@
     transaction.conditions = { { leaderKey(), m_leaderVersion }, { headKey(), m_headVersion } };
     transaction.updates.push_back({ headKey(), headValue() });
     if (m_groupHasHeartbeat)
-        transaction.updates.push_back({ leaderKey(), encodeLeaderRow(m_leader) });
+        transaction.updates.push_back({ leaderKey(), encodeLeaderRow(m_groupLeader) });
     for (const Pending& it : m_group)
         transaction.updates.push_back({ it.key, it.value });
     m_isInFlight = true;
--- a/src/lead/leaderlog.h
+++ b/src/lead/leaderlog.h
@@ -121,6 +121,7 @@
     std::map<store::RowKey, std::list<Pending>::iterator> m_pendingByKey;
     std::vector<Pending> m_group; //!< rows of the open group
     bool m_groupHasHeartbeat = false;
+    LeaderRow m_groupLeader; //!< as the open group writes it, also when it is sent again
     bool m_groupReleases = false; //!< the open group releases the leadership
     bool m_isGroupOpen = false; //!< a group was sent and its outcome is unknown
     bool m_mayBeCommitted = false; //!< an answer to the open group was lost or unreadable
