--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -26,7 +26,7 @@
         end = std::max(former.seenAt + times.authorityTimeout, now + times.replacementCheckValidity);
     // A leader that has stopped says nothing about those before it, which may be cut off, but alive.
     if (!former.row.isSettled)
-        end = std::max(end, former.termSeenAt + times.authorityTimeout);
+        end = std::max({ end, former.termSeenAt + times.authorityTimeout, now + times.replacementCheckValidity });
     return end;
 }
 
