A leader is settled if all leaders before it have stopped

Cause: a leader that released before its barrier was passed, which one silent worker is enough for, counted as not settled, so the next one waited for 12 s and a lease, although each former leader had released.

Change: a leader is settled from the start if there was none before it, or the last one released and was settled; and once that one is known to be gone.

--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -160,6 +160,7 @@
     claimed.node = m_self;
     claimed.address = m_address;
     claimed.term = core::Epoch((m_row ? m_row->term.value() : 0) + 1);
+    claimed.isSettled = !m_row || (m_row->isReleased && m_row->isSettled);
     store::RowTransaction transaction;
     transaction.conditions = { { leaderKey(), m_version } };
     transaction.updates
--- a/src/lead/leadtypes.h
+++ b/src/lead/leadtypes.h
@@ -21,7 +21,8 @@
     std::uint64_t heartbeat = 0; //!< incremented by each renewal of the lease
     bool isReleased = false; //!< the leader has stopped; another node may claim the leadership immediately
     bool wasOverloaded = false; //!< the leader stepped down because its VM had too little CPU
-    //! Nothing that an earlier leader has ordered can run unnoticed any more, so its authority does not matter.
+    //! No earlier leader gives orders any more, or none that this leader does not notice, so their authority does not
+    //! matter.
     bool isSettled = false;
 };
 
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -91,6 +91,8 @@
 void EngineImpl::setFormerLeaderGone()
 {
     m_priorLeaseUntil = std::min(m_priorLeaseUntil, formerLeasesEnd(true));
+    if (m_won.former && m_won.former->row.isSettled)
+        m_log->setSettled();
     for (const auto& [id, worker] : m_workers)
         worker->setPriorLeaseUntil(m_priorLeaseUntil);
 }
