Ask every node of the term whether it leads, also those that fell silent long ago

Cause: the leader forgot nodes that had not polled for 10 s, so it did not ask them before it extended leases without authority. Such a node may lead.

Change: a leader asks all nodes that have polled in its term, or that its predecessor had heard. Cost: after the loss of a VM, an outage of the store of over 17 s ends the running work until another node leads. A node that neither leader has heard is still not asked; it would need a list of nodes in the store.

--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -107,9 +107,8 @@
     m_yieldPolicy.emplace(now(), won.former && won.former->row.wasOverloaded);
     m_lag.reset();
     m_isYielding = false;
-    m_adviceProxies.clear();
-    for (const core::HostPort& it : m_nodes)
-        m_adviceProxies[it] = now(); // known from the former leader, until they poll this one
+    m_possibleLeaders.clear();
+    m_possibleLeaders.insert(m_nodes.begin(), m_nodes.end());
     m_advice = scheduling::AdviceQueue::create(loop());
     scheduling::EngineDependencies dependencies { loop(), m_dependencies.store, m_dependencies.orders, m_advice,
         m_dependencies.metrics, m_dependencies.times, m_dependencies.leaderTimes };
@@ -188,9 +187,7 @@
         return;
     }
     const std::weak_ptr weak = std::static_pointer_cast<LeaderTask>(shared_from_this());
-    for (const auto& [address, polledAt] : m_adviceProxies) {
-        if (address == m_dependencies.address)
-            continue;
+    for (const core::HostPort& address : m_possibleLeaders) {
         m_notLeadingAt.emplace(address, core::TimePoint());
         queryNode(address, false,
             [weak, term = m_term, address, askedAt = now()](const std::optional<protocol::LeaderHint>& hint) {
@@ -343,6 +340,8 @@
         return;
     }
     m_adviceProxies[message.poll.address] = now();
+    if (message.poll.address != m_dependencies.address)
+        m_possibleLeaders.insert(message.poll.address);
     if (message.poll.requestId > 0 && message.poll.result)
         m_advice->answer(message.poll.requestId, *message.poll.result);
     const std::weak_ptr weak = std::static_pointer_cast<LeaderTask>(shared_from_this());
@@ -416,10 +415,7 @@
 
 protocol::AdviceAssignment LeaderTask::withKnownNodes(protocol::AdviceAssignment assignment)
 {
-    // Nodes that fell silent together with the store may have elected another leader, so they stay known.
-    const core::TimePoint heardAt
-        = m_engine ? m_engine->authorityUntil() - m_dependencies.leaderTimes.authorityTimeout : now();
-    const core::TimePoint oldest = heardAt - proxyRetention;
+    const core::TimePoint oldest = now() - proxyRetention;
     std::erase_if(m_adviceProxies, [oldest](const auto& it) { return it.second < oldest; });
     assignment.nodes.push_back(m_dependencies.address);
     for (const auto& [address, at] : m_adviceProxies)
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -10,6 +10,7 @@
 #include "scheduling/engine.h"
 
 #include <functional>
+#include <set>
 
 namespace sardinerun::dispatch {
 
@@ -85,6 +86,9 @@
     std::vector<core::HostPort> m_nodes; //!< other nodes that may know the leader
     std::size_t m_nextNode = 0; //!< index of the next one to query
     std::map<core::HostPort, core::TimePoint> m_adviceProxies; //!< while leading: time of each node's last poll
+    //! While leading: the nodes that have polled, or that the former leader knew. A silent one may lead, so none is
+    //! dropped.
+    std::set<core::HostPort> m_possibleLeaders;
     //! While leading without authority: when each node was asked that has answered that it does not lead.
     std::map<core::HostPort, core::TimePoint> m_notLeadingAt;
 };
