Give starts and renewals a lease that counts from their decision

Cause: a round checks the authority once, but the lease of an order counted from its sending.

Change: the lease of a start counts from the beginning of its round, that of a renewal from before its check, so a worker refuses what comes too late.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -267,6 +267,7 @@
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
+    core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
     std::size_t m_lateStageOffset = 0; //!< number of late stages to skip, as former rounds have placed them
     core::Duration m_longestRound {}; //!< since the last report of the backlog
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -75,6 +75,7 @@
     if (m_isStopped || m_isReleasing || !m_areTablesRead || !m_registryEntries || !m_config
         || now >= m_log->authorityUntil())
         return;
+    m_roundAt = now;
     tryPassBarrier();
     buildFleetViews(now);
     std::vector<ReadyStage> all = readyStages(now);
@@ -364,7 +365,7 @@
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
     fleetViewOf(*job).onTaskStarted(room);
-    m_workers[worker]->startRun(order, room);
+    m_workers[worker]->startRun(order, room, m_roundAt);
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -65,9 +65,9 @@
     return isReachable() && !hasLeft(now) && !m_entry.isDraining && !isEntryOutdated() && now >= m_startsPausedUntil;
 }
 
-fleet::WorkerClock Worker::clockNow() const
+fleet::WorkerClock Worker::clockAt(core::TimePoint at) const
 {
-    return m_clock + fleet::WorkerClock(core::toMs(m_loop->now() - m_clockAt) + 1);
+    return m_clock + fleet::WorkerClock(core::toMs(at - m_clockAt) + 1);
 }
 
 void Worker::recordClock(fleet::WorkerClock clock)
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -126,7 +126,8 @@
     //! its lease has expired.
     bool areFormerRunsKnown(core::TimePoint now) const { return m_hasListedAllEnds || now >= leaseExpiresAt(); }
 
-    void startRun(const fleet::StartOrder& order, const core::Resources& occupiedRoom);
+    //! Orders a start that was decided at `decidedAt`; its lease counts from then.
+    void startRun(const fleet::StartOrder& order, const core::Resources& occupiedRoom, core::TimePoint decidedAt);
     void stopRun(const fleet::RunId& run);
     //! Limits the share of its CPU that a run may use; does nothing if this limit is already set.
     void limitCpu(const fleet::RunId& run, int percent);
@@ -134,8 +135,8 @@
     void acknowledgeEnd(fleet::WorkerStartTime incarnation, fleet::EndNumber number);
     void pauseStartsUntil(core::TimePoint until) { m_startsPausedUntil = std::max(m_startsPausedUntil, until); }
 
-    //! Returns an upper estimate of the worker's clock.
-    fleet::WorkerClock clockNow() const;
+    //! Returns an upper estimate of the worker's clock at a time.
+    fleet::WorkerClock clockAt(core::TimePoint at) const;
 
 private:
     Worker(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry, core::Epoch fence,
--- a/src/scheduling/internal/workerlease.cpp
+++ b/src/scheduling/internal/workerlease.cpp
@@ -62,6 +62,7 @@
 {
     if (m_isDetached || m_awaitedRenewal > 0)
         return;
+    const core::TimePoint decidedAt = m_loop->now(); // a pause from here on shortens the lease
     fleet::LeaseRenewal order;
     order.fence = m_fence;
     order.acknowledgedUpTo = acknowledgeableUpTo();
@@ -70,7 +71,7 @@
     // An unresponsive worker may still receive renewals, so the lease must not be extended while it fails to answer.
     // Otherwise the end of its runs would never be certain.
     if (m_hasClock && m_failedRenewals == 0 && m_hooks.mayExtendLeases()) {
-        order.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
+        order.leaseUntil = clockAt(decidedAt) + fleet::WorkerClock(core::toMs(m_times.lease));
         recordLease(*order.leaseUntil);
     }
     const bool mayWait = m_hasAnswered && m_failedRenewals == 0 && !hasUnacknowledgedEnds();
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void Worker::startRun(const fleet::StartOrder& order, const core::Resources& occupiedRoom)
+void Worker::startRun(const fleet::StartOrder& order, const core::Resources& occupiedRoom, core::TimePoint decidedAt)
 {
     WorkerRun run;
     run.occupiedRoom = occupiedRoom;
@@ -34,7 +34,8 @@
     fleet::StartOrder sent = order;
     sent.fence = m_fence;
     sent.patience = patience();
-    sent.leaseUntil = clockNow() + fleet::WorkerClock(core::toMs(m_times.lease));
+    // The process may have been paused since the decision. The worker must not take an order then that is too late.
+    sent.leaseUntil = clockAt(decidedAt) + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
     // The callbacks don't own the loop, as they would keep it, and it keeps them.
     const auto settle = [windowOrder = m_window->send(run.orderedAt), loop = std::weak_ptr(m_loop)] {
