Test: real processes, two leaders that each reach some of the workers

Callers saw tasks run twice: two leaders were at work, and each reached other workers. The stand-in has one address for a worker, so no test of processes could part a node from a worker.

Change: a worker of the stand-in is silent to orders whose fence is in a set (control `worker`, silentToFences); the store's answers to commits come after the change is announced (control `rows`, commitAnswerDelayMs); stats list the workers at work and the highest fence.

--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -23,6 +23,7 @@
         closed; //!< highest run of each task that ended or was stopped here; lower ones do not start
     std::map<RunId, int> cpuLimits; //!< percent, as last ordered
     bool isSilent = false; //!< the worker receives nothing
+    std::set<std::uint64_t> silentToFences; //!< the worker receives no order with one of these fences
     bool isHung = false; //!< its runs make no progress
     int losesStarts = 0; //!< number of next start orders that are carried out but whose answers are lost
     int delaysStarts = 0; //!< number of next start orders that are delayed until `carryOutDelayedStarts`
@@ -38,6 +39,7 @@
         close(runId);
         ended.push_back({ EndNumber(++lastEnd), runId, kind, checkpoint });
     }
+    bool receives(core::Epoch orderFence) const { return !isSilent && !silentToFences.contains(orderFence.value()); }
     void close(const RunId& runId) { closed[runId.task] = std::max(closed[runId.task], runId.run); }
     void loseState()
     {
@@ -87,19 +89,19 @@
     void start(const WorkerAddress& to, const StartOrder& order, std::function<void(OrderResult)> callback) override
     {
         FakeWorker& worker = workers[to.id];
-        if (worker.delaysStarts > 0 && !worker.isSilent) {
+        if (worker.delaysStarts > 0 && worker.receives(order.fence)) {
             --worker.delaysStarts;
             worker.delayedStarts.push_back(order);
             answerUnknown(order.patience, callback);
             return;
         }
         carryOut(
-            to, order.patience, callback, [this, order](FakeWorker& it) { return startNow(it, order); },
+            to, order.fence, order.patience, callback, [this, order](FakeWorker& it) { return startNow(it, order); },
             &FakeWorker::losesStarts);
     }
     void stop(const WorkerAddress& to, const StopOrder& order, std::function<void(OrderResult)> callback) override
     {
-        carryOut(to, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
+        carryOut(to, order.fence, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
             if (order.fence.value() < it.fence)
                 return core::Failure { OrderFailure { OrderFailure::Code::Fenced, "" } };
             it.close(order.runId);
@@ -111,7 +113,7 @@
     void limitCpu(
         const WorkerAddress& to, const CpuLimitOrder& order, std::function<void(OrderResult)> callback) override
     {
-        carryOut(to, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
+        carryOut(to, order.fence, order.patience, callback, [this, order](FakeWorker& it) -> OrderResult {
             if (order.fence.value() < it.fence)
                 return core::Failure { OrderFailure { OrderFailure::Code::Fenced, "" } };
             it.cpuLimits[order.runId] = order.percent;
@@ -135,12 +137,12 @@
 
 private:
     template <class Function>
-    void carryOut(const WorkerAddress& to, const OrderPatience& patience,
+    void carryOut(const WorkerAddress& to, core::Epoch fence, const OrderPatience& patience,
         const std::function<void(OrderResult)>& callback, Function function, int FakeWorker::*losses = nullptr)
     {
-        m_loop->callAfter(latency, [this, to, patience, callback, function, losses] {
+        m_loop->callAfter(latency, [this, to, fence, patience, callback, function, losses] {
             FakeWorker& it = workers[to.id];
-            if (it.isSilent) {
+            if (!it.receives(fence)) {
                 answerUnknown(patience, callback);
                 return;
             }
@@ -203,7 +205,7 @@
     {
         FakeWorker& it = workers[to.id];
         expireLease(it);
-        if (it.isSilent || it.startedAt != incarnation) {
+        if (!it.receives(order.fence) || it.startedAt != incarnation) {
             m_loop->callAfter(order.patience.answer, [callback] {
                 callback(core::Failure { OrderFailure { OrderFailure::Code::Unknown, "timeout" } });
             });
--- a/standins/deploymentstandin.cpp
+++ b/standins/deploymentstandin.cpp
@@ -162,6 +162,7 @@
         const Json::Value value = codec::parseJson(body);
         m_rows.rows().isDown = flagOf(value, "down");
         m_rows.rows().losesAnswers = static_cast<int>(platform::integerOf(value, "losesAnswers"));
+        m_rows.rows().commitAnswerDelay = std::chrono::milliseconds(platform::integerOf(value, "commitAnswerDelayMs"));
     }
 
     void setWorker(const std::string& body)
@@ -170,6 +171,9 @@
         const int number = static_cast<int>(platform::integerOf(value, "number"));
         fleet::testing::FakeWorker& it = m_tasks.worker(workerId(number));
         it.isSilent = flagOf(value, "silent");
+        it.silentToFences.clear();
+        for (const Json::Value& fence : platform::listOf(value, "silentToFences"))
+            it.silentToFences.insert(fence.asUInt64());
         it.losesStarts = static_cast<int>(platform::integerOf(value, "losesStarts"));
         it.answerDelay = std::chrono::milliseconds(platform::integerOf(value, "answerDelayMs"));
         it.reportDelay = it.answerDelay;
--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -210,10 +210,17 @@
     to["startedJobs"] = Json::Value(Json::arrayValue);
     for (const core::JobId& it : m_startedJobs)
         to["startedJobs"].append(it.value());
+    to["workersAtWork"] = Json::Value(Json::arrayValue);
     std::uint64_t running = 0;
-    for (const auto& [id, it] : m_workers->workers)
+    std::uint64_t highestFence = 0;
+    for (const auto& [id, it] : m_workers->workers) {
         running += it.running.size();
+        if (!it.running.empty())
+            to["workersAtWork"].append(id.value());
+        highestFence = std::max(highestFence, it.fence);
+    }
     to["running"] = Json::UInt64(running);
+    to["highestFence"] = Json::UInt64(highestFence);
     return to;
 }
 
