Stand-in: see an end that is noted after a second start

Cause: the stand-in recorded a start after an acknowledged end and two runs at once, not an end acknowledged after a later start, so process tests and soak missed it.

Change: the stand-in keeps the time of each end until it is acknowledged and records the task if it was started since. As the rule has it, an end does not count if the worker's lease was over in between; the two former checks are unchanged.

Evidence: an_end_that_is_acknowledged_after_a_second_start_is_recorded failed with the former check ([] instead of the task) and passes; an_end_does_not_count_if_the_lease_was_over_before_the_acknowledgement passes.

--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -13,6 +13,7 @@
 struct FakeWorker {
     std::uint64_t fence = 0;
     std::int64_t leaseUntil = 0;
+    std::optional<std::int64_t> lapsedAt; //!< when the lease was last over before an order extended it
     std::int64_t lastEnd = 0;
     WorkerStartTime startedAt;
     core::TimePoint bornAt {}; //!< when this incarnation began; connections to it were opened later
@@ -49,6 +50,7 @@
         lastEnd = 0;
         fence = 0;
         leaseUntil = 0;
+        lapsedAt.reset();
     }
     //! Begins the next incarnation, which runs nothing and knows nothing.
     void restart(core::TimePoint now)
@@ -189,6 +191,8 @@
     }
     void extendLease(FakeWorker& it, WorkerClock until) const
     {
+        if (clockOf(it) > it.leaseUntil)
+            it.lapsedAt = it.leaseUntil;
         const std::int64_t granted = std::min(until.value(), clockOf(it) + longestLease / std::chrono::milliseconds(1));
         it.leaseUntil = std::max(it.leaseUntil, granted);
     }
--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -88,7 +88,7 @@
         = [this](fleet::testing::FakeWorker& worker, const fleet::StartOrder& order) { onStarted(worker, order); };
     m_workers->endAcknowledged = [this](const fleet::EndedRun& end) {
         if (end.kind == fleet::EndKind::Done)
-            m_completedTasks.insert(end.runId.task);
+            onDoneAcknowledged(end.runId);
     };
 }
 
@@ -179,15 +179,33 @@
     const fleet::TaskId& task = order.runId.task;
     if (m_completedTasks.contains(task) || isRunningElsewhere(worker, task))
         m_tasksRunTwice.push_back(fleet::textOf(task));
+    m_lastStarts[task] = m_loop->now();
     const core::Duration work = std::chrono::milliseconds(std::stoll("0" + order.payload));
     m_loop->callAfter(work, [this, &worker, run = order.runId, startedAt = worker.startedAt] {
         // A run that outlasts the lease ended with the lease; the next lease renewal reports it as lapsed.
         if (worker.startedAt == startedAt && worker.running.contains(run)
-            && m_workers->clockOf(worker) <= worker.leaseUntil)
+            && m_workers->clockOf(worker) <= worker.leaseUntil) {
             worker.end(run, fleet::EndKind::Done);
+            m_doneRuns[run] = { &worker, m_workers->clockOf(worker), m_loop->now() };
+        }
     });
 }
 
+//! Records the task if it was started after the end that is acknowledged only now. The end does not count if the
+//! worker's lease was over in the meantime.
+void TasksStandin::onDoneAcknowledged(const fleet::RunId& run)
+{
+    m_completedTasks.insert(run.task);
+    const auto node = m_doneRuns.extract(run);
+    if (node.empty())
+        return;
+    const DoneRun& it = node.mapped();
+    const bool isLeaseOver = it.worker->leaseUntil < m_workers->clockOf(*it.worker)
+        || (it.worker->lapsedAt && *it.worker->lapsedAt >= it.workerClock);
+    if (!isLeaseOver && m_lastStarts[run.task] > it.at)
+        m_tasksRunTwice.push_back(fleet::textOf(run.task));
+}
+
 bool TasksStandin::isRunningElsewhere(const fleet::testing::FakeWorker& worker, const fleet::TaskId& task) const
 {
     return std::any_of(m_workers->workers.begin(), m_workers->workers.end(), [&](const auto& entry) {
--- a/standins/tasksstandin.h
+++ b/standins/tasksstandin.h
@@ -3,6 +3,7 @@
 #include "fleet/testing/fakeworkers.h"
 #include "standins/control.h"
 
+#include <map>
 #include <set>
 
 namespace sardinerun::standins {
@@ -29,12 +30,22 @@
     std::function<void(fleet::OrderResult)> resultHandler(const core::VmId& id, http::Responder responder);
     void sendRejection(const core::VmId& id, const fleet::OrderFailure& failure, http::Responder responder);
     void onStarted(fleet::testing::FakeWorker& worker, const fleet::StartOrder& order);
+    void onDoneAcknowledged(const fleet::RunId& run);
     bool isRunningElsewhere(const fleet::testing::FakeWorker& worker, const fleet::TaskId& task) const;
 
+    //! A run that has ended as done and whose end is not acknowledged.
+    struct DoneRun {
+        const fleet::testing::FakeWorker* worker;
+        std::int64_t workerClock; //!< when it ended, by the clock of the worker
+        core::TimePoint at;
+    };
+
     runtime::EventLoopPtr m_loop;
     std::shared_ptr<fleet::testing::FakeWorkers> m_workers;
     std::vector<http::Responder> m_unanswered;
     std::set<fleet::TaskId> m_completedTasks;
+    std::map<fleet::RunId, DoneRun> m_doneRuns;
+    std::map<fleet::TaskId, core::TimePoint> m_lastStarts;
     std::set<core::JobId> m_startedJobs;
     std::vector<std::string> m_tasksRunTwice;
     std::uint64_t m_starts = 0;
--- a/tests/process/partitions_tests.py
+++ b/tests/process/partitions_tests.py
@@ -3,7 +3,8 @@
 import time
 import unittest
 
-from dispatch_tests import Deployment, DispatchCase, step
+from cell import call
+from dispatch_tests import Deployment, DispatchCase, new_id, step
 
 TERMS = 8  # later terms that a worker can be silent to; each new election begins the next one
 CUT_SECONDS = 12
@@ -57,5 +58,44 @@
             self.assertEqual(cell.stats()["starts"], 2)
 
 
+class StandinChecks(unittest.TestCase):
+    """Guards against second runs that the stand-in's own check does not see."""
+
+    FENCE = 100  # higher than that of any leader in the test, which the workers do not hear
+
+    def order(self, cell, worker, path, **body):
+        status, answer, _ = call(cell.store + 2 + worker, "POST", path, dict(body, fence_token=self.FENCE),
+                                 headers={"X-Expect-Instance": "w%d" % worker})
+        self.assertEqual(status, 200)
+        return answer
+
+    def start(self, cell, worker, task, run, lease_ms):
+        clock = self.order(cell, worker, "/hold", last_seen=0, wait_ms=0)["clock_ms"]
+        self.order(cell, worker, "/run-start", task=task, run=run, spec="100", last_checkpoint="", deadline_ms=clock + lease_ms)
+
+    def tasks_that_ran_twice(self, lease_ms, gap_s):
+        """Runs a task on a worker, then on another, and acknowledges the first end only after that."""
+        with Deployment(nodes=1) as cell:
+            for n in range(4):
+                # Restarted, so that the leader has extended no lease.
+                cell.control("worker", {"number": n, "silentToFences": list(range(self.FENCE)), "reborn": True})
+            task = new_id() + ".0.0.0"
+            self.start(cell, 0, task, 1, lease_ms)
+            time.sleep(gap_s)
+            self.start(cell, 1, task, 2, 5000)
+            self.assertEqual(cell.stats()["twice"], [])
+            ended = self.order(cell, 0, "/hold", last_seen=0, wait_ms=0)["ended_runs"]
+            self.assertEqual([it[3] for it in ended], ["done"])
+            self.order(cell, 0, "/hold", last_seen=ended[0][0], wait_ms=0)
+            return cell.stats()["twice"], task
+
+    def test_an_end_that_is_acknowledged_after_a_second_start_is_recorded(self):
+        twice, task = self.tasks_that_ran_twice(lease_ms=5000, gap_s=0.5)
+        self.assertEqual(twice, [task])
+
+    def test_an_end_does_not_count_if_the_lease_was_over_before_the_acknowledgement(self):
+        self.assertEqual(self.tasks_that_ran_twice(lease_ms=400, gap_s=1)[0], [])
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
