Soak: part the leader and some workers, later leaders and others

The soak had no fault in which two leaders each reach other workers.

Change: the leader's store link is cut for 5 to 25 s; each worker is silent to its term, to the later terms or to neither, and store answers come up to 100 ms late. The fault has a random generator of its own and leaves the draws of the others as they are; it keeps its silence and its cut beside theirs. Tasks that ran twice are now also looked for while the last faults end.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,10 +3,11 @@
     soak.py [--seed N] [--seconds S] [--nodes N] [--workers N]
 
 Faults overlap: nodes are killed, paused, stopped with SIGTERM, and started again; connections to the store are cut; the
-store is down or loses answers; workers are silent, restart, and lose answers to start orders. Callers submit jobs to random
-nodes and resend them when there is no answer; some jobs are at the limits of what a caller may send. Checks that no task runs
-twice, that no job starts that was refused or never submitted, that every accepted job completes in the end, that cancels are
-acknowledged, and that no node needs more memory than a VM has. Stops only the processes that it started, by their ids.
+store is down or loses answers; workers are silent, restart, and lose answers to start orders; the leader is cut off from the
+store and from some workers, and the next leaders from others. Callers submit jobs to random nodes and resend them when there is
+no answer; some jobs are at the limits of what a caller may send. Checks that no task runs twice, that no job starts that was
+refused or never submitted, that every accepted job completes in the end, that cancels are acknowledged, and that no node needs
+more memory than a VM has. Stops only the processes that it started, by their ids.
 """
 
 import argparse
@@ -28,6 +29,7 @@
 MEMORY_MB = 260
 ODD_SHARE = 0.12  # of the jobs
 ENDS_PER_REPORT = 500  # a worker lists further ends once these are acknowledged
+LATER_TERMS = 40  # that a worker can be silent to
 MAX_ATTEMPTS = [3, 1_000_001, 2_147_483_647, 4_294_967_295]
 
 
@@ -98,6 +100,11 @@
 
     def __init__(self, cell, seed):
         self.cell, self.random = cell, random.Random(seed)
+        self.parting = random.Random("parting-%d" % seed)  # of its own, so that the other faults are those of the seed
+        self.next_parting_at = time.time() + self.parting.uniform(2, 6)
+        self.cuts = set()  # (number of a node, fault that cuts it off from the store)
+        self.silent_to = {}  # fences, by the number of the worker
+        self.store_answer_delay_ms = 0
         self.busy = set()  # names of the nodes and workers with a fault in progress
         self.pending = []  # (time, action that ends the fault, name)
         self.log = open(os.path.join(cell.folder, "faults.log"), "w")
@@ -109,6 +116,10 @@
         self.write_log(kind.__name__)
         kind()
 
+    def inject_parting_if_due(self):
+        if time.time() >= self.next_parting_at and "parting" not in self.busy:
+            self.part_leader_and_workers()
+
     def write_log(self, text):
         now = time.time()
         self.log.write("%s.%03d %s\n" % (time.strftime("%H:%M:%S", time.gmtime(now)), now % 1 * 1000, text))
@@ -166,34 +177,72 @@
     def cut(self):
         n = self.pick_node()
         if n is not None:
-            self.cell.relays[n].set_cut(True)
-            self.end_after(self.random.uniform(0.5, 4), lambda: self.cell.relays[n].set_cut(False), "node %d" % n)
+            self.set_cut(n, "cut", True)
+            self.end_after(self.random.uniform(0.5, 4), lambda: self.set_cut(n, "cut", False), "node %d" % n)
+
+    def set_cut(self, n, fault, is_cut):
+        (self.cuts.add if is_cut else self.cuts.discard)((n, fault))
+        self.cell.relays[n].set_cut(any(it[0] == n for it in self.cuts))
 
     def store_down(self):
         if "store" not in self.busy:
-            self.cell.control("rows", {"down": True})
-            self.end_after(self.random.uniform(0.3, 3), lambda: self.cell.control("rows", {}), "store")
+            self.set_store(down=True)
+            self.end_after(self.random.uniform(0.3, 3), self.set_store, "store")
 
     def store_loses(self):
         if "store" not in self.busy:
-            self.cell.control("rows", {"losesAnswers": self.random.randint(1, 4)})
+            self.set_store(losesAnswers=self.random.randint(1, 4))
+
+    def set_store(self, **fault):
+        self.cell.control("rows", dict({"commitAnswerDelayMs": self.store_answer_delay_ms}, **fault))
 
     def silence_worker(self):
         n = self.pick_worker()
         if n is not None:
-            self.cell.control("worker", {"number": n, "silent": True})
-            self.end_after(self.random.uniform(0.5, 9), lambda: self.cell.control("worker", {"number": n}), "worker %d" % n)
+            self.set_worker(n, silent=True)
+            self.end_after(self.random.uniform(0.5, 9), lambda: self.set_worker(n), "worker %d" % n)
 
     def restart_worker(self):
         n = self.pick_worker()
         if n is not None:
             self.write_log("worker %d restarts" % n)
-            self.cell.control("worker", {"number": n, "reborn": True})
+            self.set_worker(n, reborn=True)
 
     def lose_starts(self):
         n = self.pick_worker()
         if n is not None:
-            self.cell.control("worker", {"number": n, "losesStarts": 2})
+            self.set_worker(n, losesStarts=2)
+
+    def set_worker(self, n, **fault):
+        self.cell.control("worker", dict({"number": n, "silentToFences": self.silent_to.get(n, [])}, **fault))
+
+    def part_leader_and_workers(self):
+        """Cuts the leader off from the store and some workers, later leaders from others. Lost answers to starts end then."""
+        leader, stats = self.cell.leader(), self.cell.stats()
+        if leader is None or not isinstance(stats, dict):
+            return
+        term, pick = stats["highestFence"], self.parting
+        later = list(range(term + 1, term + 1 + LATER_TERMS))
+        self.silent_to = {n: pick.choice([[term], [term], later, later, []]) for n in range(self.cell.worker_count)}
+        self.store_answer_delay_ms = pick.choice([0, 20, 100])
+        self.write_log("node %d, term %d, reaches workers %s, later leaders %s; store answers %d ms late" % (
+            leader, term, [n for n, it in self.silent_to.items() if term not in it],
+            [n for n, it in self.silent_to.items() if not it or term in it], self.store_answer_delay_ms))
+        self.apply_parting()
+        self.set_cut(leader, "parting", True)
+        self.end_after(pick.uniform(5, 25), lambda: self.end_parting(leader), "parting")
+
+    def apply_parting(self):
+        for n in range(self.cell.worker_count):
+            self.set_worker(n, silent="worker %d" % n in self.busy)
+        self.set_store(down="store" in self.busy)
+
+    def end_parting(self, leader):
+        self.silent_to = {}
+        self.store_answer_delay_ms = 0
+        self.set_cut(leader, "parting", False)
+        self.apply_parting()
+        self.next_parting_at = time.time() + self.parting.uniform(2, 8)
 
 
 def memory_mb(pid):
@@ -259,11 +308,13 @@
                 if time.time() >= next_at:
                     faults.inject()
                     next_at = time.time() + faults.random.uniform(0.2, 1.5)
+                faults.inject_parting_if_due()
                 faults.end_due()
                 check_while_running(cell, callers)
                 time.sleep(0.1)
             while faults.pending:
                 faults.end_due()
+                check_while_running(cell, callers)
                 time.sleep(0.1)
             for it in callers:
                 it.join()
