Soak: let no shared worker and no other fault end a parted leadership

Cause: a worker that both leaders reach soon rejects the former one, and other faults ended the parted leader before it acted.

Change: in three of four partings no worker is shared, and the parted leader has no other fault of its node meanwhile.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -105,6 +105,7 @@
         self.cuts = set()  # (number of a node, fault that cuts it off from the store)
         self.silent_to = {}  # fences, by the number of the worker
         self.store_answer_delay_ms = 0
+        self.parted_leader = None  # no other fault ends its leadership
         self.busy = set()  # names of the nodes and workers with a fault in progress
         self.pending = []  # (time, action that ends the fault, name)
         self.log = open(os.path.join(cell.folder, "faults.log"), "w")
@@ -140,6 +141,8 @@
 
     def pick_node(self):
         n = self.random.randrange(len(self.cell.nodes))
+        if n == self.parted_leader:
+            return None
         return None if "node %d" % n in self.busy or self.cell.nodes[n].process.poll() is not None else n
 
     def pick_worker(self):
@@ -223,11 +226,14 @@
             return
         term, pick = stats["highestFence"], self.parting
         later = list(range(term + 1, term + 1 + LATER_TERMS))
-        self.silent_to = {n: pick.choice([[term], [term], later, later, []]) for n in range(self.cell.worker_count)}
+        # A worker that both reach soon tells the former leader that it is one.
+        choices = [[term], later, []] if pick.random() < 0.25 else [[term], later]
+        self.silent_to = {n: pick.choice(choices) for n in range(self.cell.worker_count)}
         self.store_answer_delay_ms = pick.choice([0, 20, 100])
         self.write_log("node %d, term %d, reaches workers %s, later leaders %s; store answers %d ms late" % (
             leader, term, [n for n, it in self.silent_to.items() if term not in it],
             [n for n, it in self.silent_to.items() if not it or term in it], self.store_answer_delay_ms))
+        self.parted_leader = leader
         self.apply_parting()
         self.set_cut(leader, "parting", True)
         self.end_after(pick.uniform(5, 25), lambda: self.end_parting(leader), "parting")
@@ -239,6 +245,7 @@
 
     def end_parting(self, leader):
         self.silent_to = {}
+        self.parted_leader = None
         self.store_answer_delay_ms = 0
         self.set_cut(leader, "parting", False)
         self.apply_parting()
