Count the lease of a worker that was never reached from the first notice that its former owner is gone

Cause: the node repeats the notice with each update of the cell, twice a second, and the lease of a worker that the new owner has not reached counted from the last notice. It never ended. When a node and a worker were lost together, the partition never recovered, and the tasks of that worker, and all recovered jobs of other partitions that wait for its inventory, stood still.

Evidence: aWorkerThatWasLostWithItsOwnerIsGivenUpAfterItsLease failed before (not recovered after 10 s) and passes.

--- a/src/partition/internal/capacity.h
+++ b/src/partition/internal/capacity.h
@@ -23,7 +23,11 @@
     //! on.
     void setHomeEpochs(const std::map<core::PartitionId, core::Epoch>& epochs);
     //! Called when the former owner has certainly ended.
-    void setFormerOwnerGone(core::TimePoint now) { m_formerOwnerGoneAt = now; }
+    void setFormerOwnerGone(core::TimePoint now)
+    {
+        if (!m_formerOwnerGoneAt)
+            m_formerOwnerGoneAt = now;
+    }
     //! Sets whether the node's membership is certain now.
     void setMembershipCertain(bool isCertain) { m_isMembershipCertain = isCertain; }
 
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -149,6 +149,26 @@
     BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
 }
 
+//! Guards against a lease that counts from the newest of many notices that the former owner is gone, and never ends.
+BOOST_AUTO_TEST_CASE(aWorkerThatWasLostWithItsOwnerIsGivenUpAfterItsLease)
+{
+    SimulatedCell cell(1, 2, workerSize);
+    auto spec = jobSpec("a", 8);
+    spec.runTime = 3s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.unreachableWorkers.insert(core::VmId("w0"));
+    cell.takeOver(0, true);
+    bool isRecovered = false;
+    for (int n = 0; n < 20 && !isRecovered; ++n) {
+        cell.run(500ms);
+        cell.repeatFormerOwnerGone(0);
+        isRecovered = cell.view(0).isRecovered;
+    }
+    BOOST_TEST(isRecovered);
+    BOOST_TEST(cell.runUntilDone(20s));
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
--- a/src/partition/tests/simulatedcell.h
+++ b/src/partition/tests/simulatedcell.h
@@ -62,6 +62,8 @@
     FakeStore::Fault storeFault = FakeStore::Fault::None;
     std::set<core::VmId> unreachableWorkers; //!< receive no exchanges
     std::set<core::VmId> workersLosingAnswers; //!< receive all exchanges, and their answers are lost
+    std::set<core::VmId> unreachableForOwners; //!< receive no exchanges of present owners
+    std::set<core::VmId> unreachableForFormerOwners; //!< receive no exchanges of former owners that still run
     bool dropsMessages = false;
 
     //! Lets a new owner take over the partition. Unless it is gone, the former owner keeps running and is not notified.
@@ -102,6 +104,9 @@
         m_formerOwners.clear();
     }
 
+    //! Notifies the present owner, as each update of the cell does once its former owners are gone.
+    void repeatFormerOwnerGone(std::uint32_t partition) { m_owners[partition].state->setFormerOwnerGone(eventTime()); }
+
     void restartWorker(const core::VmId& id) { m_workers.at(id)->restart(); }
     FakeWorker& worker(const core::VmId& id) { return *m_workers.at(id); }
 
@@ -188,6 +193,7 @@
         return it->second.jobs[0];
     }
 
+    const core::AttemptId& lastStarted() const { return m_lastStarted; }
     PartitionView view(std::uint32_t partition) { return m_owners[partition].state->view(eventTime()); }
     EventTime eventTime() const
     {
@@ -254,6 +260,7 @@
 
     void onStarted(const core::AttemptId& id)
     {
+        m_lastStarted = id;
         record.firstStartAt.emplace(id.job, m_now);
         const std::pair task { id.job, id.task };
         if (++record.running[task] > 1)
@@ -342,7 +349,7 @@
         if (auto* it = std::get_if<SendMessage>(&effect))
             routeMessage(isFormerOwner ? -1 : int(partition), it->envelope);
         if (auto* it = std::get_if<SyncWorker>(&effect))
-            state.onSyncResult(it->worker, exchange(*it), eventTime());
+            state.onSyncResult(it->worker, exchange(*it, isFormerOwner), eventTime());
         if (auto* it = std::get_if<CommitToStore>(&effect)) {
             const auto result = m_store.commitNow(it->transaction, storeFault);
             state.onCommitted(
@@ -352,10 +359,11 @@
             state.onRead(m_store.listNow(it->prefix, storeFault), eventTime());
     }
 
-    services::SyncResult exchange(const SyncWorker& it)
+    services::SyncResult exchange(const SyncWorker& it, bool isFormerOwner)
     {
         using Code = services::WorkerError::Code;
-        if (unreachableWorkers.contains(it.worker))
+        const auto& unreachable = isFormerOwner ? unreachableForFormerOwners : unreachableForOwners;
+        if (unreachableWorkers.contains(it.worker) || unreachable.contains(it.worker))
             return core::Failure { services::WorkerError { Code::Unreachable, "unreachable" } };
         services::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
         if (workersLosingAnswers.contains(it.worker))
@@ -402,6 +410,7 @@
     core::TimePoint m_now { std::chrono::hours(1) };
     int m_steps = 0;
     int m_sent = 0;
+    core::AttemptId m_lastStarted;
     FakeStore m_store;
     std::map<core::VmId, std::unique_ptr<FakeWorker>> m_workers;
     std::vector<services::VmInfo> m_list;
