Take no acknowledgement of an end from a home that was replaced

Cause: a home answers the end of an attempt that it does not know, or of an older one, at once. A home that was replaced does not know what its successor has accepted and started, and the end can reach it, as nodes see a change of owner up to a refresh apart. The capacity took the answer without regard to the home's epoch, as it does for all other messages of homes, and forgot the end, which the successor had not recorded.

Change: Capacity::onEndsPersisted drops messages of an older epoch of the home.

Evidence: aHomeThatWasReplacedAcknowledgesNoEnd, which sends that message, failed before (2 starts) and passes.

--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -165,6 +165,9 @@
 
 void Capacity::onEndsPersisted(const protocol::EndsPersisted& message, core::TimePoint now)
 {
+    // A home that was replaced does not know the tasks of its successor, so its answer says nothing about their ends.
+    if (isStale(message.from))
+        return;
     for (const core::AttemptId& id : message.attempts) {
         const auto it = m_pendingEnds.find(id);
         if (it == m_pendingEnds.end())
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -169,6 +169,28 @@
     BOOST_TEST(cell.runUntilDone(20s));
 }
 
+//! Guards against a home that was replaced making a capacity forget an end which its successor has not recorded.
+BOOST_AUTO_TEST_CASE(aHomeThatWasReplacedAcknowledgesNoEnd)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    cell.submit(jobSpec("a", 1));
+    cell.takeOver(0, true);
+    cell.run(300ms);
+    BOOST_TEST(startsOf(cell, "a") == 1);
+    cell.storeFault = services::testing::FakeStore::Fault::Down; // the end can't be recorded
+    cell.run(2s);
+    BOOST_TEST(cell.record.successes.size() == 1U);
+    const core::AttemptNumber first = cell.lastStarted().attempt;
+    cell.send(core::PartitionId(0),
+        protocol::EndsPersisted { { core::PartitionId(0), core::Epoch(1) }, core::PartitionId(0),
+            { { core::JobId("a"), core::TaskIndex(0), first } } });
+    cell.run(1s);
+    cell.storeFault = services::testing::FakeStore::Fault::None;
+    cell.takeOver(0, true);
+    BOOST_TEST(cell.runUntilDone(20s));
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
