Give up no silent worker while another owner may have taken over

Cause: a node that is cut off from the store keeps its partitions' state until it reads the rows again, and counts a worker that it doesn't reach as lost after patience, lease and margin. The next owner may reach that worker and extend its lease, while the former one starts the task again on a worker that the next owner has not reached.

Change: leases of silent workers count as over only while the membership is certain by the node's own clock; nobody removes the node and takes its partitions before that, and once it is certain again its row shows that nobody did. Cost: in an outage of the store the tasks of lost workers start again only after it (docs/OPERATIONS.md).

--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -246,7 +246,9 @@
 {
     m_nextPollAt = at.now + pollPeriod;
     for (auto& [worker, link] : m_links) {
-        if (link->expireLease(at.now, m_formerOwnerGoneAt))
+        // The silence of a worker says nothing while another owner may have taken over: it may reach the worker, and
+        // extend its lease. Each lost worker waits until the membership is certain.
+        if (m_isMembershipCertain && link->expireLease(at.now, m_formerOwnerGoneAt))
             endAttemptsOfLostWorker(worker, at, effects);
         if (auto sync = link->next(at.now))
             effects.push_back(SyncWorker { worker, link->address(), std::move(*sync) });
--- a/src/partition/partition.h
+++ b/src/partition/partition.h
@@ -56,7 +56,8 @@
     void setWorkers(const std::vector<services::VmInfo>& workers, EventTime at);
     void setOwners(const std::map<core::PartitionId, core::Epoch>& owners);
     void setFormerOwnerGone(EventTime at);
-    //! Sets whether the node's membership is certain now. While it is not, no new worker session is accepted.
+    //! Sets whether the node's membership is certain now. While it is not, no new worker session is accepted
+    //! and no worker counts as lost.
     void setMembershipCertain(bool isCertain);
 
     void receive(const protocol::Message& message, EventTime at);
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -191,6 +191,24 @@
     BOOST_TEST(startsOf(cell, "a") == 1);
 }
 
+//! Guards against an owner that was replaced starting again what its successor reaches and it does not.
+BOOST_AUTO_TEST_CASE(anOwnerThatWasReplacedDoesNotRestartTheTasksOfASilentWorker)
+{
+    SimulatedCell cell(1, 2, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    const core::VmId busy
+        = cell.worker(core::VmId("w0")).running().cpu.value() > 0 ? core::VmId("w0") : core::VmId("w1");
+    const core::VmId idle = busy == core::VmId("w0") ? core::VmId("w1") : core::VmId("w0");
+    cell.unreachableForFormerOwners = { busy };
+    cell.unreachableForOwners = { idle };
+    cell.takeOver(0, false);
+    BOOST_REQUIRE_NO_THROW(cell.run(20s));
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
