Hold the certainty of a membership as a time, not as what the last tick said

Cause: whether a new session of a worker may be used was a flag, set by each tick. After a pause the answers of workers can be handled before the next tick, under the flag of before the pause. A worker that was restarted meanwhile has lost its fence, so the former owner got its session.

Change: the partition gets the end of the membership's lease, and compares it with the time of the answer.

--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -78,7 +78,7 @@
     const partition::Policy policy = policyOf(m_wasPresetActive ? m_update->activePreset : m_update->transitionPreset);
     for (auto& [id, it] : m_owned) {
         it.partition->setPolicy(policy);
-        it.partition->setMembershipCertain(now() < m_update->memberState.leaseValidUntil);
+        it.partition->setMembershipCertainUntil(m_update->memberState.leaseValidUntil);
     }
 }
 
@@ -309,11 +309,10 @@
 {
     if (m_wasPresetActive != isPresetActive())
         applyPolicy();
-    const bool isCertain = now() < m_update->memberState.leaseValidUntil;
     // When the store has been unreachable for longer than the lease of the shares, workers are not synced either.
     const bool maySyncWorkers = now() < m_update->memberState.slotsValidUntil;
     for (auto& [id, it] : m_owned) {
-        it.partition->setMembershipCertain(isCertain);
+        it.partition->setMembershipCertainUntil(m_update->memberState.leaseValidUntil);
         if (it.isLoaded && !it.isFrozen && maySyncWorkers)
             it.partition->tick(eventTime());
         executeEffects(id, it);
--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -248,7 +248,7 @@
     for (auto& [worker, link] : m_links) {
         // The silence of a worker says nothing while another owner may have taken over: it may reach the worker, and
         // extend its lease. Each lost worker waits until the membership is certain.
-        if (m_isMembershipCertain && link->expireLease(at.now, m_formerOwnerGoneAt))
+        if (at.now < m_membershipCertainUntil && link->expireLease(at.now, m_formerOwnerGoneAt))
             endAttemptsOfLostWorker(worker, at, effects);
         if (auto sync = link->next(at.now))
             effects.push_back(SyncWorker { worker, link->address(), std::move(*sync) });
--- a/src/partition/internal/capacity.h
+++ b/src/partition/internal/capacity.h
@@ -28,8 +28,8 @@
         if (!m_formerOwnerGoneAt)
             m_formerOwnerGoneAt = now;
     }
-    //! Sets whether the node's membership is certain now.
-    void setMembershipCertain(bool isCertain) { m_isMembershipCertain = isCertain; }
+    //! Sets the time until which no other node can have taken the partition over.
+    void setMembershipCertainUntil(core::TimePoint time) { m_membershipCertainUntil = time; }
 
     void onPlace(const protocol::PlaceTasks& message, EventTime at, Effects& effects);
     void onCommit(const protocol::CommitReservation& message, EventTime at, Effects& effects);
@@ -128,10 +128,10 @@
     std::vector<protocol::HomeEpoch> m_inventoryRequesters; //!< answered after recovery
     std::optional<core::TimePoint> m_formerOwnerGoneAt;
     core::TimePoint m_nextPollAt {};
+    core::TimePoint m_membershipCertainUntil = core::TimePoint::max();
     bool m_hasWorkerList = false;
     bool m_isRecovered = false;
     bool m_isOwnershipLost = false;
-    bool m_isMembershipCertain = true;
     Counters m_counters;
 };
 
--- a/src/partition/internal/capacityworkers.cpp
+++ b/src/partition/internal/capacityworkers.cpp
@@ -21,7 +21,7 @@
     const auto it = m_links.find(worker);
     if (it == m_links.end())
         return;
-    const LinkUpdate update = it->second->onResult(result, m_isMembershipCertain, at.now);
+    const LinkUpdate update = it->second->onResult(result, at.now < m_membershipCertainUntil, at.now);
     if (update.isOwnershipLost) {
         m_isOwnershipLost = true;
         return;
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -107,9 +107,9 @@
     m_state->capacity.setFormerOwnerGone(at.now);
 }
 
-void Partition::setMembershipCertain(bool isCertain)
+void Partition::setMembershipCertainUntil(core::TimePoint time)
 {
-    m_state->capacity.setMembershipCertain(isCertain);
+    m_state->capacity.setMembershipCertainUntil(time);
 }
 
 void Partition::receive(const protocol::Message& message, EventTime at)
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -209,6 +209,24 @@
     BOOST_TEST(startsOf(cell, "a") == 1);
 }
 
+//! Guards against an owner that was paused using the session of a worker that lost its fence in a restart meanwhile.
+BOOST_AUTO_TEST_CASE(anOwnerThatWasPausedAndReplacedUsesNoNewSession)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.pausesFormerOwners = true;
+    cell.takeOver(0, false);
+    cell.run(5s);
+    cell.restartWorker(core::VmId("w0"));
+    cell.unreachableForOwners = { core::VmId("w0") };
+    cell.pausesFormerOwners = false;
+    cell.run(1s);
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
--- a/src/partition/tests/simulatedcell.h
+++ b/src/partition/tests/simulatedcell.h
@@ -45,6 +45,7 @@
 class SimulatedCell {
 public:
     static constexpr core::Duration stepTime = std::chrono::milliseconds(50);
+    static constexpr core::Duration membershipLease = std::chrono::seconds(2);
 
     SimulatedCell(std::uint32_t partitions, int workers, core::Resources capacity)
         : m_count(partitions)
@@ -65,6 +66,8 @@
     std::set<core::VmId> unreachableForOwners; //!< receive no exchanges of present owners
     std::set<core::VmId> unreachableForFormerOwners; //!< receive no exchanges of former owners that still run
     bool dropsMessages = false;
+    //! Former owners do not run, and are not told of a lapse of their membership.
+    bool pausesFormerOwners = false;
 
     //! Lets a new owner take over the partition. Unless it is gone, the former owner keeps running and is not notified.
     void takeOver(std::uint32_t partition, bool isFormerOwnerGone)
@@ -73,7 +76,8 @@
             return;
         Owner& owner = m_owners[partition];
         if (owner.state && !isFormerOwnerGone) {
-            owner.state->setMembershipCertain(false);
+            if (!pausesFormerOwners)
+                owner.state->setMembershipCertainUntil(m_now);
             m_formerOwners.push_back({ partition, std::move(owner.state) });
         }
         ++owner.epoch;
@@ -143,10 +147,14 @@
         for (auto& [id, it] : m_workers)
             it->tick(m_now);
         deliver();
-        for (auto& [id, it] : m_owners)
+        for (auto& [id, it] : m_owners) {
+            it.state->setMembershipCertainUntil(m_now + membershipLease);
             run(id, *it.state, false);
-        for (const FormerOwner& it : m_formerOwners)
-            run(it.partition, *it.state, true);
+        }
+        for (const FormerOwner& it : m_formerOwners) {
+            if (!pausesFormerOwners)
+                run(it.partition, *it.state, true);
+        }
         if (++m_steps % 10 == 0)
             exchangeHints();
         checkWorkerCapacity();
