Hand over only what is out of use for this hand-over

Cause: that a partition is quiescent, or a share idle, was remembered when the hand-over was called off before it was sent, as the new node left while the store was silent. The partition went on. With the next node that joined it was handed over at once, at work: until the answer came, the former owner went on with its workers, while the next one counted their leases from its takeover, as after an orderly hand-over.

Change: what is no longer to be handed over or released is in use again; a word that comes after that does not count.

--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -232,6 +232,23 @@
             members.push_back(it.identity.node);
     }
     m_assignment = assignPartitions(m_view.partitionCount, members);
+    // What is no longer to be handed over is in use again.
+    const std::set<core::PartitionId> partitions = handingOver();
+    std::erase_if(m_quiescent, [&partitions](const auto& it) { return !partitions.contains(it.first); });
+    const std::set<core::PartitionId> shares = releasing();
+    std::erase_if(m_idleSlots, [&shares](core::PartitionId id) { return !shares.contains(id); });
+}
+
+void Membership::onQuiescent(core::PartitionId partition, bool isRecovered)
+{
+    if (handingOver().contains(partition))
+        m_quiescent[partition] = isRecovered;
+}
+
+void Membership::onSlotsIdle(core::PartitionId partition)
+{
+    if (releasing().contains(partition))
+        m_idleSlots.insert(partition);
 }
 
 std::set<core::PartitionId> Membership::handingOver() const
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -53,9 +53,9 @@
     void onOlderConfigsDrained(core::ConfigVersion version);
     //! Called when the partition is quiescent and can be handed over. `isRecovered`: this owner has fenced all workers
     //! of the partition, so that its former owners need no longer be recorded.
-    void onQuiescent(core::PartitionId partition, bool isRecovered) { m_quiescent[partition] = isRecovered; }
+    void onQuiescent(core::PartitionId partition, bool isRecovered);
     //! Called when no request uses the share any longer, so that it can be released.
-    void onSlotsIdle(core::PartitionId partition) { m_idleSlots.insert(partition); }
+    void onSlotsIdle(core::PartitionId partition);
     //! Called when the incarnation is known to have ended.
     void onConfirmedGone(const NodeIncarnation& identity, core::TimePoint now);
     //! Starts a planned stop: hands over all partitions and shares, then leaves the cell.
@@ -137,9 +137,9 @@
     std::map<NodeIncarnation, core::TimePoint> m_goneSince;
     std::map<NodeIncarnation, core::TimePoint> m_missingSince;
     std::map<NodeIncarnation, core::HostPort> m_addresses;
-    std::map<core::PartitionId, bool> m_quiescent;
+    std::map<core::PartitionId, bool> m_quiescent; //!< of the partitions that are being handed over
     std::map<core::PartitionId, core::Epoch> m_handedOver; //!< hand-over has been sent; the rows do not show it yet
-    std::set<core::PartitionId> m_idleSlots;
+    std::set<core::PartitionId> m_idleSlots; //!< of the shares that are being released
     std::set<core::PartitionId> m_releasedSlots; //!< release has been sent; the rows do not show it yet
 };
 
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -198,6 +198,63 @@
     BOOST_TEST(nodes.nodes[1].membership->memberState(nodes.now).slots.size() == 8U);
 }
 
+//! Guards against a hand-over of what is in use again, because it was out of use before an earlier one that was not
+//! sent.
+BOOST_AUTO_TEST_CASE(aHandOverThatWasCalledOffNeedsQuiescenceAgain)
+{
+    Nodes nodes(1);
+    nodes.run(3s);
+    nodes.nodes[0].reportsQuiescence = false;
+    nodes.start(1);
+    nodes.run(1s);
+    BOOST_TEST(!nodes.nodes[0].membership->handingOver().empty());
+    BOOST_TEST(!nodes.nodes[0].membership->releasing().empty());
+    nodes.nodes[0].fault = FakeStore::Fault::Down;
+    nodes.run(600ms);
+    nodes.reportQuiescence(0); // before the store answers again
+    nodes.nodes[1].membership->leave();
+    nodes.run(500ms);
+    BOOST_TEST(nodes.nodes[1].membership->hasLeft());
+    nodes.nodes.erase(1);
+    nodes.nodes[0].fault = FakeStore::Fault::None;
+    nodes.run(1s);
+    BOOST_TEST(nodes.nodes[0].membership->handingOver().empty());
+    nodes.start(1);
+    nodes.run(2s);
+    BOOST_TEST(!nodes.nodes[0].membership->handingOver().empty());
+    BOOST_TEST(nodes.nodes[0].lastState.owned.size() == 8U);
+    for (std::uint32_t n = 0; n < 8; ++n) {
+        const SlotsRow share = nodes.nodes[0].membership->view().slots.at(core::PartitionId(n));
+        BOOST_TEST((share.holder == nodes.nodes[0].lastState.self));
+    }
+    nodes.nodes[0].reportsQuiescence = true;
+    nodes.run(2s);
+    BOOST_TEST(!nodes.nodes[1].lastState.owned.empty());
+    BOOST_TEST(!nodes.nodes[1].lastState.slots.empty());
+}
+
+//! Guards against a lease that counts from a late answer, or from the repetition of a renewal that took effect.
+BOOST_AUTO_TEST_CASE(aLeaseCountsFromTheSendingOfTheRenewalThatTookEffect)
+{
+    Nodes nodes(1);
+    nodes.run(3s);
+    Membership& it = *nodes.nodes[0].membership;
+    std::optional<StoreRequest> request;
+    while (!(request = it.next(nodes.now)) || request->isRefresh) {
+        if (request)
+            it.onRefreshed(nodes.store.listNow(cellPrefix), nodes.now);
+        nodes.now += stepTime;
+    }
+    const core::TimePoint sentAt = nodes.now;
+    const auto result = nodes.store.commitNow(*request->commit, FakeStore::Fault::LostAfterEffect);
+    nodes.now += 1s;
+    it.onCommitted(result, nodes.now);
+    while (!(request = it.next(nodes.now)) || !request->isRefresh)
+        nodes.now += stepTime;
+    it.onRefreshed(nodes.store.listNow(cellPrefix), nodes.now);
+    BOOST_TEST((it.memberState(nodes.now).leaseValidUntil == sentAt + MembershipTimes().lease));
+}
+
 BOOST_AUTO_TEST_CASE(aPartitionThatIsBeingHandedOverHasNoSecondOwner)
 {
     // After two paused nodes resumed, the third handed partitions over but acted as their owner until its next refresh.
--- a/src/membership/tests/nodes.h
+++ b/src/membership/tests/nodes.h
@@ -26,6 +26,7 @@
         MembershipPtr membership;
         services::testing::FakeStore::Fault fault = services::testing::FakeStore::Fault::None;
         bool isPaused = false;
+        bool reportsQuiescence = true; //!< its tasks say when partitions and shares are no longer used
         //! The state that the node's tasks received last and act on.
         MemberState lastState;
     };
@@ -58,10 +59,8 @@
             it.lastState = it.membership->memberState(now);
             if (it.lastState.confirming.value() > 0)
                 it.membership->onOlderConfigsDrained(it.lastState.confirming);
-            for (const core::PartitionId id : it.membership->handingOver())
-                it.membership->onQuiescent(id, true);
-            for (const core::PartitionId id : it.membership->releasing())
-                it.membership->onSlotsIdle(id);
+            if (it.reportsQuiescence)
+                reportQuiescence(n);
         }
         check();
     }
@@ -72,6 +71,15 @@
             step();
     }
 
+    void reportQuiescence(int n)
+    {
+        Membership& it = *nodes[n].membership;
+        for (const core::PartitionId id : it.handingOver())
+            it.onQuiescent(id, true);
+        for (const core::PartitionId id : it.releasing())
+            it.onSlotsIdle(id);
+    }
+
     //! Applies an operator's change of configuration, conditional on the version read before, as a node does.
     bool configure(const std::string& preset)
     {
