Deny no job while another owner may have taken over

Cause: a node that is cut off from the store, but not from its callers, answers as the owner of its partitions until it reads the rows again. Jobs that the next owner has accepted are unknown to it.

Change: past the end of its membership's lease a home answers nothing about a job that it doesn't know. The caller's node asks again, and then answers 503, or that the cancel is not complete. Jobs that it knows are answered as before. Lists may still lack jobs of the next owner.

--- a/src/partition/internal/home.cpp
+++ b/src/partition/internal/home.cpp
@@ -216,8 +216,10 @@
     protocol::CancelAnswer answer { message.requester.token, 0 };
     std::map<core::PartitionId, std::vector<core::JobId>> stops;
     const core::JobId* last = nullptr;
+    bool isAnyUnknown = !message.workload.empty();
     for (const core::JobId& id : ids) {
         const auto it = m_jobs.find(id);
+        isAnyUnknown = isAnyUnknown || it == m_jobs.end();
         const bool isAllowed
             = it != m_jobs.end() && (message.team.value().empty() || it->second.spec().team == message.team);
         if (!isAllowed || !cancelJob(it->second, stops, at, effects))
@@ -232,7 +234,7 @@
     SendMessage send { { message.requester.node, answer } };
     if (last)
         sendAfterPersisted(*last, std::move(send), effects);
-    else
+    else if (!isAnyUnknown || at.now < m_membershipCertainUntil)
         effects.push_back(std::move(send));
 }
 
@@ -253,7 +255,7 @@
     return true;
 }
 
-void Home::onRead(const protocol::ReadJobs& message, Effects& effects) const
+void Home::onRead(const protocol::ReadJobs& message, EventTime at, Effects& effects) const
 {
     protocol::JobsAnswer answer { message.requester.token, {} };
     const auto isVisible = [&message](const Job& job) {
@@ -261,6 +263,8 @@
     };
     if (!message.job.value().empty()) {
         const auto it = m_jobs.find(message.job);
+        if (it == m_jobs.end() && at.now >= m_membershipCertainUntil)
+            return; // the caller asks again
         if (it != m_jobs.end() && isVisible(it->second))
             answer.jobs.push_back(it->second.status());
     } else {
--- a/src/partition/internal/home.h
+++ b/src/partition/internal/home.h
@@ -30,13 +30,16 @@
 
     void setPolicy(const Policy& policy);
     void setFleet(FleetView fleet);
+    //! Sets the time until which no other node can have taken the partition over. After it no job is denied: a later
+    //! owner may have accepted it.
+    void setMembershipCertainUntil(core::TimePoint time) { m_membershipCertainUntil = time; }
 
     //! Restores the records of earlier owners and requests the inventories of all partitions.
     void recover(std::vector<jobs::JobSnapshot> snapshots, EventTime at, Effects& effects);
 
     void onSubmit(const protocol::SubmitJob& message, EventTime at, Effects& effects);
     void onCancel(const protocol::CancelJobs& message, EventTime at, Effects& effects);
-    void onRead(const protocol::ReadJobs& message, Effects& effects) const;
+    void onRead(const protocol::ReadJobs& message, EventTime at, Effects& effects) const;
     void onPlaceAnswer(const protocol::PlaceAnswer& message, EventTime at, Effects& effects);
     void onCommitAnswer(const protocol::CommitAnswer& message, EventTime at, Effects& effects);
     void onAttemptEnded(const protocol::AttemptEnded& message, EventTime at, Effects& effects);
@@ -161,6 +164,7 @@
     bool m_isRoomFreed = false;
     bool m_isReservationReleased = false;
     std::uint64_t m_roomGeneration = 0; //!< grows when room is freed here; a refusal counts in its generation only
+    core::TimePoint m_membershipCertainUntil = core::TimePoint::max();
     Counters m_counters;
 };
 
--- a/src/partition/internal/partition.cpp
+++ b/src/partition/internal/partition.cpp
@@ -110,6 +110,7 @@
 void Partition::setMembershipCertainUntil(core::TimePoint time)
 {
     m_state->capacity.setMembershipCertainUntil(time);
+    m_state->home.setMembershipCertainUntil(time);
 }
 
 void Partition::receive(const protocol::Message& message, EventTime at)
--- a/src/partition/internal/partitionstate.h
+++ b/src/partition/internal/partitionstate.h
@@ -30,7 +30,10 @@
     {
         home.onCancel(std::get<protocol::CancelJobs>(it), at, effects);
     }
-    void onRead(const protocol::Message& it, EventTime) { home.onRead(std::get<protocol::ReadJobs>(it), effects); }
+    void onRead(const protocol::Message& it, EventTime at)
+    {
+        home.onRead(std::get<protocol::ReadJobs>(it), at, effects);
+    }
     void onPlaceAnswer(const protocol::Message& it, EventTime at)
     {
         home.onPlaceAnswer(std::get<protocol::PlaceAnswer>(it), at, effects);
--- a/src/partition/partition.h
+++ b/src/partition/partition.h
@@ -56,8 +56,9 @@
     void setWorkers(const std::vector<services::VmInfo>& workers, EventTime at);
     void setOwners(const std::map<core::PartitionId, core::Epoch>& owners);
     void setFormerOwnerGone(EventTime at);
-    //! Sets the time until which the node's membership is certain. After it no new worker session is accepted and no
-    //! worker counts as lost. A time, as the node may be paused before it would say that the membership has lapsed.
+    //! Sets the time until which the node's membership is certain. After it no new worker session is accepted, no
+    //! worker counts as lost and no job is denied to a caller. A time, as the node may be paused before it would say
+    //! that the membership has lapsed.
     void setMembershipCertainUntil(core::TimePoint time);
 
     void receive(const protocol::Message& message, EventTime at);
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -227,6 +227,33 @@
     BOOST_TEST(startsOf(cell, "a") == 1);
 }
 
+//! Guards against a home that was replaced denying a job that its successor has accepted, or the cancelling of it.
+BOOST_AUTO_TEST_CASE(aHomeThatWasReplacedDeniesNoJob)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.unreachableForFormerOwners = { core::VmId("w0") }; // or it learned there that it was replaced
+    cell.takeOver(0, false);
+    cell.submit(jobSpec("b", 1));
+    cell.run(1s);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("b")) == protocol::SubmitOutcome::Accepted));
+    const auto read = [&](const char* job, std::uint64_t token) {
+        cell.sendToFormerOwner(
+            protocol::ReadJobs { { cell.caller, {}, protocol::Token(token) }, {}, core::JobId(job), {}, 1 });
+    };
+    read("a", 11);
+    read("b", 12);
+    cell.sendToFormerOwner(
+        protocol::CancelJobs { { cell.caller, {}, protocol::Token(13) }, {}, { core::JobId("b") }, {} });
+    cell.run(500ms);
+    BOOST_TEST(cell.record.reads[protocol::Token(11)].jobs.size() == 1U);
+    BOOST_TEST(!cell.record.reads.contains(protocol::Token(12)));
+    BOOST_TEST(!cell.record.cancels.contains(protocol::Token(13)));
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
--- a/src/partition/tests/simulatedcell.h
+++ b/src/partition/tests/simulatedcell.h
@@ -135,6 +135,12 @@
             send(home, protocol::CancelJobs { { caller, {}, token }, {}, ids, {} });
     }
 
+    //! Delivers a message to the former owner of the partition that was replaced last.
+    void sendToFormerOwner(const protocol::Message& message)
+    {
+        m_formerOwners.back().state->receive(message, eventTime());
+    }
+
     void send(core::PartitionId to, protocol::Message message)
     {
         m_links[{ -1, to.value() }].push_back(std::move(message));
