--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -198,6 +198,45 @@
     BOOST_TEST(nodes.nodes[1].membership->memberState(nodes.now).slots.size() == 8U);
 }
 
+namespace {
+
+//! A partition is taken over twice; each third step of all nodes loses its answers, `phase` says which.
+void takeOverWithoutAnswers(int phase)
+{
+    Nodes nodes(3);
+    nodes.run(3s);
+    const core::PartitionId id = nodes.nodes[2].lastState.owned.begin()->first;
+    const NodeIncarnation first = nodes.nodes[2].lastState.self;
+    const auto runLosingAnswers = [&nodes, phase] {
+        for (int n = 0; n < 160; ++n) {
+            for (auto& [number, it] : nodes.nodes)
+                it.fault = n % 3 == phase ? FakeStore::Fault::LostAfterEffect : FakeStore::Fault::None;
+            nodes.step();
+        }
+    };
+    nodes.nodes[2].isPaused = true;
+    runLosingAnswers();
+    const int second = nodes.nodes[0].lastState.owned.contains(id) ? 0 : 1;
+    const NodeIncarnation secondOwner = nodes.nodes[second].lastState.self;
+    BOOST_TEST(nodes.nodes[second].lastState.owned.contains(id));
+    nodes.nodes[second].isPaused = true;
+    runLosingAnswers();
+    const MemberState& last = nodes.nodes[1 - second].lastState;
+    BOOST_REQUIRE(last.owned.contains(id));
+    const std::vector<NodeIncarnation>& formers = last.owned.at(id).formerOwners;
+    BOOST_TEST((formers == std::vector<NodeIncarnation> { first, secondOwner }));
+    BOOST_TEST(!nodes.nodes[1 - second].membership->areFormerOwnersGone(id));
+}
+
+} // namespace
+
+//! Guards against a takeover that forgets a former owner, as its answer was lost or as another takeover came before it.
+BOOST_AUTO_TEST_CASE(aTakeoverWithoutAnswersKeepsAllFormerOwners)
+{
+    for (int phase = 0; phase < 3; ++phase)
+        takeOverWithoutAnswers(phase);
+}
+
 //! Guards against a hand-over of what is in use again, because it was out of use before an earlier one that was not
 //! sent.
 BOOST_AUTO_TEST_CASE(aHandOverThatWasCalledOffNeedsQuiescenceAgain)
