--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -198,6 +198,102 @@
     BOOST_TEST(nodes.nodes[1].membership->memberState(nodes.now).slots.size() == 8U);
 }
 
+namespace {
+
+//! A partition is taken over twice; each third step of all nodes loses its answers, `phase` says which.
+void takeOverWithoutAnswers(int phase)
+{
+    Nodes nodes(3);
+    nodes.run(3s);
+    const core::PartitionId id = nodes.nodes[2].lastState.owned.begin()->first;
+    const NodeIncarnation first = nodes.nodes[2].lastState.self;
+    const auto runLosingAnswers = [&nodes, phase] {
+        for (int n = 0; n < 160; ++n) {
+            for (auto& [number, it] : nodes.nodes)
+                it.fault = n % 3 == phase ? FakeStore::Fault::LostAfterEffect : FakeStore::Fault::None;
+            nodes.step();
+        }
+    };
+    nodes.nodes[2].isPaused = true;
+    runLosingAnswers();
+    const int second = nodes.nodes[0].lastState.owned.contains(id) ? 0 : 1;
+    const NodeIncarnation secondOwner = nodes.nodes[second].lastState.self;
+    BOOST_TEST(nodes.nodes[second].lastState.owned.contains(id));
+    nodes.nodes[second].isPaused = true;
+    runLosingAnswers();
+    const MemberState& last = nodes.nodes[1 - second].lastState;
+    BOOST_REQUIRE(last.owned.contains(id));
+    const std::vector<NodeIncarnation>& formers = last.owned.at(id).formerOwners;
+    BOOST_TEST((formers == std::vector<NodeIncarnation> { first, secondOwner }));
+    BOOST_TEST(!nodes.nodes[1 - second].membership->areFormerOwnersGone(id));
+}
+
+} // namespace
+
+//! Guards against a takeover that forgets a former owner, as its answer was lost or as another takeover came before it.
+BOOST_AUTO_TEST_CASE(aTakeoverWithoutAnswersKeepsAllFormerOwners)
+{
+    for (int phase = 0; phase < 3; ++phase)
+        takeOverWithoutAnswers(phase);
+}
+
+//! Guards against a hand-over of what is in use again, because it was out of use before an earlier one that was not
+//! sent.
+BOOST_AUTO_TEST_CASE(aHandOverThatWasCalledOffNeedsQuiescenceAgain)
+{
+    Nodes nodes(1);
+    nodes.run(3s);
+    nodes.nodes[0].reportsQuiescence = false;
+    nodes.start(1);
+    nodes.run(1s);
+    BOOST_TEST(!nodes.nodes[0].membership->handingOver().empty());
+    BOOST_TEST(!nodes.nodes[0].membership->releasing().empty());
+    nodes.nodes[0].fault = FakeStore::Fault::Down;
+    nodes.run(600ms);
+    nodes.reportQuiescence(0); // before the store answers again
+    nodes.nodes[1].membership->leave();
+    nodes.run(500ms);
+    BOOST_TEST(nodes.nodes[1].membership->hasLeft());
+    nodes.nodes.erase(1);
+    nodes.nodes[0].fault = FakeStore::Fault::None;
+    nodes.run(1s);
+    BOOST_TEST(nodes.nodes[0].membership->handingOver().empty());
+    nodes.start(1);
+    nodes.run(2s);
+    BOOST_TEST(!nodes.nodes[0].membership->handingOver().empty());
+    BOOST_TEST(nodes.nodes[0].lastState.owned.size() == 8U);
+    for (std::uint32_t n = 0; n < 8; ++n) {
+        const SlotsRow share = nodes.nodes[0].membership->view().slots.at(core::PartitionId(n));
+        BOOST_TEST((share.holder == nodes.nodes[0].lastState.self));
+    }
+    nodes.nodes[0].reportsQuiescence = true;
+    nodes.run(2s);
+    BOOST_TEST(!nodes.nodes[1].lastState.owned.empty());
+    BOOST_TEST(!nodes.nodes[1].lastState.slots.empty());
+}
+
+//! Guards against a lease that counts from a late answer, or from the repetition of a renewal that took effect.
+BOOST_AUTO_TEST_CASE(aLeaseCountsFromTheSendingOfTheRenewalThatTookEffect)
+{
+    Nodes nodes(1);
+    nodes.run(3s);
+    Membership& it = *nodes.nodes[0].membership;
+    std::optional<StoreRequest> request;
+    while (!(request = it.next(nodes.now)) || request->isRefresh) {
+        if (request)
+            it.onRefreshed(nodes.store.listNow(cellPrefix), nodes.now);
+        nodes.now += stepTime;
+    }
+    const core::TimePoint sentAt = nodes.now;
+    const auto result = nodes.store.commitNow(*request->commit, FakeStore::Fault::LostAfterEffect);
+    nodes.now += 1s;
+    it.onCommitted(result, nodes.now);
+    while (!(request = it.next(nodes.now)) || !request->isRefresh)
+        nodes.now += stepTime;
+    it.onRefreshed(nodes.store.listNow(cellPrefix), nodes.now);
+    BOOST_TEST((it.memberState(nodes.now).leaseValidUntil == sentAt + MembershipTimes().lease));
+}
+
 BOOST_AUTO_TEST_CASE(aPartitionThatIsBeingHandedOverHasNoSecondOwner)
 {
     // After two paused nodes resumed, the third handed partitions over but acted as their owner until its next refresh.
--- a/src/partition/internal/capacity.cpp
+++ b/src/partition/internal/capacity.cpp
@@ -165,6 +165,9 @@
 
 void Capacity::onEndsPersisted(const protocol::EndsPersisted& message, core::TimePoint now)
 {
+    // A home that was replaced does not know the tasks of its successor, so its answer says nothing about their ends.
+    if (isStale(message.from))
+        return;
     for (const core::AttemptId& id : message.attempts) {
         const auto it = m_pendingEnds.find(id);
         if (it == m_pendingEnds.end())
@@ -243,7 +246,9 @@
 {
     m_nextPollAt = at.now + pollPeriod;
     for (auto& [worker, link] : m_links) {
-        if (link->expireLease(at.now, m_formerOwnerGoneAt))
+        // The silence of a worker says nothing while another owner may have taken over: it may reach the worker, and
+        // extend its lease. Each lost worker waits until the membership is certain.
+        if (at.now < m_membershipCertainUntil && link->expireLease(at.now, m_formerOwnerGoneAt))
             endAttemptsOfLostWorker(worker, at, effects);
         if (auto sync = link->next(at.now))
             effects.push_back(SyncWorker { worker, link->address(), std::move(*sync) });
--- a/src/partition/tests/partition_tests.cpp
+++ b/src/partition/tests/partition_tests.cpp
@@ -149,6 +149,111 @@
     BOOST_TEST((cell.statusOf(core::JobId("a")).state == jobs::JobState::Succeeded));
 }
 
+//! Guards against a lease that counts from the newest of many notices that the former owner is gone, and never ends.
+BOOST_AUTO_TEST_CASE(aWorkerThatWasLostWithItsOwnerIsGivenUpAfterItsLease)
+{
+    SimulatedCell cell(1, 2, workerSize);
+    auto spec = jobSpec("a", 8);
+    spec.runTime = 3s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.unreachableWorkers.insert(core::VmId("w0"));
+    cell.takeOver(0, true);
+    bool isRecovered = false;
+    for (int n = 0; n < 20 && !isRecovered; ++n) {
+        cell.run(500ms);
+        cell.repeatFormerOwnerGone(0);
+        isRecovered = cell.view(0).isRecovered;
+    }
+    BOOST_TEST(isRecovered);
+    BOOST_TEST(cell.runUntilDone(20s));
+}
+
+//! Guards against a home that was replaced making a capacity forget an end which its successor has not recorded.
+BOOST_AUTO_TEST_CASE(aHomeThatWasReplacedAcknowledgesNoEnd)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    cell.submit(jobSpec("a", 1));
+    cell.takeOver(0, true);
+    cell.run(300ms);
+    BOOST_TEST(startsOf(cell, "a") == 1);
+    cell.storeFault = services::testing::FakeStore::Fault::Down; // the end can't be recorded
+    cell.run(2s);
+    BOOST_TEST(cell.record.successes.size() == 1U);
+    const core::AttemptNumber first = cell.lastStarted().attempt;
+    cell.send(core::PartitionId(0),
+        protocol::EndsPersisted { { core::PartitionId(0), core::Epoch(1) }, core::PartitionId(0),
+            { { core::JobId("a"), core::TaskIndex(0), first } } });
+    cell.run(1s);
+    cell.storeFault = services::testing::FakeStore::Fault::None;
+    cell.takeOver(0, true);
+    BOOST_TEST(cell.runUntilDone(20s));
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
+//! Guards against an owner that was replaced starting again what its successor reaches and it does not.
+BOOST_AUTO_TEST_CASE(anOwnerThatWasReplacedDoesNotRestartTheTasksOfASilentWorker)
+{
+    SimulatedCell cell(1, 2, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    const core::VmId busy
+        = cell.worker(core::VmId("w0")).running().cpu.value() > 0 ? core::VmId("w0") : core::VmId("w1");
+    const core::VmId idle = busy == core::VmId("w0") ? core::VmId("w1") : core::VmId("w0");
+    cell.unreachableForFormerOwners = { busy };
+    cell.unreachableForOwners = { idle };
+    cell.takeOver(0, false);
+    BOOST_REQUIRE_NO_THROW(cell.run(20s));
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
+//! Guards against an owner that was paused using the session of a worker that lost its fence in a restart meanwhile.
+BOOST_AUTO_TEST_CASE(anOwnerThatWasPausedAndReplacedUsesNoNewSession)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.pausesFormerOwners = true;
+    cell.takeOver(0, false);
+    cell.run(5s);
+    cell.restartWorker(core::VmId("w0"));
+    cell.unreachableForOwners = { core::VmId("w0") };
+    cell.pausesFormerOwners = false;
+    cell.run(1s);
+    BOOST_TEST(startsOf(cell, "a") == 1);
+}
+
+//! Guards against a home that was replaced denying a job that its successor has accepted, or the cancelling of it.
+BOOST_AUTO_TEST_CASE(aHomeThatWasReplacedDeniesNoJob)
+{
+    SimulatedCell cell(1, 1, workerSize);
+    auto spec = jobSpec("a", 1);
+    spec.runTime = 60s;
+    cell.submit(spec);
+    cell.run(1s);
+    cell.unreachableForFormerOwners = { core::VmId("w0") }; // or it learned there that it was replaced
+    cell.takeOver(0, false);
+    cell.submit(jobSpec("b", 1));
+    cell.run(1s);
+    BOOST_TEST((cell.record.outcomes.at(core::JobId("b")) == protocol::SubmitOutcome::Accepted));
+    const auto read = [&](const char* job, std::uint64_t token) {
+        cell.sendToFormerOwner(
+            protocol::ReadJobs { { cell.caller, {}, protocol::Token(token) }, {}, core::JobId(job), {}, 1 });
+    };
+    read("a", 11);
+    read("b", 12);
+    cell.sendToFormerOwner(
+        protocol::CancelJobs { { cell.caller, {}, protocol::Token(13) }, {}, { core::JobId("b") }, {} });
+    cell.run(500ms);
+    BOOST_TEST(cell.record.reads[protocol::Token(11)].jobs.size() == 1U);
+    BOOST_TEST(!cell.record.reads.contains(protocol::Token(12)));
+    BOOST_TEST(!cell.record.cancels.contains(protocol::Token(13)));
+}
+
 BOOST_AUTO_TEST_CASE(newJobsAreRefusedAndAcceptedJobsGoOnWhileTheStoreIsDown)
 {
     SimulatedCell cell(1, 2, workerSize);
--- a/src/partition/tests/simulatedcell.h
+++ b/src/partition/tests/simulatedcell.h
@@ -45,6 +45,7 @@
 class SimulatedCell {
 public:
     static constexpr core::Duration stepTime = std::chrono::milliseconds(50);
+    static constexpr core::Duration membershipLease = std::chrono::seconds(2);
 
     SimulatedCell(std::uint32_t partitions, int workers, core::Resources capacity)
         : m_count(partitions)
@@ -62,7 +63,11 @@
     FakeStore::Fault storeFault = FakeStore::Fault::None;
     std::set<core::VmId> unreachableWorkers; //!< receive no exchanges
     std::set<core::VmId> workersLosingAnswers; //!< receive all exchanges, and their answers are lost
+    std::set<core::VmId> unreachableForOwners; //!< receive no exchanges of present owners
+    std::set<core::VmId> unreachableForFormerOwners; //!< receive no exchanges of former owners that still run
     bool dropsMessages = false;
+    //! Former owners do not run, and are not told of a lapse of their membership.
+    bool pausesFormerOwners = false;
 
     //! Lets a new owner take over the partition. Unless it is gone, the former owner keeps running and is not notified.
     void takeOver(std::uint32_t partition, bool isFormerOwnerGone)
@@ -71,7 +76,8 @@
             return;
         Owner& owner = m_owners[partition];
         if (owner.state && !isFormerOwnerGone) {
-            owner.state->setMembershipCertain(false);
+            if (!pausesFormerOwners)
+                owner.state->setMembershipCertainUntil(m_now);
             m_formerOwners.push_back({ partition, std::move(owner.state) });
         }
         ++owner.epoch;
@@ -102,6 +108,9 @@
         m_formerOwners.clear();
     }
 
+    //! Notifies the present owner, as each update of the cell does once its former owners are gone.
+    void repeatFormerOwnerGone(std::uint32_t partition) { m_owners[partition].state->setFormerOwnerGone(eventTime()); }
+
     void restartWorker(const core::VmId& id) { m_workers.at(id)->restart(); }
     FakeWorker& worker(const core::VmId& id) { return *m_workers.at(id); }
 
@@ -126,6 +135,12 @@
             send(home, protocol::CancelJobs { { caller, {}, token }, {}, ids, {} });
     }
 
+    //! Delivers a message to the former owner of the partition that was replaced last.
+    void sendToFormerOwner(const protocol::Message& message)
+    {
+        m_formerOwners.back().state->receive(message, eventTime());
+    }
+
     void send(core::PartitionId to, protocol::Message message)
     {
         m_links[{ -1, to.value() }].push_back(std::move(message));
@@ -138,10 +153,14 @@
         for (auto& [id, it] : m_workers)
             it->tick(m_now);
         deliver();
-        for (auto& [id, it] : m_owners)
+        for (auto& [id, it] : m_owners) {
+            it.state->setMembershipCertainUntil(m_now + membershipLease);
             run(id, *it.state, false);
-        for (const FormerOwner& it : m_formerOwners)
-            run(it.partition, *it.state, true);
+        }
+        for (const FormerOwner& it : m_formerOwners) {
+            if (!pausesFormerOwners)
+                run(it.partition, *it.state, true);
+        }
         if (++m_steps % 10 == 0)
             exchangeHints();
         checkWorkerCapacity();
@@ -188,6 +207,7 @@
         return it->second.jobs[0];
     }
 
+    const core::AttemptId& lastStarted() const { return m_lastStarted; }
     PartitionView view(std::uint32_t partition) { return m_owners[partition].state->view(eventTime()); }
     EventTime eventTime() const
     {
@@ -254,6 +274,7 @@
 
     void onStarted(const core::AttemptId& id)
     {
+        m_lastStarted = id;
         record.firstStartAt.emplace(id.job, m_now);
         const std::pair task { id.job, id.task };
         if (++record.running[task] > 1)
@@ -342,7 +363,7 @@
         if (auto* it = std::get_if<SendMessage>(&effect))
             routeMessage(isFormerOwner ? -1 : int(partition), it->envelope);
         if (auto* it = std::get_if<SyncWorker>(&effect))
-            state.onSyncResult(it->worker, exchange(*it), eventTime());
+            state.onSyncResult(it->worker, exchange(*it, isFormerOwner), eventTime());
         if (auto* it = std::get_if<CommitToStore>(&effect)) {
             const auto result = m_store.commitNow(it->transaction, storeFault);
             state.onCommitted(
@@ -352,10 +373,11 @@
             state.onRead(m_store.listNow(it->prefix, storeFault), eventTime());
     }
 
-    services::SyncResult exchange(const SyncWorker& it)
+    services::SyncResult exchange(const SyncWorker& it, bool isFormerOwner)
     {
         using Code = services::WorkerError::Code;
-        if (unreachableWorkers.contains(it.worker))
+        const auto& unreachable = isFormerOwner ? unreachableForFormerOwners : unreachableForOwners;
+        if (unreachableWorkers.contains(it.worker) || unreachable.contains(it.worker))
             return core::Failure { services::WorkerError { Code::Unreachable, "unreachable" } };
         services::SyncResult result = m_workers.at(it.worker)->sync(it.sync, m_now);
         if (workersLosingAnswers.contains(it.worker))
@@ -402,6 +424,7 @@
     core::TimePoint m_now { std::chrono::hours(1) };
     int m_steps = 0;
     int m_sent = 0;
+    core::AttemptId m_lastStarted;
     FakeStore m_store;
     std::map<core::VmId, std::unique_ptr<FakeWorker>> m_workers;
     std::vector<services::VmInfo> m_list;
