--- a/src/dispatch/tests/partitionedcell.h
+++ b/src/dispatch/tests/partitionedcell.h
@@ -187,7 +187,10 @@
         m_loop->callAfter(order.patience.answer + wait, [answer] {
             answer(core::Failure { fleet::OrderFailure { fleet::OrderFailure::Code::Unknown, "timeout" } });
         });
-        const auto carryOut = [this, call, to, order, deliver, answer] {
+        const auto incarnation = m_workers->workers.at(to.id).startedAt;
+        const auto carryOut = [this, call, to, order, deliver, answer, incarnation] {
+            if (m_workers->workers.at(to.id).startedAt != incarnation)
+                return; // it was on a connection to the former incarnation
             (m_workers.get()->*call)(to, order, [deliver, answer](const Result& result) { deliver(answer, result); });
         };
         if (!m_links.cutWorkers.contains(to.id))
@@ -364,6 +367,18 @@
         set(node(b).links, node(a).address);
     }
 
+    //! Begins the next incarnation of a worker, which has seen no fence. Leaders that are elected later know it.
+    void restartWorker(int n)
+    {
+        fleet::testing::FakeWorker& it = workers->workers.at(workerId(n));
+        it.restart(m_loop->now());
+        for (const fleet::TaskId& task : std::exchange(m_unacknowledged[&it], {})) {
+            if (!m_tasks[task].isDoneAcknowledged)
+                m_tasks[task].doneAt.reset(); // nobody can learn of this end any more
+        }
+        m_entries[std::size_t(n)].startedAt = it.startedAt;
+    }
+
     //! Sends a job of one step to a node. Returns its outcome, if the answer came within the timeout.
     std::optional<workflow::WorkflowOutcome> submit(
         int nodeNumber, const std::string& id, std::uint32_t tasks, int workMs, bool isGang = false)
--- a/src/dispatch/tests/randompartitions_tests.cpp
+++ b/src/dispatch/tests/randompartitions_tests.cpp
@@ -22,8 +22,9 @@
 //! One run of a seed: jobs are submitted to random nodes while faults overlap; then all faults end.
 class RandomPartitions {
 public:
-    explicit RandomPartitions(std::uint64_t seed)
+    explicit RandomPartitions(std::uint64_t seed, bool restartsWorkers = false)
         : m_seed(seed)
+        , m_restartsWorkers(restartsWorkers)
         , m_random(seed)
         , m_cell(nodeCount, workerCount)
     {
@@ -80,6 +81,8 @@
             (this->*kinds[std::size_t(pick(0, int(kinds.size()) - 1))])(m_cell.now() + ms(pick(1000, 25'000)));
         if (isLikely(8))
             releaseLeader();
+        if (m_restartsWorkers && isLikely(40))
+            m_cell.restartWorker(pick(0, workerCount - 1));
     }
 
     void endFaults(core::TimePoint now)
@@ -195,6 +198,7 @@
     }
 
     std::uint64_t m_seed;
+    bool m_restartsWorkers;
     std::mt19937_64 m_random;
     PartitionedCell m_cell;
     std::vector<Fault> m_faults;
@@ -220,3 +224,12 @@
     for (std::uint64_t seed = first; seed < first + count; ++seed)
         RandomPartitions(seed).run();
 }
+
+//! Guards against orders of a former leader that a worker carries out because it has restarted and forgotten its fence.
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_or_never_in_random_partitions_with_restarts_of_workers)
+{
+    const std::uint64_t first = numberFrom("SARDINERUN_FIRST_SEED", 22'070);
+    const std::uint64_t count = numberFrom("SARDINERUN_SEEDS", 10);
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+        RandomPartitions(seed, true).run();
+}
