Start what rests on silence only while nobody can have replaced this leader

Found by model/leaders.pml (its defect 6 was the code): a start after an end that was acknowledged. By the model only; no C++ test reproduces it.

Cause: the leadership was confirmed when a loss or a barrier was judged, but the start that rests on it may come later, for want of room, and was checked against the authority of 12 s alone.

Change: steps with a run that was lost, and recovered jobs after a barrier passed by time, start only while the last heartbeat is younger than 1.2 s and the store takes this leader's writes.

--- a/src/dispatch/tests/randompartitions_tests.cpp
+++ b/src/dispatch/tests/randompartitions_tests.cpp
@@ -225,6 +225,8 @@
         RandomPartitions(seed).run();
 }
 
+BOOST_AUTO_TEST_SUITE(restarts)
+
 //! Guards against orders of a former leader that a worker carries out because it has restarted and forgotten its fence.
 BOOST_AUTO_TEST_CASE(no_task_runs_twice_or_never_in_random_partitions_with_restarts_of_workers)
 {
@@ -233,3 +235,5 @@
     for (std::uint64_t seed = first; seed < first + count; ++seed)
         RandomPartitions(seed, true).run();
 }
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -189,6 +189,8 @@
     void scheduleRound();
     void runRound();
     std::vector<ReadyStage> readyStages(core::TimePoint now);
+    //! Returns whether a start of the stage is not safe now, as a later leader may know of ends that this one does not.
+    bool mayBeOutdated(const Job& job, const Stage& stage) const;
     //! Places the stages in order, within the time that a round may take.
     void placeStages(std::vector<ReadyStage>& all, core::TimePoint now);
     void placeStage(const ReadyStage& ready, core::TimePoint now);
@@ -288,6 +290,7 @@
     core::TimePoint m_wonAt {};
     bool m_areTablesRead = false;
     bool m_isBarrierPassed = false;
+    bool m_isBarrierPassedByTime = false; //!< some workers had not listed their runs
     bool m_isBarrierInQuestion = false; //!< it can be passed by time, and a confirmation of the leadership is awaited
     bool m_isRoundScheduled = false;
     bool m_isReleasing = false;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -120,7 +120,7 @@
         std::optional<core::TimePoint> startBy; // computed only for jobs with a ready stage
         for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
             Stage& stage = job->stages[n];
-            if (!stage.isOpen || stage.pending == 0 || now < stage.notBefore)
+            if (!stage.isOpen || stage.pending == 0 || now < stage.notBefore || mayBeOutdated(*job, stage))
                 continue;
             const bool isGang = job->stepOf(stage).isGang;
             const std::size_t startable = stage.startable();
@@ -140,6 +140,12 @@
     return all;
 }
 
+bool EngineImpl::mayBeOutdated(const Job& job, const Stage& stage) const
+{
+    const bool restsOnSilence = stage.restsOnSilence || (job.isRecovered && m_isBarrierPassedByTime);
+    return restsOnSilence && m_log->mayBeReplaced();
+}
+
 void EngineImpl::recordWaitingGangs(const std::vector<ReadyStage>& all)
 {
     m_headroom.beginRound();
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -390,6 +390,7 @@
         return false;
     }
     m_isBarrierPassed = true;
+    m_isBarrierPassedByTime = !areAllHeard;
     m_log->setSettled();
     logBarrier(now);
     stopPartialGangs();
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -334,6 +334,7 @@
         task.checkpoint = termination.checkpoint;
     --stage.live;
     ++stage.pending;
+    stage.restsOnSilence = stage.restsOnSilence || termination.cause == RunTermination::Cause::Lost;
     const bool hasNotStarted = termination.cause == RunTermination::Cause::NotStarted;
     stage.notBefore = now + (hasNotStarted ? startFailurePause : failurePause);
     if (hasNotStarted && termination.startFailure == fleet::OrderFailure::Code::BadTicket)
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -54,6 +54,8 @@
     std::size_t pending = 0;
     std::size_t live = 0;
     std::size_t done = 0;
+    //! A run of it was lost without a report of its end, so a later leader may know more about it.
+    bool restsOnSilence = false;
     bool isOpen = false; //!< the steps before it are done and its occurrence is due
     core::TimePoint openedAt {};
     core::TimePoint notBefore {}; //!< earliest next start after a failure
