--- a/src/telemetry/internal/log.cpp
+++ b/src/telemetry/internal/log.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/log.h"
 
+#include "telemetry/crashreport.h"
 #include "telemetry/logbuffer.h"
 
 #include <array>
@@ -87,6 +88,7 @@
     google::SetStderrLogging(google::NUM_SEVERITIES);
     google::AddLogSink(&sink);
     google::InitGoogleLogging(name.c_str());
+    installCrashReport();
 }
 
 void flushLog()
