--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <future>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
@@ -297,6 +298,22 @@
     BOOST_TEST(!result.error().maybeSent);
 }
 
+//! Guards against a process that crashes since h2o still has a connection to visit that was closed, and freed, in the
+//! same turn of the loop in which a request was written to it.
+BOOST_FIXTURE_TEST_CASE(aConnectionClosedInTheTurnOfItsRequestIsNotVisitedAgain, Fixture)
+{
+    mallopt(M_PERTURB, 0xa5); // overwrites freed memory
+    constexpr int rounds = 50;
+    for (int n = 0; n < rounds; ++n) {
+        BOOST_REQUIRE(bool(call(to("/echo")))); // leaves an open connection
+        auto request = to("/never");
+        request.timeout = 0ms;
+        BOOST_TEST(!call(request));
+    }
+    BOOST_TEST(bool(call(to("/echo"))));
+    mallopt(M_PERTURB, 0);
+}
+
 BOOST_AUTO_TEST_CASE(queryParametersAreDecoded)
 {
     BOOST_TEST(http::queryParameter("a=1&b=x%20y", "b").value() == "x y");
