Let the leader serve no less the more waits: bounded cost of waiting steps, admission by capacity

Cause: a metastable overload of the leader, by two feedback loops. 1. Each round evaluates all waiting steps again, so the more wait, the fewer start within the round's budget. 2. The rate by which admission reckons was that of the starts made lately, so the less was accepted, the more was refused; and the starts that more urgent work will take meanwhile were not counted.

--- a/src/runtime/internal/manualloop.cpp
+++ b/src/runtime/internal/manualloop.cpp
@@ -56,7 +56,7 @@
         m_clock->advance(std::max(core::Duration(0), *m_timers.nextDueAt() - now()));
         runReady();
     }
-    m_clock->advance(end - now());
+    m_clock->advance(std::max(core::Duration(0), end - now())); // the work may have advanced it further
     runReady();
 }
 
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -25,6 +25,7 @@
     double tasksAhead = 0; //!< pending tasks that would start before this job
     //! Rate at which the leader can order starts, if it is what limits them now.
     std::optional<double> startsPerSecond;
+    double higherPriorityStartsPerSecond = 0; //!< average rate at which tasks of more urgent work arrive
     double higherPriorityShare = 0; //!< average share of the cores that more urgent work uses
     core::Duration adviceWait {}; //!< expected duration of an advice request of this queue
 };
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -47,11 +47,15 @@
     return inputs.coreSecondsAhead + inputs.gangCoreSecondsAhead * gangWeight;
 }
 
-//! Returns the time until the leader has ordered the starts ahead of a job.
+//! Returns the time until the leader has ordered the starts ahead of a job. More urgent work that arrives meanwhile
+//! starts before it, too.
 core::Duration startWait(const AdmissionInputs& inputs)
 {
-    return inputs.startsPerSecond ? seconds(inputs.tasksAhead / *inputs.startsPerSecond * congestionMargin)
-                                  : core::Duration(0);
+    if (!inputs.startsPerSecond)
+        return core::Duration(0);
+    const double rate = *inputs.startsPerSecond;
+    const double available = std::max(rate - inputs.higherPriorityStartsPerSecond, rate * (1 - maxHigherPriorityShare));
+    return seconds(inputs.tasksAhead / available * congestionMargin);
 }
 
 } // namespace
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -13,15 +13,20 @@
 constexpr double arrivalsSeconds = 6;
 //! A worker that has not answered a new leader within this time is not counted on.
 constexpr core::Duration firstAnswerTime = std::chrono::seconds(2);
-//! Submissions within this time are decided by one snapshot, to which the jobs accepted meanwhile are added.
+//! Submissions within this time are decided by one snapshot, to which the jobs accepted meanwhile are added. It also
+//! serves for a multiple of the time that it took.
 constexpr core::Duration snapshotPeriod = std::chrono::milliseconds(20);
+constexpr int snapshotCostFactor = 20;
+constexpr core::Duration maxSnapshotPeriod = std::chrono::milliseconds(200);
 
 } // namespace
 
 EngineImpl::AdmissionSnapshot& EngineImpl::admissionSnapshot()
 {
     const core::TimePoint now = m_dependencies.loop->now();
-    if (m_admissionSnapshot.takenAt != core::TimePoint() && now - m_admissionSnapshot.takenAt < snapshotPeriod)
+    const core::Duration period
+        = std::clamp(m_admissionSnapshot.cost * snapshotCostFactor, snapshotPeriod, maxSnapshotPeriod);
+    if (m_admissionSnapshot.takenAt != core::TimePoint() && now - m_admissionSnapshot.takenAt < period)
         return m_admissionSnapshot;
     m_admissionSnapshot = {};
     m_admissionSnapshot.takenAt = now;
@@ -50,6 +55,7 @@
         else
             m_admissionSnapshot.work.add(job->record.queue.priority, startBy, job->pendingWork());
     }
+    m_admissionSnapshot.cost = m_dependencies.loop->now() - now;
     return m_admissionSnapshot;
 }
 
@@ -68,25 +74,31 @@
     inputs.lateCoreSeconds = ahead.lateCoreSeconds;
     inputs.tasksAhead = ahead.tasks;
     inputs.startsPerSecond = m_orderWindow->startsPerSecond(now);
-    double higherPriorityLoad = 0;
+    ArrivedWork moreUrgent;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
-    for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n)
-        higherPriorityLoad += m_arrivals[n] * decay;
-    inputs.higherPriorityShare = inputs.cores > 0 ? higherPriorityLoad / inputs.cores : 0;
+    for (std::size_t n = 0; n < m_arrivals.size() && int(n) < queue.priority; ++n) {
+        moreUrgent.coreSeconds += m_arrivals[n].coreSeconds * decay;
+        moreUrgent.tasks += m_arrivals[n].tasks * decay;
+    }
+    inputs.higherPriorityShare = inputs.cores > 0 ? moreUrgent.coreSeconds / inputs.cores : 0;
+    inputs.higherPriorityStartsPerSecond = moreUrgent.tasks;
     if (queue.advice)
         inputs.adviceWait = queue.advice->costOf(std::min<std::size_t>(30, std::size_t(inputs.workers)));
     return inputs;
 }
 
-void EngineImpl::recordArrival(int priority, double coreSeconds)
+void EngineImpl::recordArrival(int priority, const ArrivedWork& work)
 {
     const core::TimePoint now = m_dependencies.loop->now();
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
-    for (double& it : m_arrivals)
-        it *= decay;
+    for (ArrivedWork& it : m_arrivals) {
+        it.coreSeconds *= decay;
+        it.tasks *= decay;
+    }
     m_arrivalsAt = now;
     const std::size_t n = std::min<std::size_t>(static_cast<std::size_t>(std::max(priority, 0)), m_arrivals.size() - 1);
-    m_arrivals[n] += coreSeconds / arrivalsSeconds;
+    m_arrivals[n].coreSeconds += work.coreSeconds / arrivalsSeconds;
+    m_arrivals[n].tasks += work.tasks / arrivalsSeconds;
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -40,13 +40,13 @@
     return it == reservation->reserved.end() ? nullptr : &it->second;
 }
 
-//! Returns the number of tasks of a step that fit on a worker.
-std::int64_t taskSlotsIn(const Candidate& it, const Demand& demand)
+//! Returns the number of tasks of a step that fit on a worker, which runs some of them already.
+std::int64_t taskSlotsIn(const core::Resources& room, std::uint32_t tasksOfStep, const Demand& demand)
 {
-    const std::int64_t slots = slotsIn(it.room, demand.need);
+    const std::int64_t slots = slotsIn(room, demand.need);
     if (demand.maxPerWorker == 0)
         return slots;
-    return std::clamp<std::int64_t>(std::int64_t(demand.maxPerWorker) - std::int64_t(it.tasksOfStep), 0, slots);
+    return std::clamp<std::int64_t>(std::int64_t(demand.maxPerWorker) - std::int64_t(tasksOfStep), 0, slots);
 }
 
 //! Returns the minimum number of workers to name. A wider choice may take about as long as the fixed time of a request;
@@ -76,18 +76,26 @@
     if (isAdditional)
         demand.count = tasksWithoutTicket(ready, now);
     const placement::IStrategy& strategy = placement::strategyOf(placementStrategy);
-    const std::vector<Candidate> notDenied = candidatesFor(job, *ready.stage, now, CandidateFilter::NotDenied);
+    const StageWorkers stageWorkers = stageWorkersOf(job, *ready.stage);
     std::vector<AdviceCandidate> candidates;
-    candidates.reserve(notDenied.size());
-    for (const Candidate& it : notDenied) {
-        const auto ticket = advice.tickets.find(it.worker);
+    FleetView& fleet = fleetViewOf(job);
+    candidates.reserve(fleet.workers().size());
+    for (const UsableWorker& it : fleet.workers()) {
+        const core::VmId& id = it.worker->id();
+        if (!demand.need.fitsIn(it.capacity) || advice.denied.contains(id) || !stageWorkers.mayUse(*it.worker))
+            continue;
+        const auto ticket = advice.tickets.find(id);
         const bool isAllowed = ticket != advice.tickets.end();
-        const bool isCovered = advice.requested.contains(it.worker) || (isAllowed && ticket->second.validUntil > now);
-        if (!demand.need.fitsIn(it.capacity) || (isAdditional && isCovered))
+        const bool isCovered
+            = isAdditional && (advice.requested.contains(id) || (isAllowed && ticket->second.validUntil > now));
+        if (isCovered)
             continue;
-        const core::Resources* reserved = reservedOn(it.worker, reservation);
-        const std::int64_t slots = std::max(taskSlotsIn(it, demand), reserved ? slotsIn(*reserved, demand.need) : 0);
-        candidates.push_back({ it.worker, slots, reserved != nullptr, isAllowed, scoreOf(demand, it, strategy) });
+        const core::Resources* reserved = reservedOn(id, reservation);
+        const core::Resources room = it.room - it.reserved;
+        const std::int64_t slots = std::max(
+            taskSlotsIn(room, stageWorkers.tasksOn(id), demand), reserved ? slotsIn(*reserved, demand.need) : 0);
+        const Spot spot { room, it.capacity, it.worker->rack(), it.isSlow || stageWorkers.avoided.contains(id) };
+        candidates.push_back({ id, slots, reserved != nullptr, isAllowed, scoreOf(demand, spot, strategy) });
     }
     const bool isReservationSoon = reservation && reservation->completeIn <= adviceLeadTime(job);
     const std::size_t minWorkers = minWorkersForAdvice(*job.record.queue.advice, demand.count);
@@ -101,15 +109,15 @@
     const AdviceState& advice = ready.stage->advice;
     double covered = 0;
     for (const Candidate& it : candidatesFor(*ready.job, *ready.stage, now, CandidateFilter::Ticket))
-        covered += double(taskSlotsIn(it, demand));
+        covered += double(taskSlotsIn(it.room, it.tasksOfStep, demand));
     const double share = allowedShareOf(ready.job->record.queue.name);
     FleetView& fleet = fleetViewOf(*ready.job);
     for (const core::VmId& id : advice.requested) {
         const UsableWorker* usable = fleet.find(id);
         if (!usable)
             continue;
-        const Candidate candidate { id, usable->worker->freeRoom() - usable->reserved, {}, {}, 0, false };
-        covered += double(taskSlotsIn(candidate, demand)) * (advice.tickets.contains(id) ? 1 : share);
+        covered += double(taskSlotsIn(usable->room - usable->reserved, 0, demand))
+            * (advice.tickets.contains(id) ? 1 : share);
     }
     return covered >= demand.count ? 0 : demand.count - static_cast<std::uint32_t>(covered);
 }
@@ -196,6 +204,7 @@
     Stage& stage = job->stages[stageIndex];
     AdviceState& advice = stage.advice;
     --advice.openRequests;
+    stage.tryAgainAt = {};
     for (const core::VmId& it : workers)
         advice.requested.erase(it);
     scheduleRound();
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -87,7 +87,7 @@
     std::int64_t slots = 0;
     std::int64_t workersWithRoom = 0;
     for (const UsableWorker& it : fleetViewOf(*gang.job).workers()) {
-        const std::int64_t n = slotsIn(it.worker->freeRoom(), demand.need);
+        const std::int64_t n = slotsIn(it.room, demand.need);
         slots += n;
         workersWithRoom += n > 0 ? 1 : 0;
     }
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -21,9 +21,12 @@
 constexpr core::Duration maxCallDeferral = std::chrono::milliseconds(400);
 constexpr core::Duration notNowRetryAfter = std::chrono::milliseconds(400);
 
-//! While the loop's timers are this late on average, the leader refuses new jobs. What it has accepted, and calls about
-//! it, come first.
+//! While the loop's timers are this late on average, the leader refuses all new jobs. What it has accepted, and calls
+//! about it, come first.
 constexpr core::Duration maxLoopLateness = std::chrono::milliseconds(40);
+//! Less urgent jobs are refused earlier, by this much for each more urgent priority that is configured.
+constexpr core::Duration latenessPerPriority = std::chrono::milliseconds(10);
+constexpr core::Duration minLatenessLimit = std::chrono::milliseconds(20);
 constexpr core::Duration overloadRetryAfter = std::chrono::milliseconds(1000);
 constexpr const char* overloadReason = "the leader is overloaded";
 
@@ -99,7 +102,7 @@
         answerDuplicate(*known, callback);
         return;
     }
-    if (m_loopLateness >= maxLoopLateness) {
+    if (m_loopLateness >= latenessLimitOf(queue->priority)) {
         refuseUnderOverload(call, *queue, callback);
         return;
     }
@@ -143,6 +146,16 @@
     accept(call, *queue, callback);
 }
 
+core::Duration EngineImpl::latenessLimitOf(int priority) const
+{
+    std::set<int> moreUrgent;
+    for (const workflow::QueuePolicy& it : m_config->queues) {
+        if (it.priority < priority)
+            moreUrgent.insert(it.priority);
+    }
+    return std::max(maxLoopLateness - latenessPerPriority * std::int64_t(moreUrgent.size()), minLatenessLimit);
+}
+
 void EngineImpl::refuseUnderOverload(
     const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback)
 {
@@ -194,7 +207,7 @@
     job->submitCallbacks.push_back(callback);
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
-    recordArrival(queue.priority, coreSecondsOf(call.spec));
+    recordArrival(queue.priority, { coreSecondsOf(call.spec), double(job->tasks) });
     m_admissionSnapshot.tasksHeld += job->tasks;
     m_admissionSnapshot.work.add(queue.priority, job->startBy(), job->pendingWork());
     const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), std::move(row));
@@ -217,6 +230,8 @@
         std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
     for (const AnswerCallback& it : std::exchange(job->submitCallbacks, {}))
         it(answerOf(WorkflowOutcome::Accepted));
+    for (Stage& it : job->stages)
+        it.tryAgainAt = {}; // its advice may have come before
     scheduleRound();
 }
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -12,6 +12,7 @@
 #include "scheduling/internal/worker.h"
 #include "scheduling/placer.h"
 #include "scheduling/reservation.h"
+#include "scheduling/retrypacer.h"
 #include "scheduling/speedtracker.h"
 #include "scheduling/workahead.h"
 
@@ -47,6 +48,10 @@
         AnswerCallback callback;
         core::TimePoint deadline {};
     };
+    struct ArrivedWork {
+        double coreSeconds = 0;
+        double tasks = 0;
+    };
     //! A stage with tasks that may start now, with its sort keys for the round.
     struct ReadyStage {
         JobPtr job;
@@ -60,6 +65,8 @@
     bool canAnswer(const workflow::WorkflowCall& call) const;
     void retryDeferredCalls();
     void submit(const workflow::WorkflowCall& call, const AnswerCallback& callback);
+    //! Returns from which lateness of the loop's timers on new jobs of a priority are refused.
+    core::Duration latenessLimitOf(int priority) const;
     void refuseUnderOverload(
         const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback);
     void answerDuplicate(Job& job, const AnswerCallback& callback);
@@ -79,13 +86,14 @@
     //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
     struct AdmissionSnapshot {
         core::TimePoint takenAt {};
+        core::Duration cost {}; //!< time that it took
         std::size_t tasksHeld = 0;
         std::map<core::ServiceId, FleetRoom> rooms;
         WorkAhead work;
     };
     //! Returns a snapshot that is recent enough.
     AdmissionSnapshot& admissionSnapshot();
-    void recordArrival(int priority, double coreSeconds);
+    void recordArrival(int priority, const ArrivedWork& work);
 
     // Persistence
     lead::LogRevision persistProgress(Job& job);
@@ -193,9 +201,29 @@
     bool mayBeOutdated(const Job& job, const Stage& stage) const;
     //! Places the stages in order, within the time that a round may take.
     void placeStages(std::vector<ReadyStage>& all, core::TimePoint now);
-    void placeStage(const ReadyStage& ready, core::TimePoint now);
+    //! Returns false if no task was started.
+    bool placeStage(const ReadyStage& ready, core::TimePoint now);
+    //! Returns whether it is too early to evaluate a stage again that could not start.
+    bool isLeftAlone(const ReadyStage& ready, core::TimePoint now);
     //! Starts tasks on workers that may run them; returns false if it started none.
     bool startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now);
+    //! How a step differs between workers, apart from their room.
+    struct StageWorkers {
+        std::string requiredLabel; //!< empty: none
+        std::map<core::VmId, std::uint32_t> tasks; //!< running tasks of the step, if their number is limited
+        std::set<core::VmId> avoided; //!< workers that pending tasks avoid after an unsuccessful run
+
+        bool mayUse(const Worker& it) const
+        {
+            return requiredLabel.empty() || it.entry().labels.contains(requiredLabel);
+        }
+        std::uint32_t tasksOn(const core::VmId& worker) const
+        {
+            const auto it = tasks.find(worker);
+            return it == tasks.end() ? 0 : it->second;
+        }
+    };
+    static StageWorkers stageWorkersOf(const Job& job, const Stage& stage);
     //! Selects the workers that are candidates for a step.
     enum class CandidateFilter {
         Ticket, //!< workers with a valid ticket
@@ -271,11 +299,12 @@
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
     core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
+    bool m_isRoundCutShort = false; //!< the last round did not get to all work in time
+    RetryPacer m_retryPacer;
     std::size_t m_lateStageOffset = 0; //!< number of late stages to skip, as former rounds have placed them
     core::Duration m_longestRound {}; //!< since the last report of the backlog
     core::TimePoint m_backlogReportedAt {};
-    //! Moving average of the arriving work by priority, in core-seconds per second.
-    std::array<double, 8> m_arrivals {};
+    std::array<ArrivedWork, 8> m_arrivals {}; //!< moving average by priority, per second
     core::TimePoint m_arrivalsAt {}; //!< when the averages were last updated
     AdmissionSnapshot m_admissionSnapshot;
     std::optional<std::vector<fleet::WorkerEntry>> m_registryEntries; //!< content of the registry, once received
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -18,6 +18,9 @@
 constexpr core::Duration roundDelay = std::chrono::milliseconds(8);
 //! Pause after a round, as a multiple of its duration.
 constexpr int roundCostFactor = 3;
+//! The same while work in time waits for the next round, as long as the loop's timers are hardly late.
+constexpr int busyRoundCostFactor = 1;
+constexpr core::Duration hardlyLate = std::chrono::milliseconds(20);
 //! Time that a round spends on placing jobs that can be in time, and on late ones. With many hundred waiting steps in
 //! a large fleet a round would take so long that the leader answers nobody meanwhile.
 constexpr core::Duration roundBudget = std::chrono::milliseconds(20);
@@ -29,8 +32,8 @@
 //! A reservation visits all workers and their runs. In a large fleet it is reused for some rounds; with fewer than 80
 //! workers each round computes a new one.
 constexpr core::Duration reservationAgePerWorker = std::chrono::microseconds(100);
-
-const std::map<core::VmId, std::uint32_t> noTasks;
+//! It is also reused for this multiple of the time that it took.
+constexpr int reservationCostFactor = 20;
 
 std::map<core::VmId, std::uint32_t> tasksByWorker(const Stage& stage)
 {
@@ -60,7 +63,9 @@
     if (m_isStopped || std::exchange(m_isRoundScheduled, true))
         return;
     // The delay grows with the cost of a round, so rounds take only a fraction of the loop's time in large fleets.
-    m_dependencies.loop->callAfter(std::max(roundDelay, m_roundCost * roundCostFactor), [self = weak_from_this()] {
+    const bool isBusy = m_isRoundCutShort && m_loopLateness < hardlyLate;
+    const core::Duration pause = m_roundCost * (isBusy ? busyRoundCostFactor : roundCostFactor);
+    m_dependencies.loop->callAfter(std::max(roundDelay, pause), [self = weak_from_this()] {
         const auto it = self.lock();
         if (!it)
             return;
@@ -80,6 +85,7 @@
     buildFleetViews(now);
     std::vector<ReadyStage> all = readyStages(now);
     recordWaitingGangs(all);
+    m_retryPacer.setWaiting(all.size());
     placeStages(all, now);
     m_roundCost = m_dependencies.loop->now() - now;
     m_longestRound = std::max(m_longestRound, m_roundCost);
@@ -89,16 +95,26 @@
 void EngineImpl::placeStages(std::vector<ReadyStage>& all, core::TimePoint now)
 {
     const auto place = [&](auto first, auto last, core::Duration budget) {
-        const core::TimePoint until = m_dependencies.loop->now() + budget;
+        core::TimePoint at = m_dependencies.loop->now();
+        const core::TimePoint until = at + budget;
         for (auto it = first; it != last; ++it) {
-            placeStage(*it, now);
-            if (m_dependencies.loop->now() >= until)
+            if (isLeftAlone(*it, now))
+                continue;
+            const bool hasStarted = placeStage(*it, now);
+            const core::TimePoint endedAt = m_dependencies.loop->now();
+            if (!hasStarted) {
+                m_retryPacer.onFailed(endedAt - at);
+                it->stage->tryAgainAt = endedAt + m_retryPacer.pause();
+            }
+            at = endedAt;
+            if (at >= until)
                 return std::next(it);
         }
         return last;
     };
     const auto late = std::find_if(all.begin(), all.end(), [](const ReadyStage& it) { return it.isLate; });
-    if (place(all.begin(), late, roundBudget) != late)
+    m_isRoundCutShort = place(all.begin(), late, roundBudget) != late;
+    if (m_isRoundCutShort)
         m_orderWindow->onLimited(now); // the processor is what limits the starts
     if (late == all.end())
         return;
@@ -201,21 +217,29 @@
     return demand;
 }
 
+EngineImpl::StageWorkers EngineImpl::stageWorkersOf(const Job& job, const Stage& stage)
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    StageWorkers it;
+    it.requiredLabel = step.requiredLabel;
+    if (step.maxPerWorker > 0)
+        it.tasks = tasksByWorker(stage);
+    it.avoided = avoidedBy(stage);
+    return it;
+}
+
 std::vector<Candidate> EngineImpl::candidatesFor(
     const Job& job, const Stage& stage, core::TimePoint now, CandidateFilter filter)
 {
     FleetView& fleet = fleetViewOf(job);
-    const workflow::StepSpec& step = job.stepOf(stage);
-    const std::map<core::VmId, std::uint32_t> running = step.maxPerWorker > 0 ? tasksByWorker(stage) : noTasks;
-    const std::set<core::VmId> avoided = avoidedBy(stage);
+    const StageWorkers stageWorkers = stageWorkersOf(job, stage);
     std::vector<Candidate> candidates;
     const auto add = [&](const UsableWorker& usable) {
         const Worker& worker = *usable.worker;
-        if (!step.requiredLabel.empty() && !worker.entry().labels.contains(step.requiredLabel))
+        if (!stageWorkers.mayUse(worker))
             return;
-        const auto tasksOfStep = running.find(worker.id());
-        candidates.push_back({ worker.id(), worker.freeRoom() - usable.reserved, worker.entry().capacity, worker.rack(),
-            tasksOfStep == running.end() ? 0 : tasksOfStep->second, usable.isSlow || avoided.contains(worker.id()) });
+        candidates.push_back({ worker.id(), usable.room - usable.reserved, usable.capacity, worker.rack(),
+            stageWorkers.tasksOn(worker.id()), usable.isSlow || stageWorkers.avoided.contains(worker.id()) });
     };
     if (filter == CandidateFilter::NotDenied) {
         candidates.reserve(fleet.workers().size());
@@ -236,11 +260,19 @@
     return candidates;
 }
 
-void EngineImpl::placeStage(const ReadyStage& ready, core::TimePoint now)
+bool EngineImpl::isLeftAlone(const ReadyStage& ready, core::TimePoint now)
+{
+    // The next gang in order is always evaluated, as it keeps its room reserved.
+    const bool mayReserve = ready.job->stepOf(*ready.stage).isGang
+        && fleetViewOf(*ready.job).reservingGangs(ready.isLate) < maxReservingGangs;
+    return now < ready.stage->tryAgainAt && !mayReserve;
+}
+
+bool EngineImpl::placeStage(const ReadyStage& ready, core::TimePoint now)
 {
     if (m_orderWindow->isFull()) {
         m_orderWindow->onLimited(now);
-        return; // a ticket would expire before its start is ordered
+        return false; // a ticket would expire before its start is ordered
     }
     Demand demand = demandOf(*ready.job, *ready.stage);
     demand.count = startLimit(ready, demand, now);
@@ -252,7 +284,7 @@
     FleetView& fleet = fleetViewOf(*ready.job);
     const bool mayStart = demand.count > 0 && (demand.isAllOrNothing || demand.need.fitsIn(fleet.maxRoom()));
     if (mayStart && startWhereAllowed(ready, demand, now))
-        return;
+        return true;
     // A late gang comes after all work in time and leaves headroom for it. Without a reservation, late single tasks
     // would take all of its room meanwhile.
     const bool mayReserve
@@ -263,6 +295,7 @@
         requestAdvice(ready, now, reservation);
     if (reservation)
         fleet.addReservation(*reservation, ready.isLate);
+    return false;
 }
 
 bool EngineImpl::startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now)
@@ -305,13 +338,16 @@
 {
     Stage& stage = *ready.stage;
     const core::Duration age = now - stage.reservedAt;
-    const core::Duration maxAge = reservationAgePerWorker * std::int64_t(m_workers.size());
+    const core::Duration maxAge = std::max(
+        reservationAgePerWorker * std::int64_t(m_workers.size()), stage.reservationCost * reservationCostFactor);
     if (stage.reservation && age < maxAge) {
         Reservation reservation = *stage.reservation;
         reservation.completeIn = std::max(reservation.completeIn - age, core::Duration(0));
         return reservation;
     }
+    const core::TimePoint startedAt = m_dependencies.loop->now();
     stage.reservation = computeReservation(ready, now);
+    stage.reservationCost = m_dependencies.loop->now() - startedAt;
     stage.reservedAt = now;
     return stage.reservation;
 }
@@ -370,7 +406,7 @@
         .with("waitedMs", core::toMs(m_dependencies.loop->now() - stage.openedAt));
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
-    fleetViewOf(*job).onTaskStarted(room);
+    fleetViewOf(*job).onTaskStarted(worker, room);
     m_workers[worker]->startRun(order, room, m_roundAt);
 }
 
--- a/src/scheduling/internal/fleetview.cpp
+++ b/src/scheduling/internal/fleetview.cpp
@@ -21,7 +21,7 @@
     m_maxRoom.cpu = std::max(m_maxRoom.cpu, room.cpu);
     m_maxRoom.memory = std::max(m_maxRoom.memory, room.memory);
     m_maxRoom.accelerators = std::max(m_maxRoom.accelerators, room.accelerators);
-    m_workers.push_back({ &worker, isSlow, {}, std::nullopt });
+    m_workers.push_back({ &worker, isSlow, worker.entry().capacity, room, {}, std::nullopt });
 }
 
 UsableWorker* FleetView::find(const core::VmId& id)
@@ -31,9 +31,11 @@
     return it == m_workers.end() || it->worker->id() != id ? nullptr : &*it;
 }
 
-void FleetView::onTaskStarted(const core::Resources& room)
+void FleetView::onTaskStarted(const core::VmId& worker, const core::Resources& room)
 {
     m_freeCores -= coresOf(room);
+    if (UsableWorker* it = find(worker))
+        it->room = it->room - room;
 }
 
 void FleetView::addReservation(const Reservation& reservation, bool isLate)
@@ -46,7 +48,7 @@
         it->reserved = it->reserved + room;
         // The headroom of a round already includes the gangs in time.
         if (isLate)
-            m_freeCores -= coresOf({ std::min(room.cpu, it->worker->freeRoom().cpu), {}, {} });
+            m_freeCores -= coresOf({ std::min(room.cpu, it->room.cpu), {}, {} });
     }
 }
 
--- a/src/scheduling/internal/fleetview.h
+++ b/src/scheduling/internal/fleetview.h
@@ -12,6 +12,8 @@
 struct UsableWorker {
     const Worker* worker = nullptr;
     bool isSlow = false;
+    core::Resources capacity;
+    core::Resources room; //!< free room; a copy, as a round looks at all workers many times and they lie apart
     core::Resources reserved; //!< for gangs, in this round
     std::optional<std::vector<RoomEvent>> events; //!< earliest first; computed on first use
 };
@@ -32,7 +34,7 @@
     //! Returns the component-wise maximum of the free room at the start of the round.
     const core::Resources& maxRoom() const { return m_maxRoom; }
 
-    void onTaskStarted(const core::Resources& room);
+    void onTaskStarted(const core::VmId& worker, const core::Resources& room);
     //! Reserves room for a gang until the round ends.
     void addReservation(const Reservation& reservation, bool isLate);
 
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -59,12 +59,14 @@
     bool isOpen = false; //!< the steps before it are done and its occurrence is due
     core::TimePoint openedAt {};
     core::TimePoint notBefore {}; //!< earliest next start after a failure
+    core::TimePoint tryAgainAt {}; //!< when to evaluate it again after it could not start
     fleet::RunNumber newestRun;
     bool isBeingStopped = false; //!< all members of the gang are being stopped
     AdviceState advice;
     //! Room reserved for the gang in a recent round.
     std::optional<Reservation> reservation;
     core::TimePoint reservedAt {};
+    core::Duration reservationCost {}; //!< time that it took to compute
 
     bool isDone() const { return done == tasks.size(); }
     //! Returns whether all live members of the gang have this run number.
--- a/src/scheduling/internal/orderwindow.cpp
+++ b/src/scheduling/internal/orderwindow.cpp
@@ -21,6 +21,9 @@
 constexpr int timeoutFactor = 4; //!< of the median time of an answer
 constexpr core::Duration maxAnswerTimeout = std::chrono::milliseconds(2000);
 constexpr core::Duration rateInterval = std::chrono::milliseconds(500);
+//! Share of the former rate that remains if fewer orders are settled in an interval. Fewer may just have been accepted;
+//! if that counted as the rate, admission would refuse the more the less it accepts.
+constexpr double rateDecay = 0.6;
 //! How long the window counts as limiting after it last was.
 constexpr core::Duration limitedMemory = std::chrono::milliseconds(1000);
 
@@ -53,7 +56,8 @@
     if (now - m_rateAt >= rateInterval) {
         const core::Duration elapsed = now - m_rateAt;
         // After a pause the rate is not known.
-        m_rate = elapsed < limitedMemory ? double(m_settled) / std::chrono::duration<double>(elapsed).count() : 0;
+        const double settled = double(m_settled) / std::chrono::duration<double>(elapsed).count();
+        m_rate = elapsed < limitedMemory ? std::max(settled, m_rate * rateDecay) : 0;
         m_rateAt = now;
         m_settled = 0;
     }
--- a/src/scheduling/internal/placer.cpp
+++ b/src/scheduling/internal/placer.cpp
@@ -83,16 +83,22 @@
     return std::max<std::int64_t>(n, 0);
 }
 
-double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy)
+double scoreOf(const Demand& demand, const Spot& spot, const placement::IStrategy& strategy)
 {
-    double score = strategy.score(candidate.room - demand.need, candidate.capacity);
-    if (candidate.isLastResort)
+    double score = strategy.score(spot.room - demand.need, spot.capacity);
+    if (spot.isLastResort)
         score -= lastResortPenalty;
-    if (!demand.dataRack.empty() && demand.dataRack != candidate.rack)
+    if (!demand.dataRack.empty() && demand.dataRack != spot.rack)
         score -= otherRackPenalty;
     return score;
 }
 
+double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy)
+{
+    return scoreOf(
+        demand, Spot { candidate.room, candidate.capacity, candidate.rack, candidate.isLastResort }, strategy);
+}
+
 std::vector<core::VmId> place(
     const Demand& demand, std::vector<Candidate>& candidates, const placement::IStrategy& strategy)
 {
--- a/src/scheduling/orderwindow.h
+++ b/src/scheduling/orderwindow.h
@@ -40,7 +40,7 @@
     bool isFull() const { return room() == 0; }
     //! Records that work waits because the window is full, or the leader has no time to start it.
     void onLimited(core::TimePoint now) { m_limitedAt = now; }
-    //! Returns the rate at which starts are settled if the leader has limited them recently; nothing otherwise.
+    //! Returns the rate at which starts can be settled if the leader has limited them recently; nothing otherwise.
     std::optional<double> startsPerSecond(core::TimePoint now) const;
 
     //! Returns the median time until an answer. Congestion of the leader slows down all answers; some workers that
@@ -59,7 +59,7 @@
     core::TimePoint m_limitedAt {};
     core::TimePoint m_rateAt {}; //!< beginning of the interval in which settled orders are counted
     std::size_t m_settled = 0; //!< in that interval
-    double m_rate = 0; //!< settled orders per second in the previous interval
+    double m_rate = 0; //!< most orders settled per second in recent intervals
 };
 
 using OrderWindowPtr = std::shared_ptr<OrderWindow>;
--- a/src/scheduling/placer.h
+++ b/src/scheduling/placer.h
@@ -34,7 +34,16 @@
 //! Strategy by which the leader chooses workers.
 constexpr placement::StrategyKind placementStrategy = placement::StrategyKind::DominantFit;
 
-//! Returns how well a task fits on a candidate; higher is better.
+//! What the score of a candidate depends on.
+struct Spot {
+    core::Resources room;
+    core::Resources capacity;
+    const std::string& rack;
+    bool isLastResort = false;
+};
+
+//! Returns how well a task fits there; higher is better.
+double scoreOf(const Demand& demand, const Spot& spot, const placement::IStrategy& strategy);
 double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy);
 
 //! Chooses a worker for each task as far as there is room; for all-or-nothing demands, for all of them or none.
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -29,6 +29,7 @@
         , store(std::make_shared<FakeRowStore>(loop))
         , workers(std::make_shared<FakeWorkers>(loop))
         , orders(workers)
+        , engineLoop(loop)
     {
         queue.name = "q";
         queue.host = "h";
@@ -125,6 +126,7 @@
     std::shared_ptr<FakeRowStore> store;
     std::shared_ptr<FakeWorkers> workers;
     fleet::IWorkerOrdersPtr orders; //!< by which the leader reaches the workers; by default they are `workers`
+    runtime::ILoopPtr engineLoop; //!< on which the engine runs; by default `loop`
     workflow::QueuePolicy queue;
     std::vector<workflow::QueuePolicy> moreQueues;
     std::vector<fleet::WorkerEntry> entries;
@@ -143,7 +145,7 @@
         hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
         hooks.won = [this](const lead::WonElection& won) {
             advice = AdviceQueue::create(loop);
-            EngineDependencies dependencies { loop, store, orders, advice, telemetry::Metrics::create(), times,
+            EngineDependencies dependencies { engineLoop, store, orders, advice, telemetry::Metrics::create(), times,
                 leaderTimes };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
             workflow::QueueConfig config;
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -1,6 +1,7 @@
 //! Load patterns under which one queue got too little: gangs beside single tasks while the fleet is nearly full.
 
 #include "scheduling/tests/cell.h"
+#include "scheduling/tests/mixedrun.h"
 #include "scheduling/tests/overloadrun.h"
 
 #include <boost/test/unit_test.hpp>
@@ -392,6 +393,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(overload_decision_cost)
+
+//! Guards against a leader that serves the less the more waits, since waiting steps use up the time of its rounds
+//! (SHORT on tolliver-lids-large): each kind keeps its floor while decisions take up to three times as long.
+BOOST_AUTO_TEST_CASE(each_kind_keeps_its_floor_while_decisions_are_slow)
+{
+    constexpr double floor = 0.42;
+    for (const int factor : { 1, 2, 3 }) {
+        const auto kinds = MixedRun(std::chrono::microseconds(100) * factor, 1).play(20, 1.9);
+        for (std::size_t n = 0; n < kinds.size(); ++n)
+            BOOST_TEST(kinds[n].earned() >= floor,
+                mixedKinds[n].queue << " earned " << kinds[n].earned() << " while decisions take " << factor
+                                    << " times as long");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(overload_wide_steps)
 
 //! Guards against a gang that never starts beside free workers, since it needs more tickets than one advice request
--- a/src/scheduling/tests/policies_tests.cpp
+++ b/src/scheduling/tests/policies_tests.cpp
@@ -243,6 +243,28 @@
     BOOST_TEST(!window.startsPerSecond(now).has_value());
 }
 
+//! Guards against admission that refuses the more the less it has accepted: fewer starts than before do not mean that
+//! the leader can order fewer.
+BOOST_AUTO_TEST_CASE(order_window_keeps_its_rate_for_some_time_while_fewer_orders_are_sent)
+{
+    OrderWindow window;
+    core::TimePoint now { std::chrono::hours(1) };
+    const auto settle = [&](int orders, core::Duration interval) {
+        for (int n = 0; n < orders; ++n) {
+            now += interval;
+            window.onSent();
+            window.onSettled(ms(4), now);
+        }
+        window.onLimited(now);
+    };
+    settle(2000, ms(1));
+    settle(11, ms(50)); // little was accepted for half a second
+    BOOST_REQUIRE(window.startsPerSecond(now).has_value());
+    BOOST_TEST(*window.startsPerSecond(now) > 500);
+    settle(100, ms(50));
+    BOOST_TEST(*window.startsPerSecond(now) < 100); // it can't be known that it could order more
+}
+
 //! Guards against accepting what the leader's processor or link cannot start in time, while workers have room.
 BOOST_AUTO_TEST_CASE(job_is_refused_if_the_leader_cannot_order_its_starts_in_time)
 {
