--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -206,8 +206,8 @@
         h2o_evloop_run(m_queue->loop, hasRunWork || m_queue->hasWork ? 0 : pollTimeoutMs());
         hasRunWork = m_queue->runPosted();
         hasRunWork = runDueTimers() || hasRunWork;
-        // h2o lists sockets that were written to here, and frees those that were closed here, at the beginning of its next
-        // iteration. As after its own timers, the list has to be worked off before that.
+        // h2o lists sockets that were written to here, and frees those that were closed here, at the beginning of its
+        // next iteration. As after its own timers, the list has to be worked off before that.
         if (hasRunWork)
             h2o_timeout__do_post_callback(m_queue->loop);
     }
--- a/src/telemetry/internal/crashreport.cpp
+++ b/src/telemetry/internal/crashreport.cpp
@@ -39,8 +39,8 @@
     const Registers registers = registersOf(context);
     std::array<char, 160> line {};
     const int n = std::snprintf(line.data(), line.size(),
-        "{\"event\":\"crash\",\"signal\":%d,\"address\":\"%p\",\"instruction\":\"%#lx\",\"returnAddress\":\"%#lx\"}\n", signal,
-        info->si_addr, static_cast<unsigned long>(registers.instruction),
+        "{\"event\":\"crash\",\"signal\":%d,\"address\":\"%p\",\"instruction\":\"%#lx\",\"returnAddress\":\"%#lx\"}\n",
+        signal, info->si_addr, static_cast<unsigned long>(registers.instruction),
         static_cast<unsigned long>(registers.returnAddress));
     [[maybe_unused]] const ssize_t written = write(STDERR_FILENO, line.data(), static_cast<std::size_t>(n));
     std::array<void*, maxFrames> frames { reinterpret_cast<void*>(registers.instruction),
@@ -62,7 +62,7 @@
     alternate.ss_sp = stack.data();
     alternate.ss_size = stack.size();
     sigaltstack(&alternate, nullptr);
-    struct sigaction action {};
+    struct sigaction action { };
     action.sa_sigaction = report;
     action.sa_flags = SA_SIGINFO | SA_ONSTACK | SA_RESETHAND | SA_NODEFER;
     for (const int it : signals)
