--- a/fuzz/decoders.cpp
+++ b/fuzz/decoders.cpp
@@ -6,6 +6,7 @@
 #include "codec/yaml.h"
 #include "configuration/configuration.h"
 #include "membership/cellcodec.h"
+#include "platform/internal/workeranswers.h"
 #include "protocol/messagecodec.h"
 #include "protocol/rpccodec.h"
 #include "protocol/workcodec.h"
@@ -39,7 +40,7 @@
     }
 }
 
-constexpr std::array<void (*)(const std::string&), 17> decoders {
+constexpr std::array<void (*)(const std::string&), 18> decoders {
     [](const std::string& it) { settings::readNodeSettings(it, "f"); },
     [](const std::string& it) { configuration::readConfiguration(it, "f"); },
     [](const std::string& it) { api::readSubmission(it, core::WallTime(0)); },
@@ -57,6 +58,7 @@
     [](const std::string& it) { protocol::decodeCall(it); },
     [](const std::string& it) { protocol::decodeAdvicePoll(it); },
     [](const std::string& it) { protocol::decodeLeaderHint(it); },
+    [](const std::string& it) { platform::decodeReport(it); },
 };
 
 } // namespace
