Log how long steps that cannot start are left alone

Without it the backlog line could not tell steps that wait for room from steps that the leader has no time for.

--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -76,6 +76,7 @@
         .with("lateSteps", backlog.counts[0][1])
         .with("lateCoreSeconds", std::int64_t(backlog.lateCoreSeconds))
         .with("roundMs", core::toMs(m_longestRound))
+        .with("retryPauseMs", core::toMs(m_retryPacer.pause()))
         .with("latenessMs", core::toMs(m_loopLateness))
         .with("answerMs", core::toMs(m_orderWindow->answerTime()))
         .with("startsLeft", std::int64_t(m_orderWindow->room()));
--- a/src/scheduling/internal/retrypacer.cpp
+++ b/src/scheduling/internal/retrypacer.cpp
@@ -24,8 +24,7 @@
 
 core::Duration RetryPacer::pause() const
 {
-    const auto pause
-        = core::Duration(std::int64_t(m_averageMicroseconds * double(m_waiting) * shareDivisor));
+    const auto pause = core::Duration(std::int64_t(m_averageMicroseconds * double(m_waiting) * shareDivisor));
     return pause < minPause ? core::Duration(0) : std::min(pause, maxPause);
 }
 
--- a/src/scheduling/tests/mixedrun.h
+++ b/src/scheduling/tests/mixedrun.h
@@ -54,12 +54,10 @@
 
 //! Urgent small jobs, gangs, and less urgent wide steps that together need nine tenths of 3,520 cores.
 inline const std::array<JobKind, 3> mixedKinds { {
-    { "check", 0, 12.5, 5, 7800, ms(1000), 1.5, ms(300), false,
-        { ms(18), std::chrono::microseconds(260), ms(2500) } },
+    { "check", 0, 12.5, 5, 7800, ms(1000), 1.5, ms(300), false, { ms(18), std::chrono::microseconds(260), ms(2500) } },
     { "plan", 1, 0.95, 30, 9000, ms(6200), 2.2, ms(1000), true,
         { ms(507), std::chrono::microseconds(7280), ms(2500) } },
-    { "glaze", 2, 1.3, 56, 5500, ms(2700), 4, ms(3000), false,
-        { ms(182), std::chrono::microseconds(2600), ms(2500) } },
+    { "glaze", 2, 1.3, 56, 5500, ms(2700), 4, ms(3000), false, { ms(182), std::chrono::microseconds(2600), ms(2500) } },
 } };
 
 //! What became of the jobs of a kind.
