--- a/src/scheduling/tests/leadership_tests.cpp
+++ b/src/scheduling/tests/leadership_tests.cpp
@@ -325,6 +325,48 @@
     BOOST_TEST(winner == "large");
 }
 
+namespace {
+
+//! Returns the node that leads after an outage of the store: one of twelve small ones, or a large one.
+std::string leaderAfterOutage(core::Duration outage)
+{
+    Cell cell;
+    cell.lead();
+    std::string winner;
+    std::vector<lead::ElectionPtr> candidates;
+    const auto add = [&](const std::string& name, core::Duration candidacyDelay) {
+        lead::ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
+        hooks.won = [&winner, name](const lead::WonElection&) { winner = winner.empty() ? name : winner; };
+        candidates.push_back(lead::Election::create(cell.loop, cell.store, core::NodeId(name), { "127.0.0.1", 7000 },
+            cell.leaderTimes, candidacyDelay, std::move(hooks)));
+        candidates.back()->start();
+    };
+    for (int n = 0; n < 12; ++n) {
+        add("small" + std::to_string(n), ms(456));
+        cell.advance(ms(17));
+    }
+    add("large", ms(0));
+    cell.advance(ms(200));
+    cell.engine.reset(); // it writes no more heartbeats
+    cell.store->isDown = true;
+    cell.advance(outage);
+    BOOST_TEST(winner.empty());
+    cell.store->isDown = false;
+    cell.advance(ms(2000));
+    return winner;
+}
+
+} // namespace
+
+//! Guards against a small VM that leads a large fleet after an outage of the store (LOST on scale-2 of
+//! tolliver-lids-large): the outage outlasted all candidacy delays, so that any node could win.
+BOOST_AUTO_TEST_CASE(after_an_outage_of_the_store_the_node_with_the_shortest_candidacy_delay_leads)
+{
+    for (int n = 0; n < 10; ++n)
+        BOOST_TEST(leaderAfterOutage(ms(8000 + n * 30)) == "large");
+}
+
 BOOST_AUTO_TEST_CASE(invitation_is_followed_by_a_node_that_reaches_the_store)
 {
     Cell cell;
