--- a/src/telemetry/internal/crashreport.cpp
+++ b/src/telemetry/internal/crashreport.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <csignal>
-#include <cstdint>
 #include <cstdio>
 #include <execinfo.h>
 #include <ucontext.h>
@@ -17,21 +16,23 @@
 constexpr std::size_t alternateStackBytes = std::size_t(64) << 10;
 
 struct Registers {
-    std::uintptr_t instruction = 0;
-    std::uintptr_t returnAddress = 0; //!< 0 on machines that keep it on the stack only
+    void* instruction = nullptr;
+    void* returnAddress = nullptr; //!< null on machines that keep it on the stack only
 };
 
+// NOLINTBEGIN(performance-no-int-to-ptr): the context has addresses as numbers
 Registers registersOf(const void* context)
 {
     const mcontext_t& it = static_cast<const ucontext_t*>(context)->uc_mcontext;
 #if defined(__aarch64__)
-    return { it.pc, it.regs[30] };
+    return { reinterpret_cast<void*>(it.pc), reinterpret_cast<void*>(it.regs[30]) };
 #elif defined(__x86_64__)
-    return { static_cast<std::uintptr_t>(it.gregs[REG_RIP]), 0 };
+    return { reinterpret_cast<void*>(it.gregs[REG_RIP]), nullptr };
 #else
     return {};
 #endif
 }
+// NOLINTEND(performance-no-int-to-ptr)
 
 //! Uses only what is allowed in a signal handler. The stack comes last, as reading a broken one may crash again.
 void report(int signal, siginfo_t* info, void* context)
@@ -39,12 +40,10 @@
     const Registers registers = registersOf(context);
     std::array<char, 160> line {};
     const int n = std::snprintf(line.data(), line.size(),
-        "{\"event\":\"crash\",\"signal\":%d,\"address\":\"%p\",\"instruction\":\"%#lx\",\"returnAddress\":\"%#lx\"}\n",
-        signal, info->si_addr, static_cast<unsigned long>(registers.instruction),
-        static_cast<unsigned long>(registers.returnAddress));
+        "{\"event\":\"crash\",\"signal\":%d,\"address\":\"%p\",\"instruction\":\"%p\",\"returnAddress\":\"%p\"}\n",
+        signal, info->si_addr, registers.instruction, registers.returnAddress);
     [[maybe_unused]] const ssize_t written = write(STDERR_FILENO, line.data(), static_cast<std::size_t>(n));
-    std::array<void*, maxFrames> frames { reinterpret_cast<void*>(registers.instruction),
-        reinterpret_cast<void*>(registers.returnAddress) };
+    std::array<void*, maxFrames> frames { registers.instruction, registers.returnAddress };
     backtrace_symbols_fd(frames.data(), 2, STDERR_FILENO);
     const int count = backtrace(frames.data(), maxFrames);
     backtrace_symbols_fd(frames.data(), count, STDERR_FILENO);
--- a/src/telemetry/tests/telemetry_tests.cpp
+++ b/src/telemetry/tests/telemetry_tests.cpp
@@ -1,10 +1,15 @@
 #define BOOST_TEST_MODULE telemetry
+#include "telemetry/crashreport.h"
 #include "telemetry/logbuffer.h"
 #include "telemetry/metrics.h"
 #include "telemetry/trace.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 using namespace sardinerun::telemetry;
@@ -66,3 +71,29 @@
     BOOST_TEST(all.find("log-lines-dropped") != std::string::npos);
     BOOST_TEST(all.ends_with("last\n"));
 }
+
+//! Guards against a process that ends by itself without a trace of where (issue 34).
+BOOST_AUTO_TEST_CASE(aCrashWritesItsSignalAndItsStack)
+{
+    std::array<int, 2> ends {};
+    BOOST_REQUIRE(pipe(ends.data()) == 0);
+    const pid_t child = fork();
+    if (child == 0) {
+        dup2(ends[1], STDERR_FILENO);
+        installCrashReport();
+        raise(SIGSEGV);
+        _exit(0);
+    }
+    close(ends[1]);
+    std::string text;
+    std::array<char, 4096> buf {};
+    for (ssize_t n = 0; (n = read(ends[0], buf.data(), buf.size())) > 0;)
+        text.append(buf.data(), std::size_t(n));
+    close(ends[0]);
+    int status = 0;
+    waitpid(child, &status, 0);
+    BOOST_TEST(WIFSIGNALED(status));
+    BOOST_TEST(WTERMSIG(status) == SIGSEGV);
+    BOOST_TEST(text.find(R"("event":"crash","signal":11)") != std::string::npos);
+    BOOST_TEST(std::count(text.begin(), text.end(), '\n') > 3);
+}
