Count candidacy delays from the watch's view of an outage

The former version went by claims without an answer, so a large VM whose claim was lost waited, while a small one, whose first claim came later, did not. The watch sees an outage on every node, also on those that have not claimed yet.

--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -62,7 +62,7 @@
         LeaderTimes times, core::Duration candidacyDelay, ElectionHooks hooks);
     void onRows(const std::vector<store::StoredRow>& rows, bool isWholeTable);
     void applyRow(const store::StoredRow* row);
-    void onStoreAnswered();
+    void onStoreAvailability(bool isUp);
     void check();
     bool mayClaim() const;
     //! A claim of the leadership, and the leader that it replaces if it succeeds.
@@ -98,8 +98,8 @@
     core::TimePoint m_invitedAt {};
     core::TimePoint m_confirmedAt {}; //!< when the store last answered this node
     core::TimePoint m_claimAgainAt {};
-    bool m_isStoreLost = false; //!< the last claim got no answer from the store, which has not answered since
-    core::TimePoint m_reachableSince {}; //!< when the store answered again after that
+    bool m_isStoreUp = true; //!< the store answers the watch
+    core::TimePoint m_reachableSince {}; //!< when it answered again after a failure
 };
 
 using ElectionPtr = std::shared_ptr<Election>;
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -63,11 +63,12 @@
             it->onRows(rows, false);
     };
     hooks.confirmed = [self = weak_from_this()](core::TimePoint) {
-        const auto it = self.lock();
-        if (!it)
-            return;
-        it->m_confirmedAt = it->m_loop->now();
-        it->onStoreAnswered();
+        if (const auto it = self.lock())
+            it->m_confirmedAt = it->m_loop->now();
+    };
+    hooks.availability = [self = weak_from_this()](bool isUp) {
+        if (const auto it = self.lock())
+            it->onStoreAvailability(isUp);
     };
     store::TableWatch::Options options;
     options.table = leaderTable;
@@ -101,7 +102,6 @@
 
 void Election::onRows(const std::vector<store::StoredRow>& rows, bool isWholeTable)
 {
-    onStoreAnswered();
     const store::StoredRow* found = nullptr;
     for (const store::StoredRow& it : rows) {
         if (it.key == leaderKey())
@@ -112,9 +112,10 @@
     m_isRead = true;
 }
 
-void Election::onStoreAnswered()
+void Election::onStoreAvailability(bool isUp)
 {
-    if (std::exchange(m_isStoreLost, false))
+    m_isStoreUp = isUp;
+    if (isUp)
         m_reachableSince = m_loop->now();
 }
 
@@ -139,7 +140,7 @@
         || m_loop->now() < m_claimAgainAt)
         return false;
     // An outage outlasts all candidacy delays, so they count anew from its end. Otherwise any node might lead then.
-    if (m_isStoreLost || m_loop->now() - m_reachableSince < m_candidacyDelay)
+    if (!m_isStoreUp || m_loop->now() - m_reachableSince < m_candidacyDelay)
         return false;
     // An invitation counts only on a node that reaches the store; if the store rejects all nodes, the leader continues.
     const bool isInvited = m_row && m_row->term == m_invitedTerm && m_confirmedAt > m_invitedAt;
@@ -189,7 +190,6 @@
     m_isClaiming = false;
     if (!result) {
         m_claimAgainAt = m_loop->now() + claimPause;
-        m_isStoreLost = result.error().code != store::StoreFailure::Code::Conflict;
         // A conflict returns the current row. If the answer to a successful claim was lost, the row names this node,
         // which then claims again.
         for (const store::StoredRow& it : result.error().present) {
