--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -66,7 +66,7 @@
         self.configure(config)
         ports = free_ports(self.runner_count)
         for n in range(self.runner_count):
-            await self.add_runner("w%d" % n, ports[n], ["k-a", "r-%d" % (n // 4)])
+            await self.add_runner("w%d" % n, ports[n], ["k-b" if n >= self.runner_count - 2 else "k-a", "r-%d" % (n // 4)])
         for n in range(self.node_count):
             self.node_ports[n] = free_ports(3)
             self.start_node(n)
