--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -2,7 +2,7 @@
 
 It follows PROTOCOL.md: `rows-tx`, `rows-get` and `rows-feed` of the store (4 ms an answer), and `run-start`, `run-stop`,
 `hold` and `pace` of the runners. A runner doesn't guard its capacity. What a task does is in its `spec`, a JSON text:
-`work_ms` (how long it works), `fails_after_ms` (by run: a run fails by its own fault after that time).
+`work_ms` (how long it works), `always_fails_after_ms` (each run fails by its own fault after that time).
 """
 
 import asyncio
@@ -259,7 +259,7 @@
             return 409, dict(answer, reason="old")
         what = json.loads(call["spec"])
         now = time.monotonic()
-        fails_after_ms = what.get("fails_after_ms", {}).get(str(run))
+        fails_after_ms = what.get("always_fails_after_ms")
         lasts = self.need_of(task).get("long_running", False)
         work_ms = what.get("work_ms", 1000)
         ends_at, how = (now + work_ms / 1000, "done") if not lasts else (None, "")
