--- /dev/null
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -0,0 +1,73 @@
+//! Room that gangs reserve until they can start as a whole.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include <algorithm>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+constexpr core::Duration minRemainingTime = std::chrono::milliseconds(50);
+//! A reservation visits all workers and their runs. In a large fleet it is reused for some rounds; with fewer than 80
+//! workers each round computes a new one.
+constexpr core::Duration reservationAgePerWorker = std::chrono::microseconds(100);
+//! It is also reused for this multiple of the time that it took.
+constexpr int reservationCostFactor = 20;
+
+} // namespace
+
+core::Duration EngineImpl::remainingTime(const fleet::RunId& runId, const WorkerRun& run) const
+{
+    const core::TimePoint now = m_dependencies.loop->now();
+    if (timePerPercent(run) > core::Duration(0))
+        return std::max(timePerPercent(run) * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
+    const auto [job, stage] = findActive(runId.task);
+    if (!stage)
+        return m_dependencies.times.stopGrace; // the run is being stopped
+    return std::max(job->stepOf(*stage).estimate - (now - run.orderedAt), minRemainingTime);
+}
+
+const std::vector<RoomEvent>& EngineImpl::roomEvents(UsableWorker& usable) const
+{
+    if (usable.events)
+        return *usable.events;
+    std::vector<RoomEvent> events;
+    for (const auto& [runId, run] : usable.worker->runs())
+        events.push_back({ remainingTime(runId, run), run.occupiedRoom });
+    std::sort(events.begin(), events.end(), [](const RoomEvent& a, const RoomEvent& b) { return a.freeIn < b.freeIn; });
+    return usable.events.emplace(std::move(events));
+}
+
+std::optional<Reservation> EngineImpl::reservationFor(const ReadyStage& ready, core::TimePoint now)
+{
+    Stage& stage = *ready.stage;
+    const core::Duration age = now - stage.reservedAt;
+    const core::Duration maxAge = std::max(
+        reservationAgePerWorker * std::int64_t(m_workers.size()), stage.reservationCost * reservationCostFactor);
+    if (stage.reservation && age < maxAge) {
+        Reservation reservation = *stage.reservation;
+        reservation.completeIn = std::max(reservation.completeIn - age, core::Duration(0));
+        return reservation;
+    }
+    const core::TimePoint startedAt = m_dependencies.loop->now();
+    stage.reservation = computeReservation(ready, now);
+    stage.reservationCost = m_dependencies.loop->now() - startedAt;
+    stage.reservedAt = now;
+    return stage.reservation;
+}
+
+std::optional<Reservation> EngineImpl::computeReservation(const ReadyStage& ready, core::TimePoint now)
+{
+    const bool isAdvised = !ready.stage->advice.tickets.empty();
+    FleetView& fleet = fleetViewOf(*ready.job);
+    std::vector<FutureWorker> workers;
+    for (Candidate& it : candidatesFor(
+             *ready.job, *ready.stage, now, isAdvised ? CandidateFilter::Allowed : CandidateFilter::NotDenied)) {
+        const std::vector<RoomEvent>& events = roomEvents(*fleet.find(it.worker));
+        workers.push_back({ std::move(it), events });
+    }
+    return reserve(demandOf(*ready.job, *ready.stage), workers);
+}
+
+} // namespace sardinerun::scheduling
