Gangs do not wait for the end of tasks that last

Cause: a reservation expected the room of each run after its estimate, or else in 50 ms, also that of a long-running task, which ends only when its job is cancelled. A gang that fits only beside the end of services so seemed about to start, and kept all free room reserved. Change: a run of a long-running step frees no room, unless it is being stopped.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -257,7 +257,8 @@
     std::optional<Reservation> computeReservation(const ReadyStage& ready, core::TimePoint now);
     //! Returns the times at which room of a worker becomes free, earliest first.
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
-    core::Duration remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
+    //! Returns when a run is expected to end; nothing if it does not end by itself.
+    std::optional<core::Duration> remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
     void tick();
 
     // Backlog
--- a/src/scheduling/internal/enginereservations.cpp
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -17,15 +17,18 @@
 
 } // namespace
 
-core::Duration EngineImpl::remainingTime(const fleet::RunId& runId, const WorkerRun& run) const
+std::optional<core::Duration> EngineImpl::remainingTime(const fleet::RunId& runId, const WorkerRun& run) const
 {
+    const auto [job, stage] = findActive(runId.task);
+    if (!stage || run.state == WorkerRun::State::Stopping || run.state == WorkerRun::State::StartRevoked)
+        return m_dependencies.times.stopGrace;
+    const workflow::StepSpec& step = job->stepOf(*stage);
+    if (step.isLongRunning)
+        return std::nullopt;
     const core::TimePoint now = m_dependencies.loop->now();
     if (timePerPercent(run) > core::Duration(0))
         return std::max(timePerPercent(run) * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
-    const auto [job, stage] = findActive(runId.task);
-    if (!stage)
-        return m_dependencies.times.stopGrace; // the run is being stopped
-    return std::max(job->stepOf(*stage).estimate - (now - run.orderedAt), minRemainingTime);
+    return std::max(step.estimate - (now - run.orderedAt), minRemainingTime);
 }
 
 const std::vector<RoomEvent>& EngineImpl::roomEvents(UsableWorker& usable) const
@@ -33,8 +36,10 @@
     if (usable.events)
         return *usable.events;
     std::vector<RoomEvent> events;
-    for (const auto& [runId, run] : usable.worker->runs())
-        events.push_back({ remainingTime(runId, run), run.occupiedRoom });
+    for (const auto& [runId, run] : usable.worker->runs()) {
+        if (const auto freeIn = remainingTime(runId, run))
+            events.push_back({ *freeIn, run.occupiedRoom });
+    }
     std::sort(events.begin(), events.end(), [](const RoomEvent& a, const RoomEvent& b) { return a.freeIn < b.freeIn; });
     return usable.events.emplace(std::move(events));
 }
