Bound how long gangs keep room idle

A reservation is kept as long as the gang seems about to fit. Nothing bounded that when runs outlast their estimate without progress, or when all is free and the gang's advice never comes: other work waited without end. Change: RoomHold, for each service: idle room is held for 2 s at a time while less than half of the fleet is in use (work that fits must start within 3 s there), else for 8 s or the gang's estimate, then not for 0.4 s. A gang that may not hold keeps its turn. A reservation that is not possible is kept for some rounds like one that is. Evidence: with the bound taken out, gang_that_waits_for_overdue_runs_holds_room_for_a_bounded_time and gang_without_advice_holds_room_for_a_bounded_time fail (no start within 20 s).

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -13,6 +13,7 @@
 #include "scheduling/placer.h"
 #include "scheduling/reservation.h"
 #include "scheduling/retrypacer.h"
+#include "scheduling/roomhold.h"
 #include "scheduling/speedtracker.h"
 #include "scheduling/workahead.h"
 
@@ -259,6 +260,8 @@
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
     //! Returns when a run is expected to end; nothing if it does not end by itself.
     std::optional<core::Duration> remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
+    //! Reserves the room for a gang, unless it is kept idle for too long; the gang has its turn in any case.
+    void holdRoom(const ReadyStage& ready, const Reservation& reservation, core::TimePoint now);
     void tick();
 
     // Backlog
@@ -298,6 +301,7 @@
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
+    std::map<core::ServiceId, RoomHold> m_roomHolds;
     core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
     bool m_isRoundCutShort = false; //!< the last round did not get to all work in time
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -169,6 +169,8 @@
 void EngineImpl::buildFleetViews(core::TimePoint now)
 {
     m_fleetViews.clear();
+    for (auto& [service, hold] : m_roomHolds)
+        hold.beginRound();
     const core::ServiceId* service = nullptr; // of the previous worker; most fleets have one service
     FleetView* view = nullptr;
     for (const auto& [id, worker] : m_workers) {
@@ -288,7 +290,7 @@
     if (ready.job->record.queue.advice && (mayStart || isRoomSoon))
         requestAdvice(ready, now, reservation);
     if (reservation)
-        fleet.addReservation(*reservation, ready.isLate);
+        holdRoom(ready, *reservation, now);
     return false;
 }
 
--- a/src/scheduling/internal/enginereservations.cpp
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -2,12 +2,17 @@
 
 #include "scheduling/internal/engineimpl.h"
 
+#include "telemetry/log.h"
+
 #include <algorithm>
 
 namespace sardinerun::scheduling {
 
 namespace {
 
+using telemetry::LogLine;
+using telemetry::Severity;
+
 constexpr core::Duration minRemainingTime = std::chrono::milliseconds(50);
 //! A reservation visits all workers and their runs. In a large fleet it is reused for some rounds; with fewer than 80
 //! workers each round computes a new one.
@@ -50,7 +55,10 @@
     const core::Duration age = now - stage.reservedAt;
     const core::Duration maxAge = std::max(
         reservationAgePerWorker * std::int64_t(m_workers.size()), stage.reservationCost * reservationCostFactor);
-    if (stage.reservation && age < maxAge) {
+    const bool isKnown = stage.reservedAt != core::TimePoint() && age < maxAge;
+    if (isKnown && !stage.reservation)
+        return std::nullopt;
+    if (isKnown) {
         Reservation reservation = *stage.reservation;
         reservation.completeIn = std::max(reservation.completeIn - age, core::Duration(0));
         return reservation;
@@ -75,4 +83,24 @@
     return reserve(demandOf(*ready.job, *ready.stage), workers);
 }
 
+void EngineImpl::holdRoom(const ReadyStage& ready, const Reservation& reservation, core::TimePoint now)
+{
+    FleetView& fleet = fleetViewOf(*ready.job);
+    HoldRequest request;
+    request.estimate = ready.job->stepOf(*ready.stage).estimate;
+    request.keepsRoomIdle = fleet.hasFreeRoomIn(reservation);
+    request.isFleetMostlyFree = fleet.isMostlyFree();
+    const core::ServiceId& service = ready.job->record.queue.service;
+    RoomHold& hold = m_roomHolds[service];
+    const bool wasPaused = hold.isPaused(now);
+    const bool isHeld = hold.tryHold(now, request);
+    if (!isHeld && !wasPaused)
+        LogLine(Severity::Info, "room-not-held")
+            .with("service", service.value())
+            .with("job", ready.job->record.spec.id.value())
+            .with("stage", std::int64_t(ready.stage->step))
+            .with("expectedInMs", core::toMs(reservation.completeIn));
+    fleet.addReservation(isHeld ? reservation : Reservation(), ready.isLate);
+}
+
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/fleetview.cpp
+++ b/src/scheduling/internal/fleetview.cpp
@@ -18,6 +18,7 @@
     const core::Resources room = worker.freeRoom();
     m_cores += coresOf(worker.entry().capacity);
     m_freeCores += coresOf(room);
+    m_usedCores += coresOf(worker.entry().capacity) - coresOf(room);
     m_maxRoom.cpu = std::max(m_maxRoom.cpu, room.cpu);
     m_maxRoom.memory = std::max(m_maxRoom.memory, room.memory);
     m_maxRoom.accelerators = std::max(m_maxRoom.accelerators, room.accelerators);
@@ -34,10 +35,20 @@
 void FleetView::onTaskStarted(const core::VmId& worker, const core::Resources& room)
 {
     m_freeCores -= coresOf(room);
+    m_usedCores += coresOf(room);
     if (UsableWorker* it = find(worker))
         it->room = it->room - room;
 }
 
+bool FleetView::hasFreeRoomIn(const Reservation& reservation)
+{
+    return std::any_of(reservation.reserved.begin(), reservation.reserved.end(), [this](const auto& it) {
+        const UsableWorker* usable = find(it.first);
+        const bool needsCpu = it.second.cpu.value() > 0;
+        return usable && (!needsCpu || usable->room.cpu.value() > 0);
+    });
+}
+
 void FleetView::addReservation(const Reservation& reservation, bool isLate)
 {
     ++(isLate ? m_lateReservingGangs : m_reservingGangs);
--- a/src/scheduling/internal/fleetview.h
+++ b/src/scheduling/internal/fleetview.h
@@ -30,11 +30,15 @@
 
     double cores() const { return m_cores; }
     double freeCores() const { return m_freeCores; }
+    //! Returns whether less than half of the fleet is in use.
+    bool isMostlyFree() const { return m_usedCores * 2 < m_cores; }
     std::size_t reservingGangs(bool areLate) const { return areLate ? m_lateReservingGangs : m_reservingGangs; }
     //! Returns the component-wise maximum of the free room at the start of the round.
     const core::Resources& maxRoom() const { return m_maxRoom; }
 
     void onTaskStarted(const core::VmId& worker, const core::Resources& room);
+    //! Returns whether some of the room to be reserved is free now.
+    bool hasFreeRoomIn(const Reservation& reservation);
     //! Reserves room for a gang until the round ends.
     void addReservation(const Reservation& reservation, bool isLate);
 
@@ -42,6 +46,7 @@
     std::vector<UsableWorker> m_workers; //!< sorted by id
     double m_cores = 0;
     double m_freeCores = 0;
+    double m_usedCores = 0;
     std::size_t m_reservingGangs = 0; //!< gangs in time with a reservation
     std::size_t m_lateReservingGangs = 0;
     core::Resources m_maxRoom;
