What belongs to one incarnation of a worker reaches no later one

Cause: a start order names the worker's id, which its next incarnation shares. The end of the lease in it is a time on the former clock; the next incarnation, whose clock counts anew, takes it for any time and grants its maximum, 10 s, where leaders count 5 s. The leader that sent it allows for that once it has heard the restart; the next leader can't know, and starts the tasks elsewhere after 5.5 s. Change: a process that has restarted is reached only by connections that were opened later. As acknowledgements before, ends of leases and starts are sent only on connections that were open when the last report of the incarnation was asked for. On a later one the client sends a request for a report; a start follows it if the incarnation is the known one. The fake workers obey the rule of the port (their connections end with their incarnation), and count new connections.

--- a/src/dispatch/tests/dispatch_tests.cpp
+++ b/src/dispatch/tests/dispatch_tests.cpp
@@ -85,7 +85,7 @@
     BOOST_TEST((it.answers[0] == workflow::WorkflowOutcome::NotNow));
     workflow::WorkflowResult accepted;
     accepted.outcome = workflow::WorkflowOutcome::Accepted;
-    it.client->pending[0](http::Response { 200, {}, protocol::encodeResult(accepted), {} });
+    it.client->pending[0](http::ClientResponse(http::Response { 200, {}, protocol::encodeResult(accepted), {} }));
     it.loop->runReady();
     BOOST_TEST(it.answers.size() == 2u);
     it.submit();
@@ -147,7 +147,7 @@
     BOOST_TEST(it.client->pending.size() == 2u); // one probe at a time
     workflow::WorkflowResult counted;
     counted.outcome = workflow::WorkflowOutcome::Counted;
-    it.client->pending[1](http::Response { 200, {}, protocol::encodeResult(counted), {} });
+    it.client->pending[1](http::ClientResponse(http::Response { 200, {}, protocol::encodeResult(counted), {} }));
     it.loop->runReady();
     it.submit();
     BOOST_TEST(it.client->pending.size() == 3u); // the submission was sent
--- a/src/dispatch/tests/partitionedcell.h
+++ b/src/dispatch/tests/partitionedcell.h
@@ -276,7 +276,7 @@
         return;
     (*found)->task->address().send(messageOf(request, m_loop, [answer](std::string body) {
         if (const auto callback = std::exchange(*answer, nullptr))
-            callback(http::Response { 200, {}, std::move(body), {} });
+            callback(http::ClientResponse(http::Response { 200, {}, std::move(body), {} }));
     }));
 }
 
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -3,6 +3,7 @@
 #include "core/ret.h"
 #include "core/types.h"
 
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -63,6 +64,9 @@
     core::Epoch fence;
     std::string checkpoint; //!< checkpoint to resume from; empty: none
     std::string ticket; //!< issued by the advice service, if the queue requires one
+    //! When the last report of the incarnation was requested whose clock `leaseUntil` refers to. The order is not sent
+    //! on a connection opened later, as the next incarnation would take `leaseUntil` for any time on its own clock.
+    core::TimePoint incarnationSeenAt {};
     OrderPatience patience;
 };
 
@@ -76,8 +80,8 @@
 struct LeaseRenewal {
     core::Epoch fence;
     EndNumber acknowledgedUpTo; //!< ends up to this number are persisted; the worker may delete them
-    //! When the last report of the incarnation with these ends was requested. Nothing is acknowledged on a connection
-    //! opened later, as the worker may have restarted, and numbers other ends the same way.
+    //! When the last report of the incarnation with these ends was requested. On a connection opened later only a
+    //! report is requested: the worker may have restarted, and numbers its ends and counts its clock anew.
     core::TimePoint incarnationSeenAt {};
     std::optional<WorkerClock> leaseUntil;
     core::Duration wait {}; //!< how long the worker may delay its report until a run ends
@@ -118,6 +122,7 @@
 
 struct WorkerReport {
     WorkerClock clock;
+    core::TimePoint requestedAt {}; //!< when the request for it was sent on its connection
     WorkerStartTime startedAt; //!< 0 if the worker does not report it
     std::vector<RunningRun> running;
     std::vector<EndedRun> ended; //!< ends that are not acknowledged, the oldest first
@@ -137,10 +142,12 @@
         BadTicket,
         Unhealthy, //!< the worker is unhealthy and has not carried out the order
         OtherIncarnation, //!< another incarnation of the worker answers at this address
+        NewConnection, //!< not sent, as the connection may lead to another incarnation; its report was requested
         Refused //!< the worker rejected the order as invalid
     };
     Code code = Code::Unknown;
     std::string detail;
+    std::shared_ptr<const WorkerReport> report {}; //!< set with `NewConnection`
 };
 
 using OrderResult = core::RetVal<WorkerClock, OrderFailure>;
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -6,8 +6,8 @@
 
 const char* nameOf(OrderFailure::Code it)
 {
-    static constexpr std::array<const char*, 10> names { "not-sent", "unknown", "fenced", "outdated", "late", "no-room",
-        "bad-ticket", "unhealthy", "other-life", "refused" };
+    static constexpr std::array<const char*, 11> names { "not-sent", "unknown", "fenced", "outdated", "late", "no-room",
+        "bad-ticket", "unhealthy", "other-life", "new-connection", "refused" };
     return names[static_cast<std::size_t>(it)];
 }
 
--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -27,6 +27,7 @@
     std::set<std::uint64_t> silentToFences; //!< the worker receives no order with one of these fences
     bool isHung = false; //!< its runs make no progress
     int losesStarts = 0; //!< number of next start orders that are carried out but whose answers are lost
+    int newConnections = 0; //!< number of next start orders that are sent on new connections
     int delaysStarts = 0; //!< number of next start orders that are delayed until `carryOutDelayedStarts`
     std::vector<StartOrder> delayedStarts;
     core::Duration answerDelay {}; //!< of answers to orders that were carried out
@@ -98,7 +99,18 @@
             return;
         }
         carryOut(
-            to, order.fence, order.patience, callback, [this, order](FakeWorker& it) { return startNow(it, order); },
+            to, order.fence, order.patience, callback,
+            [this, order, sentAt = m_loop->now()](FakeWorker& it) -> OrderResult {
+                const bool isNewConnection = order.incarnationSeenAt < it.bornAt || it.newConnections > 0;
+                if (!isNewConnection)
+                    return startNow(it, order);
+                it.newConnections = std::max(it.newConnections - 1, 0);
+                if (sentAt < it.bornAt) // its connection has ended with the former incarnation
+                    return core::Failure { OrderFailure { OrderFailure::Code::Unknown, "broken" } };
+                it.fence = std::max(it.fence, order.fence.value());
+                return core::Failure { OrderFailure {
+                    OrderFailure::Code::NewConnection, "", std::make_shared<const WorkerReport>(reportOf(it)) } };
+            },
             &FakeWorker::losesStarts);
     }
     void stop(const WorkerAddress& to, const StopOrder& order, std::function<void(OrderResult)> callback) override
@@ -125,9 +137,9 @@
     void renewLease(
         const WorkerAddress& to, const LeaseRenewal& order, std::function<void(LeaseRenewalResult)> callback) override
     {
-        m_loop->callAfter(latency, [this, to, order, callback, until = m_loop->now() + order.wait] {
+        m_loop->callAfter(latency, [this, to, order, callback, sentAt = m_loop->now()] {
             renewalArrives(to.id);
-            renewNow(to, order, workers[to.id].startedAt, until, callback);
+            renewNow(to, order, workers[to.id].startedAt, sentAt, callback);
         });
     }
     //! Carries out the delayed start orders.
@@ -205,7 +217,7 @@
     }
     //! A waiting lease renewal is dropped if the worker's incarnation changes.
     void renewNow(const WorkerAddress& to, const LeaseRenewal& order, WorkerStartTime incarnation,
-        core::TimePoint until, const std::function<void(LeaseRenewalResult)>& callback)
+        core::TimePoint sentAt, const std::function<void(LeaseRenewalResult)>& callback)
     {
         FakeWorker& it = workers[to.id];
         expireLease(it);
@@ -220,23 +232,34 @@
             return;
         }
         it.fence = order.fence.value();
-        if (order.leaseUntil)
-            extendLease(it, *order.leaseUntil);
         // Older connections ended with the former incarnation.
         const bool isSameIncarnation = order.incarnationSeenAt >= it.bornAt;
+        if (order.leaseUntil && isSameIncarnation)
+            extendLease(it, *order.leaseUntil);
         std::erase_if(it.ended, [this, &order, isSameIncarnation](const EndedRun& end) {
             const bool isAcknowledged = isSameIncarnation && end.number <= order.acknowledgedUpTo;
             if (isAcknowledged && endAcknowledged)
                 endAcknowledged(end);
             return isAcknowledged;
         });
-        if (it.ended.empty() && m_loop->now() < until) {
-            m_loop->callAfter(pollPeriod,
-                [this, to, order, incarnation, until, callback] { renewNow(to, order, incarnation, until, callback); });
+        if (it.ended.empty() && m_loop->now() < sentAt + order.wait) {
+            m_loop->callAfter(pollPeriod, [this, to, order, incarnation, sentAt, callback] {
+                renewNow(to, order, incarnation, sentAt, callback);
+            });
             return;
         }
+        WorkerReport report = reportOf(it);
+        if (it.overtakenReport)
+            report = *std::exchange(it.overtakenReport, std::nullopt);
+        report.requestedAt = sentAt;
+        answerRenewal(it, order, report, callback);
+    }
+    //! Lists the runs, which make progress with each report, and the ends.
+    WorkerReport reportOf(FakeWorker& it) const
+    {
         WorkerReport report;
         report.clock = WorkerClock(clockOf(it));
+        report.requestedAt = m_loop->now();
         report.startedAt = it.startedAt;
         for (auto& [runId, run] : it.running) {
             if (!it.isHung)
@@ -246,9 +269,7 @@
         const std::size_t listed = std::min(it.ended.size(), endsPerReport);
         report.ended.assign(it.ended.begin(), it.ended.begin() + std::ptrdiff_t(listed));
         report.mayHaveMoreEnds = listed == endsPerReport;
-        if (it.overtakenReport)
-            report = *std::exchange(it.overtakenReport, std::nullopt);
-        answerRenewal(it, order, report, callback);
+        return report;
     }
     //! Delivers a report, or nothing if it arrives later than the leader waits for it.
     void answerRenewal(const FakeWorker& it, const LeaseRenewal& order, const WorkerReport& report,
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -59,10 +59,23 @@
     std::string detail;
 };
 
-//! Body for a connection that was opened after a given time, and that may thus lead to another process than an older
+//! Response that a client received.
+struct ClientResponse : Response {
+    ClientResponse() = default;
+    ClientResponse(Response response) // NOLINT(google-explicit-constructor): adds only details of the exchange
+        : Response(std::move(response))
+    {
+    }
+
+    core::TimePoint sentAt {}; //!< when the request was sent on its connection, on the clock of the client's loop
+    bool isToLateRequest = false; //!< `ClientRequest::lateConnectionRequest` was sent
+};
+
+//! Request for a connection that was opened after a given time, and that may thus lead to another process than an older
 //! connection did.
-struct LateConnectionBody {
+struct LateConnectionRequest {
     core::TimePoint openedAfter; //!< on the clock of the client's loop
+    std::string target;
     std::string body;
 };
 
@@ -72,7 +85,8 @@
     std::string target = "/"; //!< path and query
     Headers headers;
     std::string body;
-    std::optional<LateConnectionBody> lateConnectionBody; //!< replaces `body` on such a connection
+    //! Replaces `target` and `body` on such a connection.
+    std::optional<LateConnectionRequest> lateConnectionRequest;
     //! Requests to this address that are under way at the same time, each on its own connection; further ones wait.
     //! 0: no limit.
     std::size_t maxConnections = 0;
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -8,7 +8,7 @@
 
 namespace sardinerun::http {
 
-using ClientResult = core::RetVal<Response, ClientError>;
+using ClientResult = core::RetVal<ClientResponse, ClientError>;
 using ClientCallback = std::function<void(ClientResult)>;
 
 //! Sends HTTP requests from one loop. It never retries a request.
--- a/src/http/internal/clientcall.cpp
+++ b/src/http/internal/clientcall.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-std::string serialize(const ClientRequest& request, const std::string& body)
+std::string serialize(const ClientRequest& request, const std::string& target, const std::string& body)
 {
-    std::string buf = request.method + " " + request.target + " HTTP/1.1\r\nhost: " + request.to.text() + "\r\n";
+    std::string buf = request.method + " " + target + " HTTP/1.1\r\nhost: " + request.to.text() + "\r\n";
     for (const Header& it : request.headers) {
         if (!isReservedHeader(it.name))
             buf += it.name + ": " + it.value + "\r\n";
--- a/src/http/internal/clientcall.h
+++ b/src/http/internal/clientcall.h
@@ -17,8 +17,8 @@
 
 struct Pool;
 
-//! A serialized request for connections that were opened after a given time.
-struct LateConnectionRequest {
+//! A serialized `LateConnectionRequest`.
+struct LateConnectionBytes {
     core::TimePoint openedAfter;
     std::string bytes;
 };
@@ -35,12 +35,12 @@
     bool isActive = false; //!< otherwise it waits for another call to end
     ClientCallback callback;
     std::string requestBytes; //!< serialized request
-    std::optional<LateConnectionRequest> lateConnectionRequest; //!< replaces `requestBytes` on such a connection
+    std::optional<LateConnectionBytes> lateConnectionBytes; //!< replaces `requestBytes` on such a connection
     h2o_iovec_t buffer {};
     h2o_http1client_t* client = nullptr;
     runtime::TimerId timer;
     core::TimePoint deadline {}; //!< of the whole exchange
-    Response response;
+    ClientResponse response;
     std::size_t maxBytes = 0;
     std::size_t streamAboveBytes = 0; //!< 0 disables streaming
     std::optional<std::size_t> contentLength;
@@ -61,7 +61,7 @@
     core::TimePoint lastUsedAt {};
 };
 
-//! Returns the bytes of a request with this body.
-std::string serialize(const ClientRequest& request, const std::string& body);
+//! Returns the bytes of a request with this target and body.
+std::string serialize(const ClientRequest& request, const std::string& target, const std::string& body);
 
 } // namespace sardinerun::http
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -58,9 +58,9 @@
         call->pool = pool;
         ++pool->inUse;
         call->callback = std::move(callback);
-        call->requestBytes = serialize(request, request.body);
-        if (const auto& late = request.lateConnectionBody)
-            call->lateConnectionRequest = { late->openedAfter, serialize(request, late->body) };
+        call->requestBytes = serialize(request, request.target, request.body);
+        if (const auto& late = request.lateConnectionRequest)
+            call->lateConnectionBytes = { late->openedAfter, serialize(request, late->target, late->body) };
         call->maxBytes = request.maxResponseBytes;
         call->streamAboveBytes = request.streamAboveBytes;
         call->isHeadRequest = request.method == "HEAD";
@@ -244,8 +244,11 @@
         }
         call->isSent = true;
         const core::TimePoint openedAt = call->owner->connectionOpenedAt(call, h2o_socket_get_fd(client->sock));
-        if (const auto& late = call->lateConnectionRequest; late && openedAt > late->openedAfter)
+        if (const auto& late = call->lateConnectionBytes; late && openedAt > late->openedAfter) {
             call->requestBytes = late->bytes;
+            call->response.isToLateRequest = true;
+        }
+        call->response.sentAt = call->owner->m_loop->now();
         call->buffer = h2o_iovec_init(call->requestBytes.data(), call->requestBytes.size());
         *buffers = &call->buffer;
         *count = 1;
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -246,7 +246,7 @@
 {
     const auto send = [this](core::TimePoint openedAfter) {
         auto request = to("/echo", "old");
-        request.lateConnectionBody = http::LateConnectionBody { openedAfter, "late" };
+        request.lateConnectionRequest = http::LateConnectionRequest { openedAfter, "/echo", "late" };
         const auto result = call(request);
         return result ? result.value().body : result.error().detail;
     };
@@ -264,6 +264,26 @@
     BOOST_TEST(send(loop->now()) == "old!");
 }
 
+//! The sender learns which request was sent, and from which time on the connection counts as an older one.
+BOOST_FIXTURE_TEST_CASE(theRequestForLaterConnectionsHasATargetOfItsOwnAndIsReported, Fixture)
+{
+    const core::TimePoint atFirst = loop->now();
+    std::this_thread::sleep_for(2ms);
+    auto request = to("/never", "old");
+    request.lateConnectionRequest = http::LateConnectionRequest { atFirst, "/echo", "late" };
+    const auto first = call(request);
+    BOOST_REQUIRE(bool(first));
+    BOOST_TEST(first.value().body == "late!");
+    BOOST_TEST(first.value().isToLateRequest);
+    BOOST_TEST((first.value().sentAt > atFirst));
+    request = to("/echo", "old");
+    request.lateConnectionRequest = http::LateConnectionRequest { first.value().sentAt, "/never", "late" };
+    const auto second = call(request);
+    BOOST_REQUIRE(bool(second));
+    BOOST_TEST(second.value().body == "old!");
+    BOOST_TEST(!second.value().isToLateRequest);
+}
+
 BOOST_FIXTURE_TEST_CASE(aRequestBodyOverTheLimitIsRejected, Fixture)
 {
     const auto result = call(to("/echo", std::string(4096, 'x')));
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -30,14 +30,15 @@
     {
         Sent it = std::move(sent.front());
         sent.pop_front();
-        it.callback(http::Response { status, std::move(headers), body });
+        it.callback(http::ClientResponse(http::Response { status, std::move(headers), body }));
     }
     //! Delivers the head and the first part of a streamed answer.
     void beginAnswer(const http::IBodySourcePtr& stream)
     {
         Sent it = std::move(sent.front());
         sent.pop_front();
-        it.callback(http::Response { 200, {}, "begin", http::BodyStream { stream, std::nullopt } });
+        it.callback(
+            http::ClientResponse(http::Response { 200, {}, "begin", http::BodyStream { stream, std::nullopt } }));
     }
     void breakOff(bool maybeSent)
     {
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -111,7 +111,7 @@
     if (report.clock < m_reportClock)
         return; // overtaken by a newer report, which includes all of it that still holds
     m_reportClock = report.clock;
-    m_incarnationSeenAt = std::max(m_incarnationSeenAt, sentAt);
+    m_incarnationSeenAt = std::max(m_incarnationSeenAt, report.requestedAt);
     recordClock(report.clock);
     std::set<fleet::RunId> reported;
     applyRunning(report, reported);
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -42,6 +42,7 @@
     //! When its start or stop was answered; reports requested later must list it if it still runs.
     core::TimePoint confirmedAt {};
     core::TimePoint uncertainSince {}; //!< when its start became uncertain
+    int newConnections = 0; //!< how often its start was held back as the connection was new
     core::TimePoint progressAt {}; //!< when its percent last changed
     int percent = 0;
     int firstPercent = -1; //!< at the first report of the run; -1 before
@@ -155,6 +156,7 @@
     void retryRenewal(const fleet::OrderFailure& failure);
     core::Duration renewalRetryDelay() const;
     fleet::OrderPatience patience() const;
+    //! Applies a report that was requested at `sentAt` or later.
     void applyReport(const fleet::WorkerReport& report, core::TimePoint sentAt);
     void applyEnds(const fleet::WorkerReport& report);
     void applyRunning(const fleet::WorkerReport& report, std::set<fleet::RunId>& reported);
@@ -164,7 +166,10 @@
     //! Records the clock in the answer to an order that was sent to `incarnation`.
     void recordClock(const fleet::OrderResult& result, fleet::WorkerStartTime incarnation);
     void recordLease(fleet::WorkerClock until);
+    void sendStart(const fleet::StartOrder& order);
     void onStarted(const fleet::RunId& run, const fleet::OrderResult& result);
+    //! Sends a start again that was held back as its connection was new, unless another incarnation is at its end.
+    void retryStart(fleet::StartOrder order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation);
     //! Handles the answer of a start order that arrived too late or may have been lost.
     void doubtStart(const fleet::RunId& run);
     void confirmStart(const fleet::RunId& run);
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -15,6 +15,8 @@
 using telemetry::Severity;
 
 constexpr core::Duration unhealthyPause = std::chrono::milliseconds(800);
+//! A start is given up that is held back this often; its connections are busy, or the worker doesn't keep them open.
+constexpr int maxNewConnections = 4;
 constexpr core::Duration stopRetryDelay = std::chrono::milliseconds(150);
 //! The refresh must be sent strictly later than the answer that it confirms.
 constexpr core::Duration refreshDelay = std::chrono::milliseconds(1);
@@ -37,8 +39,15 @@
     // The process may have been paused since the decision. The worker must not take an order then that is too late.
     sent.leaseUntil = clockAt(decidedAt) + fleet::WorkerClock(core::toMs(m_times.lease));
     recordLease(sent.leaseUntil);
+    sendStart(sent);
+}
+
+void Worker::sendStart(const fleet::StartOrder& order)
+{
+    fleet::StartOrder sent = order;
+    sent.incarnationSeenAt = m_incarnationSeenAt;
     // The callbacks don't own the loop, as they would keep it, and it keeps them.
-    const auto settle = [windowOrder = m_window->send(run.orderedAt), loop = std::weak_ptr(m_loop)] {
+    const auto settle = [windowOrder = m_window->send(m_loop->now()), loop = std::weak_ptr(m_loop)] {
         if (const auto it = loop.lock())
             windowOrder->settle(it->now());
     };
@@ -49,17 +58,38 @@
             it->doubtStart(runId);
     });
     m_orders->start(address(), sent,
-        [self = weak_from_this(), settle, runId = order.runId, incarnation = m_entry.startedAt](
-            const fleet::OrderResult& result) {
+        [self = weak_from_this(), settle, order, incarnation = m_entry.startedAt](const fleet::OrderResult& result) {
             settle();
             const auto it = self.lock();
             if (!it || it->m_isDetached)
                 return;
+            if (!result && result.error().code == OrderFailure::Code::NewConnection) {
+                it->retryStart(order, *result.error().report, incarnation);
+                return;
+            }
             it->recordClock(result, incarnation);
-            it->onStarted(runId, result);
+            it->onStarted(order.runId, result);
         });
 }
 
+void Worker::retryStart(fleet::StartOrder order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation)
+{
+    applyReport(report, report.requestedAt);
+    const auto found = m_runs.find(order.runId);
+    if (found == m_runs.end() || m_isDetached)
+        return;
+    const bool mayRetry = ++found->second.newConnections < maxNewConnections;
+    if (mayRetry && found->second.state == WorkerRun::State::Ordered && incarnation == m_entry.startedAt) {
+        sendStart(order);
+        return;
+    }
+    RunTermination termination;
+    termination.cause = RunTermination::Cause::NotStarted;
+    termination.startFailure = OrderFailure::Code::NewConnection;
+    termination.checkpoint = found->second.checkpoint;
+    terminateRun(order.runId, termination);
+}
+
 void Worker::onStarted(const fleet::RunId& runId, const fleet::OrderResult& result)
 {
     const auto found = m_runs.find(runId);
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -180,6 +180,73 @@
     BOOST_TEST(worker.ended.empty()); // acknowledged once the new incarnation has reported
 }
 
+//! Guards against a lease of twice the length that the next leader waits for: a start for the former incarnation
+//! reaches the next one, whose clock counts anew, so it takes the end of the lease for any time and grants its maximum.
+BOOST_AUTO_TEST_CASE(start_for_the_former_incarnation_gives_the_next_one_no_lease)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.advance(ms(60'000));
+    worker.restart(cell.loop->now()); // not noticed yet
+    cell.submit(jobOf("a", 3, 1000));
+    std::int64_t longestLease = 0;
+    for (int n = 0; n < 100; ++n) {
+        cell.advance(ms(10));
+        longestLease = std::max(longestLease, worker.leaseUntil - cell.workers->clockOf(worker));
+    }
+    BOOST_TEST(longestLease <= cell.times.lease / ms(1));
+    BOOST_TEST(cell.running() == 3u);
+    BOOST_TEST(worker.starts.size() == 3u);
+}
+
+//! The same order, the change of leader behind it and a worker that is cut off: the task must not run twice.
+BOOST_AUTO_TEST_CASE(worker_that_restarts_and_is_cut_off_runs_no_task_beside_its_next_leader)
+{
+    Cell cell;
+    const std::vector<fleet::WorkerEntry> both = cell.entries;
+    cell.entries.pop_back();
+    FakeWorker& first = cell.worker("w1");
+    first.startedAt = fleet::WorkerStartTime(1);
+    cell.lead();
+    cell.advance(ms(60'000));
+    first.restart(cell.loop->now());
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(200));
+    first.isSilent = true;
+    cell.entries = both;
+    cell.lead(ms(0));
+    cell.engine->setFormerLeaderGone();
+    for (int n = 0; n < 2000; ++n) {
+        cell.advance(ms(10));
+        if (cell.workers->clockOf(first) > first.leaseUntil)
+            first.running.clear();
+        BOOST_REQUIRE(cell.running() <= 1u);
+    }
+    BOOST_TEST(cell.running() == 1u);
+}
+
+//! Guards against a start that is never sent, since each of its connections is new.
+BOOST_AUTO_TEST_CASE(start_on_a_new_connection_to_the_known_incarnation_is_sent_after_its_report)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    cell.workers->percentOf
+        = [&cell, begun = cell.loop->now()](const fleet::RunId&) { return int((cell.loop->now() - begun) / ms(50)); };
+    worker.newConnections = 2;
+    cell.submit(jobOf("a", 1, 1000));
+    cell.advance(ms(60));
+    BOOST_TEST(cell.running() == 1u);
+    BOOST_TEST(worker.newConnections == 0);
+    worker.newConnections = 1'000'000; // the worker ends each connection after its answer
+    cell.submit(jobOf("b", 1, 1000));
+    cell.advance(ms(1000));
+    BOOST_TEST(cell.running() == 1u);
+    worker.newConnections = 0;
+    cell.advance(ms(1000));
+    BOOST_TEST(cell.running() == 2u);
+    BOOST_TEST(worker.starts.size() == 2u);
+}
+
 //! Guards against a task running twice: a start order for the former incarnation of a worker has a lease on the former
 //! clock, which the next incarnation takes for its longest lease. If that one turns silent, its run lasts that long.
 BOOST_AUTO_TEST_CASE(lease_of_an_order_for_the_former_incarnation_is_waited_for)
