Stand-in: starts count as received by the current incarnation

The worker behind it ends connections when it restarts; what it receives is for it. Without this, it answers each start after a restart of a worker as if the connection were new.

--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -114,6 +114,7 @@
     order.leaseUntil = fleet::WorkerClock(integerOf(body, "deadline_ms"));
     order.fence = fenceOf(body);
     order.checkpoint = textOf(body, "last_checkpoint");
+    order.incarnationSeenAt = m_loop->now(); // received by the current incarnation
     order.patience = answerWheneverReady;
     m_workers->start({ id, {} }, order, resultHandler(id, std::move(responder)));
 }
