A start that was held back is sent again also when it was in doubt meanwhile

Cause: over a link with answers after 0.7 s the start is in doubt after 0.22 s, before the report comes that is asked for on a new connection; it was then given up and another run begun, although it was certainly not carried out. Change: it is sent again from that state, too.

--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -78,8 +78,12 @@
     const auto found = m_runs.find(order.runId);
     if (found == m_runs.end() || m_isDetached)
         return;
-    const bool mayRetry = ++found->second.newConnections < maxNewConnections;
-    if (mayRetry && found->second.state == WorkerRun::State::Ordered && incarnation == m_entry.startedAt) {
+    WorkerRun& run = found->second;
+    // It was certainly not carried out, also if that was in doubt meanwhile.
+    const bool isAwaited = run.state == WorkerRun::State::Ordered || run.state == WorkerRun::State::StartUncertain;
+    const bool mayRetry = isAwaited && incarnation == m_entry.startedAt && ++run.newConnections < maxNewConnections;
+    if (mayRetry) {
+        run.state = WorkerRun::State::Ordered;
         sendStart(order);
         return;
     }
--- a/src/scheduling/tests/workers_tests.cpp
+++ b/src/scheduling/tests/workers_tests.cpp
@@ -247,6 +247,22 @@
     BOOST_TEST(worker.starts.size() == 2u);
 }
 
+//! Guards against giving up starts on new connections over a slow link: until the report comes they are only in doubt.
+BOOST_AUTO_TEST_CASE(start_on_a_new_connection_waits_for_a_late_report)
+{
+    OneWorkerCell cell;
+    FakeWorker& worker = cell.worker("w1");
+    worker.answerDelay = ms(700);
+    worker.reportDelay = ms(700);
+    worker.newConnections = 3;
+    cell.submit(jobOf("a", 3, 1000));
+    cell.advance(ms(4000));
+    BOOST_TEST(cell.running() == 3u);
+    BOOST_TEST(worker.starts.size() == 3u);
+    for (const fleet::StartOrder& it : worker.starts)
+        BOOST_TEST(it.runId.run.value() <= 3); // the first run of each task
+}
+
 //! Guards against a task running twice: a start order for the former incarnation of a worker has a lease on the former
 //! clock, which the next incarnation takes for its longest lease. If that one turns silent, its run lasts that long.
 BOOST_AUTO_TEST_CASE(lease_of_an_order_for_the_former_incarnation_is_waited_for)
