Fake workers: a start order does not revive runs whose lease is over

Trace: its tasks 1 and 3 are adopted by each leader and never end. Their time was over while their worker's lease was; the fake worker then ended nothing, and lapsed runs only with the next renewal. A start order came first and extended the lease, so both ran for ever. A real worker ends everything when its lease ends.

--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -185,6 +185,7 @@
     OrderResult startNow(FakeWorker& it, const StartOrder& order)
     {
         using Code = OrderFailure::Code;
+        expireLease(it);
         if (order.fence.value() < it.fence)
             return core::Failure { OrderFailure { Code::Fenced, "" } };
         if (order.leaseUntil.value() < clockOf(it))
