Starts on new connections: give up by the same path as other failures, names

A start that is given up after several new connections is logged as start-failed, like others, with the reason new-connection. ClientResponse::usedLateConnectionRequest says what it means; comments on RoomHold and the resent start.

--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -68,7 +68,7 @@
     }
 
     core::TimePoint sentAt {}; //!< when the request was sent on its connection, on the clock of the client's loop
-    bool isToLateRequest = false; //!< `ClientRequest::lateConnectionRequest` was sent
+    bool usedLateConnectionRequest = false; //!< `ClientRequest::lateConnectionRequest` was sent
 };
 
 //! Request for a connection that was opened after a given time, and that may thus lead to another process than an older
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -246,7 +246,7 @@
         const core::TimePoint openedAt = call->owner->connectionOpenedAt(call, h2o_socket_get_fd(client->sock));
         if (const auto& late = call->lateConnectionBytes; late && openedAt > late->openedAfter) {
             call->requestBytes = late->bytes;
-            call->response.isToLateRequest = true;
+            call->response.usedLateConnectionRequest = true;
         }
         call->response.sentAt = call->owner->m_loop->now();
         call->buffer = h2o_iovec_init(call->requestBytes.data(), call->requestBytes.size());
--- a/src/http/tests/http_tests.cpp
+++ b/src/http/tests/http_tests.cpp
@@ -274,14 +274,14 @@
     const auto first = call(request);
     BOOST_REQUIRE(bool(first));
     BOOST_TEST(first.value().body == "late!");
-    BOOST_TEST(first.value().isToLateRequest);
+    BOOST_TEST(first.value().usedLateConnectionRequest);
     BOOST_TEST((first.value().sentAt > atFirst));
     request = to("/echo", "old");
     request.lateConnectionRequest = http::LateConnectionRequest { first.value().sentAt, "/never", "late" };
     const auto second = call(request);
     BOOST_REQUIRE(bool(second));
     BOOST_TEST(second.value().body == "old!");
-    BOOST_TEST(!second.value().isToLateRequest);
+    BOOST_TEST(!second.value().usedLateConnectionRequest);
 }
 
 BOOST_FIXTURE_TEST_CASE(aRequestBodyOverTheLimitIsRejected, Fixture)
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -166,10 +166,12 @@
     //! Records the clock in the answer to an order that was sent to `incarnation`.
     void recordClock(const fleet::OrderResult& result, fleet::WorkerStartTime incarnation);
     void recordLease(fleet::WorkerClock until);
-    void sendStart(const fleet::StartOrder& order);
+    void sendStart(const fleet::StartOrder& order); //!< for the incarnation that is known now
     void onStarted(const fleet::RunId& run, const fleet::OrderResult& result);
-    //! Sends a start again that was held back as its connection was new, unless another incarnation is at its end.
-    void retryStart(fleet::StartOrder order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation);
+    //! Sends a start again that was held back because its connection was new. Gives it up if the connection leads to
+    //! another incarnation, or if it was held back too often.
+    void retryStart(
+        const fleet::StartOrder& order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation);
     //! Handles the answer of a start order that arrived too late or may have been lost.
     void doubtStart(const fleet::RunId& run);
     void confirmStart(const fleet::RunId& run);
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -72,7 +72,8 @@
         });
 }
 
-void Worker::retryStart(fleet::StartOrder order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation)
+void Worker::retryStart(
+    const fleet::StartOrder& order, const fleet::WorkerReport& report, fleet::WorkerStartTime incarnation)
 {
     applyReport(report, report.requestedAt);
     const auto found = m_runs.find(order.runId);
@@ -87,11 +88,7 @@
         sendStart(order);
         return;
     }
-    RunTermination termination;
-    termination.cause = RunTermination::Cause::NotStarted;
-    termination.startFailure = OrderFailure::Code::NewConnection;
-    termination.checkpoint = found->second.checkpoint;
-    terminateRun(order.runId, termination);
+    onStarted(order.runId, core::Failure { OrderFailure { OrderFailure::Code::NewConnection, "" } });
 }
 
 void Worker::onStarted(const fleet::RunId& runId, const fleet::OrderResult& result)
--- a/src/scheduling/roomhold.h
+++ b/src/scheduling/roomhold.h
@@ -19,7 +19,7 @@
 //! the longest hold the room is free for all for a short time, so work that fits starts, and gangs may hold room again.
 class RoomHold {
 public:
-    void beginRound();
+    void beginRound(); //!< must be called at the beginning of each scheduling round
     bool isPaused(core::TimePoint now) const { return now < m_pausedUntil; }
     //! Returns whether a gang may hold room in this round.
     bool tryHold(core::TimePoint now, const HoldRequest& request);
