--- a/src/api/internal/api.cpp
+++ b/src/api/internal/api.cpp
@@ -49,14 +49,14 @@
     return std::string(path.substr(pattern.size()));
 }
 
-std::optional<configuration::Identity> Api::identityOf(const http::Request& request) const
+std::optional<teams::Identity> Api::identityOf(const http::Request& request) const
 {
-    constexpr std::string_view scheme = "Bearer ";
     const auto header = http::findHeader(request.headers, "authorization");
-    if (header && header->starts_with(scheme) && m_cellUpdate->configuration)
-        return configuration::identify(*m_cellUpdate->configuration, std::string(header->substr(scheme.size())));
+    const auto key = header ? teams::bearerKey(*header) : std::nullopt;
+    if (key && m_cellUpdate->configuration)
+        return m_cellUpdate->configuration->keys.identify(*key);
     if (!header && m_options.mayAdministerFromLoopback && request.isFromLoopback)
-        return configuration::Identity { core::TeamId("loopback"), Role::Operator };
+        return teams::Identity { core::TeamId("loopback"), Role::Operator };
     return std::nullopt;
 }
 
@@ -78,7 +78,7 @@
             call->responder.send(problem(403, "not-allowed", "The token's role may not do this", Executed::No));
             return;
         }
-        call->identity = identity.value_or(configuration::Identity {});
+        call->identity = identity.value_or(teams::Identity {});
         (this->*it.handler)(call);
         return;
     }
--- a/src/api/internal/api.h
+++ b/src/api/internal/api.h
@@ -9,14 +9,14 @@
 
 namespace sardinerun::api {
 
-using configuration::Role;
+using teams::Role;
 
 //! A request with its responder and the identity of its sender.
 struct Call {
     http::Request request;
     http::Responder responder;
     std::string id; //!< last segment of the path if the pattern ends in "{id}"
-    configuration::Identity identity;
+    teams::Identity identity;
 
     //! Returns the team whose jobs the sender may see; an empty ID for operators, who see the jobs of all teams.
     core::TeamId visibleTeam() const { return identity.role == Role::Operator ? core::TeamId() : identity.team; }
@@ -58,7 +58,7 @@
     static const std::vector<Endpoint>& endpoints();
 
     static std::optional<std::string> matchPath(std::string_view pattern, std::string_view path);
-    std::optional<configuration::Identity> identityOf(const http::Request& request) const;
+    std::optional<teams::Identity> identityOf(const http::Request& request) const;
     void forward(http::Request request, http::Responder responder);
 
     void health(const CallPtr& call);
--- a/src/api/internal/jobbody.cpp
+++ b/src/api/internal/jobbody.cpp
@@ -56,7 +56,7 @@
 {
     if (!key)
         return core::JobId("j-" + core::randomId().substr(0, idDigits));
-    return core::JobId("j-" + configuration::sha256Hex(team.value() + "\n" + *key).substr(0, idDigits));
+    return core::JobId("j-" + core::sha256Hex(team.value() + "\n" + *key).substr(0, idDigits));
 }
 
 Json::Value writeJob(const jobs::JobStatus& status)
--- a/src/api/internal/operatorcalls.cpp
+++ b/src/api/internal/operatorcalls.cpp
@@ -116,12 +116,12 @@
 {
     Json::Value body(Json::objectValue);
     body["teams"] = Json::Value(Json::arrayValue);
-    const std::vector<configuration::Team> none;
-    for (const configuration::Team& it : m_cellUpdate->configuration ? m_cellUpdate->configuration->teams : none) {
+    const std::vector<teams::Team> none;
+    for (const teams::Team& it : m_cellUpdate->configuration ? m_cellUpdate->configuration->teams : none) {
         Json::Value team(Json::objectValue);
         team["name"] = it.id.value();
         team["weight"] = it.weight;
-        team["tokens"] = Json::UInt64(it.tokens.size());
+        team["tokens"] = Json::UInt64(it.keys.size());
         body["teams"].append(team);
     }
     call->responder.send(json(200, body));
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -22,16 +22,4 @@
 std::optional<Match> match(
     const Configuration& configuration, const std::string& host, const std::string& method, const std::string& path);
 
-//! Team and role of a bearer token.
-struct Identity {
-    core::TeamId team;
-    Role role = Role::Caller;
-};
-
-//! Returns the identity of a bearer token, or nothing. Always compares all tokens, each in constant time.
-std::optional<Identity> identify(const Configuration& configuration, const std::string& token);
-
-//! Returns the SHA-256 hash of a text in lower-case hex.
-std::string sha256Hex(const std::string& text);
-
 } // namespace sardinerun::configuration
--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -4,6 +4,7 @@
 #include "core/types.h"
 #include "placement/istrategy.h"
 #include "placement/usageestimator.h"
+#include "teams/keyring.h"
 
 #include <map>
 #include <optional>
@@ -30,23 +31,6 @@
     bool isOpen = false; //!< callers need no token
 };
 
-enum class Role {
-    Caller, //!< sends requests to services
-    Submitter, //!< also submits, reads and cancels jobs of its team
-    Operator //!< also changes the configuration and reads everything
-};
-
-struct Token {
-    std::string sha256; //!< hash of the token, in lower-case hex
-    Role role = Role::Caller;
-};
-
-struct Team {
-    core::TeamId id;
-    int weight = 1; //!< weight of the team's share of the fleet relative to other teams
-    std::vector<Token> tokens;
-};
-
 //! How requests to services are admitted.
 struct RequestPolicy {
     std::uint32_t queue = 256; //!< maximum number of waiting requests of one service at one node
@@ -69,7 +53,8 @@
 //! The contents of a configuration document.
 struct Configuration {
     std::vector<Service> services;
-    std::vector<Team> teams;
+    std::vector<teams::Team> teams;
+    teams::KeyRing keys; //!< of all teams
     std::map<core::PresetName, Preset> presets;
 };
 
--- a/src/configuration/internal/configuration.cpp
+++ b/src/configuration/internal/configuration.cpp
@@ -1,9 +1,6 @@
 #include "configuration/configuration.h"
 
 #include <algorithm>
-#include <array>
-#include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 namespace sardinerun::configuration {
 
@@ -64,30 +61,4 @@
     return std::nullopt;
 }
 
-std::string sha256Hex(const std::string& text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
-    static constexpr const char* digits = "0123456789abcdef";
-    std::string hex;
-    for (const unsigned char it : digest) {
-        hex += digits[it >> 4];
-        hex += digits[it & 15];
-    }
-    return hex;
-}
-
-std::optional<Identity> identify(const Configuration& configuration, const std::string& token)
-{
-    const std::string hash = sha256Hex(token);
-    std::optional<Identity> found;
-    for (const Team& team : configuration.teams) {
-        for (const Token& it : team.tokens) {
-            if (CRYPTO_memcmp(it.sha256.data(), hash.data(), hash.size()) == 0)
-                found = Identity { team.id, it.role };
-        }
-    }
-    return found;
-}
-
 } // namespace sardinerun::configuration
--- a/src/configuration/internal/readconfiguration.cpp
+++ b/src/configuration/internal/readconfiguration.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 using codec::YamlReader;
+using teams::Role;
+using teams::Team;
 
 //! Below MembershipTimes::maxRequestTime and ClaimTimes::maxRunTime, after which a request is known to have ended.
 constexpr std::int64_t maxTimeoutMs = 25'000;
@@ -70,12 +72,12 @@
     return it;
 }
 
-Token readToken(YamlReader& reader)
+teams::Key readToken(YamlReader& reader)
 {
-    Token it;
-    it.sha256 = reader.text("sha256");
-    const bool isHex = it.sha256.find_first_not_of("0123456789abcdef") == std::string::npos;
-    if (it.sha256.size() != 64 || !isHex)
+    teams::Key it;
+    it.digest = teams::KeyDigest(reader.text("sha256"));
+    const bool isHex = it.digest.value().find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (it.digest.value().size() != 64 || !isHex)
         reader.fail("sha256", "must be 64 digits of lower-case hex");
     it.role = readNamed(reader, "role", roleOf, Role::Caller, "caller, submitter, operator");
     reader.finish();
@@ -88,7 +90,7 @@
     it.id = core::TeamId(reader.name("name"));
     it.weight = static_cast<int>(reader.integerOr("weight", 1, 1000, 1));
     for (YamlReader& token : reader.objects("tokens"))
-        it.tokens.push_back(readToken(token));
+        it.keys.push_back(readToken(token));
     reader.finish();
     return it;
 }
@@ -163,12 +165,12 @@
             reader.fail("services", "has the name " + it.id.value() + " twice");
     }
     std::set<core::TeamId> teams;
-    std::set<std::string> tokens;
+    std::set<teams::KeyDigest> tokens;
     for (const Team& it : configuration.teams) {
         if (!teams.insert(it.id).second)
             reader.fail("teams", "has the name " + it.id.value() + " twice");
-        for (const Token& token : it.tokens) {
-            if (!tokens.insert(token.sha256).second)
+        for (const teams::Key& token : it.keys) {
+            if (!tokens.insert(token.digest).second)
                 reader.fail("teams", "has one token twice");
         }
     }
@@ -193,6 +195,7 @@
     if (it.presets.empty())
         reader.fail("presets", "must name at least one preset");
     rejectDuplicates(reader, it);
+    it.keys = teams::KeyRing(it.teams);
     reader.finish();
     return it;
 }
--- a/src/configuration/tests/configuration_tests.cpp
+++ b/src/configuration/tests/configuration_tests.cpp
@@ -69,10 +69,10 @@
 BOOST_AUTO_TEST_CASE(tokensAreIdentifiedByTheirHash)
 {
     const Configuration it = readConfiguration(document, "c.yaml");
-    const auto identity = identify(it, "hello world");
+    const auto identity = it.keys.identify("hello world");
     BOOST_REQUIRE(bool(identity));
     BOOST_TEST(identity->team.value() == "dealers");
-    BOOST_TEST(!identify(it, "hello"));
+    BOOST_TEST(!it.keys.identify("hello"));
 }
 
 BOOST_AUTO_TEST_CASE(errorsNameLineColumnAndKey)
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -2,6 +2,7 @@
 
 #include "core/types.h"
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -16,6 +17,9 @@
 //! Returns the member with the highest weight for `key` (rendezvous hashing); `members` must not be empty.
 const NodeId& rendezvous(std::string_view key, const std::vector<NodeId>& members);
 
+//! Returns the SHA-256 hash of a text in lower-case hex.
+std::string sha256Hex(std::string_view text);
+
 //! Returns a random 128-bit ID as 32 hexadecimal digits, for incarnations, writes and traces.
 std::string randomId();
 
--- a/src/core/internal/hashing.cpp
+++ b/src/core/internal/hashing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <openssl/sha.h>
 #include <random>
 #include <xxhash.h>
 
@@ -27,6 +28,19 @@
     return *std::max_element(members.begin(), members.end(), hasLowerWeight);
 }
 
+std::string sha256Hex(std::string_view text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
+    static constexpr const char* digits = "0123456789abcdef";
+    std::string hex;
+    for (const unsigned char it : digest) {
+        hex += digits[it >> 4];
+        hex += digits[it & 15];
+    }
+    return hex;
+}
+
 std::string randomId()
 {
     static thread_local std::mt19937_64 generator { std::random_device {}() };
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -66,7 +66,7 @@
     policy.queues = preset.queues;
     policy.mayBorrow = preset.mayBorrow;
     if (m_update->configuration) {
-        for (const configuration::Team& it : m_update->configuration->teams)
+        for (const teams::Team& it : m_update->configuration->teams)
             policy.teamWeights[it.id] = it.weight;
     }
     return policy;
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -50,6 +50,10 @@
     json["path"] = it.path;
     json["spec"] = workflow::encodeSpec(it.spec);
     json["patienceMs"] = Json::Int64(core::toMs(it.timeout));
+    if (!it.team.value().empty())
+        json["team"] = it.team.value();
+    if (!it.key.value().empty())
+        json["key"] = it.key.value();
     json["seen"] = Json::UInt64(it.knownConfig.value());
     return codec::writeJson(json);
 }
@@ -64,6 +68,8 @@
         it.path = reader.text("path", maxName);
         it.spec = workflow::decodeSpec(reader.raw("spec"));
         it.timeout = std::chrono::milliseconds(reader.integerOr("patienceMs", 0, 86'400'000, 0));
+        it.team = core::TeamId(reader.textOr("team", maxName, ""));
+        it.key = teams::KeyDigest(reader.textOr("key", maxName, ""));
         it.knownConfig = core::ConfigVersion(readUnsigned(reader, "seen"));
         return it;
     });
@@ -85,7 +91,7 @@
     return codec::decodeJson(text, [](const Json::Value& value) {
         codec::ObjectReader reader(value);
         WorkflowResult it;
-        it.outcome = readEnum(reader, "outcome", workflow::WorkflowOutcome::Uncertain);
+        it.outcome = readEnum(reader, "outcome", workflow::WorkflowOutcome::OtherTeam);
         it.state = readEnum(reader, "state", workflow::JobState::Cancelled);
         it.pending = readUnsigned(reader, "pending");
         it.retryAfter = std::chrono::milliseconds(reader.integerOr("retryAfterMs", 0, 86'400'000, 0));
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -27,6 +27,7 @@
     std::optional<double> startsPerSecond;
     double higherPriorityStartsPerSecond = 0; //!< average rate at which tasks of more urgent work arrive
     double higherPriorityShare = 0; //!< average share of the cores that more urgent work uses
+    core::Duration capWait {}; //!< expected wait for the cap of the job's team
     core::Duration adviceWait {}; //!< expected duration of an advice request of this queue
 };
 
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -103,7 +103,7 @@
     const double usable
         = inputs.cores * usableShare * (1 - std::min(inputs.higherPriorityShare, maxHigherPriorityShare));
     const core::Duration roomWait = seconds(coreSecondsBefore(inputs) / std::max(usable, 0.001));
-    const core::Duration wait = std::max(roomWait, startWait(inputs)) + inputs.adviceWait;
+    const core::Duration wait = std::max({ roomWait, startWait(inputs), inputs.capWait }) + inputs.adviceWait;
     const core::Duration chain = workflow::criticalPath(spec);
     const core::Duration objective = objectiveOf(spec, queue);
     if (wait + chain <= objective)
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -84,6 +84,8 @@
 void EngineImpl::setConfig(workflow::QueueConfigPtr config)
 {
     m_config = std::move(config);
+    m_usage.setTeams(m_config->teams);
+    m_rates.setTeams(m_config->teams);
     retryDeferredCalls();
     scheduleRound();
 }
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -46,17 +46,33 @@
         room.cores += double(entry.capacity.cpu.value()) / 1000;
         room.freeCores += double(worker->freeRoom().cpu.value()) / 1000;
     }
+    addPendingWork(m_admissionSnapshot);
+    m_admissionSnapshot.cost = m_dependencies.loop->now() - now;
+    return m_admissionSnapshot;
+}
+
+void EngineImpl::addPendingWork(AdmissionSnapshot& snapshot) const
+{
     for (const auto& [id, job] : m_active) {
-        m_admissionSnapshot.tasksHeld += job->tasks;
+        if (m_usage.capOf(job->record.team) == core::Resources())
+            continue;
+        const TeamWork work = pendingWorkOf(*job);
+        TeamWork& sum = snapshot.teams[job->record.team];
+        sum.need = sum.need + work.need;
+        sum.capSeconds += work.capSeconds;
+    }
+    for (const auto& [id, job] : m_active) {
+        snapshot.tasksHeld += job->tasks;
         const core::TimePoint startBy = job->startBy();
-        // A round places late jobs after all jobs that can be in time, so they delay none of those.
-        if (isTooLate(startBy, job->objectiveAt, now))
-            m_admissionSnapshot.work.addLate(job->record.queue.priority, job->pendingWork());
+        PendingWork work = job->pendingWork();
+        if (const auto team = snapshot.teams.find(job->record.team); team != snapshot.teams.end())
+            work = work * startableShareOf(job->record.team, team->second);
+        // A round places late jobs and those beyond their team's rate after all others, so they delay none of those.
+        if (job->record.isExcess || isTooLate(startBy, job->objectiveAt, snapshot.takenAt))
+            snapshot.work.addLate(job->record.queue.priority, work);
         else
-            m_admissionSnapshot.work.add(job->record.queue.priority, startBy, job->pendingWork());
+            snapshot.work.add(job->record.queue.priority, startBy, work);
     }
-    m_admissionSnapshot.cost = m_dependencies.loop->now() - now;
-    return m_admissionSnapshot;
 }
 
 AdmissionInputs EngineImpl::admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue)
@@ -73,6 +89,9 @@
     inputs.gangCoreSecondsAhead = ahead.gangCoreSeconds;
     inputs.lateCoreSeconds = ahead.lateCoreSeconds;
     inputs.tasksAhead = ahead.tasks;
+    const core::TeamId team = teamOf(call);
+    if (const auto it = snapshot.teams.find(team); it != snapshot.teams.end())
+        inputs.capWait = capWait(team, call.spec, it->second);
     inputs.startsPerSecond = m_orderWindow->startsPerSecond(now);
     ArrivedWork moreUrgent;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -98,7 +98,12 @@
         callback(answerOf(WorkflowOutcome::NoQueue));
         return;
     }
-    if (const JobPtr known = jobOf(call.spec.id)) {
+    const JobPtr known = jobOf(call.spec.id);
+    if (const auto denial = denialOf(call, known)) {
+        callback(answerOf(*denial));
+        return;
+    }
+    if (known) {
         answerDuplicate(*known, callback);
         return;
     }
@@ -122,10 +127,14 @@
         return;
     }
     const AdmissionInputs inputs = admissionInputs(call, *queue);
-    const auto refusal = refusalOf(call.spec, *queue, inputs);
+    const core::TeamId team = teamOf(call);
+    auto refusal = teamRefusalOf(call, *queue, inputs);
+    if (!refusal)
+        refusal = refusalOf(call.spec, *queue, inputs);
     LogLine(Severity::Info, "intake")
         .with("job", call.spec.id.value())
         .with("queue", queue->name)
+        .with("team", team.value())
         .with("config", std::int64_t(m_config->version.value()))
         .with("coreSeconds", std::int64_t(coreSecondsOf(call.spec)))
         .with("aheadCoreSeconds", std::int64_t(inputs.coreSecondsAhead))
@@ -134,6 +143,7 @@
         .with("freeCores", std::int64_t(inputs.freeCores))
         .with("workers", inputs.workers)
         .with("adviceWaitMs", core::toMs(inputs.adviceWait))
+        .with("capWaitMs", core::toMs(inputs.capWait))
         .with("outcome", refusal ? "refused" : "taken")
         .with("why", refusal ? refusal->reason : "");
     if (refusal) {
@@ -186,6 +196,9 @@
     workflow::JobRecord record;
     record.spec = call.spec;
     record.queue = queue;
+    record.team = teamOf(call);
+    const core::TimePoint now = m_dependencies.loop->now();
+    record.isExcess = !m_rates.tryTake(record.team, now);
     record.acceptedAt = m_dependencies.loop->wallNow();
     std::string row = workflow::encodeJob(record);
     if (row.size() > store::maxValueBytes) {
@@ -202,14 +215,18 @@
         record.stages.push_back(workflow::initialProgress(count));
     }
     const JobPtr job = std::make_shared<Job>(makeJob(std::move(record)));
-    job->acceptedAt = m_dependencies.loop->now();
+    job->acceptedAt = now;
     job->objectiveAt = job->acceptedAt + objectiveOf(call.spec, queue);
     job->submitCallbacks.push_back(callback);
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
-    recordArrival(queue.priority, { coreSecondsOf(call.spec), double(job->tasks) });
     m_admissionSnapshot.tasksHeld += job->tasks;
-    m_admissionSnapshot.work.add(queue.priority, job->startBy(), job->pendingWork());
+    if (job->record.isExcess) {
+        m_admissionSnapshot.work.addLate(queue.priority, job->pendingWork());
+    } else {
+        recordArrival(queue.priority, { coreSecondsOf(call.spec), double(job->tasks) });
+        m_admissionSnapshot.work.add(queue.priority, job->startBy(), job->pendingWork());
+    }
     const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), std::move(row));
     whenPersisted(revision, [this, job] { onAccepted(job); });
     m_dependencies.loop->callAfter(timeoutOf(call), [self = weak_from_this(), id = call.spec.id] {
@@ -261,6 +278,28 @@
     return true;
 }
 
+core::TeamId EngineImpl::teamOf(const workflow::WorkflowCall& call) const
+{
+    if (call.key.value().empty())
+        return call.team;
+    const auto identity = m_config->keys.identify(call.key);
+    return identity ? identity->team : core::TeamId();
+}
+
+std::optional<WorkflowOutcome> EngineImpl::denialOf(const workflow::WorkflowCall& call, const JobPtr& job) const
+{
+    const workflow::QueuePolicy* queue = m_config->find(call.host, call.path);
+    if (queue && queue->isPublic)
+        return std::nullopt;
+    const core::TeamId team = teamOf(call);
+    const bool isJobOfTeam = job && !job->record.team.value().empty();
+    if (team.value().empty() && (queue || isJobOfTeam))
+        return WorkflowOutcome::NoKey;
+    if (isJobOfTeam && job->record.team != team)
+        return WorkflowOutcome::OtherTeam;
+    return std::nullopt;
+}
+
 bool EngineImpl::matchesNoQueue(const workflow::WorkflowCall& call, const JobPtr& job) const
 {
     const bool isOwnQueue = job && job->record.queue.matches(call.host, call.path);
@@ -279,6 +318,10 @@
         callback(answerOf(WorkflowOutcome::NoQueue));
         return;
     }
+    if (const auto denial = denialOf(call, job)) {
+        callback(answerOf(*denial));
+        return;
+    }
     if (!job || !job->isPersisted) {
         callback(answerUnknownJob());
         return;
@@ -295,6 +338,10 @@
         callback(answerOf(WorkflowOutcome::NoQueue));
         return;
     }
+    if (const auto denial = denialOf(call, job)) {
+        callback(answerOf(*denial));
+        return;
+    }
     if (!job) {
         callback(answerUnknownJob());
         return;
@@ -315,6 +362,10 @@
         callback(answerOf(WorkflowOutcome::NoQueue));
         return;
     }
+    if (const auto denial = denialOf(call, nullptr)) {
+        callback(answerOf(*denial));
+        return;
+    }
     WorkflowResult answer = answerOf(WorkflowOutcome::Counted);
     answer.pending
         = static_cast<std::uint64_t>(std::count_if(m_active.begin(), m_active.end(), [queue](const auto& it) {
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -16,6 +16,9 @@
 #include "scheduling/roomhold.h"
 #include "scheduling/speedtracker.h"
 #include "scheduling/workahead.h"
+#include "teams/ratelimiter.h"
+#include "teams/retryschedule.h"
+#include "teams/usageledger.h"
 
 #include <array>
 #include <deque>
@@ -49,6 +52,16 @@
         AnswerCallback callback;
         core::TimePoint deadline {};
     };
+    //! Pending work of a team.
+    struct TeamWork {
+        core::Resources need; //!< of all pending tasks
+        double capSeconds = 0; //!< time that the work takes if the team uses its whole cap
+    };
+    //! What a run counts towards its team's cap.
+    struct CountedRun {
+        core::TeamId team;
+        core::Resources amount;
+    };
     struct ArrivedWork {
         double coreSeconds = 0;
         double tasks = 0;
@@ -57,7 +70,8 @@
     struct ReadyStage {
         JobPtr job;
         Stage* stage = nullptr;
-        bool isLate = false;
+        bool isLate = false; //!< too late, or beyond the rate that its team may rely on
+        bool isExcess = false;
         int priority = 0;
         core::TimePoint startBy {}; //!< latest start that is expected to meet the objective
     };
@@ -78,6 +92,10 @@
     core::Duration timeoutOf(const workflow::WorkflowCall& call) const;
     //! Returns the answer about a job that this leader does not know. A later leader may have accepted it.
     workflow::WorkflowResult answerUnknownJob() const;
+    //! Returns the caller's team by the newest configuration. The node that took the call may know an older one.
+    core::TeamId teamOf(const workflow::WorkflowCall& call) const;
+    //! Returns why the caller may not ask about the job, or nothing if it may.
+    std::optional<workflow::WorkflowOutcome> denialOf(const workflow::WorkflowCall& call, const JobPtr& job) const;
     //! Returns whether neither a configured queue nor the job's own queue accepts the path of the call.
     bool matchesNoQueue(const workflow::WorkflowCall& call, const JobPtr& job) const;
     void read(const workflow::WorkflowCall& call, const AnswerCallback& callback);
@@ -91,10 +109,40 @@
         std::size_t tasksHeld = 0;
         std::map<core::ServiceId, FleetRoom> rooms;
         WorkAhead work;
+        std::unordered_map<core::TeamId, TeamWork> teams; //!< pending work of the teams that have a cap
     };
     //! Returns a snapshot that is recent enough.
     AdmissionSnapshot& admissionSnapshot();
     void recordArrival(int priority, const ArrivedWork& work);
+    //! Adds the pending work of all active jobs to a snapshot.
+    void addPendingWork(AdmissionSnapshot& snapshot) const;
+
+    // Teams
+    //! Counts a run towards its team's cap until `uncountRun`.
+    void countRun(
+        const core::VmId& worker, const fleet::RunId& run, const core::TeamId& team, const core::Resources& amount);
+    void uncountRun(const core::VmId& worker, const fleet::RunId& run);
+    //! Until the barrier is passed, tasks of recovered jobs may run on workers that have not listed their runs.
+    void countPossibleRuns();
+    std::uint32_t tasksWithinCap(const Job& job, const Stage& stage) const;
+    //! Returns whether no task of the stage may start before others of its team have ended.
+    bool waitsForCap(const Job& job, const Stage& stage) const;
+    //! Returns whether a task or gang of the job could never run within the team's cap.
+    bool exceedsCap(const workflow::JobSpec& spec, const core::TeamId& team) const;
+    //! Orders the stages of equal priority by the shares of their teams.
+    void orderByShares(std::vector<ReadyStage>& all) const;
+    TeamWork pendingWorkOf(const Job& job) const;
+    //! Returns the share of a team's pending work that its cap allows to start now. The rest delays no other team.
+    double startableShareOf(const core::TeamId& team, const TeamWork& work) const;
+    //! Returns how long a new job waits for its team's cap.
+    core::Duration capWait(const core::TeamId& team, const workflow::JobSpec& spec, const TeamWork& ahead) const;
+    //! Returns whether a job beyond its team's rate would take room that others need.
+    bool isFleetShort(const AdmissionInputs& inputs, const workflow::JobSpec& spec);
+    //! Returns a refusal for the sake of other teams or of the team's cap, or nothing.
+    std::optional<AdmissionRefusal> teamRefusalOf(
+        const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AdmissionInputs& inputs);
+    //! Returns when the caller of a refused excess job may come back.
+    core::Duration excessRetryAfter(const core::TeamId& team, int priority);
 
     // Persistence
     lead::LogRevision persistProgress(Job& job);
@@ -302,6 +350,10 @@
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
     std::map<core::ServiceId, RoomHold> m_roomHolds;
+    teams::UsageLedger m_usage;
+    teams::RateLimiter m_rates;
+    teams::RetrySchedule m_retrySchedule;
+    std::map<std::pair<core::VmId, fleet::RunId>, CountedRun> m_countedRuns;
     core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
     bool m_isRoundCutShort = false; //!< the last round did not get to all work in time
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -77,6 +77,7 @@
     m_roundAt = now;
     tryPassBarrier();
     buildFleetViews(now);
+    countPossibleRuns();
     std::vector<ReadyStage> all = readyStages(now);
     recordWaitingGangs(all);
     m_retryPacer.setWaiting(all.size());
@@ -136,17 +137,22 @@
             const std::size_t startable = stage.startable();
             if (startable == 0 || (isGang && (stage.live > 0 || startable < stage.pending)))
                 continue;
+            if (waitsForCap(*job, stage))
+                continue; // it holds back nobody else
             if (!startBy)
                 startBy = job->startBy();
-            all.push_back(
-                { job, &stage, isTooLate(*startBy, job->objectiveAt, now), job->record.queue.priority, *startBy });
+            const bool isExcess = job->record.isExcess;
+            all.push_back({ job, &stage, isExcess || isTooLate(*startBy, job->objectiveAt, now), isExcess,
+                job->record.queue.priority, *startBy });
         }
     }
     // A job that can't meet its objective any more is worth little, whatever its priority, so it comes after all jobs
-    // that can.
+    // that can. What a team has submitted beyond its rate comes last.
     std::sort(all.begin(), all.end(), [](const ReadyStage& a, const ReadyStage& b) {
-        return std::tie(a.isLate, a.priority, a.startBy) < std::tie(b.isLate, b.priority, b.startBy);
+        return std::tie(a.isLate, a.isExcess, a.priority, a.startBy)
+            < std::tie(b.isLate, b.isExcess, b.priority, b.startBy);
     });
+    orderByShares(all);
     return all;
 }
 
@@ -173,7 +179,9 @@
         hold.beginRound();
     const core::ServiceId* service = nullptr; // of the previous worker; most fleets have one service
     FleetView* view = nullptr;
+    core::Resources capacity;
     for (const auto& [id, worker] : m_workers) {
+        capacity = capacity + worker->entry().capacity;
         if (!worker->acceptsStarts(now) || !worker->isRostered() || m_health.isQuarantined(id, now))
             continue;
         if (!service || *service != worker->entry().service) {
@@ -182,6 +190,7 @@
         }
         view->add(*worker, m_speed.isSlow(id, now));
     }
+    m_usage.setCapacity(capacity);
 }
 
 std::uint32_t EngineImpl::startLimit(const ReadyStage& ready, const Demand& demand, core::TimePoint now)
@@ -205,7 +214,8 @@
     const workflow::StepSpec& step = job.stepOf(stage);
     Demand demand;
     demand.need = roomOf(step);
-    demand.count = static_cast<std::uint32_t>(stage.startable());
+    // Starts of other stages in the same round may have used up what the team's cap leaves to a gang.
+    demand.count = step.isGang ? static_cast<std::uint32_t>(stage.startable()) : tasksWithinCap(job, stage);
     demand.maxPerWorker = step.maxPerWorker;
     demand.dataRack = step.dataRack;
     demand.isAllOrNothing = step.isGang;
@@ -270,6 +280,8 @@
         m_orderWindow->onLimited(now);
         return false; // a ticket would expire before its start is ordered
     }
+    if (waitsForCap(*ready.job, *ready.stage))
+        return false;
     Demand demand = demandOf(*ready.job, *ready.stage);
     demand.count = startLimit(ready, demand, now);
     if (!demand.isAllOrNothing && demand.count > m_orderWindow->room()) {
@@ -350,6 +362,7 @@
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
     fleetViewOf(*job).onTaskStarted(worker, room);
+    countRun(worker, order.runId, job->record.team, job->stepOf(stage).need);
     m_workers[worker]->startRun(order, room, m_roundAt);
 }
 
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -112,6 +112,10 @@
 {
     const JobPtr job = jobOf(run.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.runId.task) : nullptr;
+    if (stage)
+        countRun(worker.id(), run.runId, job->record.team, job->stepOf(*stage).need);
+    else if (job) // what a task of an ended job needs is no longer known
+        countRun(worker.id(), run.runId, job->record.team, worker.entry().capacity);
     // A run whose loss is not confirmed yet is listed after all.
     if (stage && isCurrentRun(stage->tasks[run.runId.task.index], worker.id(), run.runId)) {
         LogLine(Severity::Info, "run-found")
@@ -277,6 +281,7 @@
 void EngineImpl::onRunTerminated(Worker& worker, const fleet::RunId& run, const RunTermination& termination)
 {
     scheduleRound();
+    uncountRun(worker.id(), run);
     const bool isOrphaned = m_orphanedRuns.erase({ worker.id(), run }) > 0;
     const JobPtr job = jobOf(run.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.task) : nullptr;
--- /dev/null
+++ b/src/scheduling/internal/engineteams.cpp
@@ -0,0 +1,181 @@
+//! Teams: what they run, their caps, and jobs beyond the rate that they may rely on.
+
+#include "scheduling/internal/engineimpl.h"
+
+#include "scheduling/fairorder.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+//! Room that stays free beside an excess job, as a share of the fleet. It is what other teams need within the run time
+//! of such a job.
+constexpr double freeShareBesideExcess = 0.1;
+//! Waiting work, as time of the whole fleet, above which the fleet counts as short.
+constexpr double shortSeconds = 0.05;
+constexpr const char* excessReason = "its team is over its rate and the fleet is full";
+
+} // namespace
+
+void EngineImpl::countRun(
+    const core::VmId& worker, const fleet::RunId& run, const core::TeamId& team, const core::Resources& amount)
+{
+    if (team.value().empty())
+        return;
+    if (m_countedRuns.try_emplace({ worker, run }, CountedRun { team, amount }).second)
+        m_usage.add(team, amount);
+}
+
+void EngineImpl::uncountRun(const core::VmId& worker, const fleet::RunId& run)
+{
+    const auto it = m_countedRuns.find({ worker, run });
+    if (it == m_countedRuns.end())
+        return;
+    m_usage.remove(it->second.team, it->second.amount);
+    m_countedRuns.erase(it);
+}
+
+void EngineImpl::countPossibleRuns()
+{
+    m_usage.clearPossible();
+    if (m_isBarrierPassed || m_config->teams.empty())
+        return;
+    const core::TimePoint now = m_dependencies.loop->now();
+    core::Resources unheard; // capacity of the workers that may run something unnoticed
+    for (const auto& [id, worker] : m_workers) {
+        if (!worker->areFormerRunsKnown(now))
+            unheard = unheard + worker->entry().capacity;
+    }
+    std::map<core::TeamId, core::Resources> possible;
+    for (const auto& [id, job] : m_active) {
+        if (!job->isRecovered || job->record.team.value().empty())
+            continue;
+        core::Resources& sum = possible[job->record.team];
+        for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
+            const Stage& stage = job->stages[n];
+            if (stage.isOpen)
+                sum = sum + job->stepOf(stage).need * std::int64_t(stage.startable());
+        }
+    }
+    for (const auto& [team, sum] : possible)
+        m_usage.setPossible(team,
+            { std::min(sum.cpu, unheard.cpu), std::min(sum.memory, unheard.memory),
+                std::min(sum.accelerators, unheard.accelerators) });
+}
+
+std::uint32_t EngineImpl::tasksWithinCap(const Job& job, const Stage& stage) const
+{
+    const auto count = static_cast<std::uint32_t>(stage.startable());
+    return m_usage.tasksWithinCap(job.record.team, job.stepOf(stage).need, count);
+}
+
+bool EngineImpl::waitsForCap(const Job& job, const Stage& stage) const
+{
+    const std::uint32_t allowed = tasksWithinCap(job, stage);
+    return allowed == 0 || (job.stepOf(stage).isGang && allowed < stage.startable());
+}
+
+bool EngineImpl::exceedsCap(const workflow::JobSpec& spec, const core::TeamId& team) const
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [&](const workflow::StepSpec& it) {
+        return !m_usage.canEverRun(team, it.need * (it.isGang ? std::int64_t(it.count) : 1));
+    });
+}
+
+void EngineImpl::orderByShares(std::vector<ReadyStage>& all) const
+{
+    if (!m_config || m_config->teams.empty())
+        return;
+    const auto isSameLevel = [](const ReadyStage& a, const ReadyStage& b) {
+        return std::tie(a.isLate, a.isExcess, a.priority) == std::tie(b.isLate, b.isExcess, b.priority);
+    };
+    for (auto first = all.begin(); first != all.end();) {
+        const auto last
+            = std::find_if(first, all.end(), [&](const ReadyStage& it) { return !isSameLevel(*first, it); });
+        std::vector<WaitingWork> work;
+        for (auto it = first; it != last; ++it)
+            work.push_back({ it->job->record.team,
+                it->job->stepOf(*it->stage).need * std::int64_t(it->stage->startable()), it->startBy });
+        std::vector<ReadyStage> ordered;
+        ordered.reserve(work.size());
+        for (const std::size_t n : fairOrder(work, m_usage))
+            ordered.push_back(std::move(*(first + std::ptrdiff_t(n))));
+        std::move(ordered.begin(), ordered.end(), first);
+        first = last;
+    }
+}
+
+EngineImpl::TeamWork EngineImpl::pendingWorkOf(const Job& job) const
+{
+    TeamWork sum;
+    const core::Resources cap = m_usage.capOf(job.record.team);
+    for (std::size_t n = job.firstUndone; n < job.stages.size(); ++n) {
+        const Stage& stage = job.stages[n];
+        const workflow::StepSpec& step = job.stepOf(stage);
+        if (step.isLongRunning)
+            continue;
+        const core::Resources need = step.need * std::int64_t(stage.pending);
+        sum.need = sum.need + need;
+        sum.capSeconds += teams::dominantShare(need, cap) * std::chrono::duration<double>(step.estimate).count();
+    }
+    return sum;
+}
+
+double EngineImpl::startableShareOf(const core::TeamId& team, const TeamWork& work) const
+{
+    const core::Resources cap = m_usage.capOf(team);
+    const double waiting = teams::dominantShare(work.need, cap);
+    const double used = teams::dominantShare(m_usage.usedBy(team), cap);
+    return waiting > 0 ? std::clamp((1 - used) / waiting, 0.0, 1.0) : 1;
+}
+
+core::Duration EngineImpl::capWait(const core::TeamId& team, const workflow::JobSpec& spec, const TeamWork& ahead) const
+{
+    const core::Resources cap = m_usage.capOf(team);
+    core::Resources need;
+    for (const workflow::StepSpec& it : spec.steps)
+        need = need + it.need * std::int64_t(it.count);
+    const double filled = teams::dominantShare(m_usage.usedBy(team) + ahead.need + need, cap);
+    if (filled <= 1)
+        return core::Duration(0);
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(ahead.capSeconds));
+}
+
+bool EngineImpl::isFleetShort(const AdmissionInputs& inputs, const workflow::JobSpec& spec)
+{
+    double cores = 0;
+    for (const workflow::StepSpec& it : spec.steps)
+        cores = std::max(cores, coresOf(it));
+    if (inputs.freeCores - cores < inputs.cores * freeShareBesideExcess)
+        return true;
+    const WorkAhead::Sum all = admissionSnapshot().work.before(std::numeric_limits<int>::max(), core::TimePoint::max());
+    return all.coreSeconds + all.gangCoreSeconds + all.lateCoreSeconds > inputs.cores * shortSeconds;
+}
+
+std::optional<AdmissionRefusal> EngineImpl::teamRefusalOf(
+    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AdmissionInputs& inputs)
+{
+    const core::TeamId team = teamOf(call);
+    if (team.value().empty())
+        return std::nullopt;
+    if (exceedsCap(call.spec, team))
+        return AdmissionRefusal { "a task or gang needs more than its team may run", std::nullopt };
+    const bool isExcess = m_rates.timeToNext(team, m_dependencies.loop->now()) > core::Duration(0);
+    if (isExcess && isFleetShort(inputs, call.spec))
+        return AdmissionRefusal { excessReason, excessRetryAfter(team, queue.priority) };
+    return std::nullopt;
+}
+
+core::Duration EngineImpl::excessRetryAfter(const core::TeamId& team, int priority)
+{
+    const teams::Team* it = m_config->findTeam(team);
+    const double rate = it && it->guaranteedJobsPerSecond > 0 ? it->guaranteedJobsPerSecond : 1;
+    return m_retrySchedule.next(team, rate, priority, m_dependencies.loop->now());
+}
+
+} // namespace sardinerun::scheduling
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -72,9 +72,10 @@
     }
 
     workflow::WorkflowResult callEngine(workflow::CallKind kind, const workflow::JobSpec& spec,
-        core::Duration timeout = ms(400), const std::string& prefix = "/q/")
+        core::Duration timeout = ms(400), const std::string& prefix = "/q/", const std::string& team = "")
     {
         workflow::WorkflowCall call;
+        call.team = core::TeamId(team);
         call.kind = kind;
         call.host = "h";
         call.path = prefix + spec.id.value();
@@ -90,6 +91,20 @@
     {
         return callEngine(workflow::CallKind::Submit, spec).outcome;
     }
+    workflow::WorkflowResult submitFor(const std::string& team, const workflow::JobSpec& spec)
+    {
+        return callEngine(workflow::CallKind::Submit, spec, ms(400), "/q/", team);
+    }
+    //! Puts a new version of the configuration in force.
+    void configure()
+    {
+        workflow::QueueConfig config;
+        config.version = core::ConfigVersion(++m_configVersion);
+        config.queues = moreQueues;
+        config.queues.push_back(queue);
+        config.teams = teams;
+        engine->setConfig(std::make_shared<const workflow::QueueConfig>(config));
+    }
     workflow::JobState stateOf(const workflow::JobSpec& spec)
     {
         return callEngine(workflow::CallKind::Read, spec).state;
@@ -129,6 +144,7 @@
     runtime::ILoopPtr engineLoop; //!< on which the engine runs; by default `loop`
     workflow::QueuePolicy queue;
     std::vector<workflow::QueuePolicy> moreQueues;
+    std::vector<teams::Team> teams;
     std::vector<fleet::WorkerEntry> entries;
     SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
@@ -148,11 +164,7 @@
             EngineDependencies dependencies { engineLoop, store, orders, advice, telemetry::Metrics::create(), times,
                 leaderTimes };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
-            workflow::QueueConfig config;
-            config.version = core::ConfigVersion(1);
-            config.queues = moreQueues;
-            config.queues.push_back(queue);
-            engine->setConfig(std::make_shared<const workflow::QueueConfig>(config));
+            configure();
             engine->start();
             engine->setWorkers(entries);
         };
@@ -160,6 +172,7 @@
     }
 
     int m_nodes = 0;
+    std::uint64_t m_configVersion = 0;
 };
 
 //! A job of one step.
--- a/src/scheduling/workahead.h
+++ b/src/scheduling/workahead.h
@@ -14,6 +14,10 @@
     double tasks = 0; //!< number of pending tasks
 
     double total() const { return coreSeconds + gangCoreSeconds; }
+    PendingWork operator*(double share) const
+    {
+        return { coreSeconds * share, gangCoreSeconds * share, tasks * share };
+    }
 };
 
 //! The pending work of all jobs, by priority and latest start, for the admission of further jobs.
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -354,6 +354,8 @@
     Json::Value to(Json::objectValue);
     to["spec"] = encodeSpec(it.spec);
     to["queue"] = encodeQueue(it.queue);
+    put(to, "team", it.team.value());
+    put(to, "excess", std::int64_t(it.isExcess));
     to["acceptedAt"] = number(it.acceptedAt.value());
     return codec::writeJson(to);
 }
@@ -366,6 +368,8 @@
     JobRecord it;
     it.spec = decodeSpec(reader.raw("spec"));
     it.queue = decodeQueue(reader.raw("queue"));
+    it.team = core::TeamId(reader.text("team"));
+    it.isExcess = reader.flag("excess");
     it.acceptedAt = core::WallTime(reader.integer("acceptedAt"));
     for (std::size_t n = 0; n < stageCount(it.spec); ++n) {
         const std::uint32_t count = it.spec.steps[n % it.spec.steps.size()].count;
@@ -388,6 +392,7 @@
     if (isFinal(it.state)) {
         // The constant part is deleted when the job ends, so the members needed for later calls are stored here.
         put(to, "queue", it.queue.name);
+        put(to, "team", it.team.value());
         put(to, "endedAt", it.acceptedAt.value());
         return codec::writeJson(to);
     }
@@ -413,6 +418,7 @@
     record.state = decodeEnum(reader, "state", JobState::Cancelled);
     if (isFinal(record.state)) {
         record.queue.name = reader.text("queue");
+        record.team = core::TeamId(reader.text("team"));
         record.acceptedAt = core::WallTime(reader.integer("endedAt"));
         return;
     }
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -27,6 +27,13 @@
     return it == queues.end() ? nullptr : &*it;
 }
 
+const teams::Team* QueueConfig::findTeam(const core::TeamId& id) const
+{
+    const auto it
+        = std::find_if(teams.begin(), teams.end(), [&id](const teams::Team& entry) { return entry.id == id; });
+    return it == teams.end() ? nullptr : &*it;
+}
+
 const char* nameOf(JobState it)
 {
     static constexpr std::array<const char*, 5> names { "pending", "running", "completed", "failed", "cancelled" };
@@ -35,8 +42,8 @@
 
 const char* nameOf(WorkflowOutcome it)
 {
-    static constexpr std::array<const char*, 9> names { "accepted", "refused", "no-queue", "no-job", "found",
-        "cancelled", "counted", "not-now", "uncertain" };
+    static constexpr std::array<const char*, 11> names { "accepted", "refused", "no-queue", "no-job", "found",
+        "cancelled", "counted", "not-now", "uncertain", "no-key", "other-team" };
     return names[static_cast<std::size_t>(it)];
 }
 
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "teams/keyring.h"
 
 #include <algorithm>
 #include <map>
@@ -61,6 +62,7 @@
     double stretch = 1; //!< the objective is this multiple of the critical path plus `latencyTarget`
     core::Duration latencyTarget {};
     std::optional<AdvicePolicy> advice;
+    bool isPublic = true; //!< callers need no key
 
     bool matches(const std::string& calledHost, const std::string& path) const;
 };
@@ -77,10 +79,14 @@
     core::ConfigVersion version;
     std::vector<QueuePolicy> queues;
     std::map<core::ServiceId, ServicePolicy> services;
+    std::vector<teams::Team> teams;
+    teams::KeyRing keys; //!< of all teams
 
     //! Returns the queue on that host with the longest matching path prefix; null if there is none.
     const QueuePolicy* find(const std::string& host, const std::string& path) const;
     const QueuePolicy* findByName(const std::string& name) const;
+    //! Returns null if there is no such team.
+    const teams::Team* findTeam(const core::TeamId& id) const;
 };
 using QueueConfigPtr = std::shared_ptr<const QueueConfig>;
 
@@ -125,6 +131,8 @@
 struct JobRecord {
     JobSpec spec; //!< the steps are deleted once the job has ended
     QueuePolicy queue; //!< as it was when the job was accepted
+    core::TeamId team; //!< that submitted it; empty: none
+    bool isExcess = false; //!< submitted beyond the rate that the team may rely on
     core::WallTime acceptedAt;
     JobState state = JobState::Pending;
     std::vector<StageProgress> stages; //!< ordered by occurrence, then by step
@@ -148,6 +156,8 @@
     std::string path; //!< selects the queue
     JobSpec spec; //!< the submitted job; other calls use only its id
     core::Duration timeout {}; //!< how long the caller waits
+    core::TeamId team; //!< of the caller; empty: none
+    teams::KeyDigest key; //!< shown by the caller; empty: none
     core::ConfigVersion knownConfig; //!< newest configuration known to the requesting node
 };
 
@@ -160,7 +170,9 @@
     Cancelled,
     Counted,
     NotNow, //!< nothing was done; a retry later or at another node may succeed
-    Uncertain //!< the call may or may not have taken effect
+    Uncertain, //!< the call may or may not have taken effect
+    NoKey, //!< nothing was done, as the caller has shown no valid key
+    OtherTeam //!< nothing was done, as the job belongs to another team
 };
 
 const char* nameOf(WorkflowOutcome it);
