A node that the store rejects learns the configuration from other nodes

A key that was withdrawn, or a route that was dropped, stayed in force on nodes that the store turns away while it serves others. With strictRevoke a node rejects callers who need a key once nobody has confirmed its configuration for revokeMs. Weighed: pushing the version with the leader's advice assignments (only on deployments with advice), gossip at rest (costs nodes times a message).

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -4,6 +4,7 @@
 #include "codec/json.h"
 #include "dispatch/adviceproxy.h"
 #include "dispatch/callforwarder.h"
+#include "dispatch/configfollower.h"
 #include "dispatch/leadertask.h"
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
@@ -50,8 +51,7 @@
     runtime::EventLoopPtr loop;
     http::IHttpClientPtr client;
     store::IRowStorePtr store;
-    workflow::IConfigSourcePtr configSource;
-    workflow::QueueConfigPtr config;
+    dispatch::ConfigFollowerPtr configFollower;
     dispatch::LeaderTaskPtr leaderTask;
     dispatch::CallForwarderPtr callForwarder;
     dispatch::AdviceProxyPtr adviceProxy;
@@ -73,6 +73,8 @@
     void handleWorkflowCall(const http::Request& request, http::Responder responder);
     void handleAdvicePoll(const http::Request& request, http::Responder responder);
     void handleLeaderQuery(const http::Request& request, http::Responder responder);
+    void handleConfigQuery(const http::Request& request, http::Responder responder);
+    bool areKeysTrusted() const;
     void flushPeriodically();
     void reportPeriodically();
     void checkIdle();
@@ -91,7 +93,12 @@
 {
     client = http::createClient(loop);
     store = platform::createRowStore(loop, client, settings.store);
-    configSource = platform::createConfigSource(loop, store);
+    dispatch::ConfigFollowerDependencies configDependencies;
+    configDependencies.client = client;
+    configDependencies.source = platform::createConfigSource(loop, store);
+    configDependencies.self = settings.inner;
+    configDependencies.adopted = [this](const workflow::QueueConfigPtr& config) { onConfig(config); };
+    configFollower = dispatch::ConfigFollower::create(loop, std::move(configDependencies));
     dispatch::LeaderTaskDependencies leaderDependencies;
     leaderDependencies.store = store;
     leaderDependencies.orders = platform::createWorkerOrders(client);
@@ -104,6 +111,8 @@
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
     leaderDependencies.update = [this](const dispatch::LeaderUpdate& update) { onLeaderUpdate(update); };
+    leaderDependencies.nodesKnown
+        = [this](const dispatch::KnownNodes& nodes) { configFollower->address().send(nodes); };
     leaderTask = dispatch::LeaderTask::create(loop, std::move(leaderDependencies));
     callForwarder = dispatch::CallForwarder::create(loop, client, leaderTask->address());
     if (settings.advice.port > 0)
@@ -114,13 +123,13 @@
 void DispatchNode::Impl::onLeaderUpdate(const dispatch::LeaderUpdate& update)
 {
     callForwarder->address().send(update);
+    configFollower->address().send(update);
     if (adviceProxy)
         adviceProxy->address().send(update);
 }
 
 void DispatchNode::Impl::onConfig(const workflow::QueueConfigPtr& newConfig)
 {
-    config = newConfig;
     metrics->set(telemetry::Metric::ConfigVersion, {}, double(newConfig->version.value()));
     leaderTask->address().send(newConfig);
 }
@@ -145,10 +154,11 @@
               callForwarder->address().send(dispatch::LeaderCall {
                   std::move(call), runtime::Reply<workflow::WorkflowResult>(loop, std::move(onResult)) });
           };
-    auto front = platform::createFrontHandler([this] { return config; }, forwardCall);
+    auto front = platform::createFrontHandler(
+        [this] { return configFollower->config(); }, [this] { return areKeysTrusted(); }, forwardCall);
     if (auto ret = listenAt(settings.callers, settings.maxBodyBytes, std::move(front), callersServer, "callers"); !ret)
         return ret;
-    auto readiness = platform::createReadinessHandler([this] { return config && !isStopping; });
+    auto readiness = platform::createReadinessHandler([this] { return configFollower->config() && !isStopping; });
     if (auto ret
         = listenAt(settings.readiness, settings.maxBodyBytes, std::move(readiness), readinessServer, "readiness");
         !ret)
@@ -162,10 +172,10 @@
 void DispatchNode::Impl::handleInner(const http::Request& request, http::Responder responder)
 {
     using InnerHandler = void (Impl::*)(const http::Request&, http::Responder);
-    static const std::map<std::string, InnerHandler> handlers {
-        { protocol::workflowCallPath, &Impl::handleWorkflowCall },
-        { protocol::advicePollPath, &Impl::handleAdvicePoll }, { protocol::leaderQueryPath, &Impl::handleLeaderQuery }
-    };
+    static const std::map<std::string, InnerHandler> handlers { { protocol::workflowCallPath,
+                                                                    &Impl::handleWorkflowCall },
+        { protocol::advicePollPath, &Impl::handleAdvicePoll }, { protocol::configQueryPath, &Impl::handleConfigQuery },
+        { protocol::leaderQueryPath, &Impl::handleLeaderQuery } };
     if (request.path == "/metrics") {
         responder.send({ 200, { { "content-type", "text/plain; version=0.0.4" } }, metrics->text(), {} });
         return;
@@ -211,6 +221,20 @@
         requester.isRejectedByStore, runtime::Reply<protocol::LeaderHint>(loop, std::move(reply)) });
 }
 
+void DispatchNode::Impl::handleConfigQuery(const http::Request& request, http::Responder responder)
+{
+    auto reply = [responder](const protocol::ConfigAnswer& answer) mutable {
+        responder.send({ 200, {}, protocol::encodeConfigAnswer(answer), {} });
+    };
+    configFollower->address().send(dispatch::ConfigRequest {
+        protocol::decodeConfigQuery(request.body), runtime::Reply<protocol::ConfigAnswer>(loop, std::move(reply)) });
+}
+
+bool DispatchNode::Impl::areKeysTrusted() const
+{
+    return !settings.isRevokeStrict || loop->now() - configFollower->confirmedAt() <= settings.revokeWithin;
+}
+
 void DispatchNode::Impl::flushPeriodically()
 {
     telemetry::flushLog();
@@ -244,7 +268,7 @@
     if (auto ret = impl.listen(); !ret)
         return core::Failure { ret.error() };
     impl.loop->post([&impl] {
-        impl.configSource->start([&impl](const workflow::QueueConfigPtr& newConfig) { impl.onConfig(newConfig); });
+        impl.configFollower->start();
         impl.leaderTask->start();
         impl.flushPeriodically();
         impl.reportPeriodically();
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -61,8 +61,15 @@
     bool isSuspected = true;
 };
 
+//! Another node asks for the newest configuration.
+struct ConfigRequest {
+    protocol::ConfigQuery query;
+    runtime::Reply<protocol::ConfigAnswer> reply;
+};
+
 using LeaderMessage = std::variant<LeaderCall, PollAdvice, workflow::QueueConfigPtr, StepDown, LeaderQuery, KnownNodes,
     LeaderSuspected>;
 using ForwarderMessage = std::variant<LeaderCall, LeaderUpdate>;
+using ConfigMessage = std::variant<LeaderUpdate, KnownNodes, ConfigRequest>;
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -402,6 +402,7 @@
 void LeaderTask::handle(KnownNodes message)
 {
     std::erase(message.nodes, m_dependencies.address);
+    m_dependencies.nodesKnown(message);
     m_nodes = std::move(message.nodes);
 }
 
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -26,6 +26,8 @@
     scheduling::SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     std::function<void(const LeaderUpdate&)> update; //!< called when the known leader changes
+    //! Called with the nodes that the leader has named.
+    std::function<void(const KnownNodes&)> nodesKnown = [](const KnownNodes&) {};
 };
 
 //! Takes part in the election; owns the engine and the worker registry while this node leads.
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -7,6 +7,7 @@
 
 const char* const workflowCallPath = "/inner/work";
 const char* const advicePollPath = "/inner/lend";
+const char* const configQueryPath = "/inner/config";
 const char* const leaderQueryPath = "/inner/leading";
 
 namespace {
@@ -16,6 +17,8 @@
 
 constexpr std::size_t maxName = 4096;
 constexpr std::size_t maxWorkers = 1000;
+constexpr std::size_t maxDocumentBytes = std::size_t(4) << 20;
+constexpr std::int64_t maxAgeMs = 86'400'000;
 
 std::uint64_t readUnsigned(codec::ObjectReader& reader, const char* name)
 {
@@ -183,6 +186,45 @@
     });
 }
 
+std::string encodeConfigQuery(const ConfigQuery& it)
+{
+    Json::Value json(Json::objectValue);
+    json["known"] = Json::UInt64(it.knownVersion.value());
+    return codec::writeJson(json);
+}
+
+ConfigQuery decodeConfigQuery(std::string_view text)
+{
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        return ConfigQuery { core::ConfigVersion(readUnsigned(reader, "known")) };
+    });
+}
+
+std::string encodeConfigAnswer(const ConfigAnswer& it)
+{
+    Json::Value json(Json::objectValue);
+    json["version"] = Json::UInt64(it.version.value());
+    if (!it.document.empty())
+        json["document"] = it.document;
+    if (it.confirmedAge)
+        json["confirmedMs"] = Json::Int64(core::toMs(*it.confirmedAge));
+    return codec::writeJson(json);
+}
+
+ConfigAnswer decodeConfigAnswer(std::string_view text)
+{
+    return codec::decodeJson(text, [](const Json::Value& value) {
+        codec::ObjectReader reader(value);
+        ConfigAnswer it;
+        it.version = core::ConfigVersion(readUnsigned(reader, "version"));
+        it.document = reader.textOr("document", maxDocumentBytes, "");
+        if (reader.has("confirmedMs"))
+            it.confirmedAge = std::chrono::milliseconds(reader.integer("confirmedMs", 0, maxAgeMs));
+        return it;
+    });
+}
+
 std::string encodeLeaderHint(const LeaderHint& it)
 {
     Json::Value json(Json::objectValue);
--- a/src/protocol/workcodec.h
+++ b/src/protocol/workcodec.h
@@ -14,6 +14,7 @@
 
 extern const char* const workflowCallPath; //!< carries a WorkflowCall
 extern const char* const advicePollPath; //!< carries an AdvicePoll
+extern const char* const configQueryPath; //!< carries a ConfigQuery, returns a ConfigAnswer
 extern const char* const leaderQueryPath; //!< returns the LeaderHint of a node
 
 //! The leader that a node has recorded, for nodes that cannot read it from the store.
@@ -39,6 +40,19 @@
     std::vector<core::HostPort> nodes; //!< nodes that have polled recently; only filled in some answers
 };
 
+//! A node that cannot read the configuration from its source asks another node for it.
+struct ConfigQuery {
+    core::ConfigVersion knownVersion; //!< newest one that the asking node knows
+};
+
+//! The newest configuration that a node knows.
+struct ConfigAnswer {
+    core::ConfigVersion version;
+    std::string document; //!< empty unless it is newer than the version that the asking node knows
+    //! Time since the answering node knew this version to be the newest one; nothing: it never did.
+    std::optional<core::Duration> confirmedAge;
+};
+
 std::string encodeCall(const workflow::WorkflowCall& it);
 workflow::WorkflowCall decodeCall(std::string_view text);
 std::string encodeResult(const workflow::WorkflowResult& it);
@@ -47,6 +61,10 @@
 AdvicePoll decodeAdvicePoll(std::string_view text);
 std::string encodeAdviceAssignment(const AdviceAssignment& it);
 AdviceAssignment decodeAdviceAssignment(std::string_view text);
+std::string encodeConfigQuery(const ConfigQuery& it);
+ConfigQuery decodeConfigQuery(std::string_view text);
+std::string encodeConfigAnswer(const ConfigAnswer& it);
+ConfigAnswer decodeConfigAnswer(std::string_view text);
 std::string encodeLeaderHint(const LeaderHint& it);
 LeaderHint decodeLeaderHint(std::string_view text);
 
--- a/src/settings/dispatchsettings.h
+++ b/src/settings/dispatchsettings.h
@@ -19,6 +19,9 @@
     core::HostPort advice; //!< address of the advice service; port 0 if there is none
     double cpuShare = 1; //!< number of CPU cores of this VM; may be a fraction
     core::Duration stopWithin = std::chrono::seconds(6); //!< time until the platform kills a stopping process
+    //! Callers of queues that need a key are refused while the configuration has not been confirmed for `revokeWithin`.
+    bool isRevokeStrict = false;
+    core::Duration revokeWithin = std::chrono::seconds(5);
     std::size_t maxBodyBytes = std::size_t(1) << 20;
     scheduling::SchedulingTimes scheduling;
     lead::LeaderTimes lead;
--- a/src/settings/internal/dispatchsettings.cpp
+++ b/src/settings/internal/dispatchsettings.cpp
@@ -62,6 +62,8 @@
         it.advice = addressOf(reader, "advice");
     it.cpuShare = reader.numberOr("processorShare", 0.01, 1024, it.cpuShare);
     it.stopWithin = secondsOr(reader, "stopWithinS", it.stopWithin);
+    it.isRevokeStrict = reader.flagOr("strictRevoke", it.isRevokeStrict);
+    it.revokeWithin = millisOr(reader, "revokeMs", it.revokeWithin);
     it.maxBodyBytes = static_cast<std::size_t>(
         reader.integerOr("maxBodyBytes", 1024, std::int64_t(64) << 20, std::int64_t(it.maxBodyBytes)));
     readWorkers(reader.objectOr("workers"), it.scheduling);
--- a/src/workflow/iconfigsource.h
+++ b/src/workflow/iconfigsource.h
@@ -4,15 +4,25 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sardinerun::workflow {
 
-//! Follows the operators' configuration. Reports each newer version once, and never an older version after
-//! a newer one.
+//! Callbacks of a configuration source.
+struct ConfigSourceHooks {
+    std::function<void(QueueConfigPtr)> changed; //!< a version was read
+    //! The versions reported so far include all changes up to this time.
+    std::function<void(core::TimePoint)> confirmed = [](core::TimePoint) {};
+    std::function<void(bool isUp)> availability = [](bool) {};
+};
+
+//! Follows the operators' configuration.
 class IConfigSource {
 public:
     virtual ~IConfigSource() = default;
-    virtual void start(std::function<void(QueueConfigPtr)> changed) = 0;
+    virtual void start(ConfigSourceHooks hooks) = 0;
+    //! Decodes a document of the source that another node has passed on; null if it cannot be read.
+    virtual QueueConfigPtr decode(const std::string& document) const = 0;
 };
 
 using IConfigSourcePtr = std::shared_ptr<IConfigSource>;
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -81,6 +81,7 @@
     std::map<core::ServiceId, ServicePolicy> services;
     std::vector<teams::Team> teams;
     teams::KeyRing keys; //!< of all teams
+    std::string document; //!< text from which it was decoded, for other nodes
 
     //! Returns the queue on that host with the longest matching path prefix; null if there is none.
     const QueuePolicy* find(const std::string& host, const std::string& path) const;
