--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -110,6 +110,7 @@
     leaderDependencies.candidacyDelay = candidacyDelayOf(settings.cpuShare);
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
+    leaderDependencies.ratePolicy = settings.rates;
     leaderDependencies.update = [this](const dispatch::LeaderUpdate& update) { onLeaderUpdate(update); };
     leaderDependencies.nodesKnown
         = [this](const dispatch::KnownNodes& nodes) { configFollower->address().send(nodes); };
--- a/src/dispatch/internal/configfollower.cpp
+++ b/src/dispatch/internal/configfollower.cpp
@@ -117,11 +117,10 @@
     request.body = protocol::encodeConfigQuery({ m_config ? m_config->version : core::ConfigVersion() });
     request.timeout = askTimeout;
     const std::weak_ptr weak = std::static_pointer_cast<ConfigFollower>(shared_from_this());
-    m_dependencies.client->send(
-        std::move(request), [weak, node, askedAt = now()](const http::ClientResult& result) {
-            if (const auto it = weak.lock())
-                it->onAnswer(node, askedAt, result);
-        });
+    m_dependencies.client->send(std::move(request), [weak, node, askedAt = now()](const http::ClientResult& result) {
+        if (const auto it = weak.lock())
+            it->onAnswer(node, askedAt, result);
+    });
 }
 
 void ConfigFollower::onAnswer(const core::HostPort& node, core::TimePoint askedAt, const http::ClientResult& result)
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -25,6 +25,7 @@
     core::Duration candidacyDelay {}; //!< of this node in elections
     scheduling::SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
+    teams::RatePolicy ratePolicy;
     std::function<void(const LeaderUpdate&)> update; //!< called when the known leader changes
     //! Called with the nodes that the leader has named.
     std::function<void(const KnownNodes&)> nodesKnown = [](const KnownNodes&) {};
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -7,6 +7,7 @@
 #include "scheduling/advicequeue.h"
 #include "scheduling/schedulingtypes.h"
 #include "store/irowstore.h"
+#include "teams/ratelimiter.h"
 #include "telemetry/metrics.h"
 #include "workflow/workflowtypes.h"
 
@@ -23,6 +24,7 @@
     telemetry::MetricsPtr metrics;
     SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
+    teams::RatePolicy ratePolicy;
 };
 
 //! Callbacks of the engine.
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -56,10 +56,11 @@
     for (const auto& [id, job] : m_active) {
         if (m_usage.capOf(job->record.team) == core::Resources())
             continue;
-        const TeamWork work = pendingWorkOf(*job);
+        const core::Resources need = pendingNeedOf(*job);
         TeamWork& sum = snapshot.teams[job->record.team];
-        sum.need = sum.need + work.need;
-        sum.capSeconds += work.capSeconds;
+        sum.need = sum.need + need;
+        core::Resources& ofPriority = sum.needByPriority[job->record.queue.priority];
+        ofPriority = ofPriority + need;
     }
     for (const auto& [id, job] : m_active) {
         snapshot.tasksHeld += job->tasks;
@@ -91,7 +92,7 @@
     inputs.tasksAhead = ahead.tasks;
     const core::TeamId team = teamOf(call);
     if (const auto it = snapshot.teams.find(team); it != snapshot.teams.end())
-        inputs.capWait = capWait(team, call.spec, it->second);
+        inputs.capWait = capWait(call, queue, it->second);
     inputs.startsPerSecond = m_orderWindow->startsPerSecond(now);
     ArrivedWork moreUrgent;
     const double decay = std::exp(-std::chrono::duration<double>(now - m_arrivalsAt).count() / arrivalsSeconds);
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -55,12 +55,13 @@
     //! Pending work of a team.
     struct TeamWork {
         core::Resources need; //!< of all pending tasks
-        double capSeconds = 0; //!< time that the work takes if the team uses its whole cap
+        std::map<int, core::Resources> needByPriority;
     };
     //! What a run counts towards its team's cap.
     struct CountedRun {
         core::TeamId team;
         core::Resources amount;
+        core::Duration estimate {};
     };
     struct ArrivedWork {
         double coreSeconds = 0;
@@ -119,8 +120,7 @@
 
     // Teams
     //! Counts a run towards its team's cap until `uncountRun`.
-    void countRun(
-        const core::VmId& worker, const fleet::RunId& run, const core::TeamId& team, const core::Resources& amount);
+    void countRun(const core::VmId& worker, const fleet::RunId& run, const CountedRun& counted);
     void uncountRun(const core::VmId& worker, const fleet::RunId& run);
     //! Until the barrier is passed, tasks of recovered jobs may run on workers that have not listed their runs.
     void countPossibleRuns();
@@ -131,11 +131,12 @@
     bool exceedsCap(const workflow::JobSpec& spec, const core::TeamId& team) const;
     //! Orders the stages of equal priority by the shares of their teams.
     void orderByShares(std::vector<ReadyStage>& all) const;
-    TeamWork pendingWorkOf(const Job& job) const;
+    static core::Resources pendingNeedOf(const Job& job);
     //! Returns the share of a team's pending work that its cap allows to start now. The rest delays no other team.
     double startableShareOf(const core::TeamId& team, const TeamWork& work) const;
     //! Returns how long a new job waits for its team's cap.
-    core::Duration capWait(const core::TeamId& team, const workflow::JobSpec& spec, const TeamWork& ahead) const;
+    core::Duration capWait(
+        const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const TeamWork& pending) const;
     //! Returns whether a job beyond its team's rate would take room that others need.
     bool isFleetShort(const AdmissionInputs& inputs, const workflow::JobSpec& spec);
     //! Returns a refusal for the sake of other teams or of the team's cap, or nothing.
@@ -354,6 +355,7 @@
     teams::RateLimiter m_rates;
     teams::RetrySchedule m_retrySchedule;
     std::map<std::pair<core::VmId, fleet::RunId>, CountedRun> m_countedRuns;
+    std::unordered_map<core::TeamId, double> m_cpuSeconds; //!< estimated, of the counted runs of each team
     core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
     bool m_isRoundCutShort = false; //!< the last round did not get to all work in time
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -113,9 +113,9 @@
     const JobPtr job = jobOf(run.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.runId.task) : nullptr;
     if (stage)
-        countRun(worker.id(), run.runId, job->record.team, job->stepOf(*stage).need);
+        countRun(worker.id(), run.runId, { job->record.team, job->stepOf(*stage).need, job->stepOf(*stage).estimate });
     else if (job) // what a task of an ended job needs is no longer known
-        countRun(worker.id(), run.runId, job->record.team, worker.entry().capacity);
+        countRun(worker.id(), run.runId, { job->record.team, worker.entry().capacity, m_dependencies.times.stopGrace });
     // A run whose loss is not confirmed yet is listed after all.
     if (stage && isCurrentRun(stage->tasks[run.runId.task.index], worker.id(), run.runId)) {
         LogLine(Severity::Info, "run-found")
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -18,17 +18,23 @@
 constexpr double freeShareBesideExcess = 0.1;
 //! Waiting work, as time of the whole fleet, above which the fleet counts as short.
 constexpr double shortSeconds = 0.05;
+//! Share of its team's cap for which the first tasks of a wide step wait.
+constexpr double maxShareOfFirstWave = 0.25;
 constexpr const char* excessReason = "its team is over its rate and the fleet is full";
 
+double cpuSecondsOf(const core::Resources& amount, core::Duration estimate)
+{
+    return double(amount.cpu.value()) / 1000 * std::chrono::duration<double>(estimate).count();
+}
+
 } // namespace
 
-void EngineImpl::countRun(
-    const core::VmId& worker, const fleet::RunId& run, const core::TeamId& team, const core::Resources& amount)
+void EngineImpl::countRun(const core::VmId& worker, const fleet::RunId& run, const CountedRun& counted)
 {
-    if (team.value().empty())
+    if (counted.team.value().empty() || !m_countedRuns.try_emplace({ worker, run }, counted).second)
         return;
-    if (m_countedRuns.try_emplace({ worker, run }, CountedRun { team, amount }).second)
-        m_usage.add(team, amount);
+    m_usage.add(counted.team, counted.amount);
+    m_cpuSeconds[counted.team] += cpuSecondsOf(counted.amount, counted.estimate);
 }
 
 void EngineImpl::uncountRun(const core::VmId& worker, const fleet::RunId& run)
@@ -37,6 +43,7 @@
     if (it == m_countedRuns.end())
         return;
     m_usage.remove(it->second.team, it->second.amount);
+    m_cpuSeconds[it->second.team] -= cpuSecondsOf(it->second.amount, it->second.estimate);
     m_countedRuns.erase(it);
 }
 
@@ -110,18 +117,13 @@
     }
 }
 
-EngineImpl::TeamWork EngineImpl::pendingWorkOf(const Job& job) const
+core::Resources EngineImpl::pendingNeedOf(const Job& job)
 {
-    TeamWork sum;
-    const core::Resources cap = m_usage.capOf(job.record.team);
+    core::Resources sum;
     for (std::size_t n = job.firstUndone; n < job.stages.size(); ++n) {
         const Stage& stage = job.stages[n];
-        const workflow::StepSpec& step = job.stepOf(stage);
-        if (step.isLongRunning)
-            continue;
-        const core::Resources need = step.need * std::int64_t(stage.pending);
-        sum.need = sum.need + need;
-        sum.capSeconds += teams::dominantShare(need, cap) * std::chrono::duration<double>(step.estimate).count();
+        if (!job.stepOf(stage).isLongRunning)
+            sum = sum + job.stepOf(stage).need * std::int64_t(stage.pending);
     }
     return sum;
 }
@@ -134,16 +136,33 @@
     return waiting > 0 ? std::clamp((1 - used) / waiting, 0.0, 1.0) : 1;
 }
 
-core::Duration EngineImpl::capWait(const core::TeamId& team, const workflow::JobSpec& spec, const TeamWork& ahead) const
+core::Duration EngineImpl::capWait(
+    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const TeamWork& pending) const
 {
+    const core::TeamId team = teamOf(call);
     const core::Resources cap = m_usage.capOf(team);
-    core::Resources need;
-    for (const workflow::StepSpec& it : spec.steps)
-        need = need + it.need * std::int64_t(it.count);
-    const double filled = teams::dominantShare(m_usage.usedBy(team) + ahead.need + need, cap);
-    if (filled <= 1)
+    const core::Resources used = m_usage.usedBy(team);
+    core::Resources ahead;
+    for (const auto& [priority, need] : pending.needByPriority) {
+        if (priority <= queue.priority)
+            ahead = ahead + need;
+    }
+    core::Resources first; // need of the steps that start at once
+    for (const workflow::StepSpec& it : call.spec.steps) {
+        if (it.after.empty())
+            first = first + it.need * std::int64_t(it.count);
+    }
+    // A wide step runs in waves. That is part of its run time and not of its wait.
+    const double ownShare = std::min(teams::dominantShare(first, cap), maxShareOfFirstWave);
+    const double missing = teams::dominantShare(used + ahead, cap) + ownShare - 1;
+    const double usedShare = teams::dominantShare(used, cap);
+    const auto cpuSeconds = m_cpuSeconds.find(team);
+    if (missing <= 0 || usedShare <= 0 || cpuSeconds == m_cpuSeconds.end() || used.cpu.value() <= 0)
         return core::Duration(0);
-    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(ahead.capSeconds));
+    // What runs frees its whole room once within the mean run time of its tasks.
+    const double meanRunSeconds = cpuSeconds->second * 1000 / double(used.cpu.value());
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(missing / usedShare * meanRunSeconds));
 }
 
 bool EngineImpl::isFleetShort(const AdmissionInputs& inputs, const workflow::JobSpec& spec)
--- a/src/settings/dispatchsettings.h
+++ b/src/settings/dispatchsettings.h
@@ -3,6 +3,7 @@
 #include "core/types.h"
 #include "lead/leadtypes.h"
 #include "scheduling/schedulingtypes.h"
+#include "teams/ratelimiter.h"
 
 #include <string>
 
@@ -24,6 +25,7 @@
     core::Duration revokeWithin = std::chrono::seconds(5);
     std::size_t maxBodyBytes = std::size_t(1) << 20;
     scheduling::SchedulingTimes scheduling;
+    teams::RatePolicy rates;
     lead::LeaderTimes lead;
 };
 
--- a/src/settings/internal/dispatchsettings.cpp
+++ b/src/settings/internal/dispatchsettings.cpp
@@ -46,6 +46,14 @@
         reader.fail("leaseMs", "must be at least 2000, twice the maximum wait of a lease renewal (1000 ms)");
 }
 
+void readTeams(YamlReader reader, teams::RatePolicy& policy)
+{
+    constexpr double maxSlack = 1e6;
+    policy.window = secondsOr(reader, "rateWindowS", policy.window);
+    policy.slack = reader.numberOr("rateSlack", 1, maxSlack, policy.slack);
+    reader.finish();
+}
+
 } // namespace
 
 DispatchSettings readDispatchSettings(const std::string& text, const std::string& file)
@@ -67,6 +75,7 @@
     it.maxBodyBytes = static_cast<std::size_t>(
         reader.integerOr("maxBodyBytes", 1024, std::int64_t(64) << 20, std::int64_t(it.maxBodyBytes)));
     readWorkers(reader.objectOr("workers"), it.scheduling);
+    readTeams(reader.objectOr("teams"), it.rates);
     reader.finish();
     return it;
 }
--- a/src/teams/internal/ratelimiter.cpp
+++ b/src/teams/internal/ratelimiter.cpp
@@ -4,20 +4,11 @@
 
 namespace sardinerun::teams {
 
-namespace {
-
-//! Submissions of a team come in bursts. A bucket holds the jobs of this time, and a few more, so that a small team
-//! with one job in some seconds may send several at once.
-constexpr double burstSeconds = 2;
-constexpr double minBurst = 3;
-
-double capacityOf(double rate)
+double RateLimiter::capacityOf(double rate) const
 {
-    return rate * burstSeconds + minBurst;
+    return rate * std::chrono::duration<double>(m_policy.window).count() + m_policy.slack;
 }
 
-} // namespace
-
 void RateLimiter::setTeams(const std::vector<Team>& teams)
 {
     std::unordered_map<core::TeamId, Bucket> buckets;
@@ -32,7 +23,7 @@
     m_buckets = std::move(buckets);
 }
 
-double RateLimiter::tokensAt(const Bucket& it, core::TimePoint now)
+double RateLimiter::tokensAt(const Bucket& it, core::TimePoint now) const
 {
     const double seconds = std::chrono::duration<double>(now - it.at).count();
     return std::min(it.tokens + it.rate * std::max(seconds, 0.0), capacityOf(it.rate));
