--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -44,6 +44,7 @@
     core::FailureDomainId failureDomain;
     core::Resources capacity;
     std::set<std::string> labels; //!< the worker's kind and rack
+    std::string hardware; //!< the worker's kind; workers of one kind have similar speeds
     std::string rack;
     bool isDraining = false;
 
--- a/src/scheduling/internal/engineadvice.cpp
+++ b/src/scheduling/internal/engineadvice.cpp
@@ -94,7 +94,8 @@
         const core::Resources room = it.room - it.reserved;
         const std::int64_t slots = std::max(
             taskSlotsIn(room, stageWorkers.tasksOn(id), demand), reserved ? slotsIn(*reserved, demand.need) : 0);
-        const Spot spot { room, it.capacity, it.worker->rack(), it.isSlow || stageWorkers.avoided.contains(id) };
+        const Spot spot { room, it.capacity, it.worker->rack(), it.isSlow || stageWorkers.avoided.contains(id),
+            it.speed };
         candidates.push_back({ id, slots, reserved != nullptr, isAllowed, scoreOf(demand, spot, strategy) });
     }
     const bool isReservationSoon = reservation && reservation->completeIn <= adviceLeadTime(job);
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codec/json.h"
+#include "estimation/workerspeeds.h"
 #include "placement/healthtracker.h"
 #include "scheduling/admission.h"
 #include "scheduling/advicecandidates.h"
@@ -199,7 +200,7 @@
     bool mayExtendLeases() const;
     Adoption adopt(Worker& worker, const fleet::RunningRun& run);
     void onRunning(Worker& worker, const fleet::RunId& run);
-    void onEnded(Worker& worker, const fleet::EndedRun& end);
+    void onEnded(Worker& worker, const fleet::EndedRun& end, std::optional<core::Duration> runTime);
     void acknowledgeWhenPersisted(Worker& worker, fleet::EndNumber number, lead::LogRevision revision);
     //! Acknowledges the end of a run of an ended job once the job's final state is persisted.
     void acknowledgeWithJob(Worker& worker, fleet::EndNumber number, const JobPtr& job);
@@ -283,6 +284,11 @@
     std::vector<Candidate> candidatesFor(
         const Job& job, const Stage& stage, core::TimePoint now, CandidateFilter filter);
     Demand demandOf(const Job& job, const Stage& stage) const;
+    //! Returns how much the speed of workers counts for a job: urgent work gets the fast ones.
+    static double speedWeightOf(const Job& job);
+    //! Learns from a run that was completed.
+    void learnFromRun(
+        const Worker& worker, const fleet::RunId& runId, core::Duration runTime, const Job& job, Stage& stage);
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
     //! Selects the workers to name. An additional request names none for which tickets are valid or requested.
     std::vector<core::VmId> workersForAdvice(
@@ -347,6 +353,7 @@
     OrderWindowPtr m_orderWindow = std::make_shared<OrderWindow>();
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
+    estimation::WorkerSpeeds m_workerSpeeds;
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -188,7 +188,7 @@
             service = &worker->entry().service;
             view = &m_fleetViews[*service];
         }
-        view->add(*worker, m_speed.isSlow(id, now));
+        view->add(*worker, m_speed.isSlow(id, now), m_workerSpeeds.speedOf(id, worker->entry().hardware));
     }
     m_usage.setCapacity(capacity);
 }
@@ -220,6 +220,7 @@
     demand.dataRack = step.dataRack;
     demand.isAllOrNothing = step.isGang;
     demand.mustShareRack = step.mustShareRack;
+    demand.speedWeight = speedWeightOf(job);
     return demand;
 }
 
@@ -245,7 +246,8 @@
         if (!stageWorkers.mayUse(worker))
             return;
         candidates.push_back({ worker.id(), usable.room - usable.reserved, usable.capacity, worker.rack(),
-            stageWorkers.tasksOn(worker.id()), usable.isSlow || stageWorkers.avoided.contains(worker.id()) });
+            stageWorkers.tasksOn(worker.id()), usable.isSlow || stageWorkers.avoided.contains(worker.id()),
+            usable.speed });
     };
     if (filter == CandidateFilter::NotDenied) {
         candidates.reserve(fleet.workers().size());
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -361,6 +361,7 @@
     m_workers.erase(it);
     m_health.removeWorker(id);
     m_speed.removeWorker(id);
+    m_workerSpeeds.removeWorker(id);
     m_cpuLimiters.erase(id);
     markRosterOutdated(id);
 }
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -39,9 +39,9 @@
         const auto it = self.lock();
         return it ? it->adopt(worker, run) : Adoption();
     };
-    hooks.ended = [self](Worker& worker, const fleet::EndedRun& end, bool) {
+    hooks.ended = [self](Worker& worker, const fleet::EndedRun& end, std::optional<core::Duration> runTime) {
         if (const auto it = self.lock())
-            it->onEnded(worker, end);
+            it->onEnded(worker, end, runTime);
     };
     hooks.progress = [self](Worker& worker, const fleet::RunId& run, double share, core::Duration elapsed) {
         const auto it = self.lock();
@@ -165,7 +165,7 @@
     job->setStarted();
 }
 
-void EngineImpl::onEnded(Worker& worker, const fleet::EndedRun& end)
+void EngineImpl::onEnded(Worker& worker, const fleet::EndedRun& end, std::optional<core::Duration> runTime)
 {
     const JobPtr job = jobOf(end.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(end.runId.task) : nullptr;
@@ -182,6 +182,8 @@
     stage->newestRun = std::max(stage->newestRun, end.runId.run);
     if (end.kind == EndKind::Done && !job->stepOf(*stage).isLongRunning) {
         m_health.onSuccess(worker.id());
+        if (runTime)
+            learnFromRun(worker, end.runId, *runTime, *job, *stage);
         markDone(job, *stage, end);
     } else if (end.kind == EndKind::Failed && !job->stepOf(*stage).isLongRunning) {
         countFailure(job, *stage, end, worker.id());
--- a/src/scheduling/internal/fleetview.cpp
+++ b/src/scheduling/internal/fleetview.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void FleetView::add(const Worker& worker, bool isSlow)
+void FleetView::add(const Worker& worker, bool isSlow, estimation::LogSpeed speed)
 {
     const core::Resources room = worker.freeRoom();
     m_cores += coresOf(worker.entry().capacity);
@@ -22,7 +22,7 @@
     m_maxRoom.cpu = std::max(m_maxRoom.cpu, room.cpu);
     m_maxRoom.memory = std::max(m_maxRoom.memory, room.memory);
     m_maxRoom.accelerators = std::max(m_maxRoom.accelerators, room.accelerators);
-    m_workers.push_back({ &worker, isSlow, worker.entry().capacity, room, {}, std::nullopt });
+    m_workers.push_back({ &worker, isSlow, speed, worker.entry().capacity, room, {}, std::nullopt });
 }
 
 UsableWorker* FleetView::find(const core::VmId& id)
--- a/src/scheduling/internal/fleetview.h
+++ b/src/scheduling/internal/fleetview.h
@@ -12,6 +12,7 @@
 struct UsableWorker {
     const Worker* worker = nullptr;
     bool isSlow = false;
+    estimation::LogSpeed speed;
     core::Resources capacity;
     core::Resources room; //!< free room; a copy, as a round looks at all workers many times and they lie apart
     core::Resources reserved; //!< for gangs, in this round
@@ -23,7 +24,7 @@
 class FleetView {
 public:
     //! Adds a worker; they have to be added in the order of their ids.
-    void add(const Worker& worker, bool isSlow);
+    void add(const Worker& worker, bool isSlow, estimation::LogSpeed speed);
     //! Returns null if the worker accepts no starts.
     UsableWorker* find(const core::VmId& id);
     std::vector<UsableWorker>& workers() { return m_workers; }
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "estimation/workerspeeds.h"
 #include "fleet/fleettypes.h"
 #include "lead/leaderlog.h"
 #include "scheduling/internal/worker.h"
@@ -67,6 +68,7 @@
     std::optional<Reservation> reservation;
     core::TimePoint reservedAt {};
     core::Duration reservationCost {}; //!< time that it took to compute
+    estimation::StepSample runTimes; //!< of its tasks that are done
 
     bool isDone() const { return done == tasks.size(); }
     //! Returns whether all live members of the gang have this run number.
--- a/src/scheduling/internal/placer.cpp
+++ b/src/scheduling/internal/placer.cpp
@@ -86,6 +86,7 @@
 double scoreOf(const Demand& demand, const Spot& spot, const placement::IStrategy& strategy)
 {
     double score = strategy.score(spot.room - demand.need, spot.capacity);
+    score += demand.speedWeight * spot.speed.value();
     if (spot.isLastResort)
         score -= lastResortPenalty;
     if (!demand.dataRack.empty() && demand.dataRack != spot.rack)
@@ -95,8 +96,8 @@
 
 double scoreOf(const Demand& demand, const Candidate& candidate, const placement::IStrategy& strategy)
 {
-    return scoreOf(
-        demand, Spot { candidate.room, candidate.capacity, candidate.rack, candidate.isLastResort }, strategy);
+    return scoreOf(demand,
+        Spot { candidate.room, candidate.capacity, candidate.rack, candidate.isLastResort, candidate.speed }, strategy);
 }
 
 std::vector<core::VmId> place(
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -190,10 +190,13 @@
             continue;
         m_lastEnd = end.number;
         const auto it = m_runs.find(end.runId);
-        m_hooks.ended(*this, end, it != m_runs.end());
-        if (it == m_runs.end())
+        if (it == m_runs.end()) {
+            m_hooks.ended(*this, end, std::nullopt);
             continue;
+        }
         RunTermination termination;
+        termination.runTime = m_loop->now() - it->second.orderedAt;
+        m_hooks.ended(*this, end, termination.runTime);
         termination.cause = RunTermination::Cause::Ended;
         termination.end = end.kind;
         termination.checkpoint = end.checkpoint.empty() ? it->second.checkpoint : end.checkpoint;
@@ -236,7 +239,8 @@
 void Worker::terminateRun(fleet::RunId runId, RunTermination termination)
 {
     const auto it = m_runs.find(runId);
-    termination.runTime = m_loop->now() - it->second.orderedAt;
+    if (termination.runTime == core::Duration(0))
+        termination.runTime = m_loop->now() - it->second.orderedAt;
     m_occupiedRoom = m_occupiedRoom - it->second.occupiedRoom;
     m_runs.erase(it);
     m_hooks.terminated(*this, runId, termination);
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -39,6 +39,7 @@
     State state = State::Ordered;
     core::Resources occupiedRoom;
     core::TimePoint orderedAt {}; //!< when it was ordered or adopted
+    bool isFromBeginning = false; //!< ordered by this leader, and not from a checkpoint
     //! When its start or stop was answered; reports requested later must list it if it still runs.
     core::TimePoint confirmedAt {};
     core::TimePoint uncertainSince {}; //!< when its start became uncertain
@@ -72,8 +73,8 @@
     //! Decides about a run that this leader did not start.
     std::function<Adoption(Worker&, const fleet::RunningRun&)> adopt;
     //! The worker reported an end; `Worker::acknowledgeEnd` must be called once the worker may discard it. Called
-    //! before `terminated`.
-    std::function<void(Worker&, const fleet::EndedRun&, bool isKnown)> ended;
+    //! before `terminated`. `runTime` counts from the order or the adoption; nothing if the run is unknown.
+    std::function<void(Worker&, const fleet::EndedRun&, std::optional<core::Duration> runTime)> ended;
     //! A run did `share` of its work within `elapsed`.
     std::function<void(Worker&, const fleet::RunId&, double share, core::Duration elapsed)> progress;
     std::function<void(Worker&)> reported; //!< a report was applied
--- a/src/scheduling/internal/workerruns.cpp
+++ b/src/scheduling/internal/workerruns.cpp
@@ -29,6 +29,7 @@
     run.occupiedRoom = occupiedRoom;
     run.orderedAt = m_loop->now();
     run.progressAt = run.orderedAt;
+    run.isFromBeginning = order.checkpoint.empty();
     run.checkpoint = order.checkpoint;
     run.cpuLimit = 100;
     m_runs[order.runId] = run;
--- a/src/scheduling/placer.h
+++ b/src/scheduling/placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types.h"
+#include "estimation/workerspeeds.h"
 #include "placement/istrategy.h"
 
 #include <string>
@@ -16,6 +17,8 @@
     std::string dataRack; //!< preferred rack; empty: none
     bool isAllOrNothing = false;
     bool mustShareRack = false;
+    //! Score of a worker for each unit of the logarithm of its speed; negative for work that can wait.
+    double speedWeight = 0;
 };
 
 //! A worker that may run the step.
@@ -26,6 +29,7 @@
     std::string rack;
     std::uint32_t tasksOfStep = 0; //!< number of tasks of the step that it runs
     bool isLastResort = false; //!< slow, or a task of the step failed there; used only if no other worker has room
+    estimation::LogSpeed speed;
 };
 
 //! Returns the number of tasks with this need that fit into the room.
@@ -40,6 +44,7 @@
     core::Resources capacity;
     const std::string& rack;
     bool isLastResort = false;
+    estimation::LogSpeed speed;
 };
 
 //! Returns how well a task fits there; higher is better.
