--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -13,6 +13,7 @@
 
 using telemetry::LogLine;
 using telemetry::Severity;
+using workflow::answerOf;
 using workflow::JobState;
 using workflow::WorkflowOutcome;
 using workflow::WorkflowResult;
@@ -30,14 +31,6 @@
 constexpr core::Duration overloadRetryAfter = std::chrono::milliseconds(1000);
 constexpr const char* overloadReason = "the leader is overloaded";
 
-WorkflowResult answerOf(WorkflowOutcome outcome, std::string reason = "")
-{
-    WorkflowResult it;
-    it.outcome = outcome;
-    it.reason = std::move(reason);
-    return it;
-}
-
 WorkflowResult notNow(std::string reason)
 {
     WorkflowResult it = answerOf(WorkflowOutcome::NotNow, std::move(reason));
@@ -311,26 +304,6 @@
     return m_log->mayBeReplaced() ? notNow("the leader does not reach the store") : answerOf(WorkflowOutcome::NoJob);
 }
 
-void EngineImpl::read(const workflow::WorkflowCall& call, const AnswerCallback& callback)
-{
-    const JobPtr job = jobOf(call.spec.id);
-    if (matchesNoQueue(call, job)) {
-        callback(answerOf(WorkflowOutcome::NoQueue));
-        return;
-    }
-    if (const auto denial = denialOf(call, job)) {
-        callback(answerOf(*denial));
-        return;
-    }
-    if (!job || !job->isPersisted) {
-        callback(answerUnknownJob());
-        return;
-    }
-    WorkflowResult answer = answerOf(WorkflowOutcome::Found);
-    answer.state = job->visibleState;
-    callback(answer);
-}
-
 void EngineImpl::cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback)
 {
     const JobPtr job = jobOf(call.spec.id);
@@ -382,6 +355,8 @@
         if (!job->isPersisted && m_log)
             withdrawUnpersisted(job, "the leadership has ended");
     }
+    for (const auto& [id, job] : m_jobs)
+        answerHeldReads(*job);
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -101,6 +101,11 @@
     //! Returns whether neither a configured queue nor the job's own queue accepts the path of the call.
     bool matchesNoQueue(const workflow::WorkflowCall& call, const JobPtr& job) const;
     void read(const workflow::WorkflowCall& call, const AnswerCallback& callback);
+    //! Returns whether the state that callers see may be final within a few milliseconds.
+    static bool mayEndSoon(const Job& job);
+    //! Answers a read when the job's final state is visible, or after `duration`.
+    void holdRead(const JobPtr& job, const AnswerCallback& callback, core::Duration duration);
+    static void answerHeldReads(Job& job);
     void cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     AdmissionInputs admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue);
--- a/src/scheduling/internal/enginepersistence.cpp
+++ b/src/scheduling/internal/enginepersistence.cpp
@@ -100,6 +100,7 @@
     whenPersisted(revision, [this, job, state] {
         job->visibleState = state;
         job->isPersisted = true;
+        answerHeldReads(*job);
         m_dependencies.metrics->observe(telemetry::Metric::WorkJobSeconds,
             { { "queue", job->record.queue.name }, { "state", workflow::nameOf(state) } },
             std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -97,6 +97,8 @@
     std::set<workflow::FailureBlock> failureRows; //!< stored rows of failed runs
     //! Callers that wait for its acceptance.
     std::vector<std::function<void(const workflow::WorkflowResult&)>> submitCallbacks;
+    //! Callers that have asked for its state just before it ends; null once answered.
+    std::vector<std::shared_ptr<std::function<void(const workflow::WorkflowResult&)>>> heldReads;
 
     std::size_t indexOf(const Stage& it) const { return it.occurrence * record.spec.steps.size() + it.step; }
     //! Records that a task of the job has started.
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -47,6 +47,14 @@
     return names[static_cast<std::size_t>(it)];
 }
 
+WorkflowResult answerOf(WorkflowOutcome outcome, std::string reason)
+{
+    WorkflowResult it;
+    it.outcome = outcome;
+    it.reason = std::move(reason);
+    return it;
+}
+
 bool FailedRuns::insert(std::int64_t run)
 {
     const bool isForgotten = m_older > 0 && !m_recorded.empty() && run < *m_recorded.begin();
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -186,4 +186,7 @@
     std::string reason;
 };
 
+//! Returns a result without further details.
+WorkflowResult answerOf(WorkflowOutcome outcome, std::string reason = "");
+
 } // namespace sardinerun::workflow
