Small VMs wait for larger ones before they replace a leader; late jobs of use come before those out of use

Nodes poll the leader at different times and so suspect it up to a second apart, which outweighs the candidacy delay of 0.5 s. The leader now names the largest VM; a node with less than two thirds of it does not use the shorter timeout. Where all VMs are equal nothing changes.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -15,6 +15,7 @@
 #include "telemetry/metrics.h"
 
 #include <algorithm>
+#include <cmath>
 #include <future>
 
 namespace sardinerun::app {
@@ -43,6 +44,11 @@
     return core::Duration(std::int64_t(double(maxCandidacyDelay.count()) * shortfall));
 }
 
+core::MilliCpu vmCpuOf(const settings::DispatchSettings& settings)
+{
+    return core::MilliCpu(std::llround(settings.cpuShare * 1000));
+}
+
 } // namespace
 
 struct DispatchNode::Impl {
@@ -108,6 +114,7 @@
     leaderDependencies.self = settings.node;
     leaderDependencies.address = settings.inner;
     leaderDependencies.candidacyDelay = candidacyDelayOf(settings.cpuShare);
+    leaderDependencies.vmCpu = vmCpuOf(settings);
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
     leaderDependencies.ratePolicy = settings.rates;
@@ -118,7 +125,7 @@
     callForwarder = dispatch::CallForwarder::create(loop, client, leaderTask->address());
     if (settings.advice.port > 0)
         adviceProxy = dispatch::AdviceProxy::create(loop, client, leaderTask->address(),
-            platform::createAdviceClient(client, settings.advice), settings.node, settings.inner);
+            platform::createAdviceClient(client, settings.advice), settings.node, settings.inner, vmCpuOf(settings));
 }
 
 void DispatchNode::Impl::onLeaderUpdate(const dispatch::LeaderUpdate& update)
--- a/src/dispatch/adviceproxy.h
+++ b/src/dispatch/adviceproxy.h
@@ -10,9 +10,9 @@
 public:
     static std::shared_ptr<AdviceProxy> create(const runtime::ILoopPtr& loop, http::IHttpClientPtr client,
         runtime::Address<LeaderMessage> local, fleet::IAdviceClientPtr advice, core::NodeId self,
-        core::HostPort address);
+        core::HostPort address, core::MilliCpu vmCpu = {});
     AdviceProxy(const runtime::ILoopPtr& loop, http::IHttpClientPtr client, runtime::Address<LeaderMessage> local,
-        fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address);
+        fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address, core::MilliCpu vmCpu);
 
     void receive(LeaderUpdate update) override;
 
@@ -25,6 +25,7 @@
     fleet::IAdviceClientPtr m_advice;
     core::NodeId m_self;
     core::HostPort m_address;
+    core::MilliCpu m_vmCpu; //!< of this VM; 0: unknown
     runtime::Address<LeaderMessage> m_local;
     bool m_isSuspected = false; //!< as last reported to the leader task
     std::uint64_t m_pollSeries = 0; //!< number of the current series of polls; a new leader starts a new series
--- a/src/dispatch/internal/adviceproxy.cpp
+++ b/src/dispatch/internal/adviceproxy.cpp
@@ -14,19 +14,22 @@
 } // namespace
 
 AdviceProxyPtr AdviceProxy::create(const runtime::ILoopPtr& loop, http::IHttpClientPtr client,
-    runtime::Address<LeaderMessage> local, fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address)
+    runtime::Address<LeaderMessage> local, fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address,
+    core::MilliCpu vmCpu)
 {
     return std::make_shared<AdviceProxy>(
-        loop, std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address));
+        loop, std::move(client), std::move(local), std::move(advice), std::move(self), std::move(address), vmCpu);
 }
 
 AdviceProxy::AdviceProxy(const runtime::ILoopPtr& loop, http::IHttpClientPtr client,
-    runtime::Address<LeaderMessage> local, fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address)
+    runtime::Address<LeaderMessage> local, fleet::IAdviceClientPtr advice, core::NodeId self, core::HostPort address,
+    core::MilliCpu vmCpu)
     : Task(loop)
     , m_leaderClient(loop, std::move(client), local)
     , m_advice(std::move(advice))
     , m_self(std::move(self))
     , m_address(std::move(address))
+    , m_vmCpu(vmCpu)
     , m_local(std::move(local))
 {
 }
@@ -47,7 +50,8 @@
 {
     if (!m_leaderClient.leader().leader)
         return; // the update that names the next leader starts a new series
-    protocol::AdvicePoll poll { m_self, m_address, m_leaderClient.leader().leader->term, requestId, std::move(result) };
+    protocol::AdvicePoll poll { m_self, m_address, m_leaderClient.leader().leader->term, requestId, std::move(result),
+        m_vmCpu };
     m_leaderClient.pollAdvice(poll,
         [weak = weak_from_this(), series = m_pollSeries, sentAt = now()](
             const std::optional<protocol::AdviceAssignment>& assignment) {
@@ -68,7 +72,7 @@
 void AdviceProxy::onAssignment(const std::optional<protocol::AdviceAssignment>& assignment, core::TimePoint sentAt)
 {
     if (assignment && !assignment->nodes.empty())
-        m_local.send(KnownNodes { assignment->nodes });
+        m_local.send(KnownNodes { assignment->nodes, assignment->largestVmCpu });
     if (!assignment || assignment->requestId == 0) {
         const bool isLost = !assignment || now() - sentAt < minIdleAnswerTime;
         reportSuspicion(isLost);
--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -11,6 +11,9 @@
 using telemetry::Severity;
 
 //! Interval between queries to other nodes while no leader is known or the known one is suspected.
+//! A VM with less than this part (two thirds) of the largest VM's cores is a much worse leader.
+constexpr std::int64_t smallVmFactor = 2;
+constexpr std::int64_t smallVmDivisor = 3;
 constexpr core::Duration leaderQueryPeriod = std::chrono::milliseconds(250);
 //! A node that has not polled for this long is no longer listed to the other nodes.
 constexpr core::Duration proxyRetention = std::chrono::seconds(10);
@@ -174,7 +177,7 @@
     LogLine(Severity::Warning, "followers-invited")
         .with("term", std::int64_t(m_term.value()))
         .with("nodes", std::int64_t(m_adviceProxies.size()));
-    for (const auto& [address, at] : m_adviceProxies) {
+    for (const auto& [address, node] : m_adviceProxies) {
         if (address != m_dependencies.address)
             queryNode(address, true, [](const std::optional<protocol::LeaderHint>&) {});
     }
@@ -339,7 +342,7 @@
         message.reply.send({});
         return;
     }
-    m_adviceProxies[message.poll.address] = now();
+    m_adviceProxies[message.poll.address] = { now(), message.poll.vmCpu };
     if (message.poll.address != m_dependencies.address)
         m_possibleLeaders.insert(message.poll.address);
     if (message.poll.requestId > 0 && message.poll.result)
@@ -403,6 +406,7 @@
 {
     std::erase(message.nodes, m_dependencies.address);
     m_dependencies.nodesKnown(message);
+    m_election->setOutclassed(m_dependencies.vmCpu * smallVmDivisor < message.largestVmCpu * smallVmFactor);
     m_nodes = std::move(message.nodes);
 }
 
@@ -417,10 +421,13 @@
 protocol::AdviceAssignment LeaderTask::withKnownNodes(protocol::AdviceAssignment assignment)
 {
     const core::TimePoint oldest = now() - proxyRetention;
-    std::erase_if(m_adviceProxies, [oldest](const auto& it) { return it.second < oldest; });
+    std::erase_if(m_adviceProxies, [oldest](const auto& it) { return it.second.polledAt < oldest; });
     assignment.nodes.push_back(m_dependencies.address);
-    for (const auto& [address, at] : m_adviceProxies)
+    assignment.largestVmCpu = m_dependencies.vmCpu;
+    for (const auto& [address, node] : m_adviceProxies) {
         assignment.nodes.push_back(address);
+        assignment.largestVmCpu = std::max(assignment.largestVmCpu, node.vmCpu);
+    }
     return assignment;
 }
 
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -23,6 +23,7 @@
     core::NodeId self;
     core::HostPort address; //!< for other nodes
     core::Duration candidacyDelay {}; //!< of this node in elections
+    core::MilliCpu vmCpu; //!< of this VM; 0: unknown
     scheduling::SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     teams::RatePolicy ratePolicy;
@@ -88,7 +89,12 @@
     bool m_isSuspected = false; //!< the published leader does not answer
     std::vector<core::HostPort> m_nodes; //!< other nodes that may know the leader
     std::size_t m_nextNode = 0; //!< index of the next one to query
-    std::map<core::HostPort, core::TimePoint> m_adviceProxies; //!< while leading: time of each node's last poll
+    //! Node that polls this leader for advice requests.
+    struct PollingNode {
+        core::TimePoint polledAt {};
+        core::MilliCpu vmCpu; //!< of its VM; 0: unknown
+    };
+    std::map<core::HostPort, PollingNode> m_adviceProxies; //!< while leading
     //! While leading: the nodes that have polled, or that the former leader knew. A silent one may lead, so none is
     //! dropped.
     std::set<core::HostPort> m_possibleLeaders;
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -52,6 +52,8 @@
         m_isSuspected = isSuspected;
         m_suspectedTerm = m_row ? m_row->term.value() : 0;
     }
+    //! Sets whether other nodes are much better suited. They take over sooner from a leader that cannot be reached.
+    void setOutclassed(bool isOutclassed) { m_isOutclassed = isOutclassed; }
     //! Records that the leader of this term invites others to take over, because the store rejects its writes.
     void invite(core::Epoch term);
     //! Stops claiming the leadership, for good.
@@ -93,6 +95,7 @@
     bool m_isRetired = false;
     core::TimePoint m_pausedUntil {};
     bool m_isSuspected = false;
+    bool m_isOutclassed = false;
     std::uint64_t m_suspectedTerm = 0;
     core::Epoch m_invitedTerm; //!< term of the leader that invites others to take over
     core::TimePoint m_invitedAt {};
--- a/src/lead/internal/election.cpp
+++ b/src/lead/internal/election.cpp
@@ -145,7 +145,10 @@
     // An invitation counts only on a node that reaches the store; if the store rejects all nodes, the leader continues.
     const bool isInvited = m_row && m_row->term == m_invitedTerm && m_confirmedAt > m_invitedAt;
     const bool isFree = !m_row || m_row->isReleased || m_row->node == m_self || isInvited;
-    const core::Duration leaderTimeout = m_isSuspected ? m_times.suspectedLeaderTimeout : m_times.leaderTimeout;
+    // Nodes suspect a leader up to a second apart, as they poll it at different times. That is longer than candidacy
+    // delays, so a small VM waits until the others have had the time to suspect it, too.
+    const bool isTimeoutShort = m_isSuspected && !m_isOutclassed;
+    const core::Duration leaderTimeout = isTimeoutShort ? m_times.suspectedLeaderTimeout : m_times.leaderTimeout;
     const core::Duration timeout
         = isFree ? m_candidacyDelay / vacantLeaderDelayDivisor : leaderTimeout + m_candidacyDelay;
     const core::TimePoint since = isInvited ? std::max(m_seenAt, m_invitedAt) : m_seenAt;
--- a/src/lead/tests/leaderlog_tests.cpp
+++ b/src/lead/tests/leaderlog_tests.cpp
@@ -182,3 +182,30 @@
     BOOST_TEST(winners.size() == 1u);
     BOOST_TEST(!leader.log);
 }
+
+//! Guards against a small VM that leads a large fleet because it suspected the former leader before the larger ones
+//! did: nodes poll the leader at different times, so they suspect it up to a second apart.
+BOOST_AUTO_TEST_CASE(an_outclassed_node_waits_for_nodes_that_suspect_the_leader_later)
+{
+    Leader leader;
+    std::vector<std::string> winners;
+    const auto candidate = [&](const char* name) {
+        ElectionHooks hooks;
+        hooks.leaderSeen = [](const std::optional<LeaderRow>&) {};
+        hooks.won = [&winners, name](const WonElection&) { winners.emplace_back(name); };
+        auto it = Election::create(leader.loop, leader.store, core::NodeId(name), { "127.0.0.1", 7001 }, leader.times,
+            core::Duration(0), std::move(hooks));
+        it->start();
+        return it;
+    };
+    const ElectionPtr small = candidate("small");
+    const ElectionPtr large = candidate("large");
+    small->setOutclassed(true);
+    leader.advance(1000);
+    leader.log.reset(); // no heartbeat follows
+    small->setSuspected(true);
+    leader.advance(900);
+    large->setSuspected(true);
+    leader.advance(1500);
+    BOOST_TEST((winners == std::vector<std::string> { "large" }));
+}
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t maxName = 4096;
 constexpr std::size_t maxWorkers = 1000;
+constexpr std::int64_t maxVmCpu = 1'024'000; // thousandths of a core
 constexpr std::size_t maxDocumentBytes = std::size_t(4) << 20;
 constexpr std::int64_t maxAgeMs = 86'400'000;
 
@@ -110,6 +111,8 @@
     json["address"] = encodeAddress(it.address);
     json["term"] = Json::UInt64(it.term.value());
     json["question"] = Json::UInt64(it.requestId);
+    if (it.vmCpu.value() > 0)
+        json["vmCpu"] = Json::Int64(it.vmCpu.value());
     if (it.result && *it.result) {
         json["allowed"] = Json::Value(Json::arrayValue);
         for (const fleet::Ticket& ticket : it.result->value().allowed) {
@@ -131,6 +134,7 @@
         it.address = readAddress(reader.object("address"));
         it.term = core::Epoch(readUnsigned(reader, "term"));
         it.requestId = readUnsigned(reader, "question");
+        it.vmCpu = core::MilliCpu(reader.integerOr("vmCpu", 0, maxVmCpu, 0));
         if (it.requestId == 0)
             return it;
         if (!reader.has("allowed")) {
@@ -154,6 +158,8 @@
     json["question"] = Json::UInt64(it.requestId);
     for (const core::HostPort& node : it.nodes)
         json["nodes"].append(encodeAddress(node));
+    if (it.largestVmCpu.value() > 0)
+        json["largestVmCpu"] = Json::Int64(it.largestVmCpu.value());
     if (it.requestId == 0)
         return codec::writeJson(json);
     json["job"] = it.request.job.value();
@@ -175,6 +181,7 @@
             for (const codec::ObjectReader& node : reader.objects("nodes", maxWorkers))
                 it.nodes.push_back(readAddress(node));
         }
+        it.largestVmCpu = core::MilliCpu(reader.integerOr("largestVmCpu", 0, maxVmCpu, 0));
         if (it.requestId == 0)
             return it;
         it.request.job = core::JobId(reader.text("job", maxName));
--- a/src/protocol/workcodec.h
+++ b/src/protocol/workcodec.h
@@ -31,6 +31,7 @@
     core::Epoch term; //!< of the leader that the node follows
     std::uint64_t requestId = 0; //!< the request that `result` answers; 0 for none
     std::optional<fleet::AdviceResult> result;
+    core::MilliCpu vmCpu; //!< of the node's VM; 0: unknown
 };
 
 //! An advice request for the node to send to the advice service; `requestId` is 0 if there is none for now.
@@ -38,6 +39,7 @@
     std::uint64_t requestId = 0;
     fleet::AdviceRequest request;
     std::vector<core::HostPort> nodes; //!< nodes that have polled recently; only filled in some answers
+    core::MilliCpu largestVmCpu; //!< of the VMs of these nodes and of the leader; 0: unknown
 };
 
 //! A node that cannot read the configuration from its source asks another node for it.
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -74,6 +74,7 @@
         Stage* stage = nullptr;
         bool isLate = false; //!< too late, or beyond the rate that its team may rely on
         bool isExcess = false;
+        bool isOutOfUse = false; //!< too late for its callers to use the result
         int priority = 0;
         core::TimePoint startBy {}; //!< latest start that is expected to meet the objective
     };
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -143,14 +143,14 @@
                 startBy = job->startBy();
             const bool isExcess = job->record.isExcess;
             all.push_back({ job, &stage, isExcess || isTooLate(*startBy, job->objectiveAt, now), isExcess,
-                job->record.queue.priority, *startBy });
+                isOutOfUse(*job, *startBy, now), job->record.queue.priority, *startBy });
         }
     }
     // A job that can't meet its objective any more is worth little, whatever its priority, so it comes after all jobs
-    // that can. What a team has submitted beyond its rate comes last.
+    // that can. What a team has submitted beyond its rate, and results that nobody uses any more, come last.
     std::sort(all.begin(), all.end(), [](const ReadyStage& a, const ReadyStage& b) {
-        return std::tie(a.isLate, a.isExcess, a.priority, a.startBy)
-            < std::tie(b.isLate, b.isExcess, b.priority, b.startBy);
+        return std::tie(a.isLate, a.isOutOfUse, a.isExcess, a.priority, a.startBy)
+            < std::tie(b.isLate, b.isOutOfUse, b.isExcess, b.priority, b.startBy);
     });
     orderByShares(all);
     return all;
--- a/src/scheduling/internal/enginereads.cpp
+++ b/src/scheduling/internal/enginereads.cpp
@@ -63,10 +63,9 @@
 {
     if (job.hasEnded())
         return false;
-    return std::all_of(
-        job.stages.begin() + std::ptrdiff_t(job.firstUndone), job.stages.end(), [&job](const Stage& it) {
-            return it.isDone() || (it.live > 0 && it.pending == 0 && !job.stepOf(it).isLongRunning);
-        });
+    return std::all_of(job.stages.begin() + std::ptrdiff_t(job.firstUndone), job.stages.end(), [&job](const Stage& it) {
+        return it.isDone() || (it.live > 0 && it.pending == 0 && !job.stepOf(it).isLongRunning);
+    });
 }
 
 void EngineImpl::holdRead(const JobPtr& job, const AnswerCallback& callback, core::Duration duration)
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -99,7 +99,8 @@
     if (!m_config || m_config->teams.empty())
         return;
     const auto isSameLevel = [](const ReadyStage& a, const ReadyStage& b) {
-        return std::tie(a.isLate, a.isExcess, a.priority) == std::tie(b.isLate, b.isExcess, b.priority);
+        return std::tie(a.isLate, a.isOutOfUse, a.isExcess, a.priority)
+            == std::tie(b.isLate, b.isOutOfUse, b.isExcess, b.priority);
     };
     for (auto first = all.begin(); first != all.end();) {
         const auto last
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -12,8 +12,16 @@
 //! objective.
 constexpr core::Duration estimateSlack = std::chrono::milliseconds(500);
 
+//! A result is of use to callers until this multiple of the objective has passed since the job was accepted.
+constexpr int usefulObjectives = 3;
+
 } // namespace
 
+bool isOutOfUse(const Job& job, core::TimePoint startBy, core::TimePoint now)
+{
+    return now > startBy + (job.objectiveAt - job.acceptedAt) * (usefulObjectives - 1) + estimateSlack;
+}
+
 bool isTooLate(core::TimePoint startBy, core::TimePoint objectiveAt, core::TimePoint now)
 {
     return now > std::min(startBy + estimateSlack, objectiveAt);
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -115,6 +115,9 @@
     core::TimePoint startBy() const { return objectiveAt - remainingChain(); }
 };
 
+//! Returns whether a late job, from this latest start on, can't end any more while callers still use its result.
+bool isOutOfUse(const Job& job, core::TimePoint startBy, core::TimePoint now);
+
 //! Returns whether a job with this objective and this latest start can't meet the objective any more.
 bool isTooLate(core::TimePoint startBy, core::TimePoint objectiveAt, core::TimePoint now);
 
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -393,6 +393,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(overload_late_work)
+
+//! Load: a full fleet with a backlog of late jobs. Guards against a late job whose result is still of use that waits
+//! behind those whose callers have given up.
+BOOST_AUTO_TEST_CASE(late_jobs_of_use_start_before_those_out_of_use)
+{
+    Cell cell;
+    cell.queue.stretch = 2;
+    cell.queue.latencyTarget = ms(1000);
+    cell.lead();
+    for (const char* id : { "block1", "block2" })
+        cell.submit(blockerOf(id));
+    cell.advance(ms(300));
+    BOOST_REQUIRE(cell.running() == 2u);
+    const auto expired = jobOf("expired", 1, 4000);
+    cell.submit(expired);
+    cell.advance(ms(9500)); // three times its objective of 3 s has passed
+    const auto useful = jobOf("useful", 1, 4000);
+    cell.submit(useful);
+    cell.advance(ms(3500)); // late, but less than three times its objective
+    endRunsOf(cell, cell.worker("w1"));
+    cell.advance(ms(200));
+    BOOST_TEST(startsOf(cell, useful) == 1u);
+    BOOST_TEST(startsOf(cell, expired) == 0u);
+    endRunsOf(cell, cell.worker("w2"));
+    cell.advance(ms(200));
+    BOOST_TEST(startsOf(cell, expired) == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(overload_decision_cost)
 
 //! Guards against a leader that serves the less the more waits, since waiting steps use up the time of its rounds
