A team that the configuration dropped keeps its cap under the next leader

The ledger keeps the last cap of a team that is no longer listed, but a new leader has never seen it, so the recovered jobs of the team started without any cap. The cap at a job's acceptance is stored with the job; that of the newest job counts while no configuration that this leader knows names the team. Possible runs of a former leader also count while no team is configured.

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -197,6 +197,7 @@
     record.spec = call.spec;
     record.queue = queue;
     record.team = teamOf(call);
+    record.cap = m_usage.capOf(record.team);
     const core::TimePoint now = m_dependencies.loop->now();
     record.isExcess = !m_rates.tryTake(record.team, now);
     record.acceptedAt = m_dependencies.loop->wallNow();
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -123,6 +123,8 @@
     //! Counts a run towards its team's cap until `uncountRun`.
     void countRun(const core::VmId& worker, const fleet::RunId& run, const CountedRun& counted);
     void uncountRun(const core::VmId& worker, const fleet::RunId& run);
+    //! Teams that the newest configuration does not name keep the cap that is stored with their newest job.
+    void recallCaps();
     //! Until the barrier is passed, tasks of recovered jobs may run on workers that have not listed their runs.
     void countPossibleRuns();
     std::uint32_t tasksWithinCap(const Job& job, const Stage& stage) const;
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -186,6 +186,7 @@
         m_active[id] = job;
         persistSeparateFailures(*job);
     }
+    recallCaps();
     m_areTablesRead = true;
     for (const store::StoredRow& it : m_readRoster)
         loadRoster(it.value);
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -47,10 +47,24 @@
     m_countedRuns.erase(it);
 }
 
+void EngineImpl::recallCaps()
+{
+    std::map<core::TeamId, const workflow::JobRecord*> newest;
+    for (const auto& [id, job] : m_active) {
+        if (job->record.team.value().empty())
+            continue;
+        const workflow::JobRecord*& it = newest[job->record.team];
+        if (!it || it->acceptedAt < job->record.acceptedAt)
+            it = &job->record;
+    }
+    for (const auto& [team, record] : newest)
+        m_usage.recallCap(team, record->cap);
+}
+
 void EngineImpl::countPossibleRuns()
 {
     m_usage.clearPossible();
-    if (m_isBarrierPassed || m_config->teams.empty())
+    if (m_isBarrierPassed)
         return;
     const core::TimePoint now = m_dependencies.loop->now();
     core::Resources unheard; // capacity of the workers that may run something unnoticed
@@ -60,7 +74,7 @@
     }
     std::map<core::TeamId, core::Resources> possible;
     for (const auto& [id, job] : m_active) {
-        if (!job->isRecovered || job->record.team.value().empty())
+        if (!job->isRecovered || m_usage.capOf(job->record.team) == core::Resources())
             continue;
         core::Resources& sum = possible[job->record.team];
         for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
--- a/src/teams/internal/usageledger.cpp
+++ b/src/teams/internal/usageledger.cpp
@@ -42,9 +42,17 @@
         Entry& entry = m_entries[it.id];
         entry.weight = std::max(it.weight, 1);
         entry.cap = it.cap;
+        entry.isListed = true;
     }
 }
 
+void UsageLedger::recallCap(const core::TeamId& team, const core::Resources& cap)
+{
+    Entry& entry = m_entries[team];
+    if (!entry.isListed)
+        entry.cap = cap;
+}
+
 const UsageLedger::Entry* UsageLedger::find(const core::TeamId& team) const
 {
     const auto it = m_entries.find(team);
--- a/src/teams/usageledger.h
+++ b/src/teams/usageledger.h
@@ -13,6 +13,8 @@
 public:
     //! Replaces the teams. A team that is no longer listed keeps its last cap, as its accepted jobs still run.
     void setTeams(const std::vector<Team>& teams);
+    //! Sets the last known cap of a team, unless it is or was listed.
+    void recallCap(const core::TeamId& team, const core::Resources& cap);
     //! Sets the capacity of the fleet, of which shares are computed.
     void setCapacity(const core::Resources& total) { m_capacity = total; }
 
@@ -38,6 +40,7 @@
 private:
     struct Entry {
         int weight = 1;
+        bool isListed = false; //!< now or before
         core::Resources cap;
         core::Resources used;
         core::Resources possible;
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -355,6 +355,9 @@
     to["spec"] = encodeSpec(it.spec);
     to["queue"] = encodeQueue(it.queue);
     put(to, "team", it.team.value());
+    put(to, "capCpu", it.cap.cpu.value());
+    put(to, "capMemory", it.cap.memory.value());
+    put(to, "capAccelerators", it.cap.accelerators.value());
     put(to, "excess", std::int64_t(it.isExcess));
     to["acceptedAt"] = number(it.acceptedAt.value());
     return codec::writeJson(to);
@@ -369,6 +372,8 @@
     it.spec = decodeSpec(reader.raw("spec"));
     it.queue = decodeQueue(reader.raw("queue"));
     it.team = core::TeamId(reader.text("team"));
+    it.cap = { core::MilliCpu(reader.integer("capCpu")), core::MebiBytes(reader.integer("capMemory")),
+        core::Accelerators(reader.integer("capAccelerators")) };
     it.isExcess = reader.flag("excess");
     it.acceptedAt = core::WallTime(reader.integer("acceptedAt"));
     for (std::size_t n = 0; n < stageCount(it.spec); ++n) {
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -133,6 +133,7 @@
     JobSpec spec; //!< the steps are deleted once the job has ended
     QueuePolicy queue; //!< as it was when the job was accepted
     core::TeamId team; //!< that submitted it; empty: none
+    core::Resources cap; //!< of the team when the job was accepted, for a leader whose configuration has no such team
     bool isExcess = false; //!< submitted beyond the rate that the team may rely on
     core::WallTime acceptedAt;
     JobState state = JobState::Pending;
