The path of a public queue opens no job of another queue

Jobs are found by their id alone, and the leader asked for no key on the path of a public queue. So anybody who knew a job's id read, resubmitted or cancelled the job of a team by the path of a public queue. Only jobs of that queue are open there now. The test failed before (Accepted, Found and Cancelled instead of NoKey).

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -290,7 +290,9 @@
 std::optional<WorkflowOutcome> EngineImpl::denialOf(const workflow::WorkflowCall& call, const JobPtr& job) const
 {
     const workflow::QueuePolicy* queue = m_config->find(call.host, call.path);
-    if (queue && queue->isPublic)
+    // Jobs are found by their id alone, so the path of a public queue must not open the jobs of others.
+    const bool isOfQueue = !job || (queue && job->record.queue.name == queue->name);
+    if (queue && queue->isPublic && isOfQueue)
         return std::nullopt;
     const core::TeamId team = teamOf(call);
     const bool isJobOfTeam = job && !job->record.team.value().empty();
--- a/src/scheduling/tests/teamrecovery_tests.cpp
+++ b/src/scheduling/tests/teamrecovery_tests.cpp
@@ -54,4 +54,24 @@
     BOOST_TEST(cell.running() == 2u);
 }
 
+//! Guards against a job that is read or cancelled without its team's key by the path of another, public queue.
+BOOST_AUTO_TEST_CASE(the_path_of_a_public_queue_opens_no_job_of_another_queue)
+{
+    CappedCell cell;
+    workflow::QueuePolicy open = cell.queue;
+    open.name = "open";
+    open.pathPrefix = "/open/";
+    open.isPublic = true;
+    cell.moreQueues = { open };
+    cell.configure();
+    const auto spec = jobOf("job", 1, 1000);
+    cell.submitFor("a", spec);
+    for (const auto kind : { workflow::CallKind::Submit, workflow::CallKind::Read, workflow::CallKind::Cancel })
+        BOOST_TEST((cell.callEngine(kind, spec, ms(400), "/open/").outcome == WorkflowOutcome::NoKey));
+    const auto other = jobOf("other", 1, 1000);
+    using workflow::CallKind;
+    BOOST_TEST((cell.callEngine(CallKind::Submit, other, ms(400), "/open/").outcome == WorkflowOutcome::Accepted));
+    BOOST_TEST((cell.callEngine(CallKind::Read, other, ms(400), "/open/").outcome == WorkflowOutcome::Found));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
