The leader identifies a caller by the key alone

A forwarded call with a team and without a key was taken for a call of that team. Nodes always forward the digest, so only a forged or defective call has none; the leader now treats it as a call without a key. The tests' cell shows a key for each of its teams; no check changed. The test failed before: the job was accepted and ran.

--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -281,8 +281,6 @@
 
 core::TeamId EngineImpl::teamOf(const workflow::WorkflowCall& call) const
 {
-    if (call.key.value().empty())
-        return call.team;
     const auto identity = m_config->keys.identify(call.key);
     return identity ? identity->team : core::TeamId();
 }
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -76,6 +76,8 @@
     {
         workflow::WorkflowCall call;
         call.team = core::TeamId(team);
+        if (!team.empty())
+            call.key = keyOf(team);
         call.kind = kind;
         call.host = "h";
         call.path = prefix + spec.id.value();
@@ -95,6 +97,7 @@
     {
         return callEngine(workflow::CallKind::Submit, spec, ms(400), "/q/", team);
     }
+    static teams::KeyDigest keyOf(const std::string& team) { return teams::digestOf("key of " + team); }
     //! Puts a new version of the configuration in force.
     void configure()
     {
@@ -103,6 +106,9 @@
         config.queues = moreQueues;
         config.queues.push_back(queue);
         config.teams = teams;
+        for (teams::Team& it : config.teams)
+            it.keys = { { keyOf(it.id.value()), teams::Role::Submitter } };
+        config.keys = teams::KeyRing(config.teams);
         engine->setConfig(std::make_shared<const workflow::QueueConfig>(config));
     }
     workflow::JobState stateOf(const workflow::JobSpec& spec)
--- a/src/scheduling/tests/teamrecovery_tests.cpp
+++ b/src/scheduling/tests/teamrecovery_tests.cpp
@@ -74,4 +74,22 @@
     BOOST_TEST((cell.callEngine(CallKind::Read, other, ms(400), "/open/").outcome == WorkflowOutcome::Found));
 }
 
+//! Guards against a forwarded call that names a team without showing a key of it.
+BOOST_AUTO_TEST_CASE(the_leader_identifies_a_caller_by_the_key_alone)
+{
+    CappedCell cell;
+    workflow::WorkflowCall call;
+    call.kind = workflow::CallKind::Submit;
+    call.host = "h";
+    call.path = "/q/job";
+    call.spec = jobOf("job", 1, 1000);
+    call.team = core::TeamId("a");
+    std::optional<WorkflowOutcome> got;
+    cell.engine->handle(call, [&got](const workflow::WorkflowResult& answer) { got = answer.outcome; });
+    cell.advance(ms(500));
+    BOOST_TEST_REQUIRE(got.has_value());
+    BOOST_TEST((*got == WorkflowOutcome::NoKey));
+    BOOST_TEST(cell.running() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
