Possible runs of a former leader: bounded by workers' sizes only where these are a bound

A new leader counts pending tasks of recovered jobs as running, at most as much as fits on the workers that it has not heard. Two cases were counted too low, and the team's new jobs went above its cap: tasks on spare CPU run beyond a worker's size, and a worker that is in the roster but not in the registry has no known size and counted as 0. Both tests failed before (2 starts).

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -125,6 +125,15 @@
     void uncountRun(const core::VmId& worker, const fleet::RunId& run);
     //! Teams that the newest configuration does not name keep the cap that is stored with their newest job.
     void recallCaps();
+    //! What tasks may occupy.
+    struct PossibleRuns {
+        core::Resources room; //!< on their workers
+        core::MilliCpu spareCpu; //!< beyond the workers' sizes
+    };
+    //! Returns what pending tasks of a job may occupy if a former leader has started them.
+    PossibleRuns possibleRunsOf(const Job& job) const;
+    //! Returns the size of the workers that may run something unnoticed; nothing if the size of one is unknown.
+    std::optional<core::Resources> unheardRoom() const;
     //! Until the barrier is passed, tasks of recovered jobs may run on workers that have not listed their runs.
     void countPossibleRuns();
     std::uint32_t tasksWithinCap(const Job& job, const Stage& stage) const;
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -66,27 +66,54 @@
     m_usage.clearPossible();
     if (m_isBarrierPassed)
         return;
-    const core::TimePoint now = m_dependencies.loop->now();
-    core::Resources unheard; // capacity of the workers that may run something unnoticed
-    for (const auto& [id, worker] : m_workers) {
-        if (!worker->areFormerRunsKnown(now))
-            unheard = unheard + worker->entry().capacity;
-    }
-    std::map<core::TeamId, core::Resources> possible;
+    std::map<core::TeamId, PossibleRuns> possible;
     for (const auto& [id, job] : m_active) {
         if (!job->isRecovered || m_usage.capOf(job->record.team) == core::Resources())
             continue;
-        core::Resources& sum = possible[job->record.team];
-        for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
-            const Stage& stage = job->stages[n];
-            if (stage.isOpen)
-                sum = sum + job->stepOf(stage).need * std::int64_t(stage.startable());
-        }
+        const PossibleRuns ofJob = possibleRunsOf(*job);
+        PossibleRuns& sum = possible[job->record.team];
+        sum.room = sum.room + ofJob.room;
+        sum.spareCpu += ofJob.spareCpu;
+    }
+    const std::optional<core::Resources> unheard = unheardRoom();
+    for (const auto& [team, sum] : possible) {
+        core::Resources amount = sum.room;
+        if (unheard)
+            amount = { std::min(amount.cpu, unheard->cpu), std::min(amount.memory, unheard->memory),
+                std::min(amount.accelerators, unheard->accelerators) };
+        amount.cpu += sum.spareCpu;
+        m_usage.setPossible(team, amount);
+    }
+}
+
+EngineImpl::PossibleRuns EngineImpl::possibleRunsOf(const Job& job) const
+{
+    PossibleRuns sum;
+    for (std::size_t n = job.firstUndone; n < job.openedEnd; ++n) {
+        const Stage& stage = job.stages[n];
+        if (!stage.isOpen)
+            continue;
+        const workflow::StepSpec& step = job.stepOf(stage);
+        const auto count = std::int64_t(stage.startable());
+        sum.room = sum.room + roomOf(step) * count;
+        sum.spareCpu += (step.need - roomOf(step)).cpu * count;
     }
-    for (const auto& [team, sum] : possible)
-        m_usage.setPossible(team,
-            { std::min(sum.cpu, unheard.cpu), std::min(sum.memory, unheard.memory),
-                std::min(sum.accelerators, unheard.accelerators) });
+    return sum;
+}
+
+std::optional<core::Resources> EngineImpl::unheardRoom() const
+{
+    const core::TimePoint now = m_dependencies.loop->now();
+    core::Resources sum;
+    for (const auto& [id, worker] : m_workers) {
+        if (worker->areFormerRunsKnown(now))
+            continue;
+        // The roster has no sizes, so that of a worker which is not listed is unknown.
+        if (worker->entry().capacity == core::Resources())
+            return std::nullopt;
+        sum = sum + worker->entry().capacity;
+    }
+    return sum;
 }
 
 std::uint32_t EngineImpl::tasksWithinCap(const Job& job, const Stage& stage) const
--- a/src/scheduling/tests/teamrecovery_tests.cpp
+++ b/src/scheduling/tests/teamrecovery_tests.cpp
@@ -28,6 +28,15 @@
         team.cap.cpu = core::MilliCpu(milliCpu);
         teams = { team };
     }
+    //! Lets a new leader take over that does not reach the workers which run something. Others have free room.
+    void leadWithoutBusyWorkers()
+    {
+        for (auto& [id, it] : workers->workers)
+            it.isSilent = !it.running.empty();
+        addWorker("w3");
+        addWorker("w4");
+        lead(ms(300));
+    }
     std::size_t startsOf(const std::string& job)
     {
         std::size_t n = 0;
@@ -92,4 +101,36 @@
     BOOST_TEST(cell.running() == 0u);
 }
 
+//! Guards against tasks on spare CPU beyond the size of a silent worker, which a new leader does not count.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_tasks_on_spare_cpu_beyond_the_size_of_a_silent_worker)
+{
+    CappedCell cell;
+    cell.entries.pop_back();
+    cell.setCap(8000);
+    cell.lead();
+    auto first = jobOf("first", 8, 1000);
+    first.steps[0].usesSpareCpu = true;
+    cell.submitFor("a", first);
+    cell.advance(ms(300));
+    BOOST_TEST(cell.worker("w1").running.size() == 8u);
+    cell.leadWithoutBusyWorkers();
+    cell.submitFor("a", jobOf("second", 2, 1000));
+    cell.advance(ms(400));
+    BOOST_TEST(cell.startsOf("second") == 0u);
+}
+
+//! Guards against a silent worker that is no longer listed, so its size is unknown and was taken for 0.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_runs_on_a_silent_worker_that_is_not_listed)
+{
+    CappedCell cell;
+    cell.submitFor("a", jobOf("first", 2, 1000));
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 2u);
+    cell.entries.clear();
+    cell.leadWithoutBusyWorkers();
+    cell.submitFor("a", jobOf("second", 2, 1000));
+    cell.advance(ms(400));
+    BOOST_TEST(cell.startsOf("second") == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
