A new leader counts steps that its records do not show as open

A leader starts the next step before the ends of the one before are persisted, during an outage of the store many steps ahead. If it ended then, the next leader counted only the steps that its records show as open, so runs of later ones on silent workers were not counted towards the cap. All steps that are due count now until the barrier is passed.

--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -89,10 +89,11 @@
 EngineImpl::PossibleRuns EngineImpl::possibleRunsOf(const Job& job) const
 {
     PossibleRuns sum;
-    for (std::size_t n = job.firstUndone; n < job.openedEnd; ++n) {
+    // A former leader may have started later steps before the ends of the earlier ones were persisted.
+    for (std::size_t n = job.firstUndone; n < job.stages.size(); ++n) {
         const Stage& stage = job.stages[n];
-        if (!stage.isOpen)
-            continue;
+        if (!isDue(job.record.spec, stage.occurrence))
+            break;
         const workflow::StepSpec& step = job.stepOf(stage);
         const auto count = std::int64_t(stage.startable());
         sum.room = sum.room + roomOf(step) * count;
--- a/src/scheduling/tests/teamrecovery_tests.cpp
+++ b/src/scheduling/tests/teamrecovery_tests.cpp
@@ -101,6 +101,28 @@
     BOOST_TEST(cell.running() == 0u);
 }
 
+//! Guards against runs of a step that a new leader does not count, as the end of the step before was not persisted.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_runs_of_steps_that_its_records_do_not_show_as_open)
+{
+    CappedCell cell;
+    auto first = jobOf("first", 1, 1000);
+    first.steps.push_back(first.steps[0]);
+    first.steps[1].count = 2;
+    first.steps[1].after = { 0 };
+    cell.submitFor("a", first);
+    cell.advance(ms(300));
+    cell.store->isDown = true;
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST(cell.running() == 2u);
+    cell.engine.reset();
+    cell.store->isDown = false;
+    cell.leadWithoutBusyWorkers();
+    cell.submitFor("a", jobOf("second", 2, 1000));
+    cell.advance(ms(400));
+    BOOST_TEST(cell.running() <= 2u);
+}
+
 //! Guards against tasks on spare CPU beyond the size of a silent worker, which a new leader does not count.
 BOOST_AUTO_TEST_CASE(a_new_leader_counts_tasks_on_spare_cpu_beyond_the_size_of_a_silent_worker)
 {
