A new leader counts the runs of ended jobs that it has not heard of

A cancelled or failed job's runs go on until they are stopped. On a silent worker this takes until the end of the lease, and a new leader, for which the job has just ended, did not count them towards the cap. What a job's runs occupy when it ends is stored with its final state, and counts until the barrier is passed, at most as much as fits on the workers that were not heard. A run whose end is reported is uncounted before its job may end.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -61,7 +61,7 @@
     //! What a run counts towards its team's cap.
     struct CountedRun {
         core::TeamId team;
-        core::Resources amount;
+        workflow::Occupation amount;
         core::Duration estimate {};
     };
     struct ArrivedWork {
@@ -123,15 +123,12 @@
     //! Counts a run towards its team's cap until `uncountRun`.
     void countRun(const core::VmId& worker, const fleet::RunId& run, const CountedRun& counted);
     void uncountRun(const core::VmId& worker, const fleet::RunId& run);
+    //! Counts what runs of an ended job may still occupy.
+    void recallEndedJob(const Job& job);
     //! Teams that the newest configuration does not name keep the cap that is stored with their newest job.
     void recallCaps();
-    //! What tasks may occupy.
-    struct PossibleRuns {
-        core::Resources room; //!< on their workers
-        core::MilliCpu spareCpu; //!< beyond the workers' sizes
-    };
     //! Returns what pending tasks of a job may occupy if a former leader has started them.
-    PossibleRuns possibleRunsOf(const Job& job) const;
+    workflow::Occupation possibleRunsOf(const Job& job) const;
     //! Returns the size of the workers that may run something unnoticed; nothing if the size of one is unknown.
     std::optional<core::Resources> unheardRoom() const;
     //! Until the barrier is passed, tasks of recovered jobs may run on workers that have not listed their runs.
@@ -373,6 +370,8 @@
     teams::RateLimiter m_rates;
     teams::RetrySchedule m_retrySchedule;
     std::map<std::pair<core::VmId, fleet::RunId>, CountedRun> m_countedRuns;
+    //! By runs of ended jobs that may still go on; counts until the barrier is passed.
+    std::map<core::TeamId, workflow::Occupation> m_leftByEndedJobs;
     std::unordered_map<core::TeamId, double> m_cpuSeconds; //!< estimated, of the counted runs of each team
     core::TimePoint m_roundAt {}; //!< start of the current round, when its authority was checked
     core::Duration m_roundCost {}; //!< duration of the last round
--- a/src/scheduling/internal/enginepersistence.cpp
+++ b/src/scheduling/internal/enginepersistence.cpp
@@ -88,6 +88,11 @@
         .with("late", std::int64_t(m_dependencies.loop->now() > job->objectiveAt))
         .with("why", why);
     job->record.state = state;
+    job->record.left = job->occupied;
+    if (job->isRecovered && !m_isBarrierPassed) {
+        job->record.left = job->record.left + possibleRunsOf(*job);
+        recallEndedJob(*job);
+    }
     job->endedAt = m_dependencies.loop->now();
     m_active.erase(id);
     for (const Stage& stage : job->stages)
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -171,6 +171,7 @@
         job->visibleState = job->record.state;
         if (job->hasEnded()) {
             job->endedAt = now;
+            recallEndedJob(*job);
             m_ended.push_back(id);
             continue;
         }
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -113,9 +113,11 @@
     const JobPtr job = jobOf(run.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.runId.task) : nullptr;
     if (stage)
-        countRun(worker.id(), run.runId, { job->record.team, job->stepOf(*stage).need, job->stepOf(*stage).estimate });
+        countRun(worker.id(), run.runId,
+            { job->record.team, occupationOf(job->stepOf(*stage)), job->stepOf(*stage).estimate });
     else if (job) // what a task of an ended job needs is no longer known
-        countRun(worker.id(), run.runId, { job->record.team, worker.entry().capacity, m_dependencies.times.stopGrace });
+        countRun(worker.id(), run.runId,
+            { job->record.team, { worker.entry().capacity, {} }, m_dependencies.times.stopGrace });
     // A run whose loss is not confirmed yet is listed after all.
     if (stage && isCurrentRun(stage->tasks[run.runId.task.index], worker.id(), run.runId)) {
         LogLine(Severity::Info, "run-found")
@@ -167,6 +169,7 @@
 
 void EngineImpl::onEnded(Worker& worker, const fleet::EndedRun& end, std::optional<core::Duration> runTime)
 {
+    uncountRun(worker.id(), end.runId); // before its job may end, which records what its other runs occupy
     const JobPtr job = jobOf(end.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(end.runId.task) : nullptr;
     LogLine(Severity::Info, "run-ended")
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -33,8 +33,10 @@
 {
     if (counted.team.value().empty() || !m_countedRuns.try_emplace({ worker, run }, counted).second)
         return;
-    m_usage.add(counted.team, counted.amount);
-    m_cpuSeconds[counted.team] += cpuSecondsOf(counted.amount, counted.estimate);
+    m_usage.add(counted.team, counted.amount.total());
+    m_cpuSeconds[counted.team] += cpuSecondsOf(counted.amount.total(), counted.estimate);
+    if (const JobPtr job = jobOf(run.task.job))
+        job->occupied = job->occupied + counted.amount;
 }
 
 void EngineImpl::uncountRun(const core::VmId& worker, const fleet::RunId& run)
@@ -42,11 +44,22 @@
     const auto it = m_countedRuns.find({ worker, run });
     if (it == m_countedRuns.end())
         return;
-    m_usage.remove(it->second.team, it->second.amount);
-    m_cpuSeconds[it->second.team] -= cpuSecondsOf(it->second.amount, it->second.estimate);
+    const CountedRun& counted = it->second;
+    m_usage.remove(counted.team, counted.amount.total());
+    m_cpuSeconds[counted.team] -= cpuSecondsOf(counted.amount.total(), counted.estimate);
+    if (const JobPtr job = jobOf(run.task.job))
+        job->occupied = job->occupied - counted.amount;
     m_countedRuns.erase(it);
 }
 
+void EngineImpl::recallEndedJob(const Job& job)
+{
+    if (job.record.team.value().empty() || job.record.left.total() == core::Resources())
+        return;
+    workflow::Occupation& sum = m_leftByEndedJobs[job.record.team];
+    sum = sum + job.record.left;
+}
+
 void EngineImpl::recallCaps()
 {
     std::map<core::TeamId, const workflow::JobRecord*> newest;
@@ -66,14 +79,12 @@
     m_usage.clearPossible();
     if (m_isBarrierPassed)
         return;
-    std::map<core::TeamId, PossibleRuns> possible;
+    std::map<core::TeamId, workflow::Occupation> possible = m_leftByEndedJobs;
     for (const auto& [id, job] : m_active) {
         if (!job->isRecovered || m_usage.capOf(job->record.team) == core::Resources())
             continue;
-        const PossibleRuns ofJob = possibleRunsOf(*job);
-        PossibleRuns& sum = possible[job->record.team];
-        sum.room = sum.room + ofJob.room;
-        sum.spareCpu += ofJob.spareCpu;
+        workflow::Occupation& sum = possible[job->record.team];
+        sum = sum + possibleRunsOf(*job);
     }
     const std::optional<core::Resources> unheard = unheardRoom();
     for (const auto& [team, sum] : possible) {
@@ -86,18 +97,15 @@
     }
 }
 
-EngineImpl::PossibleRuns EngineImpl::possibleRunsOf(const Job& job) const
+workflow::Occupation EngineImpl::possibleRunsOf(const Job& job) const
 {
-    PossibleRuns sum;
+    workflow::Occupation sum;
     // A former leader may have started later steps before the ends of the earlier ones were persisted.
     for (std::size_t n = job.firstUndone; n < job.stages.size(); ++n) {
         const Stage& stage = job.stages[n];
         if (!isDue(job.record.spec, stage.occurrence))
             break;
-        const workflow::StepSpec& step = job.stepOf(stage);
-        const auto count = std::int64_t(stage.startable());
-        sum.room = sum.room + roomOf(step) * count;
-        sum.spareCpu += (step.need - roomOf(step)).cpu * count;
+        sum = sum + occupationOf(job.stepOf(stage)) * std::int64_t(stage.startable());
     }
     return sum;
 }
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -144,6 +144,12 @@
     return double(step.count) * double(roomOf(step).cpu.value()) / 1000;
 }
 
+workflow::Occupation occupationOf(const workflow::StepSpec& step)
+{
+    const core::Resources room = roomOf(step);
+    return { room, (step.need - room).cpu };
+}
+
 core::Resources roomOf(const workflow::StepSpec& step)
 {
     core::Resources room = step.need;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -82,6 +82,7 @@
     workflow::JobRecord record;
     std::vector<Stage> stages;
     std::size_t tasks = 0; //!< of all stages
+    workflow::Occupation occupied; //!< by its runs that count towards its team's cap
     //! Stages that may have something to do lie from `firstUndone` to `openedEnd`. A scheduled job has many others.
     std::size_t firstUndone = 0; //!< all stages before this index are done
     std::size_t openedEnd = 0; //!< no stage from this index on was opened
@@ -121,6 +122,8 @@
 
 //! Returns the room that a task of this step occupies on a worker.
 core::Resources roomOf(const workflow::StepSpec& step);
+//! Returns what a task of this step occupies.
+workflow::Occupation occupationOf(const workflow::StepSpec& step);
 //! Returns the number of cores that all tasks of this step occupy.
 double coresOf(const workflow::StepSpec& step);
 
--- a/src/scheduling/tests/teamrecovery_tests.cpp
+++ b/src/scheduling/tests/teamrecovery_tests.cpp
@@ -101,6 +101,23 @@
     BOOST_TEST(cell.running() == 0u);
 }
 
+//! Guards against runs of a cancelled job that a new leader does not count, as the job has ended.
+BOOST_AUTO_TEST_CASE(a_new_leader_counts_runs_of_a_cancelled_job_that_it_has_not_heard_of)
+{
+    CappedCell cell;
+    const auto first = jobOf("first", 2, 1000);
+    cell.submitFor("a", first);
+    cell.advance(ms(300));
+    for (auto& [id, it] : cell.workers->workers)
+        it.isSilent = true; // they receive no stop orders
+    cell.callEngine(workflow::CallKind::Cancel, first, ms(400), "/q/", "a");
+    BOOST_TEST(cell.running() == 2u);
+    cell.leadWithoutBusyWorkers();
+    cell.submitFor("a", jobOf("second", 2, 1000));
+    cell.advance(ms(400));
+    BOOST_TEST(cell.startsOf("second") == 0u);
+}
+
 //! Guards against runs of a step that a new leader does not count, as the end of the step before was not persisted.
 BOOST_AUTO_TEST_CASE(a_new_leader_counts_runs_of_steps_that_its_records_do_not_show_as_open)
 {
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -399,6 +399,10 @@
         put(to, "queue", it.queue.name);
         put(to, "team", it.team.value());
         put(to, "endedAt", it.acceptedAt.value());
+        put(to, "leftCpu", it.left.room.cpu.value());
+        put(to, "leftSpareCpu", it.left.spareCpu.value());
+        put(to, "leftMemory", it.left.room.memory.value());
+        put(to, "leftAccelerators", it.left.room.accelerators.value());
         return codec::writeJson(to);
     }
     if (taskCountOf(it.stages) + it.stages.size() * bytesPerStage > maxStagesBytes) {
@@ -425,6 +429,9 @@
         record.queue.name = reader.text("queue");
         record.team = core::TeamId(reader.text("team"));
         record.acceptedAt = core::WallTime(reader.integer("endedAt"));
+        record.left.room = { core::MilliCpu(reader.integer("leftCpu")), core::MebiBytes(reader.integer("leftMemory")),
+            core::Accelerators(reader.integer("leftAccelerators")) };
+        record.left.spareCpu = core::MilliCpu(reader.integer("leftSpareCpu"));
         return;
     }
     if (const std::string bitmap = reader.text("done"); !bitmap.empty()) {
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -128,6 +128,17 @@
     std::vector<FailedRuns> failedRuns; //!< of each task; those of a gang are recorded for its first task
 };
 
+//! What runs occupy.
+struct Occupation {
+    core::Resources room; //!< on their workers
+    core::MilliCpu spareCpu; //!< beyond the workers' sizes
+
+    core::Resources total() const { return { room.cpu + spareCpu, room.memory, room.accelerators }; }
+    Occupation operator+(const Occupation& other) const { return { room + other.room, spareCpu + other.spareCpu }; }
+    Occupation operator-(const Occupation& other) const { return { room - other.room, spareCpu - other.spareCpu }; }
+    Occupation operator*(std::int64_t n) const { return { room * n, spareCpu * n }; }
+};
+
 //! The state of a job that must outlive the leader.
 struct JobRecord {
     JobSpec spec; //!< the steps are deleted once the job has ended
@@ -138,6 +149,7 @@
     core::WallTime acceptedAt;
     JobState state = JobState::Pending;
     std::vector<StageProgress> stages; //!< ordered by occurrence, then by step
+    Occupation left; //!< by runs that may have gone on when the job ended
 };
 
 //! Returns the progress of a stage of which no task is done or has failed.
