--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -190,6 +190,7 @@
     record.spec = call.spec;
     record.queue = queue;
     record.team = teamOf(call);
+    record.cap = m_usage.capOf(record.team);
     const core::TimePoint now = m_dependencies.loop->now();
     record.isExcess = !m_rates.tryTake(record.team, now);
     record.acceptedAt = m_dependencies.loop->wallNow();
@@ -273,8 +274,6 @@
 
 core::TeamId EngineImpl::teamOf(const workflow::WorkflowCall& call) const
 {
-    if (call.key.value().empty())
-        return call.team;
     const auto identity = m_config->keys.identify(call.key);
     return identity ? identity->team : core::TeamId();
 }
@@ -282,7 +281,9 @@
 std::optional<WorkflowOutcome> EngineImpl::denialOf(const workflow::WorkflowCall& call, const JobPtr& job) const
 {
     const workflow::QueuePolicy* queue = m_config->find(call.host, call.path);
-    if (queue && queue->isPublic)
+    // Jobs are found by their id alone, so the path of a public queue must not open the jobs of others.
+    const bool isOfQueue = !job || (queue && job->record.queue.name == queue->name);
+    if (queue && queue->isPublic && isOfQueue)
         return std::nullopt;
     const core::TeamId team = teamOf(call);
     const bool isJobOfTeam = job && !job->record.team.value().empty();
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -171,6 +171,7 @@
         job->visibleState = job->record.state;
         if (job->hasEnded()) {
             job->endedAt = now;
+            recallEndedJob(*job);
             m_ended.push_back(id);
             continue;
         }
@@ -186,6 +187,7 @@
         m_active[id] = job;
         persistSeparateFailures(*job);
     }
+    recallCaps();
     m_areTablesRead = true;
     for (const store::StoredRow& it : m_readRoster)
         loadRoster(it.value);
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -33,8 +33,10 @@
 {
     if (counted.team.value().empty() || !m_countedRuns.try_emplace({ worker, run }, counted).second)
         return;
-    m_usage.add(counted.team, counted.amount);
-    m_cpuSeconds[counted.team] += cpuSecondsOf(counted.amount, counted.estimate);
+    m_usage.add(counted.team, counted.amount.total());
+    m_cpuSeconds[counted.team] += cpuSecondsOf(counted.amount.total(), counted.estimate);
+    if (const JobPtr job = jobOf(run.task.job))
+        job->occupied = job->occupied + counted.amount;
 }
 
 void EngineImpl::uncountRun(const core::VmId& worker, const fleet::RunId& run)
@@ -42,37 +44,85 @@
     const auto it = m_countedRuns.find({ worker, run });
     if (it == m_countedRuns.end())
         return;
-    m_usage.remove(it->second.team, it->second.amount);
-    m_cpuSeconds[it->second.team] -= cpuSecondsOf(it->second.amount, it->second.estimate);
+    const CountedRun& counted = it->second;
+    m_usage.remove(counted.team, counted.amount.total());
+    m_cpuSeconds[counted.team] -= cpuSecondsOf(counted.amount.total(), counted.estimate);
+    if (const JobPtr job = jobOf(run.task.job))
+        job->occupied = job->occupied - counted.amount;
     m_countedRuns.erase(it);
 }
 
+void EngineImpl::recallEndedJob(const Job& job)
+{
+    if (job.record.team.value().empty() || job.record.left.total() == core::Resources())
+        return;
+    workflow::Occupation& sum = m_leftByEndedJobs[job.record.team];
+    sum = sum + job.record.left;
+}
+
+void EngineImpl::recallCaps()
+{
+    std::map<core::TeamId, const workflow::JobRecord*> newest;
+    for (const auto& [id, job] : m_active) {
+        if (job->record.team.value().empty())
+            continue;
+        const workflow::JobRecord*& it = newest[job->record.team];
+        if (!it || it->acceptedAt < job->record.acceptedAt)
+            it = &job->record;
+    }
+    for (const auto& [team, record] : newest)
+        m_usage.recallCap(team, record->cap);
+}
+
 void EngineImpl::countPossibleRuns()
 {
     m_usage.clearPossible();
-    if (m_isBarrierPassed || m_config->teams.empty())
+    if (m_isBarrierPassed)
         return;
+    std::map<core::TeamId, workflow::Occupation> possible = m_leftByEndedJobs;
+    for (const auto& [id, job] : m_active) {
+        if (!job->isRecovered || m_usage.capOf(job->record.team) == core::Resources())
+            continue;
+        workflow::Occupation& sum = possible[job->record.team];
+        sum = sum + possibleRunsOf(*job);
+    }
+    const std::optional<core::Resources> unheard = unheardRoom();
+    for (const auto& [team, sum] : possible) {
+        core::Resources amount = sum.room;
+        if (unheard)
+            amount = { std::min(amount.cpu, unheard->cpu), std::min(amount.memory, unheard->memory),
+                std::min(amount.accelerators, unheard->accelerators) };
+        amount.cpu += sum.spareCpu;
+        m_usage.setPossible(team, amount);
+    }
+}
+
+workflow::Occupation EngineImpl::possibleRunsOf(const Job& job) const
+{
+    workflow::Occupation sum;
+    // A former leader may have started later steps before the ends of the earlier ones were persisted.
+    for (std::size_t n = job.firstUndone; n < job.stages.size(); ++n) {
+        const Stage& stage = job.stages[n];
+        if (!isDue(job.record.spec, stage.occurrence))
+            break;
+        sum = sum + occupationOf(job.stepOf(stage)) * std::int64_t(stage.startable());
+    }
+    return sum;
+}
+
+std::optional<core::Resources> EngineImpl::unheardRoom() const
+{
     const core::TimePoint now = m_dependencies.loop->now();
-    core::Resources unheard; // capacity of the workers that may run something unnoticed
+    core::Resources sum;
     for (const auto& [id, worker] : m_workers) {
-        if (!worker->areFormerRunsKnown(now))
-            unheard = unheard + worker->entry().capacity;
-    }
-    std::map<core::TeamId, core::Resources> possible;
-    for (const auto& [id, job] : m_active) {
-        if (!job->isRecovered || job->record.team.value().empty())
+        if (worker->areFormerRunsKnown(now))
             continue;
-        core::Resources& sum = possible[job->record.team];
-        for (std::size_t n = job->firstUndone; n < job->openedEnd; ++n) {
-            const Stage& stage = job->stages[n];
-            if (stage.isOpen)
-                sum = sum + job->stepOf(stage).need * std::int64_t(stage.startable());
-        }
+        // The roster has no sizes, so that of a worker which is not listed is unknown.
+        if (worker->entry().capacity == core::Resources())
+            return std::nullopt;
+        sum = sum + worker->entry().capacity;
     }
-    for (const auto& [team, sum] : possible)
-        m_usage.setPossible(team,
-            { std::min(sum.cpu, unheard.cpu), std::min(sum.memory, unheard.memory),
-                std::min(sum.accelerators, unheard.accelerators) });
+    return sum;
 }
 
 std::uint32_t EngineImpl::tasksWithinCap(const Job& job, const Stage& stage) const
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -128,15 +128,28 @@
     std::vector<FailedRuns> failedRuns; //!< of each task; those of a gang are recorded for its first task
 };
 
+//! What runs occupy.
+struct Occupation {
+    core::Resources room; //!< on their workers
+    core::MilliCpu spareCpu; //!< beyond the workers' sizes
+
+    core::Resources total() const { return { room.cpu + spareCpu, room.memory, room.accelerators }; }
+    Occupation operator+(const Occupation& other) const { return { room + other.room, spareCpu + other.spareCpu }; }
+    Occupation operator-(const Occupation& other) const { return { room - other.room, spareCpu - other.spareCpu }; }
+    Occupation operator*(std::int64_t n) const { return { room * n, spareCpu * n }; }
+};
+
 //! The state of a job that must outlive the leader.
 struct JobRecord {
     JobSpec spec; //!< the steps are deleted once the job has ended
     QueuePolicy queue; //!< as it was when the job was accepted
     core::TeamId team; //!< that submitted it; empty: none
+    core::Resources cap; //!< of the team when the job was accepted, for a leader whose configuration has no such team
     bool isExcess = false; //!< submitted beyond the rate that the team may rely on
     core::WallTime acceptedAt;
     JobState state = JobState::Pending;
     std::vector<StageProgress> stages; //!< ordered by occurrence, then by step
+    Occupation left; //!< by runs that may have gone on when the job ended
 };
 
 //! Returns the progress of a stage of which no task is done or has failed.
