Pick the next team of a work queue from an order; one definition of the dominant share

WorkQueue::pick read the usage of all teams for each pick. It now keeps the teams of each class in a TeamOrder, and reads the usage only of teams whose usage or ready work has changed. The definitions in placement and teams were the same and are one function in core. That of admission control leaves accelerators out on purpose and stays.

--- a/src/admission/internal/admissioncontrol.cpp
+++ b/src/admission/internal/admissioncontrol.cpp
@@ -40,6 +40,8 @@
     return n;
 }
 
+//! Like `core::dominantShare`, but without accelerators: only a part of the jobs uses them, so work that waits for them
+//! says little about the wait of others.
 double dominantRatio(const core::Resources& part, const core::Resources& whole)
 {
     const auto ratio = [](std::int64_t a, std::int64_t b) { return b > 0 ? double(a) / double(b) : 0.0; };
--- a/src/admission/internal/workqueue.cpp
+++ b/src/admission/internal/workqueue.cpp
@@ -73,30 +73,48 @@
 
 void WorkQueue::insertReady(const QueueEntry& entry)
 {
-    m_ready[jobs::indexOf(entry.item.urgency)][entry.item.team].insert(entry.rank);
+    ClassQueue& queue = m_ready[jobs::indexOf(entry.item.urgency)];
+    TeamQueue& ranks = queue.teams[entry.item.team];
+    if (ranks.empty())
+        onUsageChanged(entry.item.team); // it joins the order with its current usage
+    ranks.insert(entry.rank);
 }
 
 void WorkQueue::eraseReady(const QueueEntry& entry)
 {
     ClassQueue& queue = m_ready[jobs::indexOf(entry.item.urgency)];
-    const auto it = queue.find(entry.item.team);
+    const auto it = queue.teams.find(entry.item.team);
     it->second.erase(entry.rank);
-    if (it->second.empty())
-        queue.erase(it);
+    if (!it->second.empty())
+        return;
+    queue.teams.erase(it);
+    queue.order.remove(entry.item.team);
 }
 
-const WorkQueue::Rank* WorkQueue::firstOf(const ClassQueue& queue, const PickContext& context) const
+void WorkQueue::onWeightsChanged()
 {
-    const Rank* best = nullptr;
-    double least = 0;
-    for (const auto& [team, ranks] : queue) {
+    for (const ClassQueue& queue : m_ready) {
+        for (const auto& [team, ranks] : queue.teams)
+            onUsageChanged(team);
+    }
+}
+
+void WorkQueue::updateOrder(const PickContext& context)
+{
+    for (const core::TeamId& team : m_outdatedTeams) {
         const double share = context.ofTeam ? context.ofTeam(team) : 0;
-        if (!best || share < least) {
-            best = &*ranks.begin();
-            least = share;
+        for (ClassQueue& queue : m_ready) {
+            if (queue.teams.contains(team))
+                queue.order.set(team, share);
         }
     }
-    return best;
+    m_outdatedTeams.clear();
+}
+
+const WorkQueue::Rank* WorkQueue::firstOf(const ClassQueue& queue)
+{
+    const core::TeamId* team = queue.order.first();
+    return team ? &*queue.teams.at(*team).begin() : nullptr;
 }
 
 std::optional<core::JobId> WorkQueue::pick(
@@ -104,10 +122,11 @@
 {
     wakeDue(m_deferred, now);
     wakeDue(m_paused, now);
+    updateOrder(context);
     const Rank* fallback = nullptr;
     for (const jobs::Urgency it : jobs::allUrgencies) {
         const std::size_t n = jobs::indexOf(it);
-        const Rank* first = context.isBlocked[n] ? nullptr : firstOf(m_ready[n], context);
+        const Rank* first = context.isBlocked[n] ? nullptr : firstOf(m_ready[n]);
         if (!first)
             continue;
         if (context.byUrgency[n] * 100 < shares.percent[n])
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "admission/admissiontypes.h"
+#include "admission/teamorder.h"
 #include "placement/placementtypes.h"
 
 #include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace sardinerun::admission {
 
@@ -14,7 +16,8 @@
 struct PickContext {
     jobs::ByUrgency<double> byUrgency {}; //!< share of the fleet that each class uses, 0 to 1
     jobs::ByUrgency<bool> isBlocked {}; //!< classes that are skipped because they found no room recently
-    std::function<double(const core::TeamId&)> ofTeam; //!< usage of a team, divided by its weight
+    //! Usage of a team, divided by its weight. It is read when the team gets ready work, and after `onUsageChanged`.
+    std::function<double(const core::TeamId&)> ofTeam;
 };
 
 //! Jobs waiting for workers, in the order in which their placement is attempted.
@@ -34,6 +37,11 @@
     //! Makes all deferred jobs ready after room was freed. Paused jobs stay deferred.
     void wakeDeferred();
 
+    //! The usage of a team has changed.
+    void onUsageChanged(const core::TeamId& team) { m_outdatedTeams.insert(team); }
+    //! The weights of the teams have changed, and so the weighted usage of any team may have.
+    void onWeightsChanged();
+
     //! Returns the next job to place, or nothing. The job stays in the queue.
     std::optional<core::JobId> pick(
         core::TimePoint now, const placement::GuaranteedShares& shares, const PickContext& context);
@@ -59,15 +67,21 @@
     };
     using DeferredJobs = std::set<std::pair<core::TimePoint, core::JobId>>;
     using TeamQueue = std::set<Rank>;
-    using ClassQueue = std::map<core::TeamId, TeamQueue>;
+    //! Ready jobs of an urgency class.
+    struct ClassQueue {
+        std::unordered_map<core::TeamId, TeamQueue> teams;
+        TeamOrder order; //!< of the same teams
+    };
 
     void insertReady(const QueueEntry& entry);
     void eraseReady(const QueueEntry& entry);
     void deferIn(const core::JobId& job, core::TimePoint until, DeferredJobs& deferredJobs);
     void wakeDue(DeferredJobs& deferredJobs, core::TimePoint now);
-    const Rank* firstOf(const ClassQueue& queue, const PickContext& context) const;
+    void updateOrder(const PickContext& context);
+    static const Rank* firstOf(const ClassQueue& queue);
 
     jobs::ByUrgency<ClassQueue> m_ready;
+    std::unordered_set<core::TeamId> m_outdatedTeams; //!< whose usage is to be read again
     std::unordered_map<core::JobId, QueueEntry> m_entries;
     DeferredJobs m_deferred; //!< for lack of room
     DeferredJobs m_paused; //!< after a fault
--- a/src/partition/internal/home.cpp
+++ b/src/partition/internal/home.cpp
@@ -32,7 +32,10 @@
 
 void Home::setPolicy(const Policy& policy)
 {
+    const bool areWeightsChanged = m_policy.teamWeights != policy.teamWeights;
     m_policy = policy;
+    if (areWeightsChanged)
+        m_queue.onWeightsChanged();
     m_admissionControl.setLimits(policy.queues);
 }
 
--- a/src/partition/internal/homeplacing.cpp
+++ b/src/partition/internal/homeplacing.cpp
@@ -42,6 +42,8 @@
         running = running - taskResources;
     if (state == TaskState::Running)
         running = running + taskResources;
+    if (before == TaskState::Running || state == TaskState::Running)
+        m_queue.onUsageChanged(job.spec().team);
     job.setState(task, state);
 }
 
--- a/src/placement/internal/ledger.cpp
+++ b/src/placement/internal/ledger.cpp
@@ -1,5 +1,7 @@
 #include "placement/ledger.h"
 
+#include "core/shares.h"
+
 #include <algorithm>
 
 namespace sardinerun::placement {
@@ -12,13 +14,6 @@
 constexpr double sameFailureDomainWeight = 100;
 constexpr double sameRackWeight = 10;
 
-double dominantShare(const core::Resources& part, const core::Resources& whole)
-{
-    const auto ratio = [](std::int64_t a, std::int64_t b) { return b > 0 ? double(a) / double(b) : 0.0; };
-    return std::max({ ratio(part.cpu.value(), whole.cpu.value()), ratio(part.memory.value(), whole.memory.value()),
-        ratio(part.accelerators.value(), whole.accelerators.value()) });
-}
-
 template <class Key> int countOf(const std::map<Key, int>& counts, const Key& key)
 {
     const auto it = counts.find(key);
@@ -101,7 +96,7 @@
 
 double Ledger::shareOf(jobs::Urgency urgency, const core::Resources& extra) const
 {
-    return dominantShare(m_committedByUrgency[jobs::indexOf(urgency)] + extra, m_total);
+    return core::dominantShare(m_committedByUrgency[jobs::indexOf(urgency)] + extra, m_total);
 }
 
 double Ledger::maxShare(jobs::Urgency urgency) const
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduling/internal/engineimpl.h"
 
+#include "core/shares.h"
 #include "scheduling/fairorder.h"
 
 #include <algorithm>
@@ -131,8 +132,8 @@
 double EngineImpl::startableShareOf(const core::TeamId& team, const TeamWork& work) const
 {
     const core::Resources cap = m_usage.capOf(team);
-    const double waiting = teams::dominantShare(work.need, cap);
-    const double used = teams::dominantShare(m_usage.usedBy(team), cap);
+    const double waiting = core::dominantShare(work.need, cap);
+    const double used = core::dominantShare(m_usage.usedBy(team), cap);
     return waiting > 0 ? std::clamp((1 - used) / waiting, 0.0, 1.0) : 1;
 }
 
@@ -153,9 +154,9 @@
             first = first + it.need * std::int64_t(it.count);
     }
     // A wide step runs in waves. That is part of its run time and not of its wait.
-    const double ownShare = std::min(teams::dominantShare(first, cap), maxShareOfFirstWave);
-    const double missing = teams::dominantShare(used + ahead, cap) + ownShare - 1;
-    const double usedShare = teams::dominantShare(used, cap);
+    const double ownShare = std::min(core::dominantShare(first, cap), maxShareOfFirstWave);
+    const double missing = core::dominantShare(used + ahead, cap) + ownShare - 1;
+    const double usedShare = core::dominantShare(used, cap);
     const auto cpuSeconds = m_cpuSeconds.find(team);
     if (missing <= 0 || usedShare <= 0 || cpuSeconds == m_cpuSeconds.end() || used.cpu.value() <= 0)
         return core::Duration(0);
--- a/src/teams/internal/usageledger.cpp
+++ b/src/teams/internal/usageledger.cpp
@@ -1,5 +1,7 @@
 #include "teams/usageledger.h"
 
+#include "core/shares.h"
+
 #include <algorithm>
 
 namespace sardinerun::teams {
@@ -22,20 +24,8 @@
     return timesWithin(cap.accelerators.value(), used.accelerators.value(), need.accelerators.value(), max);
 }
 
-double fractionOf(std::int64_t part, std::int64_t whole)
-{
-    return whole > 0 ? double(part) / double(whole) : 0;
-}
-
 } // namespace
 
-double dominantShare(const core::Resources& part, const core::Resources& whole)
-{
-    return std::max(
-        { fractionOf(part.cpu.value(), whole.cpu.value()), fractionOf(part.memory.value(), whole.memory.value()),
-            fractionOf(part.accelerators.value(), whole.accelerators.value()) });
-}
-
 void UsageLedger::setTeams(const std::vector<Team>& teams)
 {
     for (const Team& it : teams) {
@@ -103,7 +93,7 @@
 
 double UsageLedger::weightedShareOf(const core::TeamId& team, const core::Resources& amount) const
 {
-    return dominantShare(amount, m_capacity) / weightOf(team);
+    return core::dominantShare(amount, m_capacity) / weightOf(team);
 }
 
 } // namespace sardinerun::teams
--- a/src/teams/usageledger.h
+++ b/src/teams/usageledger.h
@@ -48,8 +48,4 @@
     core::Resources m_capacity;
 };
 
-//! Returns the largest fraction that a part has of one of the resources of the whole. Resources that the whole lacks
-//! don't count.
-double dominantShare(const core::Resources& part, const core::Resources& whole);
-
 } // namespace sardinerun::teams
