--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -31,9 +31,21 @@
     core::Duration adviceWait {}; //!< expected duration of an advice request of this queue
 };
 
+//! What a refused job lacked; the label `reason` of the metrics.
+enum class RefusalCause {
+    Room, //!< room or time of the fleet or the leader
+    Cap, //!< room below the cap of its team
+    Rate, //!< it is beyond the rate that its team may rely on
+    Never, //!< it can never run
+    Overload //!< processor time of the leader
+};
+
+const char* nameOf(RefusalCause it);
+
 struct AdmissionRefusal {
     std::string reason;
     std::optional<core::Duration> retryAfter; //!< nothing: the job can never run
+    RefusalCause cause = RefusalCause::Room;
 };
 
 //! Returns the estimated work of one occurrence in core-seconds.
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/admission.h"
 
 #include <algorithm>
+#include <array>
 
 namespace sardinerun::scheduling {
 
@@ -60,6 +61,12 @@
 
 } // namespace
 
+const char* nameOf(RefusalCause it)
+{
+    static constexpr std::array<const char*, 5> names { "room", "cap", "rate", "never", "overload" };
+    return names[static_cast<std::size_t>(it)];
+}
+
 double coreSecondsOf(const workflow::JobSpec& spec)
 {
     double sum = 0;
@@ -94,7 +101,7 @@
     if (inputs.workers == 0)
         return AdmissionRefusal { "no worker is known for the queue", std::chrono::seconds(1) };
     if (!fitsLargestWorker(spec, inputs.largestWorker))
-        return AdmissionRefusal { "no worker can hold its largest task", std::nullopt };
+        return AdmissionRefusal { "no worker can hold its largest task", std::nullopt, RefusalCause::Never };
     if (inputs.tasksHeld + workflow::taskCount(spec) > maxTasksHeld)
         return AdmissionRefusal { "the leader holds too many tasks", maxRetryAfter };
     if (spec.occurrences > 0
@@ -103,13 +110,15 @@
     const double usable
         = inputs.cores * usableShare * (1 - std::min(inputs.higherPriorityShare, maxHigherPriorityShare));
     const core::Duration roomWait = seconds(coreSecondsBefore(inputs) / std::max(usable, 0.001));
-    const core::Duration wait = std::max({ roomWait, startWait(inputs), inputs.capWait }) + inputs.adviceWait;
+    const core::Duration fleetWait = std::max(roomWait, startWait(inputs));
+    const core::Duration wait = std::max(fleetWait, inputs.capWait) + inputs.adviceWait;
     const core::Duration chain = workflow::criticalPath(spec);
     const core::Duration objective = objectiveOf(spec, queue);
     if (wait + chain <= objective)
         return std::nullopt;
     return AdmissionRefusal { "it would end after its objective",
-        std::clamp(wait + chain - objective, minRetryAfter, maxRetryAfter) };
+        std::clamp(wait + chain - objective, minRetryAfter, maxRetryAfter),
+        inputs.capWait > fleetWait ? RefusalCause::Cap : RefusalCause::Room };
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -87,6 +87,7 @@
     m_config = std::move(config);
     m_usage.setTeams(m_config->teams);
     m_rates.setTeams(m_config->teams);
+    nameTeams(*m_dependencies.metrics, m_config->teams);
     retryDeferredCalls();
     scheduleRound();
 }
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -27,6 +27,7 @@
         logBacklog(backlog);
     if (backlog.firstGang)
         logWaitingGang(*backlog.firstGang, now);
+    reportTeams();
     m_longestRound = {};
 }
 
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -128,6 +128,7 @@
     }
     const AdmissionInputs inputs = admissionInputs(call, *queue);
     const core::TeamId team = teamOf(call);
+    const bool isExcess = m_rates.timeToNext(team, m_dependencies.loop->now()) > core::Duration(0);
     auto refusal = teamRefusalOf(call, *queue, inputs);
     if (!refusal)
         refusal = refusalOf(call.spec, *queue, inputs);
@@ -144,12 +145,14 @@
         .with("workers", inputs.workers)
         .with("adviceWaitMs", core::toMs(inputs.adviceWait))
         .with("capWaitMs", core::toMs(inputs.capWait))
+        .with("excess", std::int64_t(isExcess))
         .with("outcome", refusal ? "refused" : "taken")
         .with("why", refusal ? refusal->reason : "");
     if (refusal) {
-        m_dependencies.metrics->add(telemetry::Metric::WorkRefused, { { "queue", queue->name } });
+        countRefusal(*queue, team, refusal->cause);
         WorkflowResult answer = answerOf(WorkflowOutcome::Refused, refusal->reason);
         answer.retryAfter = refusal->retryAfter.value_or(core::Duration(0));
+        answer.isTeamOverRate = refusal->cause == RefusalCause::Rate;
         callback(answer);
         return;
     }
@@ -170,7 +173,7 @@
     const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AnswerCallback& callback)
 {
     // Decided before anything is computed: a refusal has to cost much less than the work that it keeps away.
-    m_dependencies.metrics->add(telemetry::Metric::WorkRefused, { { "queue", queue.name } });
+    countRefusal(queue, teamOf(call), RefusalCause::Overload);
     LogLine(Severity::Info, "intake")
         .with("job", call.spec.id.value())
         .with("queue", queue.name)
@@ -243,6 +246,9 @@
     if (std::exchange(job->isPersisted, true))
         return;
     m_dependencies.metrics->add(telemetry::Metric::WorkAccepted, { { "queue", job->record.queue.name } });
+    if (job->record.isExcess)
+        m_dependencies.metrics->add(
+            telemetry::Metric::TeamExcess, { { "team", m_dependencies.metrics->teamLabel(job->record.team.value()) } });
     m_dependencies.metrics->observe(telemetry::Metric::WorkAcceptSeconds, {},
         std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
     for (const AnswerCallback& it : std::exchange(job->submitCallbacks, {}))
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -10,6 +10,7 @@
 #include "scheduling/headroom.h"
 #include "scheduling/internal/fleetview.h"
 #include "scheduling/internal/jobs.h"
+#include "scheduling/internal/teamreports.h"
 #include "scheduling/internal/worker.h"
 #include "scheduling/placer.h"
 #include "scheduling/reservation.h"
@@ -145,6 +146,9 @@
         const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const AdmissionInputs& inputs);
     //! Returns when the caller of a refused excess job may come back.
     core::Duration excessRetryAfter(const core::TeamId& team, int priority);
+    void countRefusal(const workflow::QueuePolicy& queue, const core::TeamId& team, RefusalCause cause);
+    void reportTeams();
+    std::vector<CapWait> capWaits() const; //!< most cores first
 
     // Persistence
     lead::LogRevision persistProgress(Job& job);
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -21,6 +21,9 @@
 constexpr double shortSeconds = 0.05;
 //! Share of its team's cap for which the first tasks of a wide step wait.
 constexpr double maxShareOfFirstWave = 0.25;
+//! Stages of equal priority that are ordered by the shares of their teams in each round; the rest stays behind them by
+//! its latest start. A round places some hundred stages within its time.
+constexpr std::size_t maxOrderedStages = 4000;
 constexpr const char* excessReason = "its team is over its rate and the fleet is full";
 
 double cpuSecondsOf(const core::Resources& amount, core::Duration estimate)
@@ -28,6 +31,31 @@
     return double(amount.cpu.value()) / 1000 * std::chrono::duration<double>(estimate).count();
 }
 
+//! Orders the stages from `first` on, whose work is given, as far as a round may get to them.
+template <class Iterator>
+void orderFirst(Iterator first, const std::vector<WaitingWork>& work, const teams::UsageLedger& usage)
+{
+    FairOrder order(work, usage);
+    std::vector<bool> isTaken(work.size());
+    std::vector<typename Iterator::value_type> ordered;
+    ordered.reserve(work.size());
+    const auto take = [&](std::size_t n) {
+        isTaken[n] = true;
+        ordered.push_back(std::move(*(first + std::ptrdiff_t(n))));
+    };
+    while (ordered.size() < maxOrderedStages) {
+        const auto n = order.next();
+        if (!n)
+            break;
+        take(*n);
+    }
+    for (std::size_t n = 0; n < work.size(); ++n) {
+        if (!isTaken[n])
+            take(n);
+    }
+    std::move(ordered.begin(), ordered.end(), first);
+}
+
 } // namespace
 
 void EngineImpl::countRun(const core::VmId& worker, const fleet::RunId& run, const CountedRun& counted)
@@ -109,11 +137,7 @@
         for (auto it = first; it != last; ++it)
             work.push_back({ it->job->record.team,
                 it->job->stepOf(*it->stage).need * std::int64_t(it->stage->startable()), it->startBy });
-        std::vector<ReadyStage> ordered;
-        ordered.reserve(work.size());
-        for (const std::size_t n : fairOrder(work, m_usage))
-            ordered.push_back(std::move(*(first + std::ptrdiff_t(n))));
-        std::move(ordered.begin(), ordered.end(), first);
+        orderFirst(first, work, m_usage);
         first = last;
     }
 }
@@ -184,10 +208,11 @@
     if (team.value().empty())
         return std::nullopt;
     if (exceedsCap(call.spec, team))
-        return AdmissionRefusal { "a task or gang needs more than its team may run", std::nullopt };
+        return AdmissionRefusal { "a task or gang needs more than its team may run", std::nullopt,
+            RefusalCause::Never };
     const bool isExcess = m_rates.timeToNext(team, m_dependencies.loop->now()) > core::Duration(0);
     if (isExcess && isFleetShort(inputs, call.spec))
-        return AdmissionRefusal { excessReason, excessRetryAfter(team, queue.priority) };
+        return AdmissionRefusal { excessReason, excessRetryAfter(team, queue.priority), RefusalCause::Rate };
     return std::nullopt;
 }
 
--- a/src/scheduling/internal/fairorder.cpp
+++ b/src/scheduling/internal/fairorder.cpp
@@ -1,95 +1,77 @@
 #include "scheduling/fairorder.h"
 
-#include "admission/teamorder.h"
-
 #include <algorithm>
-#include <map>
 #include <numeric>
-#include <set>
 
 namespace sardinerun::scheduling {
 
-namespace {
-
-//! Waiting work of one team, earliest latest start first.
-struct TeamQueue {
-    std::vector<std::size_t> work; //!< indexes
-    std::size_t next = 0;
-    core::Resources used; //!< with the work that is ahead in the order
-
-    bool isEmpty() const { return next == work.size(); }
-};
-
-class Order {
-public:
-    Order(const std::vector<WaitingWork>& work, const teams::UsageLedger& usage)
-        : m_work(work)
-        , m_usage(usage)
-    {
-        std::vector<std::size_t> byStart(work.size());
-        std::iota(byStart.begin(), byStart.end(), 0);
-        std::stable_sort(byStart.begin(), byStart.end(),
-            [&work](std::size_t a, std::size_t b) { return work[a].startBy < work[b].startBy; });
-        for (const std::size_t it : byStart)
-            m_teams[work[it].team].work.push_back(it);
-        double weights = 0;
-        for (auto& [team, queue] : m_teams) {
-            queue.used = usage.usedBy(team);
-            weights += usage.weightOf(team);
-        }
-        m_entitlement = weights > 0 ? 1 / weights : 0;
-        for (auto& [team, queue] : m_teams)
-            insert(team, queue);
+FairOrder::FairOrder(const std::vector<WaitingWork>& work, const teams::UsageLedger& usage)
+    : m_work(work)
+    , m_usage(usage)
+{
+    const auto isBefore = [&work](std::size_t a, std::size_t b) { return work[a].startBy < work[b].startBy; };
+    std::vector<std::size_t> byStart(work.size());
+    std::iota(byStart.begin(), byStart.end(), 0);
+    if (!std::is_sorted(byStart.begin(), byStart.end(), isBefore))
+        std::stable_sort(byStart.begin(), byStart.end(), isBefore);
+    for (const std::size_t it : byStart) {
+        const auto [entry, isNew] = m_indexes.try_emplace(work[it].team, m_queues.size());
+        if (isNew)
+            m_queues.push_back({ work[it].team, {}, 0, usage.usedBy(work[it].team) });
+        m_queues[entry->second].work.push_back(it);
     }
-
-    std::vector<std::size_t> take()
-    {
-        std::vector<std::size_t> order;
-        order.reserve(m_work.size());
-        while (!m_belowShare.empty() || !m_aboveShare.isEmpty()) {
-            const core::TeamId team = m_belowShare.empty() ? *m_aboveShare.first() : m_belowShare.begin()->second;
-            TeamQueue& queue = m_teams[team];
-            erase(team, queue);
-            const std::size_t index = queue.work[queue.next++];
-            order.push_back(index);
-            queue.used = queue.used + m_work[index].need;
-            insert(team, queue);
-        }
-        return order;
+    // Of teams whose next work has the same latest start, the first by name comes first.
+    std::sort(m_queues.begin(), m_queues.end(), [](const TeamQueue& a, const TeamQueue& b) { return a.team < b.team; });
+    double weights = 0;
+    for (TeamIndex n = 0; n < m_queues.size(); ++n) {
+        m_indexes[m_queues[n].team] = n;
+        weights += usage.weightOf(m_queues[n].team);
     }
+    m_entitlement = weights > 0 ? 1 / weights : 0;
+    for (TeamIndex n = 0; n < m_queues.size(); ++n)
+        insert(n);
+}
 
-private:
-    using BelowShare = std::set<std::pair<core::TimePoint, core::TeamId>>;
-
-    void insert(const core::TeamId& team, const TeamQueue& queue)
-    {
-        if (queue.isEmpty())
-            return;
-        const double share = m_usage.weightedShareOf(team, queue.used);
-        if (share < m_entitlement)
-            m_belowShare.emplace(m_work[queue.work[queue.next]].startBy, team);
-        else
-            m_aboveShare.set(team, share);
-    }
-    void erase(const core::TeamId& team, const TeamQueue& queue)
-    {
-        m_belowShare.erase({ m_work[queue.work[queue.next]].startBy, team });
-        m_aboveShare.remove(team);
-    }
+std::optional<std::size_t> FairOrder::next()
+{
+    if (m_belowShare.empty() && m_aboveShare.isEmpty())
+        return std::nullopt;
+    const TeamIndex index = m_belowShare.empty() ? m_indexes.at(*m_aboveShare.first()) : m_belowShare.begin()->second;
+    erase(index);
+    TeamQueue& queue = m_queues[index];
+    const std::size_t first = queue.work[queue.next++];
+    queue.used = queue.used + m_work[first].need;
+    insert(index);
+    return first;
+}
 
-    const std::vector<WaitingWork>& m_work;
-    const teams::UsageLedger& m_usage;
-    std::map<core::TeamId, TeamQueue> m_teams;
-    double m_entitlement = 0; //!< weighted share up to which a team comes first
-    BelowShare m_belowShare; //!< by the latest start of their next work
-    admission::TeamOrder m_aboveShare;
-};
+void FairOrder::insert(TeamIndex index)
+{
+    const TeamQueue& queue = m_queues[index];
+    if (queue.isEmpty())
+        return;
+    const double share = m_usage.weightedShareOf(queue.team, queue.used);
+    if (share < m_entitlement)
+        m_belowShare.emplace(m_work[queue.work[queue.next]].startBy, index);
+    else
+        m_aboveShare.set(queue.team, share);
+}
 
-} // namespace
+void FairOrder::erase(TeamIndex index)
+{
+    const TeamQueue& queue = m_queues[index];
+    m_belowShare.erase({ m_work[queue.work[queue.next]].startBy, index });
+    m_aboveShare.remove(queue.team);
+}
 
 std::vector<std::size_t> fairOrder(const std::vector<WaitingWork>& work, const teams::UsageLedger& usage)
 {
-    return Order(work, usage).take();
+    FairOrder order(work, usage);
+    std::vector<std::size_t> indexes;
+    indexes.reserve(work.size());
+    while (const auto it = order.next())
+        indexes.push_back(*it);
+    return indexes;
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -150,6 +150,7 @@
     lead::LeaderTimes leaderTimes;
     lead::ElectionPtr election;
     AdviceQueuePtr advice;
+    telemetry::MetricsPtr metrics = telemetry::Metrics::create();
     EnginePtr engine;
     EnginePtr former;
     bool isLeadershipLost = false;
@@ -161,8 +162,7 @@
         hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
         hooks.won = [this](const lead::WonElection& won) {
             advice = AdviceQueue::create(loop);
-            EngineDependencies dependencies { engineLoop, store, orders, advice, telemetry::Metrics::create(), times,
-                leaderTimes };
+            EngineDependencies dependencies { engineLoop, store, orders, advice, metrics, times, leaderTimes };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
             configure();
             engine->start();
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -1,11 +1,13 @@
 #include "telemetry/metrics.h"
 
 #include <array>
+#include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 #include <sstream>
 
 namespace sardinerun::telemetry {
@@ -22,7 +24,7 @@
 };
 
 //! In the order of enum Metric, which is the index. tests/docs_tests.py reads the names from this table.
-constexpr std::array<Definition, 40> definitions { {
+constexpr std::array<Definition, 45> definitions { {
     { Metric::Requests, Kind::Counter, "sardinerun_requests_total", "Requests to services by outcome" },
     { Metric::RequestSeconds, Kind::Histogram, "sardinerun_request_seconds", "Time from a request to its answer" },
     { Metric::RequestWaitSeconds, Kind::Histogram, "sardinerun_request_wait_seconds", "Time until a slot was free" },
@@ -61,6 +63,11 @@
     { Metric::WorkRoundSeconds, Kind::Gauge, "sardinerun_work_round_seconds", "Longest scheduling round lately" },
     { Metric::WorkWritesRejected, Kind::Counter, "sardinerun_work_writes_rejected_total", "Rows rejected for good" },
     { Metric::WorkRecordsUnreadable, Kind::Gauge, "sardinerun_work_records_unreadable", "Jobs with unreadable rows" },
+    { Metric::TeamCores, Kind::Gauge, "sardinerun_team_cores", "Cores that a team's tasks use, and its cap" },
+    { Metric::TeamTasksWaiting, Kind::Gauge, "sardinerun_team_tasks_waiting", "Tasks of a team that wait to start" },
+    { Metric::TeamShare, Kind::Gauge, "sardinerun_team_share", "Dominant share of the fleet that a team's tasks use" },
+    { Metric::TeamRefused, Kind::Counter, "sardinerun_team_refused_total", "Workflows of a team refused, by reason" },
+    { Metric::TeamExcess, Kind::Counter, "sardinerun_team_excess_total", "Workflows accepted beyond a team's rate" },
     { Metric::Leading, Kind::Gauge, "sardinerun_leading", "1 while this node leads" },
     { Metric::LogLinesDropped, Kind::Gauge, "sardinerun_log_lines_dropped", "Log lines that found no room" },
 } };
@@ -70,6 +77,9 @@
     return definitions[static_cast<std::size_t>(metric)];
 }
 
+constexpr std::size_t maxNamedTeams = 32;
+constexpr const char* otherTeams = "(others)";
+
 const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
     0.5, 1, 2, 5, 10, 30 };
 
@@ -77,6 +87,8 @@
 
 struct Metrics::State {
     prometheus::Registry registry;
+    std::mutex mutex;
+    std::set<std::string> namedTeams; //!< protected by `mutex`
 };
 
 MetricsPtr Metrics::create()
@@ -110,6 +122,14 @@
     family.Add(labels, secondsBuckets).Observe(value);
 }
 
+std::string Metrics::teamLabel(const std::string& team)
+{
+    const std::lock_guard lock(m_state->mutex);
+    if (m_state->namedTeams.size() < maxNamedTeams)
+        m_state->namedTeams.insert(team);
+    return m_state->namedTeams.contains(team) ? team : otherTeams;
+}
+
 std::string Metrics::text() const
 {
     std::ostringstream out;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -46,6 +46,11 @@
     WorkRoundSeconds,
     WorkWritesRejected,
     WorkRecordsUnreadable,
+    TeamCores,
+    TeamTasksWaiting,
+    TeamShare,
+    TeamRefused,
+    TeamExcess,
     Leading,
     LogLinesDropped
 };
@@ -65,6 +70,10 @@
     void set(Metric metric, const Labels& labels, double value);
     void observe(Metric metric, const Labels& labels, double value);
 
+    //! Returns the value of the label `team` for a team: its name for the first 32 teams that are asked for, and
+    //! "(others)" for all further ones, so that the number of series is bounded.
+    std::string teamLabel(const std::string& team);
+
     //! Returns all metrics in the Prometheus text format.
     std::string text() const;
 
--- a/src/telemetry/tests/telemetry_tests.cpp
+++ b/src/telemetry/tests/telemetry_tests.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
+#include <set>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -45,6 +46,18 @@
     BOOST_TEST(text.find("sardinerun_store_up 1") != std::string::npos);
 }
 
+//! Guards against a series for each of many teams, and against a team that changes its series.
+BOOST_AUTO_TEST_CASE(onlyThirtyTwoTeamsHaveSeriesOfTheirOwn)
+{
+    const MetricsPtr metrics = Metrics::create();
+    std::set<std::string> labels;
+    for (int n = 0; n < 40; ++n)
+        labels.insert(metrics->teamLabel("t" + std::to_string(n)));
+    BOOST_TEST(labels.size() == 33U);
+    BOOST_TEST(metrics->teamLabel("t31") == "t31");
+    BOOST_TEST(metrics->teamLabel("t32") == "(others)");
+}
+
 BOOST_AUTO_TEST_CASE(logLinesAreDroppedAndCountedWhenTheReaderStalls)
 {
     int pipeEnds[2] = {};
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -184,6 +184,7 @@
     std::uint64_t pending = 0;
     core::Duration retryAfter {};
     std::string reason;
+    bool isTeamOverRate = false; //!< refused, as the team submits more than the rate that it may rely on
 };
 
 } // namespace sardinerun::workflow
--- a/tests/docs_tests.py
+++ b/tests/docs_tests.py
@@ -37,7 +37,7 @@
         section = read("docs/OPERATIONS.md").split("## Settings of a dispatching node")[1].split("\n## ")[0]
         page = {it.split(".")[-1] for it in re.findall(r"^\| `([A-Za-z.]+)`", section, re.M)}
         text = read("src/settings/internal/dispatchsettings.cpp")
-        code = set(re.findall(r'(?:\w+Or|name|addressOf)\((?:reader, )?"([A-Za-z]+)"', text)) - {"workers"}
+        code = set(re.findall(r'(?:\w+Or|name|addressOf)\((?:reader, )?"([A-Za-z]+)"', text)) - {"workers", "teams"}
         self.compare(code, page, "settings of a dispatching node")
 
     def test_log_lines(self):
--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -66,13 +66,13 @@
         self.nodes[n] = self.start("node-%d" % n, os.path.join(BUILD, "src", "app", "sardinerun"), "dispatch",
                                    "--config", path)
 
-    def configure(self, version, advice=False, max_attempts=3):
+    def configure(self, version, advice=False, max_attempts=3, **more):
         route = {"name": "plans", "host": "lids.example", "path_prefix": PREFIX, "service": "lid-orders",
                  "max_attempts": max_attempts, "stretch": 6, "target_latency_ms": 20000, "priority": 1}
         if advice:
             route["advice"] = {"decision_ms": 5, "each_ms": 1, "valid_ms": 4000}
-        self.control("config", {"version": version, "routes": [route],
-                                "services": [{"name": "lid-orders", "enforces_capacity": False}]})
+        self.control("config", dict({"version": version, "routes": [route],
+                                     "services": [{"name": "lid-orders", "enforces_capacity": False}]}, **more))
 
     def control(self, name, body=None):
         return call(self.store, "POST", "/control/" + name, body if body is not None else {}, timeout=3)
@@ -92,12 +92,12 @@
                     return n
         return None
 
-    def call(self, node, method, job, body=None, timeout=6):
-        return call(self.node_ports[node][0], method, PREFIX + job, body, headers=DEADLINE_HEADERS, timeout=timeout)
+    def call(self, node, method, job, body=None, timeout=6, key=None):
+        return call(self.node_ports[node][0], method, PREFIX + job, body, token=key, headers=DEADLINE_HEADERS, timeout=timeout)
 
-    def submit(self, node, *steps, work_ms=200, job=None, **more):
+    def submit(self, node, *steps, work_ms=200, job=None, key=None, **more):
         job = job or new_id()
-        return job, self.call(node, "POST", job, dict({"spec": str(work_ms), "steps": list(steps)}, **more))[0]
+        return job, self.call(node, "POST", job, dict({"spec": str(work_ms), "steps": list(steps)}, **more), key=key)[0]
 
     def submit_until_accepted(self, node, *steps, work_ms=200):
         """Submits a job under the same id until it is accepted, as a caller does. Returns the id."""
@@ -320,6 +320,64 @@
             self.assertIn("outcome", line)
 
 
+def team(name, *keys, weight=100, cpu=0):
+    return {"name": name, "api_keys": list(keys), "weight": weight, "cap": {"cpu": cpu, "mem_mb": 0, "gpu": 0}}
+
+
+class Teams(DispatchCase):
+    """Guards against a key that still works after it was withdrawn, and against a team that runs more than its cap."""
+
+    def wait_in_force(self, cell, key, status):
+        for n in range(len(cell.nodes)):
+            cell.wait_until(lambda n=n: cell.call(n, "GET", "0" * 16, key=key)[0] == status, "%s of key %s" % (status, key), 10)
+
+    def test_a_withdrawn_key_and_a_team_at_its_cap(self):
+        with Deployment() as cell:
+            cell.configure(2, tenants=[team("a", "old", "new", cpu=2000), team("b", "other")])
+            self.wait_in_force(cell, "unknown", 401)
+            self.wait_in_force(cell, "old", 410)
+            self.assertEqual(cell.submit(0, step())[1], 401)
+            self.assertEqual(cell.submit(0, step(), key="unknown")[1], 401)
+            job, status = cell.submit(0, step(6, ms=900), work_ms=900, key="old")
+            self.assertEqual(status, 200)
+            self.assertEqual(cell.call(1, "GET", job, key="other")[0], 403)
+            cell.configure(3, tenants=[team("a", "new", cpu=2000), team("b", "other")])
+            self.wait_in_force(cell, "old", 401)
+            other, status = cell.submit(1, step(4), key="other")  # not held back by the team that waits for its cap
+            self.assertEqual(status, 200)
+            most = 0
+            while cell.call(2, "GET", job, key="new")[1].get("state") != "completed":
+                if cell.call(1, "GET", other, key="other")[1].get("state") == "completed":
+                    most = max(most, cell.stats()["running"])
+                time.sleep(0.03)
+            self.assertEqual(most, 2)
+            self.assertEqual(cell.stats()["starts"], 10)
+            self.check_no_task_ran_twice(cell)
+            events = [it for n in range(3) for it in cell.log_records(n)]
+            self.assertTrue(any(it.get("event") == "key-rejected" for it in events))
+            self.assertTrue(any(it.get("event") == "cap-waiting" and it["list"].startswith("a: ") for it in events))
+            self.assertFalse(any(key in json.dumps(it) for it in events for key in ('"old"', '"new"', '"other"')))
+
+    def test_a_flood_is_refused_by_the_nodes_and_delays_no_other_team(self):
+        with Deployment(workers=2, cpu=4000) as cell:
+            cell.configure(2, tenants=[team("a", "key-a", weight=1), team("b", "key-b")])
+            self.wait_in_force(cell, "unknown", 401)
+            jobs = [cell.submit(0, step(8, ms=3000), work_ms=3000, key="key-b")]
+            answers = [cell.submit(n % 3, step(ms=100), key="key-a") for n in range(90)]
+            refused = [job for job, status in answers if status == 429]
+            self.assertGreater(len(refused), 60)
+            jobs += [cell.submit(0, step(), key="key-b")] + [it for it in answers if it[1] == 200]
+            for job, status in jobs:
+                self.assertEqual(status, 200)
+                cell.wait_until(lambda job=job: any(cell.call(1, "GET", job, key=key)[1].get("state") == "completed"
+                                                    for key in ("key-a", "key-b")), "completed")
+            for job in refused:
+                self.assertEqual(cell.call(1, "GET", job, key="key-a")[0], 410)
+            asked = {it["job"] for n in range(3) for it in cell.log_records(n) if it.get("event") == "intake"}
+            self.assertLess(len(asked & set(refused)), len(refused) / 2)
+            self.check_no_task_ran_twice(cell)
+
+
 NESTED = "[" * 20000 + "]" * 20000
 MAX_VERSION = 2 ** 53
 HUGE_NUMBERS = ["18446744073709551615", "9223372036854775807", "9223372036854775808", "1e18", "1e300", "1e400", "-1e300",
