--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -28,8 +28,9 @@
 class Deployment:
     """A simulated deployment (store, advice service and workers) and some nodes, all on loopback."""
 
-    def __init__(self, nodes=3, workers=4, cpu=8000, advice=False, relays=False):
+    def __init__(self, nodes=3, workers=4, cpu=8000, advice=False, relays=False, settings=""):
         self.folder = tempfile.mkdtemp(prefix="sardinerun-dispatch-")
+        self.settings = settings  # further lines of the nodes' settings
         self.ports = Ports()
         self.processes = []
         ports = self.ports.reserve(2 + workers)
@@ -61,8 +62,8 @@
             out.write("node: n%d\nfailureDomain: a\ncallers: 127.0.0.1:%d\nreadiness: 127.0.0.1:%d\ninner: 127.0.0.1:%d\n"
                       "store: 127.0.0.1:%d\nadvice: 127.0.0.1:%d\nprocessorShare: 0.5\nstopWithinS: 6\n"
                       "workers: { longestLeaseMs: 10000, stopGraceMs: 900, restoreMs: 100, gangPatienceMs: 3000, "
-                      "jobRetentionS: 60 }\n" % (n, callers, readiness, inner, self.relays[n].port if self.relays else self.store,
-                                                 self.advice))
+                      "jobRetentionS: 60 }\n%s" % (n, callers, readiness, inner, self.relays[n].port if self.relays else self.store,
+                                                 self.advice, self.settings))
         self.nodes[n] = self.start("node-%d" % n, os.path.join(BUILD, "src", "app", "sardinerun"), "dispatch",
                                    "--config", path)
 
