Limit the bytes and connections of untrusted callers, and the answers of others

The servers of a loop share a table of their connections, which looks at them after each turn of the loop. Over the limits, the largest unfinished requests and stalled answers are closed, and the oldest connections without a request give room to new ones. A complete request is refused with 503 when too many bytes are in service. Clients cut the largest answer when all together exceed their limit, and headers above 64 KiB, which h2o collects without a limit. The limits follow from the settings memoryMb and maxDescriptors.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -1,5 +1,6 @@
 #include "app/dispatchnode.h"
 
+#include "app/internal/connectionreport.h"
 #include "app/internal/processreport.h"
 #include "codec/json.h"
 #include "dispatch/adviceproxy.h"
@@ -55,6 +56,8 @@
     dispatch::LeaderTaskPtr leaderTask;
     dispatch::CallForwarderPtr callForwarder;
     dispatch::AdviceProxyPtr adviceProxy;
+    http::ConnectionTablePtr connections;
+    ConnectionReport connectionReport { metrics, "all" };
     http::IHttpServerPtr callersServer;
     http::IHttpServerPtr readinessServer;
     http::IHttpServerPtr innerServer;
@@ -91,7 +94,7 @@
 
 void DispatchNode::Impl::makeTasks()
 {
-    client = http::createClient(loop);
+    client = http::createClient(loop, http::answerLimitsFor(settings.memoryBytes));
     store = platform::createRowStore(loop, client, settings.store);
     dispatch::ConfigFollowerDependencies configDependencies;
     configDependencies.client = client;
@@ -141,6 +144,7 @@
     http::ServerOptions options;
     options.listen = address;
     options.maxBodyBytes = maxBodyBytes;
+    options.connections = connections;
     auto result = http::createServer(loop, options, std::move(handler));
     if (!result)
         return core::Failure { StartError { std::string(name) + ": " + result.error().detail } };
@@ -150,6 +154,9 @@
 
 core::Ret<StartError> DispatchNode::Impl::listen()
 {
+    constexpr std::size_t loops = 1;
+    connections = http::createConnectionTable(
+        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, loops));
     const auto forwardCall
         = [this](workflow::WorkflowCall call, std::function<void(const workflow::WorkflowResult&)> onResult) {
               callForwarder->address().send(dispatch::LeaderCall {
@@ -245,6 +252,8 @@
 void DispatchNode::Impl::reportPeriodically()
 {
     reportProcess(*metrics);
+    connectionReport.report(http::usageOf(*connections));
+    metrics->set(telemetry::Metric::HttpAnswersCut, {}, double(client->tooLarge()));
     metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
     loop->callAfter(processReportPeriod, [this] { reportPeriodically(); });
 }
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -1,6 +1,7 @@
 #include "app/node.h"
 
 #include "api/iapi.h"
+#include "app/internal/connectionreport.h"
 #include "app/internal/processreport.h"
 #include "core/hashing.h"
 #include "http/h2oclient.h"
@@ -66,6 +67,10 @@
     node::PartitionClientPtr partitionClient;
     routing::IRouterPtr router;
     api::IApiPtr api;
+    http::ConnectionTablePtr frontConnections;
+    http::ConnectionTablePtr innerConnections;
+    ConnectionReport frontReport { metrics, "callers" }; //!< accessed on the front loop only
+    ConnectionReport innerReport { metrics, "inner" };
     http::IHttpServerPtr callersServer;
     http::IHttpServerPtr innerServer;
     node::CellUpdatePtr lastUpdate; //!< accessed on the control loop only
@@ -100,7 +105,7 @@
 
 void Node::Impl::makeControl()
 {
-    const http::IHttpClientPtr client = http::createClient(control);
+    const http::IHttpClientPtr client = http::createClient(control, http::answerLimitsFor(settings.memoryBytes, 2));
     const auto store = services::createTableStore(client, settings.platform, settings.timeouts);
     const auto vms = services::createVmList(client, settings.platform, settings.timeouts);
     const auto workers = services::createWorkerClient(client, settings.timeouts);
@@ -170,7 +175,7 @@
         if (!std::exchange(isRouterIdleReported, true))
             routerIdle.set_value();
     };
-    router = routing::createRouter(front, http::createClient(front),
+    router = routing::createRouter(front, http::createClient(front, http::answerLimitsFor(settings.memoryBytes, 2)),
         node::createClaimClient(front, partitionClient, [this] { return partitionCount; }), metrics, std::move(hooks),
         settings.maxResponseBytes);
     api::ApiDependencies dependencies;
@@ -206,6 +211,11 @@
     callers.listen = settings.callers.address;
     callers.tls = settings.callers.tls;
     callers.maxBodyBytes = settings.maxBodyBytes;
+    constexpr std::size_t loops = 2;
+    const auto limits = http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, loops);
+    frontConnections = http::createConnectionTable(front, limits);
+    innerConnections = http::createConnectionTable(control, limits);
+    callers.connections = frontConnections;
     auto server = http::createServer(front, callers, [this](http::Request request, http::Responder responder) {
         api->handle(std::move(request), std::move(responder));
     });
@@ -216,6 +226,7 @@
     http::ServerOptions inner;
     inner.listen = settings.inner;
     inner.maxBodyBytes = maxInnerBodyBytes;
+    inner.connections = innerConnections;
     auto innerResult
         = http::createServer(control, inner, [this](const http::Request& request, http::Responder responder) {
               handleInner(request, std::move(responder));
@@ -229,6 +240,8 @@
 void Node::Impl::reportPeriodically()
 {
     reportProcess(*metrics);
+    innerReport.report(http::usageOf(*innerConnections));
+    front->post([this] { frontReport.report(http::usageOf(*frontConnections)); });
     metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
     telemetry::flushLog();
     control->callAfter(processReportPeriod, [this] { reportPeriodically(); });
--- a/src/app/internal/processreport.cpp
+++ b/src/app/internal/processreport.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/processreport.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -18,6 +19,14 @@
     std::int64_t resident = 0;
     statm >> pages >> resident;
     metrics.set(telemetry::Metric::ProcessMemoryBytes, {}, double(resident) * double(sysconf(_SC_PAGESIZE)));
+    std::error_code ec; // without descriptors the folder cannot be read; the metric then keeps its value
+    std::filesystem::directory_iterator it("/proc/self/fd", ec);
+    if (ec)
+        return;
+    std::size_t descriptors = 0;
+    for (; !ec && it != std::filesystem::directory_iterator(); it.increment(ec))
+        ++descriptors;
+    metrics.set(telemetry::Metric::ProcessDescriptors, {}, double(descriptors));
 }
 
 } // namespace sardinerun::app
--- a/src/app/internal/processreport.h
+++ b/src/app/internal/processreport.h
@@ -4,7 +4,7 @@
 
 namespace sardinerun::app {
 
-//! Sets the metrics of the CPU time and memory of this process.
+//! Sets the metrics of the CPU time, memory and descriptors of this process.
 void reportProcess(telemetry::Metrics& metrics);
 
 } // namespace sardinerun::app
--- a/src/http/h2oclient.h
+++ b/src/http/h2oclient.h
@@ -5,7 +5,16 @@
 
 namespace sardinerun::http {
 
+//! Limits of all answers that a client receives at the same time. The defaults suit a VM with 512 MB.
+struct AnswerLimits {
+    std::size_t totalBytes = std::size_t(64) << 20; //!< of the bodies; the largest is cut, unless it is the only one
+    std::size_t headBytes = std::size_t(64) << 10; //!< of the status line and headers of one answer
+};
+
+//! Returns the limits of each of the clients of a process on a VM with this memory.
+AnswerLimits answerLimitsFor(std::size_t memoryBytes, std::size_t clients = 1);
+
 //! Creates an HTTP/1.1 client based on h2o, with one connection pool for each address.
-IHttpClientPtr createClient(const runtime::EventLoopPtr& loop);
+IHttpClientPtr createClient(const runtime::EventLoopPtr& loop, const AnswerLimits& limits = {});
 
 } // namespace sardinerun::http
--- a/src/http/h2oserver.h
+++ b/src/http/h2oserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ret.h"
+#include "http/connectionlimits.h"
 #include "http/ihttpserver.h"
 #include "runtime/eventloop.h"
 
@@ -20,6 +21,7 @@
     core::Duration sendTimeout
         = std::chrono::seconds(30); //!< a client that accepts no bytes for this long is disconnected
     std::optional<TlsFiles> tls;
+    ConnectionTablePtr connections; //!< shared by the servers of a loop; if null, the server has its own
 };
 
 struct ServerError {
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -18,6 +18,8 @@
 
     //! Sends the request. The callback runs on the client's loop, never before `send` has returned.
     virtual void send(ClientRequest request, ClientCallback callback) = 0;
+    //! Returns how many answers were cut because they, or all answers together, were too large.
+    virtual std::uint64_t tooLarge() const { return 0; }
 };
 
 using IHttpClientPtr = std::shared_ptr<IHttpClient>;
--- /dev/null
+++ b/src/http/internal/answerbudget.cpp
@@ -0,0 +1,50 @@
+#include "http/internal/answerbudget.h"
+
+#include <algorithm>
+
+namespace sardinerun::http {
+
+namespace {
+
+constexpr std::size_t minTotalBytes = std::size_t(8) << 20; //!< twice the longest answer of the store
+
+} // namespace
+
+AnswerLimits answerLimitsFor(std::size_t memoryBytes, std::size_t clients)
+{
+    AnswerLimits limits;
+    limits.totalBytes = std::max(memoryBytes / 8 / clients, minTotalBytes);
+    return limits;
+}
+
+void AnswerBudget::remove(Call* call)
+{
+    m_calls.erase(call);
+    m_heldBytes -= call->heldBytes;
+}
+
+void AnswerBudget::count(Call* call, std::size_t bytes)
+{
+    call->heldBytes += bytes;
+    m_heldBytes += bytes;
+}
+
+Call* AnswerBudget::callToCut() const
+{
+    if (m_heldBytes <= m_limits.totalBytes)
+        return nullptr;
+    const auto isSmaller = [](const Call* a, const Call* b) { return a->heldBytes < b->heldBytes; };
+    Call* largest = *std::max_element(m_calls.begin(), m_calls.end(), isSmaller);
+    return largest->heldBytes < m_heldBytes ? largest : nullptr;
+}
+
+std::vector<Call*> AnswerBudget::callsWithLongHead() const
+{
+    std::vector<Call*> result;
+    for (Call* it : m_calls)
+        if (it->isSent && !it->hasHead && it->client->sock->input->size > m_limits.headBytes)
+            result.push_back(it);
+    return result;
+}
+
+} // namespace sardinerun::http
--- a/src/http/internal/clientcall.h
+++ b/src/http/internal/clientcall.h
@@ -32,6 +32,8 @@
     core::HostPort to;
     Pool* pool = nullptr;
     std::size_t maxConnections = 0; //!< to this address; 0: no limit
+    std::size_t heldBytes = 0; //!< received of the body
+    bool hasHead = false; //!< the headers of the answer are complete
     bool isActive = false; //!< otherwise it waits for another call to end
     ClientCallback callback;
     std::string requestBytes; //!< serialized request
--- /dev/null
+++ b/src/http/internal/connectiontable.cpp
@@ -0,0 +1,187 @@
+#include "http/internal/connectiontable.h"
+
+#include <cstring>
+#include <sys/socket.h>
+
+namespace sardinerun::http {
+
+namespace {
+
+//! A turn of the loop reads at most what the kernel has buffered, so the limits are exceeded by what arrives within this
+//! time. With 1,000 connections a sweep takes about 20 us.
+constexpr core::Duration sweepInterval = std::chrono::milliseconds(2);
+
+std::size_t inputBytes(const Connection& it)
+{
+    return it.socket && it.socket->input ? it.socket->input->size : 0;
+}
+
+} // namespace
+
+void ConnectionTable::allowBody(std::size_t maxBodyBytes)
+{
+    ConnectionLimits limits = m_policy.limits();
+    limits.unfinishedBytes = std::max(limits.unfinishedBytes, maxBodyBytes + limits.headBytes);
+    m_policy = OverloadPolicy(limits);
+}
+
+bool ConnectionTable::add(h2o_socket_t* socket)
+{
+    if (m_connections.size() - m_closing >= m_policy.limits().connections) {
+        const auto connections = open();
+        const auto chosen = m_policy.makeRoom(viewsOf(connections), m_loop->now());
+        if (!chosen) {
+            ++m_usage.closed.at(std::size_t(CloseReason::ConnectionLimit));
+            return false;
+        }
+        close(*connections[*chosen], CloseReason::ConnectionLimit);
+    }
+    auto it = std::make_shared<Connection>();
+    it->socket = socket;
+    it->table = this;
+    it->since = m_loop->now();
+    socket->on_close.cb = onSocketClosed;
+    socket->on_close.data = it.get();
+    m_connections.emplace(socket, std::move(it));
+    return true;
+}
+
+ConnectionPtr ConnectionTable::find(h2o_socket_t* socket) const
+{
+    const auto it = m_connections.find(socket);
+    return it == m_connections.end() ? nullptr : it->second;
+}
+
+bool ConnectionTable::admit(Connection& connection, std::size_t requestBytes)
+{
+    if (connection.isClosing)
+        return false;
+    sweep(); // for the current number of bytes in service
+    return m_policy.admits(requestBytes, m_usage.servedBytes);
+}
+
+void ConnectionTable::onTurn()
+{
+    if (m_connections.empty())
+        return;
+    const core::Duration left = sweepInterval - (m_loop->now() - m_sweptAt);
+    if (left <= core::Duration(0)) {
+        sweep();
+        return;
+    }
+    if (std::exchange(m_isSweepScheduled, true))
+        return;
+    m_loop->callAfter(left, [self = weak_from_this()] {
+        if (const auto table = self.lock()) {
+            table->m_isSweepScheduled = false;
+            table->sweep();
+        }
+    });
+}
+
+ConnectionUsage ConnectionTable::usage() const
+{
+    ConnectionUsage usage = m_usage;
+    usage.connections = m_connections.size();
+    return usage;
+}
+
+void ConnectionTable::onSocketClosed(void* data)
+{
+    auto* connection = static_cast<Connection*>(data);
+    h2o_socket_t* socket = std::exchange(connection->socket, nullptr);
+    ConnectionTable& table = *connection->table;
+    table.m_closing -= connection->isClosing ? 1 : 0;
+    table.m_connections.erase(socket);
+}
+
+ConnectionView ConnectionTable::viewOf(const Connection& it, std::size_t index) const
+{
+    using Phase = ConnectionView::Phase;
+    ConnectionView view;
+    view.index = index;
+    view.heldBytes = inputBytes(it) + it.servedBytes;
+    view.since = it.since;
+    view.hasServed = it.hasServed;
+    if (it.inProgress > 0)
+        view.phase = it.sending == it.inProgress ? Phase::Sending : Phase::Serving;
+    else
+        view.phase = view.heldBytes > 0 ? Phase::Receiving : Phase::Idle;
+    return view;
+}
+
+std::vector<ConnectionPtr> ConnectionTable::open() const
+{
+    std::vector<ConnectionPtr> result;
+    result.reserve(m_connections.size());
+    for (const auto& [socket, it] : m_connections)
+        if (!it->isClosing)
+            result.push_back(it);
+    return result;
+}
+
+std::vector<ConnectionView> ConnectionTable::viewsOf(const std::vector<ConnectionPtr>& connections) const
+{
+    std::vector<ConnectionView> views;
+    views.reserve(connections.size());
+    for (const ConnectionPtr& it : connections)
+        views.push_back(viewOf(*it, views.size()));
+    return views;
+}
+
+bool ConnectionTable::isHeadTooLong(Connection& it) const
+{
+    const std::size_t limit = m_policy.limits().headBytes;
+    if (it.hasHead || it.inProgress > 0 || inputBytes(it) <= limit)
+        return false;
+    it.hasHead = memmem(it.socket->input->bytes, limit, "\r\n\r\n", 4) != nullptr;
+    return !it.hasHead;
+}
+
+void ConnectionTable::sweep()
+{
+    m_sweptAt = m_loop->now();
+    m_usage.unfinishedBytes = 0;
+    m_usage.servedBytes = 0;
+    for (const auto& [socket, it] : m_connections) {
+        if (it->isClosing)
+            continue;
+        if (isHeadTooLong(*it))
+            close(*it, CloseReason::HeadTooLong);
+        else
+            (it->inProgress > 0 ? m_usage.servedBytes : m_usage.unfinishedBytes) += inputBytes(*it) + it->servedBytes;
+    }
+    if (!m_policy.isUnderPressure(m_usage.unfinishedBytes, m_usage.servedBytes))
+        return;
+    const auto connections = open();
+    for (const Closing& it : m_policy.relieve(viewsOf(connections), m_sweptAt))
+        close(*connections[it.index], it.reason);
+}
+
+//! Makes h2o see the end of the connection in the next turn and release its buffers. Bytes that arrive until then may
+//! complete a request, which `admit` rejects.
+void ConnectionTable::close(Connection& it, CloseReason reason)
+{
+    it.isClosing = true;
+    ++m_closing;
+    ++m_usage.closed.at(std::size_t(reason));
+    // Without lingering, the kernel discards bytes that were not sent instead of keeping them until the peer reads.
+    const linger none { 1, 0 };
+    const int fd = h2o_socket_get_fd(it.socket);
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    shutdown(fd, SHUT_RDWR);
+}
+
+ConnectionTablePtr createConnectionTable(const runtime::EventLoopPtr& loop, const ConnectionLimits& limits)
+{
+    auto table = std::make_shared<ConnectionTable>(loop, limits);
+    loop->observeTurns(table);
+    return table;
+}
+
+ConnectionUsage usageOf(const ConnectionTable& table)
+{
+    return table.usage();
+}
+
+} // namespace sardinerun::http
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -1,11 +1,10 @@
 #include "http/h2oclient.h"
 
-#include "http/internal/clientcall.h"
+#include "http/internal/answerbudget.h"
+#include "http/internal/clientpools.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <map>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 extern "C" {
@@ -18,11 +17,11 @@
 
 namespace {
 
-constexpr std::size_t connectionsPerAddress = 64;
-constexpr std::uint64_t idleConnectionTimeoutMs = 10'000;
-constexpr core::Duration unusedPoolTimeout = std::chrono::seconds(30);
 //! Upper limit for h2o; the actual timeout is a separate timer for each request.
 constexpr std::uint64_t ioTimeoutMs = 300'000;
+//! Receive buffer of a connection in the kernel, which doubles it; h2o reads at most that much at once.
+constexpr int receiveBufferBytes = 128 << 10;
+constexpr core::Duration sweepInterval = std::chrono::milliseconds(2);
 
 //! Returns true if the server has closed the connection and no bytes are left to read.
 bool isAtEnd(h2o_socket_t* socket)
@@ -33,10 +32,12 @@
 
 } // namespace
 
-class H2oClient : public IHttpClient, public std::enable_shared_from_this<H2oClient> {
+class H2oClient : public IHttpClient, public runtime::ITurnObserver, public std::enable_shared_from_this<H2oClient> {
 public:
-    explicit H2oClient(runtime::EventLoopPtr loop)
+    H2oClient(runtime::EventLoopPtr loop, const AnswerLimits& limits)
         : m_loop(std::move(loop))
+        , m_budget(limits)
+        , m_pools(std::make_shared<ClientPools>(m_loop))
     {
         m_context.loop = m_loop->handle();
         m_context.io_timeout = &m_ioTimeout;
@@ -45,7 +46,7 @@
 
     void send(ClientRequest request, ClientCallback callback) override
     {
-        Pool* pool = poolFor(request.to);
+        Pool* pool = m_pools->get(request.to);
         if (!pool) {
             m_loop->post([callback = std::move(callback), to = request.to.text()] {
                 callback(core::Failure { ClientError { ClientError::Code::NotConnected, false, "bad address " + to } });
@@ -74,7 +75,42 @@
             pool->waiting.push_back(call);
     }
 
+    std::uint64_t tooLarge() const override { return m_tooLarge; }
+
+    //! h2o collects the headers of an answer without a limit.
+    void onTurn() override
+    {
+        const core::Duration left = sweepInterval - (m_loop->now() - m_sweptAt);
+        if (m_budget.isEmpty() || m_isSweepScheduled)
+            return;
+        if (left <= core::Duration(0)) {
+            cutLongHeads();
+            return;
+        }
+        m_isSweepScheduled = true;
+        m_loop->callAfter(left, [self = weak_from_this()] {
+            if (const auto client = self.lock()) {
+                client->m_isSweepScheduled = false;
+                client->cutLongHeads();
+            }
+        });
+    }
+
 private:
+    void cutLongHeads()
+    {
+        m_sweptAt = m_loop->now();
+        for (Call* it : m_budget.callsWithLongHead())
+            cut(it);
+    }
+
+    void cut(Call* call)
+    {
+        ++m_tooLarge;
+        h2o_http1client_cancel(call->client);
+        fail(call, ClientError::Code::TooLarge, "answer too large");
+    }
+
     static bool mayConnect(const Call* call)
     {
         return call->maxConnections == 0 || call->pool->active < call->maxConnections;
@@ -83,6 +119,7 @@
     void connect(Call* call)
     {
         call->isActive = true;
+        m_budget.add(call);
         ++call->pool->active;
         m_connecting = call;
         h2o_http1client_connect_with_pool(&call->client, call, &m_context, &call->pool->sockets, onConnect);
@@ -91,65 +128,16 @@
 
     void connectWaiting(const core::HostPort& to)
     {
-        const auto it = m_pools.find(to);
-        if (it == m_pools.end())
+        Pool* pool = m_pools->find(to);
+        if (!pool)
             return;
-        Pool& pool = *it->second;
-        while (!pool.waiting.empty() && mayConnect(pool.waiting.front())) {
-            Call* call = pool.waiting.front();
-            pool.waiting.pop_front();
+        while (!pool->waiting.empty() && mayConnect(pool->waiting.front())) {
+            Call* call = pool->waiting.front();
+            pool->waiting.pop_front();
             connect(call);
         }
     }
 
-    Pool* poolFor(const core::HostPort& to)
-    {
-        if (const auto it = m_pools.find(to); it != m_pools.end())
-            return it->second.get();
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(to.port);
-        if (inet_pton(AF_INET, to.host.c_str(), &address.sin_addr) != 1)
-            return nullptr;
-        auto pool = std::make_unique<Pool>();
-        h2o_socketpool_init_by_address(
-            &pool->sockets, reinterpret_cast<sockaddr*>(&address), sizeof address, 0, connectionsPerAddress);
-        h2o_socketpool_set_timeout(&pool->sockets, m_loop->handle(), idleConnectionTimeoutMs);
-        // Disables the h2o timer, which would wake the loop once per second for each pool. sweepPools() handles
-        // all pools with one timer.
-        h2o_timeout_unlink(&pool->sockets._interval_cb.entry);
-        h2o_timeout_dispose(m_loop->handle(), &pool->sockets._interval_cb.timeout);
-        schedulePoolSweep();
-        return m_pools.emplace(to, std::move(pool)).first->second.get();
-    }
-
-    //! Closes the pools of addresses that have not been used for unusedPoolTimeout.
-    void sweepPools()
-    {
-        const core::TimePoint now = m_loop->now();
-        std::erase_if(m_pools, [now](const auto& it) {
-            Pool& pool = *it.second;
-            if (pool.inUse > 0 || now - pool.lastUsedAt < unusedPoolTimeout)
-                return false;
-            pool.sockets._interval_cb.loop = nullptr; // the timeout has already been disposed
-            h2o_socketpool_dispose(&pool.sockets);
-            return true;
-        });
-        m_isPoolSweepScheduled = false;
-        if (!m_pools.empty())
-            schedulePoolSweep();
-    }
-
-    void schedulePoolSweep()
-    {
-        if (std::exchange(m_isPoolSweepScheduled, true))
-            return;
-        m_loop->callAfter(unusedPoolTimeout, [self = weak_from_this()] {
-            if (const auto client = self.lock())
-                client->sweepPools();
-        });
-    }
-
     //! Returns when the connection was opened that h2o has just assigned to the call.
     core::TimePoint connectionOpenedAt(const Call* call, int fd)
     {
@@ -163,6 +151,7 @@
     void release(Call* call)
     {
         m_loop->cancel(call->timer);
+        m_budget.remove(call);
         Pool& pool = *call->pool;
         --pool.inUse;
         pool.lastUsedAt = m_loop->now();
@@ -243,6 +232,8 @@
             return nullptr;
         }
         call->isSent = true;
+        setsockopt(
+            h2o_socket_get_fd(client->sock), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
         const core::TimePoint openedAt = call->owner->connectionOpenedAt(call, h2o_socket_get_fd(client->sock));
         if (const auto& late = call->lateConnectionBytes; late && openedAt > late->openedAfter) {
             call->requestBytes = late->bytes;
@@ -265,6 +256,7 @@
             call->owner->fail(call, ClientError::Code::Broken, error);
             return nullptr;
         }
+        call->hasHead = true;
         bool isFramed = hasNoBody;
         call->response.status = status;
         for (std::size_t n = 0; n < count; ++n) {
@@ -309,7 +301,12 @@
     {
         h2o_buffer_t*& input = call->client->sock->input;
         call->response.body.append(input->bytes, input->size);
+        call->owner->m_budget.count(call, input->size);
         h2o_buffer_consume(&input, input->size);
+        if (Call* largest = isComplete ? nullptr : call->owner->m_budget.callToCut(); largest && largest != call)
+            call->owner->cut(largest);
+        else if (largest)
+            return tooLarge(call);
         const bool isWithinLimit = call->response.body.size() <= call->maxBytes;
         const bool mayStream = call->streamAboveBytes > 0;
         if (isComplete && (isWithinLimit || mayStream)) {
@@ -323,6 +320,12 @@
         }
         if (isWithinLimit || mayStream)
             return 0;
+        return tooLarge(call);
+    }
+
+    static int tooLarge(Call* call)
+    {
+        ++call->owner->m_tooLarge;
         call->owner->fail(call, ClientError::Code::TooLarge, "answer too large");
         return -1; // makes h2o close the connection
     }
@@ -359,12 +362,15 @@
 
     friend struct Call;
     runtime::EventLoopPtr m_loop;
+    AnswerBudget m_budget;
+    std::uint64_t m_tooLarge = 0;
+    core::TimePoint m_sweptAt {};
+    bool m_isSweepScheduled = false;
     h2o_http1client_ctx_t m_context {};
     h2o_timeout_t m_ioTimeout {};
-    std::map<core::HostPort, std::unique_ptr<Pool>> m_pools;
+    std::shared_ptr<ClientPools> m_pools;
     std::map<int, core::TimePoint> m_openedAt; //!< by descriptor; replaced when a new connection gets the descriptor
     const Call* m_connecting = nullptr; //!< the call for which a connection is being requested
-    bool m_isPoolSweepScheduled = false;
 };
 
 void Call::resumeReading()
@@ -379,9 +385,11 @@
     owner->endStream(this, BodyPart::State::Truncated);
 }
 
-IHttpClientPtr createClient(const runtime::EventLoopPtr& loop)
+IHttpClientPtr createClient(const runtime::EventLoopPtr& loop, const AnswerLimits& limits)
 {
-    return std::make_shared<H2oClient>(loop);
+    auto client = std::make_shared<H2oClient>(loop, limits);
+    loop->observeTurns(client);
+    return client;
 }
 
 } // namespace sardinerun::http
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -1,5 +1,9 @@
 #include "http/h2oserver.h"
 
+#include "http/internal/connectiontable.h"
+#include "http/internal/h2orequest.h"
+#include "http/problem.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
@@ -22,6 +26,10 @@
 constexpr int listenBacklog = 1024;
 //! Pause after a connection that could not be accepted for lack of descriptors or memory.
 constexpr core::Duration acceptPause = std::chrono::milliseconds(100);
+//! Receive and send buffers of a connection in the kernel, which doubles them. Unread bytes count as memory of the VM.
+constexpr int receiveBufferBytes = 16 << 10;
+constexpr int sendBufferBytes = 64 << 10;
+constexpr core::Duration refusalRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t maxSendBytes = std::size_t(64) << 10; //!< passed to h2o in one call
 
 class H2oServer;
@@ -37,6 +45,9 @@
     h2o_generator_t generator {}; //!< must be the first member: onProceed casts its address to Exchange
     h2o_req_t* request = nullptr;
     H2oServer* server = nullptr;
+    ConnectionPtr connection;
+    std::size_t requestBytes = 0; //!< counted in `connection`
+    std::size_t answerBytes = 0; //!< counted in `connection`
     bool hasResponded = false;
     std::string bytes; //!< part of the body that is being sent
     std::size_t sentBytes = 0; //!< number of bytes of `bytes` passed to h2o
@@ -46,65 +57,6 @@
 };
 using ExchangePtr = std::shared_ptr<Exchange>;
 
-std::string toString(h2o_iovec_t it)
-{
-    return { it.base, it.len };
-}
-
-std::string hostWithoutPort(std::string authority)
-{
-    for (char& c : authority)
-        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    const std::size_t colon = authority.rfind(':');
-    if (colon != std::string::npos && authority.find(']', colon) == std::string::npos)
-        authority.resize(colon);
-    return authority;
-}
-
-bool isLoopback(h2o_req_t* request)
-{
-    sockaddr_storage peer {};
-    const socklen_t n = request->conn->callbacks->get_peername(request->conn, reinterpret_cast<sockaddr*>(&peer));
-    if (n == 0 || peer.ss_family != AF_INET)
-        return false;
-    const auto* it = reinterpret_cast<const sockaddr_in*>(&peer);
-    return (ntohl(it->sin_addr.s_addr) >> 24) == 127;
-}
-
-Request toRequest(h2o_req_t* from)
-{
-    Request to;
-    to.method = toString(from->method);
-    const std::string target = toString(from->path);
-    const std::size_t queryStart = std::min(target.find('?'), target.size());
-    to.path = target.substr(0, queryStart);
-    to.query = queryStart < target.size() ? target.substr(queryStart + 1) : "";
-    to.authority = hostWithoutPort(toString(from->authority));
-    to.body = toString(from->entity);
-    to.isFromLoopback = isLoopback(from);
-    for (std::size_t n = 0; n < from->headers.size; ++n) {
-        const h2o_header_t& it = from->headers.entries[n];
-        to.headers.push_back({ toString(*it.name), toString(it.value) });
-    }
-    return to;
-}
-
-void writeHead(h2o_req_t* request, const Response& response)
-{
-    request->res.status = response.status;
-    request->res.reason = "-";
-    if (!response.stream)
-        request->res.content_length = response.body.size();
-    else if (response.stream->totalBytes)
-        request->res.content_length = *response.stream->totalBytes;
-    for (const Header& it : response.headers) {
-        const h2o_iovec_t name = h2o_strdup(&request->pool, it.name.data(), it.name.size());
-        const h2o_iovec_t value = h2o_strdup(&request->pool, it.value.data(), it.value.size());
-        h2o_add_header_by_str(
-            &request->pool, &request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
-    }
-}
-
 //! Owns the listening socket, the h2o context and the requests in progress. Runs on one loop.
 class H2oServer : public IHttpServer, public std::enable_shared_from_this<H2oServer> {
 public:
@@ -116,6 +68,8 @@
 
     core::Ret<ServerError> open(const ServerOptions& options)
     {
+        m_connections = options.connections ? options.connections : createConnectionTable(m_loop, {});
+        m_connections->allowBody(options.maxBodyBytes);
         configure(options);
         if (options.tls) {
             if (auto ret = loadTls(*options.tls); !ret)
@@ -145,15 +99,67 @@
         exchange->server = this;
         exchange->self = exchange;
         ++m_inProgress;
+        const bool isAdmitted = begin(*exchange);
         auto* guard = static_cast<ExchangePtr*>(h2o_mem_alloc_shared(&from->pool, sizeof(ExchangePtr), onRequestGone));
         new (guard) ExchangePtr(exchange);
-        m_handler(toRequest(from), Responder([loop = m_loop, exchange](Response response) {
+        Responder responder([loop = m_loop, exchange](Response response) {
             loop->post(
                 [exchange, response = std::move(response)]() mutable { respond(*exchange, std::move(response)); });
-        }));
+        });
+        if (isAdmitted)
+            m_handler(toRequest(from), std::move(responder));
+        else
+            refuse(from, responder);
     }
 
 private:
+    //! Counts the request on its connection: its bytes are in the connection's buffer and in the copy passed on.
+    //! Returns whether it may run.
+    bool begin(Exchange& exchange)
+    {
+        h2o_conn_t* from = exchange.request->conn;
+        exchange.connection = m_connections->find(from->callbacks->get_socket(from));
+        if (!exchange.connection)
+            return true;
+        const bool isAdmitted = m_connections->admit(*exchange.connection, exchange.request->entity.len);
+        exchange.requestBytes = isAdmitted ? exchange.request->entity.len : 0;
+        exchange.connection->servedBytes += exchange.requestBytes;
+        ++exchange.connection->inProgress;
+        return isAdmitted;
+    }
+
+    void refuse(h2o_req_t* request, Responder& responder)
+    {
+        m_connections->countRefused();
+        request->http1_is_persistent = 0;
+        responder.send(toResponse({ 503, "out-of-memory", "No memory for this request", Executed::No,
+            "too many bytes of requests and answers are in progress", refusalRetryAfter }));
+    }
+
+    //! Updates what is counted on the connection while the answer is being sent.
+    static void countAnswer(Exchange& exchange)
+    {
+        if (!exchange.connection)
+            return;
+        const std::size_t bytes = exchange.bytes.capacity();
+        exchange.connection->servedBytes += bytes - exchange.answerBytes;
+        exchange.answerBytes = bytes;
+        exchange.connection->since = exchange.server->m_loop->now();
+    }
+
+    static void end(Exchange& exchange)
+    {
+        const ConnectionPtr it = std::exchange(exchange.connection, nullptr);
+        if (!it)
+            return;
+        it->servedBytes -= exchange.requestBytes + exchange.answerBytes;
+        --it->inProgress;
+        it->sending -= exchange.hasResponded ? 1 : 0;
+        it->hasServed = true;
+        it->hasHead = false;
+        it->since = exchange.server->m_loop->now();
+    }
+
     static void respond(Exchange& exchange, Response response)
     {
         const IBodySourcePtr stream = response.stream ? response.stream->source : nullptr;
@@ -164,6 +170,8 @@
         writeHead(exchange.request, response);
         exchange.stream = stream;
         exchange.bytes = std::move(response.body);
+        if (exchange.connection)
+            ++exchange.connection->sending;
         h2o_start_response(exchange.request, &exchange.generator);
         sendNext(exchange);
     }
@@ -172,6 +180,7 @@
     static void sendNext(Exchange& exchange)
     {
         exchange.server->restartStallTimer(exchange);
+        countAnswer(exchange);
         const std::size_t left = exchange.bytes.size() - exchange.sentBytes;
         if (left == 0 && exchange.stream) {
             pull(exchange);
@@ -229,6 +238,7 @@
         auto* guard = static_cast<ExchangePtr*>(data);
         Exchange& exchange = **guard;
         exchange.request = nullptr;
+        end(exchange);
         --exchange.server->m_inProgress;
         exchange.server->m_loop->cancel(exchange.stallTimer);
         if (exchange.stream)
@@ -249,11 +259,19 @@
         auto* self = static_cast<H2oServer*>(listener->data);
         errno = 0;
         if (h2o_socket_t* socket = h2o_evloop_socket_accept(listener))
-            h2o_accept(&self->m_accept, socket);
+            self->accept(socket);
         else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
             self->pauseAccepting();
     }
 
+    void accept(h2o_socket_t* socket)
+    {
+        if (m_connections->add(socket))
+            h2o_accept(&m_accept, socket);
+        else
+            h2o_socket_close(socket);
+    }
+
     //! The connection that could not be accepted keeps the listener readable, so the loop would spin.
     void pauseAccepting()
     {
@@ -272,6 +290,8 @@
         m_config.max_request_entity_size = options.maxBodyBytes;
         const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(options.requestTimeout).count();
         m_config.http1.req_timeout = static_cast<std::uint64_t>(ms);
+        // The buffers of HTTP/2 streams cannot be counted, so HTTP/2 is limited to listeners with TLS.
+        m_config.http1.upgrade_to_http2 = 0;
         m_config.server_name = h2o_iovec_init(H2O_STRLIT("sardinerun"));
         h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
         h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
@@ -309,6 +329,9 @@
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         const int on = 1;
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        // Accepted connections inherit the sizes.
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof sendBufferBytes);
         socklen_t n = sizeof address;
         const bool isOpen = bind(fd, reinterpret_cast<sockaddr*>(&address), n) == 0 && ::listen(fd, listenBacklog) == 0
             && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) == 0;
@@ -325,6 +348,7 @@
 
     runtime::EventLoopPtr m_loop;
     Handler m_handler;
+    ConnectionTablePtr m_connections;
     core::Duration m_sendTimeout {};
     h2o_globalconf_t m_config {};
     h2o_context_t m_context {};
--- /dev/null
+++ b/src/http/tests/overload_tests.cpp
@@ -0,0 +1,102 @@
+#include "http/internal/overloadpolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sardinerun;
+using http::ConnectionView;
+using Phase = ConnectionView::Phase;
+
+namespace {
+
+constexpr core::TimePoint now { std::chrono::seconds(100) };
+
+struct Fixture {
+    Fixture() { limits.unfinishedBytes = limits.servedBytes = 1000; }
+
+    void add(Phase phase, std::size_t bytes, int ageMs, bool hasServed = false)
+    {
+        views.push_back({ views.size(), phase, bytes, now - std::chrono::milliseconds(ageMs), hasServed });
+    }
+    std::vector<std::size_t> relieved() const
+    {
+        std::vector<std::size_t> result;
+        for (const auto& it : http::OverloadPolicy(limits).relieve(views, now))
+            result.push_back(it.index);
+        return result;
+    }
+    std::optional<std::size_t> room() const { return http::OverloadPolicy(limits).makeRoom(views, now); }
+
+    http::ConnectionLimits limits;
+    std::vector<ConnectionView> views;
+};
+
+using Indexes = std::vector<std::size_t>;
+
+} // namespace
+
+//! Guards against a small request that is closed because others hold the memory.
+BOOST_FIXTURE_TEST_CASE(theLargestUnfinishedRequestsAreClosedAndOfEqualOnesTheOldest, Fixture)
+{
+    add(Phase::Receiving, 10, 9000);
+    add(Phase::Receiving, 400, 1);
+    add(Phase::Receiving, 400, 2);
+    add(Phase::Receiving, 300, 3);
+    BOOST_TEST((relieved() == Indexes { 2 }));
+    views[0].heldBytes = 600;
+    BOOST_TEST((relieved() == Indexes { 0, 2 }));
+}
+
+//! Guards against a request that was accepted and whose connection is then closed, so that its caller does not know.
+BOOST_FIXTURE_TEST_CASE(aRequestInProgressIsNeverClosed, Fixture)
+{
+    add(Phase::Serving, 5000, 9000);
+    add(Phase::Sending, 5000, 10);
+    BOOST_TEST(relieved().empty());
+    BOOST_TEST(!room());
+    add(Phase::Sending, 100, 1000);
+    BOOST_TEST((relieved() == Indexes { 2 }));
+    BOOST_TEST((room() == 2U));
+}
+
+//! Guards against a limit that refuses a request of legal size in calm.
+BOOST_FIXTURE_TEST_CASE(aSingleRequestIsServedWhateverItsSize, Fixture)
+{
+    add(Phase::Receiving, 2000, 1);
+    BOOST_TEST(relieved().empty());
+    const http::OverloadPolicy policy(limits);
+    BOOST_TEST(policy.admits(2000, 0));
+    BOOST_TEST(policy.admits(500, 500));
+    BOOST_TEST(!policy.admits(501, 500));
+}
+
+BOOST_FIXTURE_TEST_CASE(nothingIsClosedBelowTheLimits, Fixture)
+{
+    add(Phase::Receiving, 1000, 99000);
+    add(Phase::Sending, 1000, 99000);
+    BOOST_TEST(relieved().empty());
+    BOOST_TEST(!http::OverloadPolicy(limits).isUnderPressure(1000, 1000));
+    BOOST_TEST(http::OverloadPolicy(limits).isUnderPressure(1001, 0));
+    BOOST_TEST(http::OverloadPolicy(limits).isUnderPressure(0, 1001));
+}
+
+BOOST_FIXTURE_TEST_CASE(aConnectionThatNeverSentARequestGivesRoomFirst, Fixture)
+{
+    add(Phase::Idle, 0, 5000, true);
+    add(Phase::Receiving, 10, 7000);
+    BOOST_TEST((room() == 1U));
+    add(Phase::Idle, 0, 20);
+    add(Phase::Idle, 0, 10);
+    BOOST_TEST((room() == 2U));
+}
+
+//! Guards against limits that together exceed the smallest VM, or leave a leader without descriptors for its workers.
+BOOST_AUTO_TEST_CASE(theLimitsOfASmallVmLeaveRoomForTheProcess)
+{
+    const std::size_t memory = std::size_t(120) << 20;
+    const auto it = http::connectionLimitsFor(memory, 3075, 1);
+    BOOST_TEST(it.unfinishedBytes + it.servedBytes + it.connections * (std::size_t(48) << 10) <= memory / 2);
+    BOOST_TEST(it.connections <= 3075U / 4);
+    BOOST_TEST(it.connections >= 400U);
+    const auto half = http::connectionLimitsFor(memory, 3075, 2);
+    BOOST_TEST(half.unfinishedBytes * 2 <= it.unfinishedBytes);
+}
--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -206,6 +206,7 @@
         h2o_evloop_run(m_queue->loop, hasRunWork || m_queue->hasWork ? 0 : pollTimeoutMs());
         hasRunWork = m_queue->runPosted();
         hasRunWork = runDueTimers() || hasRunWork;
+        notifyObservers();
         // h2o lists sockets that were written to here, and frees those that were closed here, at the beginning of its
         // next iteration. As after its own timers, the list has to be worked off before that.
         if (hasRunWork)
@@ -213,6 +214,19 @@
     }
 }
 
+void EventLoop::notifyObservers()
+{
+    bool isAnyGone = false;
+    for (std::size_t n = 0; n < m_observers.size(); ++n) {
+        const auto it = m_observers[n].lock();
+        isAnyGone = isAnyGone || !it;
+        if (it)
+            it->onTurn();
+    }
+    if (isAnyGone)
+        std::erase_if(m_observers, [](const auto& it) { return it.expired(); });
+}
+
 std::int32_t EventLoop::pollTimeoutMs() const
 {
     const auto at = m_timers.nextDueAt();
--- a/src/settings/dispatchsettings.h
+++ b/src/settings/dispatchsettings.h
@@ -24,6 +24,8 @@
     bool isRevokeStrict = false;
     core::Duration revokeWithin = std::chrono::seconds(5);
     std::size_t maxBodyBytes = std::size_t(1) << 20;
+    std::size_t memoryBytes = std::size_t(512) << 20; //!< of this VM
+    std::size_t maxDescriptors = 4096; //!< that this process may have open
     scheduling::SchedulingTimes scheduling;
     teams::RatePolicy rates;
     lead::LeaderTimes lead;
--- a/src/settings/internal/dispatchsettings.cpp
+++ b/src/settings/internal/dispatchsettings.cpp
@@ -74,6 +74,8 @@
     it.revokeWithin = millisOr(reader, "revokeMs", it.revokeWithin);
     it.maxBodyBytes = static_cast<std::size_t>(
         reader.integerOr("maxBodyBytes", 1024, std::int64_t(64) << 20, std::int64_t(it.maxBodyBytes)));
+    it.memoryBytes = static_cast<std::size_t>(reader.integerOr("memoryMb", 32, 1 << 20, 512)) << 20;
+    it.maxDescriptors = static_cast<std::size_t>(reader.integerOr("maxDescriptors", 64, 1 << 20, 4096));
     readWorkers(reader.objectOr("workers"), it.scheduling);
     readTeams(reader.objectOr("teams"), it.rates);
     reader.finish();
--- a/src/settings/internal/nodesettings.cpp
+++ b/src/settings/internal/nodesettings.cpp
@@ -102,6 +102,8 @@
     it.mayAdministerFromLoopback = reader.flagOr("administerFromLoopback", false);
     it.partitions = static_cast<std::uint32_t>(reader.integerOr("partitions", 1, 1024, it.partitions));
     it.maxBodyBytes = static_cast<std::size_t>(reader.integerOr("maxBodyBytes", 1024, 64 << 20, 1 << 20));
+    it.memoryBytes = static_cast<std::size_t>(reader.integerOr("memoryMb", 32, 1 << 20, 512)) << 20;
+    it.maxDescriptors = static_cast<std::size_t>(reader.integerOr("maxDescriptors", 64, 1 << 20, 4096));
     it.maxResponseBytes = static_cast<std::size_t>(reader.integerOr("maxResponseBytes", 1024, 64 << 20, 4 << 20));
     it.stopWithin = std::chrono::seconds(reader.integerOr("stopWithinSeconds", 1, 600, 35));
     readMembership(reader.objectOr("membership"), it.membership);
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -27,6 +27,8 @@
     bool mayAdministerFromLoopback = false; //!< operators' calls from this machine need no token
     std::uint32_t partitions = 8; //!< number of partitions; used only by the first node of a new cell
     std::size_t maxBodyBytes = std::size_t(1) << 20;
+    std::size_t memoryBytes = std::size_t(512) << 20; //!< of this VM
+    std::size_t maxDescriptors = 4096; //!< that this process may have open
     std::size_t maxResponseBytes = std::size_t(4) << 20;
     core::Duration stopWithin = std::chrono::seconds(35); //!< time limit of a planned stop
     membership::MembershipTimes membership;
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -22,7 +22,7 @@
 };
 
 //! In the order of enum Metric, which is the index. tests/docs_tests.py reads the names from this table.
-constexpr std::array<Definition, 40> definitions { {
+constexpr std::array<Definition, 47> definitions { {
     { Metric::Requests, Kind::Counter, "sardinerun_requests_total", "Requests to services by outcome" },
     { Metric::RequestSeconds, Kind::Histogram, "sardinerun_request_seconds", "Time from a request to its answer" },
     { Metric::RequestWaitSeconds, Kind::Histogram, "sardinerun_request_wait_seconds", "Time until a slot was free" },
@@ -63,6 +63,14 @@
     { Metric::WorkRecordsUnreadable, Kind::Gauge, "sardinerun_work_records_unreadable", "Jobs with unreadable rows" },
     { Metric::Leading, Kind::Gauge, "sardinerun_leading", "1 while this node leads" },
     { Metric::LogLinesDropped, Kind::Gauge, "sardinerun_log_lines_dropped", "Log lines that found no room" },
+    { Metric::HttpConnections, Kind::Gauge, "sardinerun_http_connections", "Connections accepted and open" },
+    { Metric::HttpUnfinishedBytes, Kind::Gauge, "sardinerun_http_unfinished_bytes", "Bytes of unfinished requests" },
+    { Metric::HttpServedBytes, Kind::Gauge, "sardinerun_http_served_bytes",
+        "Bytes of requests and answers in service" },
+    { Metric::HttpRefused, Kind::Counter, "sardinerun_http_refused_total", "Requests refused for lack of memory" },
+    { Metric::HttpClosed, Kind::Counter, "sardinerun_http_closed_total", "Connections closed by reason" },
+    { Metric::HttpAnswersCut, Kind::Gauge, "sardinerun_http_answers_cut", "Answers of others that were too large" },
+    { Metric::ProcessDescriptors, Kind::Gauge, "sardinerun_process_descriptors", "Open descriptors of the process" },
 } };
 
 const Definition& definitionOf(Metric metric)
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -47,7 +47,14 @@
     WorkWritesRejected,
     WorkRecordsUnreadable,
     Leading,
-    LogLinesDropped
+    LogLinesDropped,
+    HttpConnections,
+    HttpUnfinishedBytes,
+    HttpServedBytes,
+    HttpRefused,
+    HttpClosed,
+    HttpAnswersCut,
+    ProcessDescriptors
 };
 
 using Labels = std::map<std::string, std::string>;
