--- a/src/http/internal/connectiontable.cpp
+++ b/src/http/internal/connectiontable.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-//! A turn of the loop reads at most what the kernel has buffered, so the limits are exceeded by what arrives within this
-//! time. With 1,000 connections a sweep takes about 20 us.
+//! A turn of the loop reads at most what the kernel has buffered, so the limits are exceeded by what arrives within
+//! this time. With 1,000 connections a sweep takes about 20 us.
 constexpr core::Duration sweepInterval = std::chrono::milliseconds(2);
 
 std::size_t inputBytes(const Connection& it)
@@ -56,8 +56,11 @@
 {
     if (connection.isClosing)
         return false;
-    sweep(); // for the current number of bytes in service
-    return m_policy.admits(requestBytes, m_usage.servedBytes);
+    if (!m_policy.admits(requestBytes, m_usage.servedBytes))
+        sweep(); // requests may have ended since the last one
+    const bool isAdmitted = m_policy.admits(requestBytes, m_usage.servedBytes);
+    m_usage.servedBytes += isAdmitted ? requestBytes : 0;
+    return isAdmitted;
 }
 
 void ConnectionTable::onTurn()
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -121,7 +121,7 @@
         exchange.connection = m_connections->find(from->callbacks->get_socket(from));
         if (!exchange.connection)
             return true;
-        const bool isAdmitted = m_connections->admit(*exchange.connection, exchange.request->entity.len);
+        const bool isAdmitted = m_connections->admit(*exchange.connection, 2 * exchange.request->entity.len);
         exchange.requestBytes = isAdmitted ? exchange.request->entity.len : 0;
         exchange.connection->servedBytes += exchange.requestBytes;
         ++exchange.connection->inProgress;
--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -49,8 +49,7 @@
     limits.unfinishedBytes = std::max(memoryBytes / 8 / loops, mebibyte);
     limits.servedBytes = limits.unfinishedBytes;
     // A quarter of the memory, and a quarter of the descriptors: the leader needs most of them for its workers.
-    limits.connections
-        = std::max(std::min(memoryBytes / 4 / connectionBytes, descriptors / 4) / loops, minConnections);
+    limits.connections = std::max(std::min(memoryBytes / 4 / connectionBytes, descriptors / 4) / loops, minConnections);
     return limits;
 }
 
--- /dev/null
+++ b/src/http/tests/limits_tests.cpp
@@ -0,0 +1,127 @@
+#include "http/h2oclient.h"
+#include "http/h2oserver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+
+using namespace sardinerun;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t servedBytes = 30'000;
+
+//! A server with small limits. It answers a request for "/hold" only when released.
+struct Limited {
+    Limited()
+    {
+        http::ConnectionLimits limits;
+        limits.servedBytes = servedBytes;
+        limits.connections = 4;
+        http::ServerOptions options;
+        options.listen = { "127.0.0.1", 0 };
+        options.connections = table = http::createConnectionTable(loop, limits);
+        server = http::createServer(loop, options, [this](const http::Request& request, http::Responder responder) {
+            ++handled;
+            if (request.path == "/hold")
+                held.push_back(std::move(responder));
+            else
+                responder.send({ 200, {}, std::to_string(request.body.size()), {} });
+        }).value();
+        client = http::createClient(loop);
+        loop->start();
+    }
+    ~Limited() { loop->stop(); }
+
+    std::future<http::ClientResult> send(const std::string& target, std::size_t bodyBytes)
+    {
+        auto done = std::make_shared<std::promise<http::ClientResult>>();
+        loop->post([this, done, target, bodyBytes] {
+            http::ClientRequest request;
+            request.to = { "127.0.0.1", server->port() };
+            request.method = "POST";
+            request.target = target;
+            request.body = std::string(bodyBytes, 'x');
+            client->send(request, [done](http::ClientResult it) { done->set_value(std::move(it)); });
+        });
+        return done->get_future();
+    }
+
+    template <typename T> T onLoop(std::function<T()> work)
+    {
+        std::promise<T> done;
+        loop->post([&] { done.set_value(work()); });
+        return done.get_future().get();
+    }
+
+    void waitUntilHeld(std::size_t count)
+    {
+        while (onLoop<std::size_t>([this] { return held.size(); }) < count)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    void release()
+    {
+        loop->post([this] {
+            for (auto& it : held)
+                it.send({ 200, {}, "", {} });
+            held.clear();
+        });
+    }
+
+    runtime::EventLoopPtr loop = runtime::EventLoop::create("test", runtime::systemClock()).value();
+    http::ConnectionTablePtr table;
+    http::IHttpServerPtr server;
+    http::IHttpClientPtr client;
+    std::vector<http::Responder> held;
+    std::size_t handled = 0;
+};
+
+} // namespace
+
+//! Guards against complete requests that together take all memory, and against a refusal of something that ran.
+BOOST_FIXTURE_TEST_CASE(aRequestIsRefusedBeforeItRunsWhileTooManyBytesAreServed, Limited)
+{
+    auto first = send("/hold", servedBytes); // alone, so it is served whatever its size
+    waitUntilHeld(1);
+    const auto second = send("/echo", 100).get();
+    BOOST_REQUIRE(bool(second));
+    BOOST_TEST(second.value().status == 503);
+    BOOST_TEST(second.value().body.find("\"run\":\"no\"") != std::string::npos);
+    BOOST_TEST(*http::findHeader(second.value().headers, "connection") == "close");
+    BOOST_TEST(onLoop<std::size_t>([this] { return handled; }) == 1U);
+    release();
+    BOOST_TEST(first.get().value().status == 200);
+    BOOST_TEST(send("/echo", 100).get().value().body == "100");
+    const auto usage = onLoop<http::ConnectionUsage>([this] { return http::usageOf(*table); });
+    BOOST_TEST(usage.refused == 1U);
+}
+
+//! Guards against a counter that loses bytes or connections, so that a calm server refuses requests in the end.
+BOOST_FIXTURE_TEST_CASE(nothingIsCountedAfterRequestsHaveEnded, Limited)
+{
+    for (std::size_t n = 0; n < 50; ++n)
+        BOOST_TEST(send("/echo", n * 500).get().value().status == 200);
+    std::this_thread::sleep_for(10ms);
+    send("/echo", 0).get();
+    std::this_thread::sleep_for(10ms);
+    const auto usage = onLoop<http::ConnectionUsage>([this] { return http::usageOf(*table); });
+    BOOST_TEST(usage.unfinishedBytes == 0U);
+    BOOST_TEST(usage.refused == 0U);
+    BOOST_TEST(usage.connections == 1U);
+}
+
+//! Guards against a crowd that keeps new callers out, and against a request in progress that loses its connection.
+BOOST_FIXTURE_TEST_CASE(overTheLimitOfConnectionsOnlyRequestsInProgressKeepTheirs, Limited)
+{
+    std::vector<std::future<http::ClientResult>> all;
+    for (std::size_t n = 0; n < 4; ++n)
+        all.push_back(send("/hold", 10));
+    waitUntilHeld(4);
+    BOOST_TEST(!send("/echo", 10).get()); // closed before the request was read
+    release();
+    for (auto& it : all)
+        BOOST_TEST(it.get().value().status == 200);
+    BOOST_TEST(send("/echo", 10).get().value().status == 200);
+}
