--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,7 +4,7 @@
 
 Faults overlap: nodes are killed, paused, stopped with SIGTERM, and started again; connections to the store are cut; the
 store is down or loses answers; workers are silent, restart, and lose answers to start orders; the leader is cut off from the
-store and from some workers, and the next leaders from others. Callers submit jobs to random nodes and resend them when there is
+store and from some workers, and the next leaders from others; crowds of untrusted callers fill nodes. Callers submit jobs to random nodes and resend them when there is
 no answer; some jobs are at the limits of what a caller may send. Checks that no task runs twice, that no job starts that was
 refused or never submitted, that every accepted job completes in the end, that cancels are acknowledged, and that no node needs
 more memory than a VM has. Stops only the processes that it started, by their ids.
@@ -20,6 +20,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tests", "process"))
 
+import untrusted_tests as untrusted  # noqa: E402
 from dispatch_tests import Deployment, new_id, step  # noqa: E402
 
 ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
@@ -29,6 +30,7 @@
 MEMORY_MB = 260
 ODD_SHARE = 0.12  # of the jobs
 ENDS_PER_REPORT = 500  # a worker lists further ends once these are acknowledged
+CROWD = 60  # connections of untrusted callers
 LATER_TERMS = 40  # that a worker can be silent to
 MAX_ATTEMPTS = [3, 1_000_001, 2_147_483_647, 4_294_967_295]
 
@@ -102,6 +104,8 @@
         self.cell, self.random = cell, random.Random(seed)
         self.parting = random.Random("parting-%d" % seed)  # of its own, so that the other faults are those of the seed
         self.next_parting_at = time.time() + self.parting.uniform(2, 6)
+        self.crowding = random.Random("crowd-%d" % seed)  # likewise
+        self.next_crowd_at = time.time() + self.crowding.uniform(1, 8)
         self.cuts = set()  # (number of a node, fault that cuts it off from the store)
         self.silent_to = {}  # fences, by the number of the worker
         self.store_answer_delay_ms = 0
@@ -121,6 +125,20 @@
         if time.time() >= self.next_parting_at and "parting" not in self.busy:
             self.part_leader_and_workers()
 
+    def inject_crowd_if_due(self):
+        if time.time() < self.next_crowd_at or "crowd" in self.busy:
+            return
+        pick = self.crowding
+        kinds = pick.sample([untrusted.announced(), untrusted.in_pieces(untrusted.announced(), 4096), untrusted.chunked(65536),
+                             untrusted.chunked(3, total=100000), untrusted.endless_header, list], 3)
+        node = pick.randrange(len(self.cell.nodes))
+        crowd = untrusted.Crowd(self.cell.node_ports[node], kinds, count=CROWD)
+        self.end_after(pick.uniform(1, 6), lambda: self.end_crowd(crowd), "crowd")
+
+    def end_crowd(self, crowd):
+        crowd.close()
+        self.next_crowd_at = time.time() + self.crowding.uniform(1, 6)
+
     def write_log(self, text):
         now = time.time()
         self.log.write("%s.%03d %s\n" % (time.strftime("%H:%M:%S", time.gmtime(now)), now % 1 * 1000, text))
@@ -316,6 +334,7 @@
                     faults.inject()
                     next_at = time.time() + faults.random.uniform(0.2, 1.5)
                 faults.inject_parting_if_due()
+                faults.inject_crowd_if_due()
                 faults.end_due()
                 check_while_running(cell, callers)
                 time.sleep(0.1)
