--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -52,7 +52,14 @@
     TeamRefused,
     TeamExcess,
     Leading,
-    LogLinesDropped
+    LogLinesDropped,
+    HttpConnections,
+    HttpUnfinishedBytes,
+    HttpServedBytes,
+    HttpRefused,
+    HttpClosed,
+    HttpAnswersCut,
+    ProcessDescriptors
 };
 
 using Labels = std::map<std::string, std::string>;
