Learn the run times of tasks, and use them for order, admission, reservations and hung runs

Each kind of task has a regression of the logarithm of the real run time on that of the declared one, which shrinks towards its team, the median of the queue's teams, and the declared estimate. Runs of a task's own step count most.

The speeds of workers are centred on the mean of the fleet: the tasks of a step that end first are the shortest, so the others seemed to be on slow workers and all speeds were too low. Siblings are compared by a robust mean.

The wait before a run counts as hung grows with the expected time per percent and with each former suspicion of the task. A suspicion counts as a failure of its worker only if the run time is known well or the next run confirms it.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -111,6 +111,7 @@
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
     leaderDependencies.ratePolicy = settings.rates;
+    leaderDependencies.learnsRunTimes = settings.learnsRunTimes;
     leaderDependencies.update = [this](const dispatch::LeaderUpdate& update) { onLeaderUpdate(update); };
     leaderDependencies.nodesKnown
         = [this](const dispatch::KnownNodes& nodes) { configFollower->address().send(nodes); };
--- a/src/estimation/internal/workerspeeds.cpp
+++ b/src/estimation/internal/workerspeeds.cpp
@@ -1,6 +1,7 @@
 #include "estimation/workerspeeds.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace sardinerun::estimation {
@@ -15,12 +16,51 @@
 constexpr double priorSamples = 4;
 //! Samples that a hardware type needs before it differs from the mean of the fleet.
 constexpr double hardwarePriorSamples = 30;
+//! Samples of the fleet that are needed before its mean deviation counts.
+constexpr double fleetPriorSamples = 30;
 //! Limit for one sample. A task that takes seven times as long as its siblings says little about its worker.
 constexpr double maxDeviation = 0.7;
 constexpr core::Duration minRunTime = std::chrono::milliseconds(20);
 
+//! Lengths that a step keeps; more would make the mean little better.
+constexpr std::size_t maxLengths = 24;
+//! Ratio of the deviation of a normal distribution to its median absolute deviation.
+constexpr double deviationOfMedian = 1.48;
+
+template <typename It> float medianOf(It begin, It end)
+{
+    const auto middle = begin + (end - begin) / 2;
+    std::nth_element(begin, middle, end);
+    return (end - begin) % 2 == 1 ? *middle : (*middle + *std::max_element(begin, middle)) / 2;
+}
+
 } // namespace
 
+void StepSample::add(double length)
+{
+    if (m_newest.size() < maxLengths)
+        m_newest.push_back(float(length));
+    else
+        m_newest[m_count % maxLengths] = float(length);
+    ++m_count;
+}
+
+StepSample::Summary StepSample::summary() const
+{
+    std::array<float, maxLengths> values {};
+    const auto end = std::copy(m_newest.begin(), m_newest.end(), values.begin());
+    const float median = medianOf(values.begin(), end);
+    Summary it;
+    for (auto value = values.begin(); value != end; ++value) {
+        const float distance = *value - median;
+        it.mean += std::clamp(double(distance), -maxDeviation, maxDeviation);
+        *value = std::abs(distance);
+    }
+    it.mean = double(median) + it.mean / double(m_newest.size());
+    it.deviation = deviationOfMedian * double(medianOf(values.begin(), end));
+    return it;
+}
+
 void WorkerSpeeds::Average::add(double value, double sampleWeight, core::TimePoint now)
 {
     const double decay = std::exp(-std::chrono::duration<double>(now - at).count() / decaySeconds);
@@ -34,9 +74,13 @@
 {
     const double logTime = std::log(std::chrono::duration<double>(std::max(runTime, minRunTime)).count());
     if (step.count() > 0) {
-        const double deviation = std::clamp(step.meanLength() - logTime, -maxDeviation, maxDeviation);
+        const double relative = std::clamp(step.summary().mean - logTime, -maxDeviation, maxDeviation);
         // The mean of few siblings is itself uncertain.
         const double weight = double(step.count()) / double(step.count() + 1);
+        // Of the tasks of a step, those that end first are the shortest, so the others seem to be on slow workers.
+        // Without this correction the mean of all workers would be below the mean speed.
+        const double deviation = relative - m_fleet.shrunkTo(0, fleetPriorSamples);
+        m_fleet.add(relative, weight, now);
         m_workers[worker].add(deviation, weight, now);
         m_hardware[hardware].add(deviation, weight, now);
     }
--- a/src/estimation/workerspeeds.h
+++ b/src/estimation/workerspeeds.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 //! Estimation: what finished runs tell about the speeds of workers and the run times of tasks.
 namespace sardinerun::estimation {
@@ -14,17 +15,19 @@
 //! Run times of the finished tasks of one step, which differ less than those of other tasks.
 class StepSample {
 public:
-    //! Returns the mean logarithm of the other tasks' lengths on a worker of mean speed. Call only if `count` is not 0.
-    double meanLength() const { return m_sum / double(m_count); }
+    //! Mean of the logarithms of lengths on a worker of mean speed, and how much they differ.
+    struct Summary {
+        double mean = 0; //!< values far from the median count as nearer ones, as a few tasks take several times as long
+        double deviation = 0; //!< from the median absolute deviation
+    };
+
+    //! Call only if `count` is not 0.
+    Summary summary() const;
     std::size_t count() const { return m_count; }
-    void add(double length)
-    {
-        m_sum += length;
-        ++m_count;
-    }
+    void add(double length);
 
 private:
-    double m_sum = 0; //!< of logarithms of seconds
+    std::vector<float> m_newest; //!< logarithms of seconds, replaced in turn
     std::size_t m_count = 0;
 };
 
@@ -55,6 +58,7 @@
         }
     };
 
+    Average m_fleet; //!< of the deviations of all runs
     std::unordered_map<core::VmId, Average> m_workers;
     std::unordered_map<std::string, Average> m_hardware;
 };
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -40,6 +40,9 @@
 double coreSecondsOf(const workflow::JobSpec& spec);
 //! Returns the time from acceptance within which the job must end to count as in time.
 core::Duration objectiveOf(const workflow::JobSpec& spec, const workflow::QueuePolicy& queue);
+//! Returns the same for another length of the longest chain of steps than by their estimates.
+core::Duration objectiveOf(
+    const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, core::Duration expectedChain);
 
 //! Returns a refusal if no worker is large enough for the job or the job could not meet its objective.
 std::optional<AdmissionRefusal> refusalOf(
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -25,6 +25,7 @@
     SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     teams::RatePolicy ratePolicy;
+    bool learnsRunTimes = true; //!< otherwise decisions use the declared estimates only
 };
 
 //! Callbacks of the engine.
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -72,7 +72,13 @@
 
 core::Duration objectiveOf(const workflow::JobSpec& spec, const workflow::QueuePolicy& queue)
 {
-    core::Duration chain = workflow::criticalPath(spec);
+    return objectiveOf(spec, queue, workflow::criticalPath(spec));
+}
+
+core::Duration objectiveOf(
+    const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, core::Duration expectedChain)
+{
+    core::Duration chain = expectedChain;
     if (queue.advice) {
         std::vector<std::int64_t> depth;
         std::int64_t maxDepth = 0;
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -76,7 +76,8 @@
     }
 }
 
-AdmissionInputs EngineImpl::admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue)
+AdmissionInputs EngineImpl::admissionInputs(
+    const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const workflow::JobSpec& expected)
 {
     const AdmissionSnapshot& snapshot = admissionSnapshot();
     AdmissionInputs inputs;
@@ -84,7 +85,7 @@
         static_cast<FleetRoom&>(inputs) = it->second;
     inputs.tasksHeld = snapshot.tasksHeld;
     const core::TimePoint now = m_dependencies.loop->now();
-    const core::TimePoint startBy = now + objectiveOf(call.spec, queue) - workflow::criticalPath(call.spec);
+    const core::TimePoint startBy = now + objectiveOf(expected, queue) - workflow::criticalPath(expected);
     const WorkAhead::Sum ahead = snapshot.work.before(queue.priority, startBy);
     inputs.coreSecondsAhead = ahead.coreSeconds;
     inputs.gangCoreSecondsAhead = ahead.gangCoreSeconds;
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -126,17 +126,18 @@
         callback(answer);
         return;
     }
-    const AdmissionInputs inputs = admissionInputs(call, *queue);
     const core::TeamId team = teamOf(call);
+    const workflow::JobSpec expected = expectedSpec(call.spec, *queue, team);
+    const AdmissionInputs inputs = admissionInputs(call, *queue, expected);
     auto refusal = teamRefusalOf(call, *queue, inputs);
     if (!refusal)
-        refusal = refusalOf(call.spec, *queue, inputs);
+        refusal = refusalOf(expected, *queue, inputs);
     LogLine(Severity::Info, "intake")
         .with("job", call.spec.id.value())
         .with("queue", queue->name)
         .with("team", team.value())
         .with("config", std::int64_t(m_config->version.value()))
-        .with("coreSeconds", std::int64_t(coreSecondsOf(call.spec)))
+        .with("coreSeconds", std::int64_t(coreSecondsOf(expected)))
         .with("aheadCoreSeconds", std::int64_t(inputs.coreSecondsAhead))
         .with("lateCoreSeconds", std::int64_t(inputs.lateCoreSeconds))
         .with("gangCoreSeconds", std::int64_t(inputs.gangCoreSecondsAhead))
@@ -216,7 +217,8 @@
     }
     const JobPtr job = std::make_shared<Job>(makeJob(std::move(record)));
     job->acceptedAt = now;
-    job->objectiveAt = job->acceptedAt + objectiveOf(call.spec, queue);
+    expectRunTimes(*job);
+    recordDecision(*job);
     job->submitCallbacks.push_back(callback);
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
@@ -224,7 +226,7 @@
     if (job->record.isExcess) {
         m_admissionSnapshot.work.addLate(queue.priority, job->pendingWork());
     } else {
-        recordArrival(queue.priority, { coreSecondsOf(call.spec), double(job->tasks) });
+        recordArrival(queue.priority, { job->expectedCoreSeconds(), double(job->tasks) });
         m_admissionSnapshot.work.add(queue.priority, job->startBy(), job->pendingWork());
     }
     const lead::LogRevision revision = m_log->put(jobKey(call.spec.id), std::move(row));
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codec/json.h"
+#include "estimation/runtimes.h"
 #include "estimation/workerspeeds.h"
 #include "placement/healthtracker.h"
 #include "scheduling/admission.h"
@@ -103,7 +104,9 @@
     void read(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
-    AdmissionInputs admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue);
+    //! `expected` is the submitted job with expected run times as its estimates.
+    AdmissionInputs admissionInputs(
+        const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const workflow::JobSpec& expected);
     //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
     struct AdmissionSnapshot {
         core::TimePoint takenAt {};
@@ -219,6 +222,14 @@
     //! Limits the CPU of tasks on spare CPU beside latency-sensitive tasks.
     void limitCpuBesideServing(Worker& worker);
     void checkStall(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
+    //! Returns how long one percent of a long run may take.
+    core::Duration expectedPercent(const Worker& worker, const Job& job, const Stage& stage) const;
+    //! Counts a run that seems to hang as a failure of its worker if its run time is known well enough. Otherwise the
+    //! next run of the task decides.
+    void suspectWorker(
+        const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress);
+    //! Confirms or refutes a suspicion by a completed run of the task.
+    void checkSuspicion(const Job& job, TaskProgress& task, core::Duration runTime);
     void markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end);
     void markTaskDone(Stage& stage, std::uint32_t index);
     //! Counts a failed run of a task, and ends the job if it was the last one that its queue allows.
@@ -286,9 +297,24 @@
     Demand demandOf(const Job& job, const Stage& stage) const;
     //! Returns how much the speed of workers counts for a job: urgent work gets the fast ones.
     static double speedWeightOf(const Job& job);
+    static estimation::TaskKind kindOf(const std::string& queue, const core::TeamId& team,
+        const workflow::StepSpec& step, std::size_t index, const Worker* worker);
+    //! Returns the steps of a submitted job with the expected run times as estimates.
+    workflow::JobSpec expectedSpec(
+        const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, const core::TeamId& team) const;
+    //! Updates the expected run times of all steps, and with them the objective.
+    void expectRunTimes(Job& job) const;
+    //! Updates the expected run times of one step from its own runs, and with them the objective.
+    void expectRunTimes(Job& job, const Stage& stage) const;
+    //! Returns what is expected of a run on a worker.
+    estimation::Expectation expectationOf(const Job& job, const Stage& stage, const Worker& worker) const;
+    void recordError(
+        const Job& job, const workflow::StepSpec& step, const estimation::TaskKind& kind, core::Duration runTime);
+    void recordDecision(const Job& job);
+    //! Learns from runs that go on for much longer than expected.
+    void learnFromOverdue(Worker& worker, core::TimePoint now);
     //! Learns from a run that was completed.
-    void learnFromRun(
-        const Worker& worker, const fleet::RunId& runId, core::Duration runTime, const Job& job, Stage& stage);
+    void learnFromRun(const Worker& worker, const fleet::RunId& runId, core::Duration runTime, Job& job, Stage& stage);
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
     //! Selects the workers to name. An additional request names none for which tickets are valid or requested.
     std::vector<core::VmId> workersForAdvice(
@@ -314,7 +340,8 @@
     //! Returns the times at which room of a worker becomes free, earliest first.
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
     //! Returns when a run is expected to end; nothing if it does not end by itself.
-    std::optional<core::Duration> remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
+    std::optional<core::Duration> remainingTime(
+        const Worker& worker, const fleet::RunId& runId, const WorkerRun& run) const;
     //! Reserves the room for a gang, unless it is kept idle for too long; the gang has its turn in any case.
     void holdRoom(const ReadyStage& ready, const Reservation& reservation, core::TimePoint now);
     void tick();
@@ -354,6 +381,7 @@
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
     estimation::WorkerSpeeds m_workerSpeeds;
+    estimation::RunTimes m_runTimes;
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -364,7 +364,7 @@
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
     fleetViewOf(*job).onTaskStarted(worker, room);
-    countRun(worker, order.runId, { job->record.team, job->stepOf(stage).need, job->stepOf(stage).estimate });
+    countRun(worker, order.runId, { job->record.team, job->stepOf(stage).need, job->expectationOf(stage).mean });
     m_workers[worker]->startRun(order, room, m_roundAt);
 }
 
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -177,7 +177,7 @@
         const core::Duration age
             = std::chrono::milliseconds(m_dependencies.loop->wallNow().value() - job->record.acceptedAt.value());
         job->acceptedAt = now - std::max(age, none);
-        job->objectiveAt = job->acceptedAt + objectiveOf(job->record.spec, job->record.queue);
+        expectRunTimes(*job);
         for (Stage& stage : job->stages) {
             stage.newestRun = fleet::RunNumber(baseRun);
             if (stage.done > 0)
--- a/src/scheduling/internal/enginereservations.cpp
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-std::optional<core::Duration> EngineImpl::remainingTime(const fleet::RunId& runId, const WorkerRun& run) const
+std::optional<core::Duration> EngineImpl::remainingTime(
+    const Worker& worker, const fleet::RunId& runId, const WorkerRun& run) const
 {
     const auto [job, stage] = findActive(runId.task);
     if (!stage || run.state == WorkerRun::State::Stopping || run.state == WorkerRun::State::StartRevoked)
@@ -33,7 +34,9 @@
     const core::TimePoint now = m_dependencies.loop->now();
     if (timePerPercent(run) > core::Duration(0))
         return std::max(timePerPercent(run) * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
-    return std::max(step.estimate - (now - run.orderedAt), minRemainingTime);
+    if (!m_dependencies.learnsRunTimes)
+        return std::max(step.estimate - (now - run.orderedAt), minRemainingTime);
+    return std::max(expectationOf(*job, *stage, worker).remainingAfter(now - run.orderedAt), minRemainingTime);
 }
 
 const std::vector<RoomEvent>& EngineImpl::roomEvents(UsableWorker& usable) const
@@ -42,7 +45,7 @@
         return *usable.events;
     std::vector<RoomEvent> events;
     for (const auto& [runId, run] : usable.worker->runs()) {
-        if (const auto freeIn = remainingTime(runId, run))
+        if (const auto freeIn = remainingTime(*usable.worker, runId, run))
             events.push_back({ *freeIn, run.occupiedRoom });
     }
     std::sort(events.begin(), events.end(), [](const RoomEvent& a, const RoomEvent& b) { return a.freeIn < b.freeIn; });
@@ -87,7 +90,7 @@
 {
     FleetView& fleet = fleetViewOf(*ready.job);
     HoldRequest request;
-    request.estimate = ready.job->stepOf(*ready.stage).estimate;
+    request.estimate = ready.job->expectationOf(*ready.stage).median;
     request.keepsRoomIdle = fleet.hasFreeRoomIn(reservation);
     request.isFleetMostlyFree = fleet.isMostlyFree();
     const core::ServiceId& service = ready.job->record.queue.service;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -113,7 +113,8 @@
     const JobPtr job = jobOf(run.runId.task.job);
     Stage* stage = job && !job->hasEnded() ? job->find(run.runId.task) : nullptr;
     if (stage)
-        countRun(worker.id(), run.runId, { job->record.team, job->stepOf(*stage).need, job->stepOf(*stage).estimate });
+        countRun(
+            worker.id(), run.runId, { job->record.team, job->stepOf(*stage).need, job->expectationOf(*stage).mean });
     else if (job) // what a task of an ended job needs is no longer known
         countRun(worker.id(), run.runId, { job->record.team, worker.entry().capacity, m_dependencies.times.stopGrace });
     // A run whose loss is not confirmed yet is listed after all.
@@ -182,8 +183,10 @@
     stage->newestRun = std::max(stage->newestRun, end.runId.run);
     if (end.kind == EndKind::Done && !job->stepOf(*stage).isLongRunning) {
         m_health.onSuccess(worker.id());
-        if (runTime)
+        if (runTime) {
             learnFromRun(worker, end.runId, *runTime, *job, *stage);
+            checkSuspicion(*job, stage->tasks[end.runId.task.index], *runTime);
+        }
         markDone(job, *stage, end);
     } else if (end.kind == EndKind::Failed && !job->stepOf(*stage).isLongRunning) {
         countFailure(job, *stage, end, worker.id());
@@ -405,6 +408,7 @@
     stage.isOpen = true;
     stage.openedAt = m_dependencies.loop->now();
     job.openedEnd = std::max(job.openedEnd, index + 1);
+    expectRunTimes(job, stage);
     const workflow::StepSpec& step = job.stepOf(stage);
     if (step.isGang)
         m_headroom.onGangArrival(job.record.queue.priority, coresOf(step));
--- a/src/scheduling/internal/enginewatch.cpp
+++ b/src/scheduling/internal/enginewatch.cpp
@@ -15,6 +15,12 @@
 
 //! A run without progress counts as hung after this multiple of its average time per percent, at the earliest.
 constexpr int stallFactor = 12;
+//! The same for the expected time per percent of a run that has not advanced yet.
+constexpr int expectedPercentFactor = 4;
+//! Each former suspicion of a task doubles the wait, as its time per percent may be longer than expected.
+constexpr int maxWaitDoublings = 6;
+//! Completed runs of a kind after which its expected run time proves that a run without progress hangs.
+constexpr double samplesForProof = 3;
 //! A run is moved off a slow worker only if finishing there takes this many times as long as elsewhere.
 constexpr int slowRestartFactor = 2;
 
@@ -42,6 +48,7 @@
         checkStall(worker, runId, run);
         checkSlow(worker, runId, run);
     }
+    learnFromOverdue(worker, m_roundAt);
     limitCpuBesideServing(worker);
 }
 
@@ -119,26 +126,70 @@
         return;
     if (run.percent >= 100)
         return; // a gang member that has finished and waits for the others
+    TaskProgress& task = stage->tasks[runId.task.index];
+    const core::Duration sinceProgress = now - run.progressAt;
     core::Duration timeout = m_dependencies.times.stallTimeout;
     if (!run.checkpoint.empty())
         timeout += m_dependencies.times.restoreTime;
     // One percent of a long task takes longer, even more on a slow worker.
     timeout = std::max(timeout, timePerPercent(run) * stallFactor);
-    if (now - run.progressAt < timeout)
+    if (m_dependencies.learnsRunTimes) {
+        timeout = std::max(timeout, expectedPercent(worker, *job, *stage) * expectedPercentFactor);
+        timeout *= 1 << std::min(task.suspicions, maxWaitDoublings);
+    }
+    if (sinceProgress < timeout)
         return;
     LogLine(Severity::Warning, "run-stalled")
         .with("task", fleet::textOf(runId.task))
         .with("run", runId.run.value())
         .with("worker", worker.id().value())
         .with("percent", run.percent)
-        .with("sinceMs", core::toMs(now - run.progressAt));
-    stage->tasks[runId.task.index].avoidedWorker = worker.id();
-    const bool isGang = job->stepOf(*stage).isGang;
+        .with("suspicions", std::int64_t(task.suspicions))
+        .with("timeoutMs", core::toMs(timeout))
+        .with("sinceMs", core::toMs(sinceProgress));
+    task.avoidedWorker = worker.id();
     // If a gang hangs, all members stop making progress and the faulty one is unknown, so only single tasks count as
     // failures of their worker.
-    if (!isGang)
-        m_health.onFailure(worker.id(), job->record.spec.id, core::Duration(0), m_workers.size(), now);
+    if (!job->stepOf(*stage).isGang)
+        suspectWorker(worker, *job, *stage, runId, sinceProgress);
+    if (!job->stepOf(*stage).isGang || task.suspicions == 0)
+        ++task.suspicions;
     worker.stopRun(runId);
 }
 
+core::Duration EngineImpl::expectedPercent(const Worker& worker, const Job& job, const Stage& stage) const
+{
+    constexpr double highQuantile = 0.95;
+    const core::Duration expected = expectationOf(job, stage, worker).quantile(highQuantile);
+    return std::max(expected, job.stepOf(stage).estimate) / 100;
+}
+
+void EngineImpl::suspectWorker(
+    const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress)
+{
+    const core::TimePoint now = m_dependencies.loop->now();
+    const bool isProved = !m_dependencies.learnsRunTimes
+        || (expectationOf(job, stage, worker).samples >= samplesForProof
+            && sinceProgress >= expectedPercent(worker, job, stage) * stallFactor);
+    if (isProved) {
+        m_health.onFailure(worker.id(), job.record.spec.id, core::Duration(0), m_workers.size(), now);
+        return;
+    }
+    // The task may just take longer than expected. Its next run tells.
+    TaskProgress& task = stage.tasks[runId.task.index];
+    task.suspectedWorker = worker.id();
+    task.suspectedAfter = sinceProgress;
+}
+
+void EngineImpl::checkSuspicion(const Job& job, TaskProgress& task, core::Duration runTime)
+{
+    const core::VmId suspected = std::exchange(task.suspectedWorker, core::VmId());
+    if (suspected.value().empty() || suspected == task.worker)
+        return;
+    // Elsewhere the task has advanced within a fraction of the time that it stood still, so the worker was the cause.
+    if (runTime / 100 * expectedPercentFactor <= task.suspectedAfter && m_workers.contains(suspected))
+        m_health.onFailure(
+            suspected, job.record.spec.id, core::Duration(0), m_workers.size(), m_dependencies.loop->now());
+}
+
 } // namespace sardinerun::scheduling
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -65,13 +65,33 @@
         if (step.isLongRunning)
             continue;
         const double cores = double(roomOf(step).cpu.value()) / 1000;
-        const double coreSecondsPerTask = cores * std::chrono::duration<double>(step.estimate).count();
+        const double coreSecondsPerTask = cores * std::chrono::duration<double>(expectationOf(it).mean).count();
         sum.tasks += double(it.pending);
         (step.isGang ? sum.gangCoreSeconds : sum.coreSeconds) += coreSecondsPerTask * double(it.pending);
     }
     return sum;
 }
 
+double Job::expectedCoreSeconds() const
+{
+    double sum = 0;
+    for (std::size_t n = 0; n < expected.size(); ++n) {
+        const workflow::StepSpec& step = record.spec.steps[n];
+        sum += step.count * double(step.need.cpu.value()) / 1000
+            * std::chrono::duration<double>(expected[n].mean).count();
+    }
+    return sum;
+}
+
+core::Duration Job::expectedChain() const
+{
+    std::vector<core::Duration> lengths;
+    lengths.reserve(expected.size());
+    for (const StepExpectation& it : expected)
+        lengths.push_back(it.median);
+    return workflow::criticalPath(record.spec, lengths);
+}
+
 core::Duration Job::remainingChain() const
 {
     std::vector<core::Duration> ends;
@@ -83,8 +103,8 @@
         for (const std::uint32_t it : step.after)
             begin = std::max(begin, it < ends.size() ? ends[it] : core::Duration());
         const bool hasPending = stages[n].pending > 0;
-        ends.push_back(
-            stages[n].isDone() ? core::Duration() : begin + (hasPending ? step.estimate : step.estimate / 2));
+        const core::Duration length = expected[n].median;
+        ends.push_back(stages[n].isDone() ? core::Duration() : begin + (hasPending ? length : length / 2));
         longest = std::max(longest, ends.back());
     }
     return longest;
@@ -95,6 +115,8 @@
     Job job;
     job.record = std::move(record);
     const std::size_t steps = job.record.spec.steps.size();
+    for (const workflow::StepSpec& it : job.record.spec.steps)
+        job.expected.push_back({ it.estimate, it.estimate });
     for (std::size_t n = 0; n < job.record.stages.size(); ++n) {
         const workflow::StageProgress& progress = job.record.stages[n];
         Stage stage;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -27,6 +27,9 @@
     core::VmId worker; //!< of the newest run
     std::string checkpoint; //!< newest one reported
     core::VmId avoidedWorker; //!< worker on which its last run failed, hung or was slow
+    int suspicions = 0; //!< how often a run of it was stopped as it seemed to hang
+    core::VmId suspectedWorker; //!< on which a run seemed to hang, until this is confirmed or refuted
+    core::Duration suspectedAfter {}; //!< time without progress of that run
     std::uint32_t orphanedRuns = 0; //!< runs that were not adopted and have not ended yet
 
     bool mayStart() const { return state == State::Pending && orphanedRuns == 0; }
@@ -77,6 +80,12 @@
     std::size_t startable() const;
 };
 
+//! Expected run times of the tasks of a step.
+struct StepExpectation {
+    core::Duration median {};
+    core::Duration mean {}; //!< longer, as a few tasks take several times as long
+};
+
 //! A job, from its submission until its retention period has passed.
 struct Job {
     workflow::JobRecord record;
@@ -87,6 +96,7 @@
     std::size_t openedEnd = 0; //!< no stage from this index on was opened
     core::TimePoint acceptedAt {};
     core::TimePoint objectiveAt {}; //!< a job that ends later counts as late
+    std::vector<StepExpectation> expected; //!< by step; the declared estimates until something is learned
     //! State that is reported to callers; final states are reported only once persisted.
     workflow::JobState visibleState = workflow::JobState::Pending;
     bool isPersisted = false; //!< its record is in the store, so the job is accepted
@@ -102,12 +112,17 @@
     //! Records that a task of the job has started.
     void setStarted();
     const workflow::StepSpec& stepOf(const Stage& it) const { return record.spec.steps[it.step]; }
+    const StepExpectation& expectationOf(const Stage& it) const { return expected[it.step]; }
     Stage* find(const fleet::TaskId& task);
     bool hasEnded() const { return workflow::isFinal(record.state); }
     void skipDoneStages();
     //! Returns the pending work of the occurrences that are due.
     PendingWork pendingWork() const;
-    //! Returns the estimated time of the longest chain of steps that are not done.
+    //! Returns the expected work of one occurrence in core-seconds.
+    double expectedCoreSeconds() const;
+    //! Returns the expected time of the longest chain of steps of one occurrence.
+    core::Duration expectedChain() const;
+    //! Returns the expected time of the longest chain of steps that are not done.
     core::Duration remainingChain() const;
     //! Returns the latest start of its remaining steps that is expected to meet its objective.
     core::TimePoint startBy() const { return objectiveAt - remainingChain(); }
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -43,6 +43,7 @@
     //! When its start or stop was answered; reports requested later must list it if it still runs.
     core::TimePoint confirmedAt {};
     core::TimePoint uncertainSince {}; //!< when its start became uncertain
+    int overdueSamples = 0; //!< how often it was learned from while it went on
     int newConnections = 0; //!< how often its start was held back as the connection was new
     core::TimePoint progressAt {}; //!< when its percent last changed
     int percent = 0;
@@ -133,6 +134,8 @@
     void stopRun(const fleet::RunId& run);
     //! Limits the share of its CPU that a run may use; does nothing if this limit is already set.
     void limitCpu(const fleet::RunId& run, int percent);
+    //! Records that the run was learned from while it went on.
+    void countOverdueSample(const fleet::RunId& run) { ++m_runs.at(run).overdueSamples; }
     //! Marks an end as acknowledged, if it belongs to the worker's current incarnation.
     void acknowledgeEnd(fleet::WorkerStartTime incarnation, fleet::EndNumber number);
     void pauseStartsUntil(core::TimePoint until) { m_startsPausedUntil = std::max(m_startsPausedUntil, until); }
--- a/src/settings/dispatchsettings.h
+++ b/src/settings/dispatchsettings.h
@@ -23,6 +23,7 @@
     //! Callers of queues that need a key are refused while the configuration has not been confirmed for `revokeWithin`.
     bool isRevokeStrict = false;
     core::Duration revokeWithin = std::chrono::seconds(5);
+    bool learnsRunTimes = true; //!< otherwise the declared estimates are used
     std::size_t maxBodyBytes = std::size_t(1) << 20;
     scheduling::SchedulingTimes scheduling;
     teams::RatePolicy rates;
--- a/src/settings/internal/dispatchsettings.cpp
+++ b/src/settings/internal/dispatchsettings.cpp
@@ -72,6 +72,7 @@
     it.stopWithin = secondsOr(reader, "stopWithinS", it.stopWithin);
     it.isRevokeStrict = reader.flagOr("strictRevoke", it.isRevokeStrict);
     it.revokeWithin = millisOr(reader, "revokeMs", it.revokeWithin);
+    it.learnsRunTimes = reader.flagOr("learnRunTimes", it.learnsRunTimes);
     it.maxBodyBytes = static_cast<std::size_t>(
         reader.integerOr("maxBodyBytes", 1024, std::int64_t(64) << 20, std::int64_t(it.maxBodyBytes)));
     readWorkers(reader.objectOr("workers"), it.scheduling);
--- a/src/telemetry/internal/metrics.cpp
+++ b/src/telemetry/internal/metrics.cpp
@@ -22,7 +22,7 @@
 };
 
 //! In the order of enum Metric, which is the index. tests/docs_tests.py reads the names from this table.
-constexpr std::array<Definition, 40> definitions { {
+constexpr std::array<Definition, 44> definitions { {
     { Metric::Requests, Kind::Counter, "sardinerun_requests_total", "Requests to services by outcome" },
     { Metric::RequestSeconds, Kind::Histogram, "sardinerun_request_seconds", "Time from a request to its answer" },
     { Metric::RequestWaitSeconds, Kind::Histogram, "sardinerun_request_wait_seconds", "Time until a slot was free" },
@@ -59,6 +59,11 @@
     { Metric::WorkStepsWaiting, Kind::Gauge, "sardinerun_work_steps_waiting", "Steps with tasks that wait for room" },
     { Metric::WorkCores, Kind::Gauge, "sardinerun_work_cores", "Cores of the workers that accept starts, by state" },
     { Metric::WorkRoundSeconds, Kind::Gauge, "sardinerun_work_round_seconds", "Longest scheduling round lately" },
+    { Metric::WorkRunTimeSamples, Kind::Counter, "sardinerun_work_runtime_samples_total",
+        "Runs that were learned from" },
+    { Metric::WorkRunTimeError, Kind::Counter, "sardinerun_work_runtime_error_total", "Sum of absolute log errors" },
+    { Metric::WorkRunTimeDecisions, Kind::Counter, "sardinerun_work_runtime_decisions_total", "Accepted by run times" },
+    { Metric::WorkRunTimeKinds, Kind::Gauge, "sardinerun_work_runtime_kinds", "Kinds of tasks that are remembered" },
     { Metric::WorkWritesRejected, Kind::Counter, "sardinerun_work_writes_rejected_total", "Rows rejected for good" },
     { Metric::WorkRecordsUnreadable, Kind::Gauge, "sardinerun_work_records_unreadable", "Jobs with unreadable rows" },
     { Metric::Leading, Kind::Gauge, "sardinerun_leading", "1 while this node leads" },
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -81,6 +81,15 @@
 }
 
 core::Duration criticalPath(const JobSpec& spec)
+{
+    std::vector<core::Duration> lengths;
+    lengths.reserve(spec.steps.size());
+    for (const StepSpec& it : spec.steps)
+        lengths.push_back(it.estimate);
+    return criticalPath(spec, lengths);
+}
+
+core::Duration criticalPath(const JobSpec& spec, const std::vector<core::Duration>& lengths)
 {
     std::vector<core::Duration> ends;
     core::Duration longest {};
@@ -88,7 +97,7 @@
         core::Duration begin {};
         for (const std::uint32_t n : step.after)
             begin = std::max(begin, n < ends.size() ? ends[n] : core::Duration());
-        ends.push_back(begin + step.estimate);
+        ends.push_back(begin + lengths[ends.size()]);
         longest = std::max(longest, ends.back());
     }
     return longest;
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -147,6 +147,8 @@
 std::size_t taskCount(const JobSpec& spec);
 //! Returns the longest sum of estimates along the dependencies of the steps of one occurrence.
 core::Duration criticalPath(const JobSpec& spec);
+//! Returns the same for other lengths of the steps than their estimates.
+core::Duration criticalPath(const JobSpec& spec, const std::vector<core::Duration>& lengths);
 
 //! Kinds of calls about a queue or one of its jobs.
 enum class CallKind { Submit, Read, Cancel, CountPending };
