--- a/src/estimation/internal/runtimes.cpp
+++ b/src/estimation/internal/runtimes.cpp
@@ -84,8 +84,7 @@
 
 RunTimes::Line RunTimes::Fit::shrunkTo(const Line& prior) const
 {
-    const double slope
-        = std::clamp((covariance + priorVariance * prior.slope) / (varianceX + priorVariance), 0.0, 1.5);
+    const double slope = std::clamp((covariance + priorVariance * prior.slope) / (varianceX + priorVariance), 0.0, 1.5);
     const double y = (weight * meanY + priorSamples * prior.at(meanX)) / (weight + priorSamples);
     return { y - slope * meanX, slope };
 }
@@ -282,8 +281,8 @@
     }
     const auto team = m_recentOfTeam.find(kind.team);
     // Without teams all kinds have the same, empty team.
-    const bool isTeamFull = !kind.team.value().empty() && team != m_recentOfTeam.end()
-        && team->second.size() >= m_maxKinds / shareOfTeam;
+    const bool isTeamFull
+        = !kind.team.value().empty() && team != m_recentOfTeam.end() && team->second.size() >= m_maxKinds / shareOfTeam;
     if (isTeamFull)
         forget(*team->second.back());
     else if (m_kinds.size() >= m_maxKinds)
--- a/src/estimation/runtimes.h
+++ b/src/estimation/runtimes.h
@@ -41,8 +41,9 @@
 //!
 //! Each kind has a regression of the logarithm of the real time on that of the declared one. With few samples it
 //! shrinks towards that of its team in the queue, this towards the median of the queue's teams, and this towards the
-//! declared estimate. A median, as one team that declares nonsense must not change what is expected of others. The better of the declared estimate and the regression for the last runs of the kind gets the weight.
-//! Old samples lose weight by newer ones and not by time, so no clock is needed.
+//! declared estimate. A median, as one team that declares nonsense must not change what is expected of others. The
+//! better of the declared estimate and the regression for the last runs of the kind gets the weight. Old samples lose
+//! weight by newer ones and not by time, so no clock is needed.
 class RunTimes {
 public:
     //! With more kinds, the one that was used least recently is forgotten. No team has more than an eighth of them.
--- a/src/estimation/tests/runmix.h
+++ b/src/estimation/tests/runmix.h
@@ -81,8 +81,7 @@
         const Expectation before = learned.expect(kind, declared);
         std::vector<double> tasks;
         for (std::uint32_t k = 0; k < mix.tasks; ++k)
-            tasks.push_back(
-                length + mix.inStep * normal(random) + (uniform(random) < mix.tail ? std::log(7) : 0));
+            tasks.push_back(length + mix.inStep * normal(random) + (uniform(random) < mix.tail ? std::log(7) : 0));
         constexpr double meanGap = 0.2; // seconds between submissions
         constexpr double stretch = 2.2;
         submittedAt += 2 * meanGap * uniform(random);
@@ -140,7 +139,9 @@
         all[8] = { .name = "lying in turns", .declaredError = 0.1, .isLying = true };
         all[9] = { .name = "broken runs", .declaredError = 0.4, .broken = 0.05 };
         all[10] = { .name = "hung runs", .declaredError = 0.4, .hung = 0.05 };
-        all[11] = { .name = "exact, changing, hung", .declaredError = 0.05, .inStep = 0.1, .hung = 0.1, .isChanging = true };
+        all[11] = {
+            .name = "exact, changing, hung", .declaredError = 0.05, .inStep = 0.1, .hung = 0.1, .isChanging = true
+        };
         return all;
     }();
     return mixes;
--- a/src/estimation/tests/runtimes_tests.cpp
+++ b/src/estimation/tests/runtimes_tests.cpp
@@ -70,8 +70,7 @@
 BOOST_AUTO_TEST_CASE(bad_estimates_are_replaced_by_what_is_learned)
 {
     RunTimes learned;
-    const MixFigures it
-        = playMix({ .name = "", .declaredError = 0.9, .tail = 0.03 }, 300, 1, learned, kindOf(""));
+    const MixFigures it = playMix({ .name = "", .declaredError = 0.9, .tail = 0.03 }, 300, 1, learned, kindOf(""));
     BOOST_TEST(it.error < it.declaredError * 0.7);
     BOOST_TEST(it.errorWithSiblings < it.declaredError * 0.5);
     BOOST_TEST(it.beyond95 > 0.02);
@@ -95,8 +94,7 @@
     const double before = errorOf(learned, kindOf("honest1"));
     const double beforeNew = errorOf(learned, kindOf("new"));
     for (int n = 0; n < 20'000; ++n)
-        learned.onCompleted(
-            kindOf("bad", std::to_string(n)), { std::chrono::milliseconds(1), std::chrono::hours(10) });
+        learned.onCompleted(kindOf("bad", std::to_string(n)), { std::chrono::milliseconds(1), std::chrono::hours(10) });
     BOOST_TEST(errorOf(learned, kindOf("honest1")) < before + 0.05);
     BOOST_TEST(errorOf(learned, kindOf("new")) < beforeNew + 0.5);
     BOOST_TEST(learned.kinds() < 16'384u / 8 + 20);
@@ -121,7 +119,8 @@
 {
     const bool isHeld = rc::check("ordered", [] {
         RunTimes learned;
-        const auto samples = *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange<std::int64_t>(-5, 1000000));
+        const auto samples
+            = *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange<std::int64_t>(-5, 1000000));
         for (const std::int64_t it : samples) {
             const RunSample run { std::chrono::milliseconds(std::abs(it) % 977), std::chrono::milliseconds(it) };
             it % 3 == 0 ? learned.onStillRunning(kindOf(""), run) : learned.onCompleted(kindOf(""), run);
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -62,7 +62,7 @@
     }
     metrics.set(Metric::WorkCores, { { "state", "all" } }, backlog.cores);
     metrics.set(Metric::WorkCores, { { "state", "free" } }, backlog.freeCores);
-    metrics.set(Metric::WorkRunTimeKinds, {}, double(m_runTimes.kinds()));
+    m_estimates.reportMetrics();
     metrics.set(Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(m_longestRound).count());
 }
 
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -127,7 +127,7 @@
         return;
     }
     const core::TeamId team = teamOf(call);
-    const workflow::JobSpec expected = expectedSpec(call.spec, *queue, team);
+    const workflow::JobSpec expected = m_estimates.expectedSpec(call.spec, *queue, team);
     const AdmissionInputs inputs = admissionInputs(call, *queue, expected);
     auto refusal = teamRefusalOf(call, *queue, inputs);
     if (!refusal)
@@ -217,8 +217,8 @@
     }
     const JobPtr job = std::make_shared<Job>(makeJob(std::move(record)));
     job->acceptedAt = now;
-    expectRunTimes(*job);
-    recordDecision(*job);
+    m_estimates.update(*job);
+    m_estimates.onJobAccepted(*job);
     job->submitCallbacks.push_back(callback);
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include "codec/json.h"
-#include "estimation/runtimes.h"
-#include "estimation/workerspeeds.h"
 #include "placement/healthtracker.h"
 #include "scheduling/admission.h"
 #include "scheduling/advicecandidates.h"
@@ -10,6 +8,7 @@
 #include "scheduling/engine.h"
 #include "scheduling/headroom.h"
 #include "scheduling/internal/fleetview.h"
+#include "scheduling/internal/jobestimates.h"
 #include "scheduling/internal/jobs.h"
 #include "scheduling/internal/worker.h"
 #include "scheduling/placer.h"
@@ -217,13 +216,10 @@
         const RunTermination& termination);
     void onProgress(Worker& worker, const fleet::RunId& run, double share, core::Duration elapsed);
     void onReport(Worker& worker);
-    static core::Duration timePerPercent(const WorkerRun& run); //!< 0 if unknown
     void checkSlow(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     //! Limits the CPU of tasks on spare CPU beside latency-sensitive tasks.
     void limitCpuBesideServing(Worker& worker);
     void checkStall(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
-    //! Returns how long one percent of a long run may take.
-    core::Duration expectedPercent(const Worker& worker, const Job& job, const Stage& stage) const;
     //! Counts a run that seems to hang as a failure of its worker if its run time is known well enough. Otherwise the
     //! next run of the task decides.
     void suspectWorker(
@@ -297,22 +293,8 @@
     Demand demandOf(const Job& job, const Stage& stage) const;
     //! Returns how much the speed of workers counts for a job: urgent work gets the fast ones.
     static double speedWeightOf(const Job& job);
-    static estimation::TaskKind kindOf(const std::string& queue, const core::TeamId& team,
-        const workflow::StepSpec& step, std::size_t index, const Worker* worker);
-    //! Returns the steps of a submitted job with the expected run times as estimates.
-    workflow::JobSpec expectedSpec(
-        const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, const core::TeamId& team) const;
-    //! Updates the expected run times of all steps, and with them the objective.
-    void expectRunTimes(Job& job) const;
-    //! Updates the expected run times of one step from its own runs, and with them the objective.
-    void expectRunTimes(Job& job, const Stage& stage) const;
-    //! Returns what is expected of a run on a worker.
-    estimation::Expectation expectationOf(const Job& job, const Stage& stage, const Worker& worker) const;
-    void recordError(
-        const Job& job, const workflow::StepSpec& step, const estimation::TaskKind& kind, core::Duration runTime);
-    void recordDecision(const Job& job);
-    //! Learns from runs that go on for much longer than expected.
-    void learnFromOverdue(Worker& worker, core::TimePoint now);
+    //! Learns from a run that goes on for much longer than expected.
+    void learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     //! Learns from a run that was completed.
     void learnFromRun(const Worker& worker, const fleet::RunId& runId, core::Duration runTime, Job& job, Stage& stage);
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
@@ -380,8 +362,7 @@
     OrderWindowPtr m_orderWindow = std::make_shared<OrderWindow>();
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
-    estimation::WorkerSpeeds m_workerSpeeds;
-    estimation::RunTimes m_runTimes;
+    JobEstimates m_estimates;
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -177,7 +177,7 @@
         const core::Duration age
             = std::chrono::milliseconds(m_dependencies.loop->wallNow().value() - job->record.acceptedAt.value());
         job->acceptedAt = now - std::max(age, none);
-        expectRunTimes(*job);
+        m_estimates.update(*job);
         for (Stage& stage : job->stages) {
             stage.newestRun = fleet::RunNumber(baseRun);
             if (stage.done > 0)
@@ -361,7 +361,7 @@
     m_workers.erase(it);
     m_health.removeWorker(id);
     m_speed.removeWorker(id);
-    m_workerSpeeds.removeWorker(id);
+    m_estimates.removeWorker(id);
     m_cpuLimiters.erase(id);
     markRosterOutdated(id);
 }
--- a/src/scheduling/internal/enginereservations.cpp
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -32,11 +32,12 @@
     if (step.isLongRunning)
         return std::nullopt;
     const core::TimePoint now = m_dependencies.loop->now();
-    if (timePerPercent(run) > core::Duration(0))
-        return std::max(timePerPercent(run) * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
-    if (!m_dependencies.learnsRunTimes)
+    if (run.timePerPercent() > core::Duration(0))
+        return std::max(run.timePerPercent() * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
+    if (!m_estimates.isLearning())
         return std::max(step.estimate - (now - run.orderedAt), minRemainingTime);
-    return std::max(expectationOf(*job, *stage, worker).remainingAfter(now - run.orderedAt), minRemainingTime);
+    return std::max(
+        m_estimates.expectationOf(*job, *stage, worker).remainingAfter(now - run.orderedAt), minRemainingTime);
 }
 
 const std::vector<RoomEvent>& EngineImpl::roomEvents(UsableWorker& usable) const
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -408,7 +408,7 @@
     stage.isOpen = true;
     stage.openedAt = m_dependencies.loop->now();
     job.openedEnd = std::max(job.openedEnd, index + 1);
-    expectRunTimes(job, stage);
+    m_estimates.update(job, stage);
     const workflow::StepSpec& step = job.stepOf(stage);
     if (step.isGang)
         m_headroom.onGangArrival(job.record.queue.priority, coresOf(step));
--- a/src/scheduling/internal/enginewatch.cpp
+++ b/src/scheduling/internal/enginewatch.cpp
@@ -47,8 +47,8 @@
     for (const auto& [runId, run] : worker.runs()) {
         checkStall(worker, runId, run);
         checkSlow(worker, runId, run);
+        learnFromOverdue(worker, runId, run);
     }
-    learnFromOverdue(worker, m_roundAt);
     limitCpuBesideServing(worker);
 }
 
@@ -81,12 +81,6 @@
     }
 }
 
-core::Duration EngineImpl::timePerPercent(const WorkerRun& run)
-{
-    const int advanced = run.percent - run.firstPercent;
-    return run.firstPercent < 0 || advanced <= 0 ? core::Duration(0) : (run.progressAt - run.firstListedAt) / advanced;
-}
-
 void EngineImpl::checkSlow(Worker& worker, const fleet::RunId& runId, const WorkerRun& run)
 {
     const core::TimePoint now = m_dependencies.loop->now();
@@ -95,13 +89,13 @@
     const auto [job, stage] = findActive(runId.task);
     if (!stage || job->stepOf(*stage).isLongRunning || now > job->objectiveAt)
         return;
-    if (timePerPercent(run) == core::Duration(0))
+    if (run.timePerPercent() == core::Duration(0))
         return;
-    const core::Duration remainingHere = timePerPercent(run) * (100 - run.percent);
+    const core::Duration remainingHere = run.timePerPercent() * (100 - run.percent);
     const double speed = m_speed.speedOf(worker.id());
     const int remainingPercent = run.checkpoint.empty() ? 100 : 100 - run.percent;
     const core::Duration remainingElsewhere
-        = core::Duration(std::int64_t(double(timePerPercent(run).count()) * remainingPercent * speed))
+        = core::Duration(std::int64_t(double(run.timePerPercent().count()) * remainingPercent * speed))
         + (run.checkpoint.empty() ? core::Duration(0) : m_dependencies.times.restoreTime);
     if (remainingHere < remainingElsewhere * slowRestartFactor + m_dependencies.times.stopGrace)
         return;
@@ -132,9 +126,9 @@
     if (!run.checkpoint.empty())
         timeout += m_dependencies.times.restoreTime;
     // One percent of a long task takes longer, even more on a slow worker.
-    timeout = std::max(timeout, timePerPercent(run) * stallFactor);
-    if (m_dependencies.learnsRunTimes) {
-        timeout = std::max(timeout, expectedPercent(worker, *job, *stage) * expectedPercentFactor);
+    timeout = std::max(timeout, run.timePerPercent() * stallFactor);
+    if (m_estimates.isLearning()) {
+        timeout = std::max(timeout, m_estimates.timePerPercent(worker, *job, *stage) * expectedPercentFactor);
         timeout *= 1 << std::min(task.suspicions, maxWaitDoublings);
     }
     if (sinceProgress < timeout)
@@ -157,20 +151,13 @@
     worker.stopRun(runId);
 }
 
-core::Duration EngineImpl::expectedPercent(const Worker& worker, const Job& job, const Stage& stage) const
-{
-    constexpr double highQuantile = 0.95;
-    const core::Duration expected = expectationOf(job, stage, worker).quantile(highQuantile);
-    return std::max(expected, job.stepOf(stage).estimate) / 100;
-}
-
 void EngineImpl::suspectWorker(
     const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress)
 {
     const core::TimePoint now = m_dependencies.loop->now();
-    const bool isProved = !m_dependencies.learnsRunTimes
-        || (expectationOf(job, stage, worker).samples >= samplesForProof
-            && sinceProgress >= expectedPercent(worker, job, stage) * stallFactor);
+    const bool isProved = !m_estimates.isLearning()
+        || (m_estimates.expectationOf(job, stage, worker).samples >= samplesForProof
+            && sinceProgress >= m_estimates.timePerPercent(worker, job, stage) * stallFactor);
     if (isProved) {
         m_health.onFailure(worker.id(), job.record.spec.id, core::Duration(0), m_workers.size(), now);
         return;
--- /dev/null
+++ b/src/scheduling/internal/jobestimates.cpp
@@ -0,0 +1,160 @@
+#include "scheduling/internal/jobestimates.h"
+
+#include "scheduling/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinerun::scheduling {
+
+namespace {
+
+using estimation::Expectation;
+using estimation::LogSpeed;
+using estimation::TaskKind;
+using telemetry::Metric;
+
+//! A run is learned from at this multiple of its expected time and at its double, but no more often, as it may hang.
+constexpr int overdueFactor = 2;
+constexpr int maxOverdueSamples = 2;
+
+//! The mean is used for sums of work. A median that lies above it would contradict the chain.
+StepExpectation stepExpectationOf(const Expectation& it)
+{
+    return { it.median(), std::max(it.mean(), it.median()) };
+}
+
+} // namespace
+
+TaskKind JobEstimates::kindOf(const std::string& queue, const core::TeamId& team, const workflow::StepSpec& step,
+    std::size_t index, const Worker* worker)
+{
+    // The objective assumes workers near the data, and so does the expectation for no particular worker.
+    const bool isNearData = !worker || step.dataRack.empty() || step.dataRack == worker->rack();
+    return { queue, team, step.image, std::uint32_t(index), step.isGang, isNearData };
+}
+
+estimation::StepRuns JobEstimates::stepRunsOf(const Job& job, const Stage& stage)
+{
+    return { &stage.runTimes, job.stepOf(stage).count, std::uint32_t(stage.live) };
+}
+
+workflow::JobSpec JobEstimates::expectedSpec(
+    const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, const core::TeamId& team) const
+{
+    workflow::JobSpec expected;
+    expected.steps = spec.steps;
+    expected.occurrences = spec.occurrences;
+    for (std::size_t n = 0; m_isLearning && n < expected.steps.size(); ++n) {
+        workflow::StepSpec& step = expected.steps[n];
+        if (!step.isLongRunning)
+            step.estimate = m_runTimes.expect(kindOf(queue.name, team, step, n, nullptr), step.estimate).median();
+    }
+    return expected;
+}
+
+void JobEstimates::update(Job& job) const
+{
+    const workflow::JobRecord& record = job.record;
+    for (std::size_t n = 0; m_isLearning && n < job.expected.size(); ++n) {
+        const workflow::StepSpec& step = record.spec.steps[n];
+        if (!step.isLongRunning)
+            job.expected[n] = stepExpectationOf(
+                m_runTimes.expect(kindOf(record.queue.name, record.team, step, n, nullptr), step.estimate));
+    }
+    job.objectiveAt = job.acceptedAt + objectiveOf(record.spec, record.queue, job.expectedChain());
+}
+
+void JobEstimates::update(Job& job, const Stage& stage) const
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    if (!m_isLearning || step.isLongRunning)
+        return;
+    job.expected[stage.step] = stepExpectationOf(
+        m_runTimes.expect(kindOf(job, stage, nullptr), step.estimate, stepRunsOf(job, stage)));
+    // Callers count the real lengths of the tasks, so the objective changes with what is known about them.
+    job.objectiveAt = job.acceptedAt + objectiveOf(job.record.spec, job.record.queue, job.expectedChain());
+}
+
+Expectation JobEstimates::expectationOf(const Job& job, const Stage& stage, const Worker& worker) const
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    Expectation it = m_runTimes.expect(kindOf(job, stage, &worker), step.estimate, stepRunsOf(job, stage));
+    if (!step.isGang)
+        it.logMedian -= speedOf(worker).value();
+    return it;
+}
+
+core::Duration JobEstimates::timePerPercent(const Worker& worker, const Job& job, const Stage& stage) const
+{
+    constexpr double highQuantile = 0.95;
+    const core::Duration expected = expectationOf(job, stage, worker).quantile(highQuantile);
+    return std::max(expected, job.stepOf(stage).estimate) / 100;
+}
+
+LogSpeed JobEstimates::speedOf(const Worker& worker) const
+{
+    return m_speeds.speedOf(worker.id(), worker.entry().hardware);
+}
+
+void JobEstimates::onCompleted(
+    const Worker& worker, core::Duration runTime, Job& job, Stage& stage, core::TimePoint now)
+{
+    if (!m_isLearning)
+        return;
+    const workflow::StepSpec& step = job.stepOf(stage);
+    const TaskKind kind = kindOf(job, stage, &worker);
+    recordError(job, step, kind, runTime);
+    // The members of a gang end together, and tasks on spare CPU depend on the other load of the worker.
+    if (step.isGang || step.usesSpareCpu) {
+        m_runTimes.onCompleted(kind, { step.estimate, runTime, LogSpeed(0), step.isGang ? 1 : step.count });
+        return;
+    }
+    m_runTimes.onCompleted(kind, { step.estimate, runTime, speedOf(worker), step.count });
+    m_speeds.onCompleted(worker.id(), worker.entry().hardware, runTime, stage.runTimes, now);
+    update(job, stage);
+}
+
+bool JobEstimates::isOverdue(const Job& job, const Stage& stage, const WorkerRun& run, core::TimePoint now)
+{
+    return run.overdueSamples < maxOverdueSamples && run.state == WorkerRun::State::Running && run.isFromBeginning
+        && !job.stepOf(stage).isLongRunning
+        && now - run.orderedAt >= job.expectationOf(stage).median * (overdueFactor << run.overdueSamples);
+}
+
+void JobEstimates::onOverdue(const Worker& worker, const Job& job, const Stage& stage, core::Duration elapsed)
+{
+    const workflow::StepSpec& step = job.stepOf(stage);
+    m_runTimes.onStillRunning(kindOf(job, stage, &worker),
+        { step.estimate, elapsed, step.isGang ? LogSpeed(0) : speedOf(worker), step.count });
+}
+
+void JobEstimates::recordError(
+    const Job& job, const workflow::StepSpec& step, const TaskKind& kind, core::Duration runTime)
+{
+    const std::string& queue = job.record.queue.name;
+    const double real = estimation::logSecondsOf(runTime);
+    m_metrics->add(Metric::WorkRunTimeSamples, { { "queue", queue } });
+    m_metrics->add(Metric::WorkRunTimeError, { { "queue", queue }, { "of", "declared" } },
+        std::abs(real - estimation::logSecondsOf(step.estimate)));
+    m_metrics->add(Metric::WorkRunTimeError, { { "queue", queue }, { "of", "expected" } },
+        std::abs(real - m_runTimes.expect(kind, step.estimate).logMedian));
+}
+
+void JobEstimates::onJobAccepted(const Job& job)
+{
+    if (!m_isLearning || job.record.spec.steps.empty())
+        return;
+    const workflow::StepSpec& step = job.record.spec.steps.front();
+    const std::string& queue = job.record.queue.name;
+    const double share = m_runTimes.expect(kindOf(queue, job.record.team, step, 0, nullptr), step.estimate).learnedShare;
+    m_metrics->add(
+        Metric::WorkRunTimeDecisions, { { "queue", queue }, { "by", share > 1.0 / 2 ? "learned" : "declared" } });
+}
+
+void JobEstimates::reportMetrics() const
+{
+    m_metrics->set(Metric::WorkRunTimeKinds, {}, double(m_runTimes.kinds()));
+}
+
+} // namespace sardinerun::scheduling
--- a/src/scheduling/internal/worker.cpp
+++ b/src/scheduling/internal/worker.cpp
@@ -12,6 +12,12 @@
 
 } // namespace
 
+core::Duration WorkerRun::timePerPercent() const
+{
+    const int advanced = percent - firstPercent;
+    return firstPercent < 0 || advanced <= 0 ? core::Duration(0) : (progressAt - firstListedAt) / advanced;
+}
+
 WorkerPtr Worker::create(runtime::ILoopPtr loop, fleet::IWorkerOrdersPtr orders, fleet::WorkerEntry entry,
     core::Epoch fence, core::TimePoint priorLeaseUntil, SchedulingTimes times, OrderWindowPtr window, WorkerHooks hooks)
 {
--- a/src/scheduling/internal/worker.h
+++ b/src/scheduling/internal/worker.h
@@ -56,6 +56,8 @@
     std::optional<int> cpuLimit;
     std::string checkpoint;
     bool isStopInFlight = false;
+
+    core::Duration timePerPercent() const; //!< 0 if unknown
 };
 
 //! Decision about a run that this leader did not start.
