--- a/src/estimation/expectation.h
+++ b/src/estimation/expectation.h
@@ -29,23 +29,25 @@
     std::array<float, bins> m_weights {};
 };
 
+//! Returns the logarithm of the seconds, limited to lengths from 1 ms to 30 days.
+double logSecondsOf(core::Duration it);
+//! Inverse of `logSecondsOf`, within the same limits.
+core::Duration durationOfLog(double logSeconds);
+
 //! Distribution of the run time of a task on a worker of mean speed.
 struct Expectation {
     double logMedian = 0; //!< logarithm of seconds
+    double longestOfStep = 0; //!< logarithm of the longest task of a step over the median one, a cautious estimate
     double learnedShare = 0; //!< 0: the declared estimate, 1: what was learned
     double samples = 0; //!< weight of the samples of the kind itself
     Residuals residuals;
 
     core::Duration median() const;
     core::Duration mean() const;
+    core::Duration longest() const { return durationOfLog(logMedian + longestOfStep); }
     core::Duration quantile(double share) const;
     //! Returns the median of the time that a run still needs after it has run for `elapsed`.
     core::Duration remainingAfter(core::Duration elapsed) const;
 };
 
-//! Returns the logarithm of the seconds, limited to lengths from 1 ms to 30 days.
-double logSecondsOf(core::Duration it);
-//! Inverse of `logSecondsOf`, within the same limits.
-core::Duration durationOfLog(double logSeconds);
-
 } // namespace sardinerun::estimation
--- a/src/estimation/internal/runtimes.cpp
+++ b/src/estimation/internal/runtimes.cpp
@@ -38,6 +38,9 @@
 //! Declared times, as logarithms of seconds, at which the lines of teams are compared: 0.3 s and 20 s.
 constexpr double lowX = -1.2;
 constexpr double highX = 3;
+//! Quantile that is taken for the longest task of a step. A longer chain means a later objective, so that a chain that
+//! is too long makes a job late, and one that is too short only starts it early.
+constexpr double cautiousQuantile = 0.25;
 constexpr std::size_t maxTeams = 4096;
 constexpr std::size_t maxQueues = 256;
 constexpr std::size_t shareOfTeam = 8;
@@ -195,14 +198,11 @@
     return team == queue->second.teams.end() ? nullptr : &team->second;
 }
 
-const Residuals& RunTimes::residualsOf(const TaskKind& kind) const
+const RunTimes::Level* RunTimes::residualLevelOf(const TaskKind& kind) const
 {
-    static const Residuals initial;
     const auto found = m_kinds.find(kind);
-    if (found != m_kinds.end() && found->second.level.fit.weight >= minDriftWeight)
-        return found->second.level.residuals;
-    const Level* team = teamLevelOf(kind);
-    return team ? team->residuals : initial;
+    const bool isKnown = found != m_kinds.end() && found->second.level.fit.weight >= minDriftWeight;
+    return isKnown ? &found->second.level : teamLevelOf(kind);
 }
 
 Expectation RunTimes::expect(const TaskKind& kind, core::Duration declared) const
@@ -213,7 +213,10 @@
     const auto found = m_kinds.find(kind);
     it.samples = found == m_kinds.end() ? 0 : found->second.level.fit.weight;
     it.learnedShare = m_queues.contains(kind.queue) ? prediction.learnedShare : 0;
-    it.residuals = residualsOf(kind);
+    if (const Level* level = residualLevelOf(kind)) {
+        it.residuals = level->residuals;
+        it.longestOfStep = std::max(level->longest.quantile(cautiousQuantile), 0.0);
+    }
     return it;
 }
 
@@ -242,6 +245,16 @@
     learn(kind, logSecondsOf(run.declared), logSecondsOf(run.runTime) + run.speed.value(), weight);
 }
 
+void RunTimes::onStepDone(const TaskKind& kind, const StepSample& step)
+{
+    const auto queue = m_queues.find(kind.queue);
+    if (step.count() < 2 || queue == m_queues.end())
+        return;
+    const double ratio = step.longest() - step.summary().mean;
+    queue->second.teams[kind.team].longest.add(ratio, 1, memory);
+    touch(kind).level.longest.add(ratio, 1, memory);
+}
+
 void RunTimes::onStillRunning(const TaskKind& kind, const RunSample& run)
 {
     const double x = logSecondsOf(run.declared);
--- a/src/estimation/internal/workerspeeds.cpp
+++ b/src/estimation/internal/workerspeeds.cpp
@@ -42,6 +42,7 @@
         m_newest.push_back(float(length));
     else
         m_newest[m_count % maxLengths] = float(length);
+    m_longest = m_count == 0 ? length : std::max(m_longest, length);
     ++m_count;
 }
 
--- a/src/estimation/runtimes.h
+++ b/src/estimation/runtimes.h
@@ -55,6 +55,8 @@
     Expectation expect(const TaskKind& kind, core::Duration declared, const StepRuns& step) const;
     //! Records a run that was completed from its beginning.
     void onCompleted(const TaskKind& kind, const RunSample& run);
+    //! Records a step of several tasks, all of which are done.
+    void onStepDone(const TaskKind& kind, const StepSample& step);
     //! Records a run that still goes on after `run.runTime`. Changes nothing unless that is longer than expected.
     void onStillRunning(const TaskKind& kind, const RunSample& run);
 
@@ -92,6 +94,7 @@
         Fit fit;
         Advantage advantage;
         Residuals residuals;
+        Residuals longest; //!< of the longest tasks of steps over the mean of their steps
     };
     struct Kind {
         Level level;
@@ -119,7 +122,8 @@
 
     Prediction predict(const TaskKind& kind) const;
     const Level* teamLevelOf(const TaskKind& kind) const;
-    const Residuals& residualsOf(const TaskKind& kind) const;
+    //! Returns the narrowest level with enough samples for its residuals; null if there is none.
+    const Level* residualLevelOf(const TaskKind& kind) const;
     void learn(const TaskKind& kind, double x, double y, double weight);
     Kind& touch(const TaskKind& kind);
     void forget(const TaskKind& kind);
--- a/src/estimation/workerspeeds.h
+++ b/src/estimation/workerspeeds.h
@@ -24,11 +24,14 @@
     //! Call only if `count` is not 0.
     Summary summary() const;
     std::size_t count() const { return m_count; }
+    //! Returns the logarithm of the longest one. Call only if `count` is not 0.
+    double longest() const { return m_longest; }
     void add(double length);
 
 private:
     std::vector<float> m_newest; //!< logarithms of seconds, replaced in turn
     std::size_t m_count = 0;
+    double m_longest = 0;
 };
 
 //! Learns how fast each worker is, from tasks of the same step that ran on different workers.
--- a/src/scheduling/internal/jobestimates.cpp
+++ b/src/scheduling/internal/jobestimates.cpp
@@ -18,10 +18,16 @@
 constexpr int overdueFactor = 2;
 constexpr int maxOverdueSamples = 2;
 
+//! The runs of a gang end with its longest member already.
+core::Duration lengthOf(const workflow::StepSpec& step, const Expectation& it)
+{
+    return step.isGang || step.count == 1 ? it.median() : it.longest();
+}
+
 //! The mean is used for sums of work. A median that lies above it would contradict the chain.
-StepExpectation stepExpectationOf(const Expectation& it)
+StepExpectation stepExpectationOf(const workflow::StepSpec& step, const Expectation& it)
 {
-    return { it.median(), std::max(it.mean(), it.median()) };
+    return { it.median(), lengthOf(step, it), std::max(it.mean(), it.median()) };
 }
 
 } // namespace
@@ -48,7 +54,8 @@
     for (std::size_t n = 0; m_isLearning && n < expected.steps.size(); ++n) {
         workflow::StepSpec& step = expected.steps[n];
         if (!step.isLongRunning)
-            step.estimate = m_runTimes.expect(kindOf(queue.name, team, step, n, nullptr), step.estimate).median();
+            step.estimate
+                = lengthOf(step, m_runTimes.expect(kindOf(queue.name, team, step, n, nullptr), step.estimate));
     }
     return expected;
 }
@@ -59,7 +66,7 @@
     for (std::size_t n = 0; m_isLearning && n < job.expected.size(); ++n) {
         const workflow::StepSpec& step = record.spec.steps[n];
         if (!step.isLongRunning)
-            job.expected[n] = stepExpectationOf(
+            job.expected[n] = stepExpectationOf(step,
                 m_runTimes.expect(kindOf(record.queue.name, record.team, step, n, nullptr), step.estimate));
     }
     job.objectiveAt = job.acceptedAt + objectiveOf(record.spec, record.queue, job.expectedChain());
@@ -70,8 +77,12 @@
     const workflow::StepSpec& step = job.stepOf(stage);
     if (!m_isLearning || step.isLongRunning)
         return;
-    job.expected[stage.step] = stepExpectationOf(
-        m_runTimes.expect(kindOf(job, stage, nullptr), step.estimate, stepRunsOf(job, stage)));
+    StepExpectation& expected = job.expected[stage.step];
+    expected = stepExpectationOf(
+        step, m_runTimes.expect(kindOf(job, stage, nullptr), step.estimate, stepRunsOf(job, stage)));
+    const std::size_t done = stage.runTimes.count();
+    const core::Duration longest = done > 0 ? estimation::durationOfLog(stage.runTimes.longest()) : core::Duration(0);
+    expected.longest = done == step.count ? longest : std::max(expected.longest, longest);
     // Callers count the real lengths of the tasks, so the objective changes with what is known about them.
     job.objectiveAt = job.acceptedAt + objectiveOf(job.record.spec, job.record.queue, job.expectedChain());
 }
@@ -112,6 +123,8 @@
     }
     m_runTimes.onCompleted(kind, { step.estimate, runTime, speedOf(worker), step.count });
     m_speeds.onCompleted(worker.id(), worker.entry().hardware, runTime, stage.runTimes, now);
+    if (stage.runTimes.count() == step.count)
+        m_runTimes.onStepDone(kind, stage.runTimes);
     update(job, stage);
 }
 
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -88,7 +88,7 @@
     std::vector<core::Duration> lengths;
     lengths.reserve(expected.size());
     for (const StepExpectation& it : expected)
-        lengths.push_back(it.median);
+        lengths.push_back(it.longest);
     return workflow::criticalPath(record.spec, lengths);
 }
 
@@ -103,7 +103,7 @@
         for (const std::uint32_t it : step.after)
             begin = std::max(begin, it < ends.size() ? ends[it] : core::Duration());
         const bool hasPending = stages[n].pending > 0;
-        const core::Duration length = expected[n].median;
+        const core::Duration length = expected[n].longest;
         ends.push_back(stages[n].isDone() ? core::Duration() : begin + (hasPending ? length : length / 2));
         longest = std::max(longest, ends.back());
     }
@@ -116,7 +116,7 @@
     job.record = std::move(record);
     const std::size_t steps = job.record.spec.steps.size();
     for (const workflow::StepSpec& it : job.record.spec.steps)
-        job.expected.push_back({ it.estimate, it.estimate });
+        job.expected.push_back({ it.estimate, it.estimate, it.estimate });
     for (std::size_t n = 0; n < job.record.stages.size(); ++n) {
         const workflow::StageProgress& progress = job.record.stages[n];
         Stage stage;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -83,6 +83,7 @@
 //! Expected run times of the tasks of a step.
 struct StepExpectation {
     core::Duration median {};
+    core::Duration longest {}; //!< of the tasks of the step, which its chain consists of
     core::Duration mean {}; //!< longer, as a few tasks take several times as long
 };
 
