--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -111,7 +111,8 @@
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
     leaderDependencies.ratePolicy = settings.rates;
-    leaderDependencies.learnsRunTimes = settings.learnsRunTimes;
+    if (!settings.learnsRunTimes)
+        leaderDependencies.learnedUses = scheduling::LearnedUses::none();
     leaderDependencies.update = [this](const dispatch::LeaderUpdate& update) { onLeaderUpdate(update); };
     leaderDependencies.nodesKnown
         = [this](const dispatch::KnownNodes& nodes) { configFollower->address().send(nodes); };
--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -112,7 +112,7 @@
     m_advice = scheduling::AdviceQueue::create(loop());
     scheduling::EngineDependencies dependencies { loop(), m_dependencies.store, m_dependencies.orders, m_advice,
         m_dependencies.metrics, m_dependencies.times, m_dependencies.leaderTimes, m_dependencies.ratePolicy,
-        m_dependencies.learnsRunTimes };
+        m_dependencies.learnedUses };
     const std::weak_ptr weak = std::static_pointer_cast<LeaderTask>(shared_from_this());
     scheduling::EngineHooks hooks;
     hooks.rejectedByStore = [weak, term = m_term] {
--- a/src/dispatch/leadertask.h
+++ b/src/dispatch/leadertask.h
@@ -26,7 +26,7 @@
     scheduling::SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     teams::RatePolicy ratePolicy;
-    bool learnsRunTimes = true;
+    scheduling::LearnedUses learnedUses;
     std::function<void(const LeaderUpdate&)> update; //!< called when the known leader changes
     //! Called with the nodes that the leader has named.
     std::function<void(const KnownNodes&)> nodesKnown = [](const KnownNodes&) {};
--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -25,7 +25,7 @@
     SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     teams::RatePolicy ratePolicy;
-    bool learnsRunTimes = true; //!< otherwise decisions use the declared estimates only
+    LearnedUses learnedUses;
 };
 
 //! Callbacks of the engine.
--- a/src/scheduling/internal/engine.cpp
+++ b/src/scheduling/internal/engine.cpp
@@ -33,7 +33,7 @@
     , m_won(won)
     , m_hooks(std::move(hooks))
     , m_health(healthPolicy())
-    , m_estimates(m_dependencies.learnsRunTimes, m_dependencies.metrics)
+    , m_estimates(m_dependencies.learnedUses, m_dependencies.metrics)
     , m_rates(m_dependencies.ratePolicy)
     , m_arrivalsAt(m_dependencies.loop->now())
     , m_wonAt(m_dependencies.loop->now())
--- a/src/scheduling/internal/engineestimates.cpp
+++ b/src/scheduling/internal/engineestimates.cpp
@@ -42,7 +42,7 @@
 void EngineImpl::learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run)
 {
     const auto [job, stage] = findActive(runId.task);
-    if (!m_estimates.isLearning() || !stage || !JobEstimates::isOverdue(*job, *stage, run, m_roundAt))
+    if (!stage || !JobEstimates::isOverdue(*job, *stage, run, m_roundAt))
         return;
     worker.countOverdueSample(runId);
     m_estimates.onOverdue(worker, *job, *stage, m_roundAt - run.orderedAt);
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -188,7 +188,7 @@
             service = &worker->entry().service;
             view = &m_fleetViews[*service];
         }
-        view->add(*worker, m_speed.isSlow(id, now), m_estimates.speedOf(*worker));
+        view->add(*worker, m_speed.isSlow(id, now), m_estimates.speedForPlacing(*worker));
     }
     m_usage.setCapacity(capacity);
 }
--- a/src/scheduling/internal/enginereservations.cpp
+++ b/src/scheduling/internal/enginereservations.cpp
@@ -34,7 +34,7 @@
     const core::TimePoint now = m_dependencies.loop->now();
     if (run.timePerPercent() > core::Duration(0))
         return std::max(run.timePerPercent() * (100 - run.percent) - (now - run.progressAt), minRemainingTime);
-    if (!m_estimates.isLearning())
+    if (!m_estimates.uses().reservations)
         return std::max(step.estimate - (now - run.orderedAt), minRemainingTime);
     return std::max(
         m_estimates.expectationOf(*job, *stage, worker).remainingAfter(now - run.orderedAt), minRemainingTime);
@@ -91,7 +91,7 @@
 {
     FleetView& fleet = fleetViewOf(*ready.job);
     HoldRequest request;
-    request.estimate = ready.job->expectationOf(*ready.stage).median;
+    request.estimate = ready.job->expectationOf(*ready.stage).longest;
     request.keepsRoomIdle = fleet.hasFreeRoomIn(reservation);
     request.isFleetMostlyFree = fleet.isMostlyFree();
     const core::ServiceId& service = ready.job->record.queue.service;
--- a/src/scheduling/internal/enginewatch.cpp
+++ b/src/scheduling/internal/enginewatch.cpp
@@ -127,7 +127,7 @@
         timeout += m_dependencies.times.restoreTime;
     // One percent of a long task takes longer, even more on a slow worker.
     timeout = std::max(timeout, run.timePerPercent() * stallFactor);
-    if (m_estimates.isLearning()) {
+    if (m_estimates.uses().hungRuns) {
         timeout = std::max(timeout, m_estimates.timePerPercent(worker, *job, *stage) * expectedPercentFactor);
         timeout *= 1 << std::min(task.suspicions, maxWaitDoublings);
     }
@@ -155,7 +155,7 @@
     const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress)
 {
     const core::TimePoint now = m_dependencies.loop->now();
-    const bool isProved = !m_estimates.isLearning()
+    const bool isProved = !m_estimates.uses().hungRuns
         || (m_estimates.expectationOf(job, stage, worker).samples >= samplesForProof
             && sinceProgress >= m_estimates.timePerPercent(worker, job, stage) * stallFactor);
     if (isProved) {
--- a/src/scheduling/internal/jobestimates.cpp
+++ b/src/scheduling/internal/jobestimates.cpp
@@ -24,14 +24,18 @@
     return step.isGang || step.count == 1 ? it.median() : it.longest();
 }
 
-//! The mean is used for sums of work. A median that lies above it would contradict the chain.
-StepExpectation stepExpectationOf(const workflow::StepSpec& step, const Expectation& it)
+} // namespace
+
+StepExpectation JobEstimates::stepExpectationOf(const workflow::StepSpec& step, const Expectation& it) const
 {
-    return { it.median(), lengthOf(step, it), std::max(it.mean(), it.median()) };
+    StepExpectation expected { it.median(), step.estimate, step.estimate };
+    if (m_uses.order)
+        expected.longest = lengthOf(step, it);
+    if (m_uses.workAhead)
+        expected.mean = std::max(it.mean(), it.median());
+    return expected;
 }
 
-} // namespace
-
 TaskKind JobEstimates::kindOf(const std::string& queue, const core::TeamId& team, const workflow::StepSpec& step,
     std::size_t index, const Worker* worker)
 {
@@ -51,7 +55,7 @@
     workflow::JobSpec expected;
     expected.steps = spec.steps;
     expected.occurrences = spec.occurrences;
-    for (std::size_t n = 0; m_isLearning && n < expected.steps.size(); ++n) {
+    for (std::size_t n = 0; m_uses.admission && n < expected.steps.size(); ++n) {
         workflow::StepSpec& step = expected.steps[n];
         if (!step.isLongRunning)
             step.estimate
@@ -63,11 +67,11 @@
 void JobEstimates::update(Job& job) const
 {
     const workflow::JobRecord& record = job.record;
-    for (std::size_t n = 0; m_isLearning && n < job.expected.size(); ++n) {
+    for (std::size_t n = 0; n < job.expected.size(); ++n) {
         const workflow::StepSpec& step = record.spec.steps[n];
         if (!step.isLongRunning)
-            job.expected[n] = stepExpectationOf(step,
-                m_runTimes.expect(kindOf(record.queue.name, record.team, step, n, nullptr), step.estimate));
+            job.expected[n] = stepExpectationOf(
+                step, m_runTimes.expect(kindOf(record.queue.name, record.team, step, n, nullptr), step.estimate));
     }
     job.objectiveAt = job.acceptedAt + objectiveOf(record.spec, record.queue, job.expectedChain());
 }
@@ -75,12 +79,12 @@
 void JobEstimates::update(Job& job, const Stage& stage) const
 {
     const workflow::StepSpec& step = job.stepOf(stage);
-    if (!m_isLearning || step.isLongRunning)
+    if (step.isLongRunning)
         return;
     StepExpectation& expected = job.expected[stage.step];
     expected = stepExpectationOf(
         step, m_runTimes.expect(kindOf(job, stage, nullptr), step.estimate, stepRunsOf(job, stage)));
-    const std::size_t done = stage.runTimes.count();
+    const std::size_t done = m_uses.order ? stage.runTimes.count() : 0;
     const core::Duration longest = done > 0 ? estimation::durationOfLog(stage.runTimes.longest()) : core::Duration(0);
     expected.longest = done == step.count ? longest : std::max(expected.longest, longest);
     // Callers count the real lengths of the tasks, so the objective changes with what is known about them.
@@ -111,8 +115,6 @@
 void JobEstimates::onCompleted(
     const Worker& worker, core::Duration runTime, Job& job, Stage& stage, core::TimePoint now)
 {
-    if (!m_isLearning)
-        return;
     const workflow::StepSpec& step = job.stepOf(stage);
     const TaskKind kind = kindOf(job, stage, &worker);
     recordError(job, step, kind, runTime);
@@ -156,11 +158,12 @@
 
 void JobEstimates::onJobAccepted(const Job& job)
 {
-    if (!m_isLearning || job.record.spec.steps.empty())
+    if (job.record.spec.steps.empty())
         return;
     const workflow::StepSpec& step = job.record.spec.steps.front();
     const std::string& queue = job.record.queue.name;
-    const double share = m_runTimes.expect(kindOf(queue, job.record.team, step, 0, nullptr), step.estimate).learnedShare;
+    const double share
+        = m_runTimes.expect(kindOf(queue, job.record.team, step, 0, nullptr), step.estimate).learnedShare;
     m_metrics->add(
         Metric::WorkRunTimeDecisions, { { "queue", queue }, { "by", share > 1.0 / 2 ? "learned" : "declared" } });
 }
--- a/src/scheduling/internal/jobestimates.h
+++ b/src/scheduling/internal/jobestimates.h
@@ -9,14 +9,13 @@
 //! What completed runs tell about the run times of jobs and the speeds of workers.
 class JobEstimates {
 public:
-    //! Without learning, all estimates are the declared ones and all workers have the same speed.
-    JobEstimates(bool isLearning, telemetry::MetricsPtr metrics)
-        : m_isLearning(isLearning)
+    JobEstimates(LearnedUses uses, telemetry::MetricsPtr metrics)
+        : m_uses(uses)
         , m_metrics(std::move(metrics))
     {
     }
 
-    bool isLearning() const { return m_isLearning; }
+    const LearnedUses& uses() const { return m_uses; }
     //! Returns the steps of a submitted job with the expected run times as estimates.
     workflow::JobSpec expectedSpec(
         const workflow::JobSpec& spec, const workflow::QueuePolicy& queue, const core::TeamId& team) const;
@@ -28,7 +27,11 @@
     estimation::Expectation expectationOf(const Job& job, const Stage& stage, const Worker& worker) const;
     //! Returns how long one percent of a long run may take.
     core::Duration timePerPercent(const Worker& worker, const Job& job, const Stage& stage) const;
-    estimation::LogSpeed speedOf(const Worker& worker) const;
+    //! Returns the speed by which workers are chosen.
+    estimation::LogSpeed speedForPlacing(const Worker& worker) const
+    {
+        return m_uses.speeds ? speedOf(worker) : estimation::LogSpeed(0);
+    }
 
     //! Learns from a run that was completed from its beginning.
     void onCompleted(const Worker& worker, core::Duration runTime, Job& job, Stage& stage, core::TimePoint now);
@@ -47,11 +50,14 @@
     {
         return kindOf(job.record.queue.name, job.record.team, job.stepOf(stage), stage.step, worker);
     }
+    estimation::LogSpeed speedOf(const Worker& worker) const;
+    //! Returns what is used of an expectation.
+    StepExpectation stepExpectationOf(const workflow::StepSpec& step, const estimation::Expectation& it) const;
     static estimation::StepRuns stepRunsOf(const Job& job, const Stage& stage);
     void recordError(
         const Job& job, const workflow::StepSpec& step, const estimation::TaskKind& kind, core::Duration runTime);
 
-    bool m_isLearning;
+    LearnedUses m_uses;
     telemetry::MetricsPtr m_metrics;
     estimation::WorkerSpeeds m_speeds;
     estimation::RunTimes m_runTimes;
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -37,6 +37,19 @@
     core::Duration jobRetention = std::chrono::seconds(130); //!< how long ended jobs stay readable
 };
 
+//! Decisions that use what completed runs tell about run times and the speeds of workers, instead of the declared
+//! estimates. docs/design/run-times.md says what each of them improves.
+struct LearnedUses {
+    bool admission = true; //!< whether a new job would end in time
+    bool order = true; //!< objective and expected chain of accepted jobs
+    bool workAhead = true; //!< core-seconds of pending work
+    bool reservations = true; //!< when running tasks end
+    bool speeds = true; //!< which work gets the fast workers
+    bool hungRuns = true; //!< how long a run may stand still
+
+    static LearnedUses none() { return { false, false, false, false, false, false }; }
+};
+
 //! Maximum relative difference between the rates of two steady clocks.
 constexpr double clockTolerance = 0.02;
 
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -153,7 +153,7 @@
     EnginePtr engine;
     EnginePtr former;
     bool isLeadershipLost = false;
-    bool learnsRunTimes = true;
+    LearnedUses learnedUses;
 
 private:
     lead::ElectionHooks hooks()
@@ -163,7 +163,7 @@
         hooks.won = [this](const lead::WonElection& won) {
             advice = AdviceQueue::create(loop);
             EngineDependencies dependencies { engineLoop, store, orders, advice, telemetry::Metrics::create(), times,
-                leaderTimes, {}, learnsRunTimes };
+                leaderTimes, {}, learnedUses };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
             configure();
             engine->start();
--- a/src/scheduling/tests/noisyrun.h
+++ b/src/scheduling/tests/noisyrun.h
@@ -16,12 +16,12 @@
 //! A leader under the mixed load, without advice, whose callers declare inaccurate estimates.
 class NoisyRun {
 public:
-    NoisyRun(bool learns, const Noise& noise, double load, unsigned seed)
+    NoisyRun(const LearnedUses& uses, const Noise& noise, double load, unsigned seed)
         : m_noise(noise)
         , m_load(load)
         , m_random(seed)
     {
-        m_cell.learnsRunTimes = learns;
+        m_cell.learnedUses = uses;
         m_cell.queue.name = "unused";
         m_cell.entries.clear();
         for (int n = 0; n < workers; ++n) {
@@ -69,6 +69,7 @@
 
 private:
     static constexpr int workers = 110;
+    static constexpr int maxResends = 4;
     static constexpr core::Duration tick = std::chrono::milliseconds(20);
 
     static core::Duration scaled(core::Duration it, double factor)
@@ -87,9 +88,8 @@
     {
         const NoisyJob& job = m_jobs.at(order.runId.task.job.value());
         const bool isGang = mixedKinds[job.kind].isGang;
-        const core::Duration length = isGang
-            ? job.longest
-            : scaled(job.lengths[order.runId.task.index], 1 / m_speedOf.at(&worker));
+        const core::Duration length
+            = isGang ? job.longest : scaled(job.lengths[order.runId.task.index], 1 / m_speedOf.at(&worker));
         m_runs[order.runId] = { m_cell.loop->now(), length };
         m_cell.loop->callAfter(length, [&worker, run = order.runId] {
             if (worker.running.contains(run))
@@ -105,8 +105,11 @@
         NoisyJob job;
         job.kind = kind;
         job.submittedAt = m_cell.loop->now();
+        // The members of a gang advance together, so one of them delays all.
+        const bool isLongGang = it.isGang && m_uniform(m_random) < m_noise.tail;
         for (std::uint32_t n = 0; n < it.tasks; ++n) {
-            const double tail = m_uniform(m_random) < m_noise.tail ? std::log(7) : 0;
+            const bool isLong = it.isGang ? isLongGang : m_uniform(m_random) < m_noise.tail;
+            const double tail = isLong ? std::log(7) : 0;
             job.lengths.push_back(scaled(it.runTime, std::exp(length + m_noise.inStep * m_normal(m_random) + tail)));
             job.longest = std::max(job.longest, job.lengths.back());
         }
@@ -115,16 +118,23 @@
         call.host = "h";
         call.spec = jobOf(id, it.tasks, it.milliCpu, it.isGang);
         call.spec.steps[0].need.memory = core::MebiBytes(it.milliCpu * 2);
-        call.spec.steps[0].estimate
-            = scaled(it.runTime, std::exp(length + m_noise.declaredError * m_normal(m_random)));
+        call.spec.steps[0].estimate = scaled(it.runTime, std::exp(length + m_noise.declaredError * m_normal(m_random)));
         call.path = std::string("/") + it.queue + "/" + id;
         m_jobs.emplace(id, std::move(job));
         ++m_figures[kind].asked;
-        m_cell.engine->handle(call, [this, kind, call](const workflow::WorkflowResult& answer) {
+        send(kind, call, 0);
+    }
+
+    void send(std::size_t kind, const workflow::WorkflowCall& call, int resends)
+    {
+        m_cell.engine->handle(call, [this, kind, call, resends](const workflow::WorkflowResult& answer) {
             if (answer.outcome == workflow::WorkflowOutcome::Accepted)
                 read(call);
-            else
+            else if (resends == maxResends)
                 ++m_figures[kind].refused;
+            else
+                m_cell.loop->callAfter(std::max(answer.retryAfter, ms(100)),
+                    [this, kind, call, resends] { send(kind, call, resends + 1); });
         });
     }
 
