--- a/src/scheduling/engine.h
+++ b/src/scheduling/engine.h
@@ -25,6 +25,7 @@
     SchedulingTimes times;
     lead::LeaderTimes leaderTimes;
     teams::RatePolicy ratePolicy;
+    LearnedUses learnedUses;
 };
 
 //! Callbacks of the engine.
--- a/src/scheduling/internal/engineestimates.cpp
+++ b/src/scheduling/internal/engineestimates.cpp
@@ -1,9 +1,7 @@
-//! What finished runs teach, and how it changes the order and the placement of work.
+//! Which runs the estimates are learned from, and which work gets the fast workers.
 
 #include "scheduling/internal/engineimpl.h"
 
-#include <algorithm>
-
 namespace sardinerun::scheduling {
 
 namespace {
@@ -21,7 +19,7 @@
 
 double EngineImpl::speedWeightOf(const Job& job)
 {
-    const double chain = std::chrono::duration<double>(workflow::criticalPath(job.record.spec)).count();
+    const double chain = std::chrono::duration<double>(job.expectedChain()).count();
     const double slack = (job.record.queue.stretch - 1) * chain
         + std::chrono::duration<double>(job.record.queue.latencyTarget).count();
     if (slack < urgentSlack * chain)
@@ -30,14 +28,24 @@
 }
 
 void EngineImpl::learnFromRun(
-    const Worker& worker, const fleet::RunId& runId, core::Duration runTime, const Job& job, Stage& stage)
+    const Worker& worker, const fleet::RunId& runId, core::Duration runTime, Job& job, Stage& stage)
 {
     const auto found = worker.runs().find(runId);
-    // The members of a gang end together, and tasks on spare CPU depend on the other load of the worker.
-    const workflow::StepSpec& step = job.stepOf(stage);
-    if (found == worker.runs().end() || !found->second.isFromBeginning || step.isGang || step.usesSpareCpu)
+    const bool isMeasured = found != worker.runs().end() && found->second.isFromBeginning
+        && found->second.state != WorkerRun::State::Stopping
+        && isCurrentRun(stage.tasks[runId.task.index], worker.id(), runId);
+    // What is acutely slow on a worker says nothing about the task.
+    if (isMeasured && !m_speed.isSlow(worker.id(), m_roundAt))
+        m_estimates.onCompleted(worker, runTime, job, stage, m_roundAt);
+}
+
+void EngineImpl::learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run)
+{
+    const auto [job, stage] = findActive(runId.task);
+    if (!stage || !JobEstimates::isOverdue(*job, *stage, run, m_roundAt))
         return;
-    m_workerSpeeds.onCompleted(worker.id(), worker.entry().hardware, runTime, stage.runTimes, m_roundAt);
+    worker.countOverdueSample(runId);
+    m_estimates.onOverdue(worker, *job, *stage, m_roundAt - run.orderedAt);
 }
 
 } // namespace sardinerun::scheduling
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -160,6 +160,7 @@
     EnginePtr engine;
     EnginePtr former;
     bool isLeadershipLost = false;
+    LearnedUses learnedUses;
 
 private:
     lead::ElectionHooks hooks()
@@ -168,7 +169,8 @@
         hooks.leaderSeen = [](const std::optional<lead::LeaderRow>&) {};
         hooks.won = [this](const lead::WonElection& won) {
             advice = AdviceQueue::create(loop);
-            EngineDependencies dependencies { engineLoop, store, orders, advice, metrics, times, leaderTimes };
+            EngineDependencies dependencies { engineLoop, store, orders, advice, metrics, times, leaderTimes, {},
+                learnedUses };
             engine = Engine::create(dependencies, won, { [this](const std::string&) { isLeadershipLost = true; } });
             configure();
             engine->start();
