--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -121,6 +121,8 @@
     leaderDependencies.times = settings.scheduling;
     leaderDependencies.leaderTimes = settings.lead;
     leaderDependencies.ratePolicy = settings.rates;
+    if (!settings.learnsRunTimes)
+        leaderDependencies.learnedUses = scheduling::LearnedUses::none();
     leaderDependencies.update = [this](const dispatch::LeaderUpdate& update) { onLeaderUpdate(update); };
     leaderDependencies.nodesKnown
         = [this](const dispatch::KnownNodes& nodes) { configFollower->address().send(nodes); };
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -63,6 +63,7 @@
     }
     metrics.set(Metric::WorkCores, { { "state", "all" } }, backlog.cores);
     metrics.set(Metric::WorkCores, { { "state", "free" } }, backlog.freeCores);
+    m_estimates.reportMetrics();
     metrics.set(Metric::WorkRoundSeconds, {}, std::chrono::duration<double>(m_longestRound).count());
 }
 
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "codec/json.h"
-#include "estimation/workerspeeds.h"
 #include "placement/healthtracker.h"
 #include "scheduling/admission.h"
 #include "scheduling/advicecandidates.h"
@@ -9,6 +8,7 @@
 #include "scheduling/engine.h"
 #include "scheduling/headroom.h"
 #include "scheduling/internal/fleetview.h"
+#include "scheduling/internal/jobestimates.h"
 #include "scheduling/internal/jobs.h"
 #include "scheduling/internal/teamreports.h"
 #include "scheduling/internal/worker.h"
@@ -110,7 +110,9 @@
     static void answerHeldReads(Job& job);
     void cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
-    AdmissionInputs admissionInputs(const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue);
+    //! `expected` is the submitted job with expected run times as its estimates.
+    AdmissionInputs admissionInputs(
+        const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const workflow::JobSpec& expected);
     //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
     struct AdmissionSnapshot {
         core::TimePoint takenAt {};
@@ -232,11 +234,16 @@
         const RunTermination& termination);
     void onProgress(Worker& worker, const fleet::RunId& run, double share, core::Duration elapsed);
     void onReport(Worker& worker);
-    static core::Duration timePerPercent(const WorkerRun& run); //!< 0 if unknown
     void checkSlow(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     //! Limits the CPU of tasks on spare CPU beside latency-sensitive tasks.
     void limitCpuBesideServing(Worker& worker);
     void checkStall(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
+    //! Counts a run that seems to hang as a failure of its worker if its run time is known well enough. Otherwise the
+    //! next run of the task decides.
+    void suspectWorker(
+        const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress);
+    //! Confirms or refutes a suspicion by a completed run of the task.
+    void checkSuspicion(const Job& job, TaskProgress& task, core::Duration runTime);
     void markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end);
     void markTaskDone(Stage& stage, std::uint32_t index);
     //! Counts a failed run of a task, and ends the job if it was the last one that its queue allows.
@@ -304,9 +311,10 @@
     Demand demandOf(const Job& job, const Stage& stage) const;
     //! Returns how much the speed of workers counts for a job: urgent work gets the fast ones.
     static double speedWeightOf(const Job& job);
+    //! Learns from a run that goes on for much longer than expected.
+    void learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     //! Learns from a run that was completed.
-    void learnFromRun(
-        const Worker& worker, const fleet::RunId& runId, core::Duration runTime, const Job& job, Stage& stage);
+    void learnFromRun(const Worker& worker, const fleet::RunId& runId, core::Duration runTime, Job& job, Stage& stage);
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
     //! Selects the workers to name. An additional request names none for which tickets are valid or requested.
     std::vector<core::VmId> workersForAdvice(
@@ -332,7 +340,8 @@
     //! Returns the times at which room of a worker becomes free, earliest first.
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
     //! Returns when a run is expected to end; nothing if it does not end by itself.
-    std::optional<core::Duration> remainingTime(const fleet::RunId& runId, const WorkerRun& run) const;
+    std::optional<core::Duration> remainingTime(
+        const Worker& worker, const fleet::RunId& runId, const WorkerRun& run) const;
     //! Reserves the room for a gang, unless it is kept idle for too long; the gang has its turn in any case.
     void holdRoom(const ReadyStage& ready, const Reservation& reservation, core::TimePoint now);
     void tick();
@@ -371,7 +380,7 @@
     OrderWindowPtr m_orderWindow = std::make_shared<OrderWindow>();
     std::map<std::string, double> m_allowedShare; //!< by queue: average share of the named workers that advice allows
     SpeedTracker m_speed;
-    estimation::WorkerSpeeds m_workerSpeeds;
+    JobEstimates m_estimates;
     std::map<core::VmId, CpuLimiter> m_cpuLimiters; //!< of workers with tasks on spare CPU
     Headroom m_headroom;
     std::map<core::ServiceId, FleetView> m_fleetViews; //!< of the current round
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -188,7 +188,7 @@
             service = &worker->entry().service;
             view = &m_fleetViews[*service];
         }
-        view->add(*worker, m_speed.isSlow(id, now), m_workerSpeeds.speedOf(id, worker->entry().hardware));
+        view->add(*worker, m_speed.isSlow(id, now), m_estimates.speedForPlacing(*worker));
     }
     m_usage.setCapacity(capacity);
 }
@@ -364,7 +364,8 @@
     m_dependencies.metrics->add(telemetry::Metric::WorkStarts, {});
     const core::Resources room = roomOf(job->stepOf(stage));
     fleetViewOf(*job).onTaskStarted(worker, room);
-    countRun(worker, order.runId, { job->record.team, occupationOf(job->stepOf(stage)), job->stepOf(stage).estimate });
+    countRun(
+        worker, order.runId, { job->record.team, occupationOf(job->stepOf(stage)), job->expectationOf(stage).mean });
     m_workers[worker]->startRun(order, room, m_roundAt);
 }
 
