Soak with teams: withdrawn keys, changing caps and a flood, checked from what callers and workers see

The stand-in's statistics list the tasks that run. Caps are raised again before the end, as a gang that was accepted under a higher cap waits as long as it does not fit.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,13 +1,14 @@
 """A randomized soak test of `sardinerun dispatch`: real processes, injected faults, guarantees checked while it runs.
 
-    soak.py [--seed N] [--seconds S] [--nodes N] [--workers N]
+    soak.py [--seed N] [--seconds S] [--nodes N] [--workers N] [--teams]
 
 Faults overlap: nodes are killed, paused, stopped with SIGTERM, and started again; connections to the store are cut; the
 store is down or loses answers; workers are silent, restart, and lose answers to start orders; the leader is cut off from the
 store and from some workers, and the next leaders from others. Callers submit jobs to random nodes and resend them when there is
 no answer; some jobs are at the limits of what a caller may send. Checks that no task runs twice, that no job starts that was
 refused or never submitted, that every accepted job completes in the end, that cancels are acknowledged, and that no node needs
-more memory than a VM has. Stops only the processes that it started, by their ids.
+more memory than a VM has. With --teams each caller has a team; keys are withdrawn, caps change and the last team floods
+now and then. Then it also checks that no team runs more than its cap and that keys are accepted as configured. Stops only the processes that it started, by their ids.
 """
 
 import argparse
@@ -21,6 +22,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tests", "process"))
 
 from dispatch_tests import Deployment, new_id, step  # noqa: E402
+from teams import Teams  # noqa: E402
 
 ACCEPTED, REFUSED, UNKNOWN = "accepted", "refused", "unknown"
 ATTEMPTS = 12
@@ -49,8 +51,10 @@
 class Caller(threading.Thread):
     """Submits jobs until the time `until`; resends a job under the same id while its outcome is unknown."""
 
-    def __init__(self, cell, seed, until):
+    def __init__(self, cell, seed, until, teams=None, number=0):
         super().__init__(daemon=True)
+        self.teams, self.number = teams, number
+        self.steps = {}  # of each job
         self.cell, self.random, self.until = cell, random.Random(seed), until
         self.odd = random.Random("odd-%s" % seed)  # of its own, so that the other jobs are those of the seed
         self.jobs = {}
@@ -62,7 +66,14 @@
             job = new_id()
             self.jobs[job] = UNKNOWN
             self.jobs[job] = self.submit_odd(job) if self.odd.random() < ODD_SHARE else self.submit(job)
-            time.sleep(self.random.uniform(0.02, 0.3))
+            time.sleep(self.pause())
+
+    def pause(self):
+        is_flood = self.teams and self.number == 3 and time.time() % 8 < 3
+        return 0.002 if is_flood else self.random.uniform(0.02, 0.3)
+
+    def key(self):
+        return self.teams.key(self.number) if self.teams else None
 
     def submit(self, job):
         pick = self.random
@@ -83,14 +94,16 @@
 
     def send(self, job, steps, work_ms, schedule, pick):
         may_be_accepted = False
+        self.steps[job] = steps
         for _ in range(ATTEMPTS):
             node = pick.randrange(len(self.cell.nodes))
-            status = self.cell.submit(node, *steps, work_ms=work_ms, job=job, **schedule)[1]
+            status = self.cell.submit(node, *steps, work_ms=work_ms, job=job, key=self.key(), **schedule)[1]
             if status == 200:
                 return ACCEPTED
             if status in (429, 503) and not may_be_accepted:
                 return REFUSED
-            may_be_accepted = may_be_accepted or status not in (429, 503)
+            assert status != 403, "its own job belongs to another team: " + job
+            may_be_accepted = may_be_accepted or status not in (401, 429, 503)
             time.sleep(pick.uniform(0.1, 0.5))
         return UNKNOWN
 
@@ -262,11 +275,11 @@
 
 def check_cancels(cell, callers):
     """Cancels the scheduled jobs that were accepted, which would run for days."""
-    for job in [it for caller in callers for it in caller.scheduled if caller.jobs[it] == ACCEPTED]:
+    for caller, job in [(caller, it) for caller in callers for it in caller.scheduled if caller.jobs[it] == ACCEPTED]:
         until = time.time() + CANCEL_SECONDS
         status = None
         while time.time() < until and status not in (200, 202, 204, 410):
-            status = cell.call(0, "DELETE", job)[0]
+            status = cell.call(0, "DELETE", job, key=caller.key())[0]
             time.sleep(0.1)
         assert status in (200, 202, 204), "cancel of the accepted job %s: %s" % (job, status)
 
@@ -278,6 +291,8 @@
     if not isinstance(stats, dict):
         return
     assert not stats["twice"], "ran twice: %s" % stats["twice"]
+    if callers[0].teams:
+        callers[0].teams.check_caps(stats["runningTasks"], callers)
     started = set(stats["startedJobs"])
     for it in callers:
         refused = {job for job, outcome in list(it.jobs.items()) if outcome == REFUSED}
@@ -285,14 +300,14 @@
 
 
 def check_end(cell, callers):
-    accepted = [job for it in callers for job, outcome in it.jobs.items()
-                if outcome == ACCEPTED and job not in it.scheduled]
+    accepted = {job: it for it in callers for job, outcome in it.jobs.items()
+                if outcome == ACCEPTED and job not in it.scheduled}
     until = time.time() + SETTLE_SECONDS
     left = set(accepted)
     while left and time.time() < until:
-        left = {job for job in left if cell.state(0, job) != "completed"}
+        left = {job for job in left if cell.state(0, job, accepted[job].key()) != "completed"}
         time.sleep(0.2)
-    assert not left, "accepted, but not completed: %s" % {job: cell.state(1, job) for job in left}
+    assert not left, "accepted, but not completed: %s" % {job: cell.state(1, job, accepted[job].key()) for job in left}
     submitted = {job for it in callers for job in it.jobs}
     unexpected = set(cell.stats()["startedJobs"]) - submitted
     assert not unexpected, "started, but never submitted: %s" % unexpected
@@ -300,13 +315,18 @@
     return len(accepted), len(submitted)
 
 
-def run(seed, seconds, nodes, workers):
+def run(seed, seconds, nodes, workers, has_teams):
     with Deployment(nodes=nodes, workers=workers, cpu=8000, relays=True) as cell:
         cell.worker_count = workers
-        cell.configure(2, max_attempts=random.Random("config-%d" % seed).choice(MAX_ATTEMPTS))
+        max_attempts = random.Random("config-%d" % seed).choice(MAX_ATTEMPTS)
+        teams = Teams(cell, seed, max_attempts) if has_teams else None
+        if teams:
+            teams.check_keys()
+        else:
+            cell.configure(2, max_attempts=max_attempts)
         try:
             until = time.time() + seconds
-            callers = [Caller(cell, "%d-%d" % (seed, n), until) for n in range(4)]
+            callers = [Caller(cell, "%d-%d" % (seed, n), until, teams, n) for n in range(4)]
             for it in callers:
                 it.start()
             faults = Faults(cell, seed)
@@ -317,6 +337,8 @@
                     next_at = time.time() + faults.random.uniform(0.2, 1.5)
                 faults.inject_parting_if_due()
                 faults.end_due()
+                if teams:
+                    teams.change_if_due()
                 check_while_running(cell, callers)
                 time.sleep(0.1)
             while faults.pending:
@@ -326,6 +348,9 @@
             for it in callers:
                 it.join()
             cell.control("rows", {})
+            if teams:
+                teams.restore_caps()
+                teams.check_keys()
             check_cancels(cell, callers)
             accepted, submitted = check_end(cell, callers)
             print("seed %d: passed, %d of %d jobs accepted, %d starts" % (seed, accepted, submitted, cell.stats()["starts"]))
@@ -340,8 +365,9 @@
     options.add_argument("--seconds", type=float, default=20)
     options.add_argument("--nodes", type=int, default=3)
     options.add_argument("--workers", type=int, default=6)
+    options.add_argument("--teams", action="store_true")
     chosen = options.parse_args()
-    run(chosen.seed, chosen.seconds, chosen.nodes, chosen.workers)
+    run(chosen.seed, chosen.seconds, chosen.nodes, chosen.workers, chosen.teams)
 
 
 if __name__ == "__main__":
--- a/standins/tasksstandin.cpp
+++ b/standins/tasksstandin.cpp
@@ -230,6 +230,7 @@
     for (const core::JobId& it : m_startedJobs)
         to["startedJobs"].append(it.value());
     to["workersAtWork"] = Json::Value(Json::arrayValue);
+    to["runningTasks"] = Json::Value(Json::arrayValue);
     std::uint64_t running = 0;
     std::uint64_t highestFence = 0;
     for (const auto& [id, it] : m_workers->workers) {
@@ -237,6 +238,10 @@
         if (!it.running.empty())
             to["workersAtWork"].append(id.value());
         highestFence = std::max(highestFence, it.fence);
+        if (it.leaseUntil < m_workers->clockOf(it))
+            continue; // its runs have ended with the lease
+        for (const auto& [run, state] : it.running)
+            to["runningTasks"].append(fleet::textOf(run.task));
     }
     to["running"] = Json::UInt64(running);
     to["highestFence"] = Json::UInt64(highestFence);
--- a/standins/tasksstandin.h
+++ b/standins/tasksstandin.h
@@ -20,7 +20,8 @@
     void leaveUnanswered(http::Responder responder);
     fleet::testing::FakeWorker& worker(const core::VmId& id) { return m_workers->workers[id]; }
     //! Returns the number of starts and the jobs that they belong to, the tasks that ran twice, the number of tasks
-    //! with an acknowledged end, the number of running tasks, the workers that run them, and the highest fence.
+    //! with an acknowledged end, the number of running tasks, these tasks, the workers that run them, and the highest
+    //! fence.
     Json::Value stats() const;
 
 private:
--- a/tests/process/dispatch_tests.py
+++ b/tests/process/dispatch_tests.py
@@ -105,8 +105,8 @@
         self.wait_until(lambda: self.submit(node, *steps, work_ms=work_ms, job=job)[1] == 200, "accepted")
         return job
 
-    def state(self, node, job):
-        status, body, _ = self.call(node, "GET", job)
+    def state(self, node, job, key=None):
+        status, body, _ = self.call(node, "GET", job, key=key)
         return body.get("state") if status == 200 else status
 
     def wait_state(self, node, job, state="completed", timeout=30):
