--- a/src/dispatch/tests/floodguard_tests.cpp
+++ b/src/dispatch/tests/floodguard_tests.cpp
@@ -27,6 +27,12 @@
     {
         const workflow::WorkflowCall call = protocol::decodeCall(request.body);
         ++asked[{ call.team, call.kind }];
+        if (unanswered.contains(call.spec.id)) {
+            loop->post([callback = std::move(callback)] {
+                callback(core::Failure { http::ClientError { http::ClientError::Code::Broken, true, "reset" } });
+            });
+            return;
+        }
         workflow::WorkflowResult it;
         it.outcome = call.kind == workflow::CallKind::Submit && call.team == a ? workflow::WorkflowOutcome::Refused
                                                                                : workflow::WorkflowOutcome::Accepted;
@@ -37,6 +43,7 @@
         });
     }
     runtime::ILoopPtr loop;
+    std::set<core::JobId> unanswered; //!< jobs whose submissions may or may not take effect
     std::map<std::pair<core::TeamId, workflow::CallKind>, int> asked;
 };
 
@@ -99,6 +106,33 @@
     BOOST_TEST(!guard.refuse(a, job(3), now + 1ms));
 }
 
+//! Guards against a node that forgets which jobs it has sent. Load: a submission without a definite answer, a flood,
+//! and the submission again.
+BOOST_AUTO_TEST_CASE(a_submission_without_a_definite_answer_is_sent_again_during_a_flood)
+{
+    const auto loop = std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>());
+    const auto leader = std::make_shared<FloodedLeader>(loop);
+    leader->unanswered = { job(1) };
+    const CallForwarderPtr forwarder = CallForwarder::create(loop, leader, {});
+    lead::LeaderRow row;
+    row.address = { "127.0.0.1", 7000 };
+    forwarder->address().send(LeaderUpdate { row, false });
+    std::vector<workflow::WorkflowOutcome> answers;
+    for (const int n : { 1, 2, 3, 1 }) {
+        workflow::WorkflowCall it;
+        it.kind = workflow::CallKind::Submit;
+        it.team = a;
+        it.spec.id = job(n);
+        forwarder->address().send(LeaderCall { it,
+            runtime::Reply<workflow::WorkflowResult>(
+                loop, [&](const workflow::WorkflowResult& answer) { answers.push_back(answer.outcome); }) });
+        loop->advance(10ms);
+    }
+    using enum workflow::WorkflowOutcome;
+    BOOST_TEST((answers == std::vector { Uncertain, Refused, Refused, Uncertain }));
+    BOOST_TEST((leader->asked[{ a, workflow::CallKind::Submit }] == 3)); // not for job 3
+}
+
 //! Guards against a memory of sent jobs that grows without bound, and against a refusal of one that it has lost. Load:
 //! 25,000 jobs within a second, then a flood.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_while_the_memory_of_sent_jobs_is_incomplete)
