Possible runs: no work while no job of a team was recovered

Since the early return for configurations without teams went, each round before the barrier asked the clock once more.

--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -86,6 +86,8 @@
         workflow::Occupation& sum = possible[job->record.team];
         sum = sum + possibleRunsOf(*job);
     }
+    if (possible.empty())
+        return;
     const std::optional<core::Resources> unheard = unheardRoom();
     for (const auto& [team, sum] : possible) {
         core::Resources amount = sum.room;
