--- a/src/teams/internal/keyring.cpp
+++ b/src/teams/internal/keyring.cpp
@@ -11,9 +11,12 @@
 
 KeyRing::KeyRing(const std::vector<Team>& teams)
 {
+    // A header without a key has this digest, so an empty key would let in everybody.
+    static const KeyDigest emptyKey = digestOf("");
     for (const Team& team : teams) {
         for (const Key& it : team.keys)
-            m_identities.emplace(it.digest, Identity { team.id, it.role });
+            if (it.digest != emptyKey)
+                m_identities.emplace(it.digest, Identity { team.id, it.role });
     }
 }
 
--- a/src/teams/tests/teams_tests.cpp
+++ b/src/teams/tests/teams_tests.cpp
@@ -30,6 +30,12 @@
     BOOST_TEST(!ring.identify(KeyDigest("")));
 }
 
+//! Guards against a configuration with an empty key, which everybody could show.
+BOOST_AUTO_TEST_CASE(an_empty_key_identifies_nobody)
+{
+    BOOST_TEST(!KeyRing({ teamWith("a", { "" }) }).identify(""));
+}
+
 //! Guards against keys that are read from headers of another scheme.
 BOOST_AUTO_TEST_CASE(keys_are_read_from_bearer_headers_only)
 {
