--- a/src/fleet/testing/fakeworkers.h
+++ b/src/fleet/testing/fakeworkers.h
@@ -31,6 +31,7 @@
     int delaysStarts = 0; //!< number of next start orders that are delayed until `carryOutDelayedStarts`
     std::vector<StartOrder> delayedStarts;
     core::Duration answerDelay {}; //!< of answers to orders that were carried out
+    core::Duration stopDelay {}; //!< how long a run goes on after a stop order
     core::Duration reportDelay {}; //!< of answers to lease renewals
     bool losesReports = false; //!< the worker receives everything, but its answers to lease renewals are lost
     std::optional<WorkerReport> overtakenReport; //!< answers the next lease renewal
@@ -119,7 +120,12 @@
             if (order.fence.value() < it.fence)
                 return core::Failure { OrderFailure { OrderFailure::Code::Fenced, "" } };
             it.close(order.runId);
-            if (it.running.contains(order.runId))
+            if (it.stopDelay > core::Duration(0))
+                m_loop->callAfter(it.stopDelay, [&it, runId = order.runId, incarnation = it.startedAt] {
+                    if (it.startedAt == incarnation && it.running.contains(runId))
+                        it.end(runId, EndKind::Stopped, "kept");
+                });
+            else if (it.running.contains(order.runId))
                 it.end(order.runId, EndKind::Stopped, "kept");
             return WorkerClock(clockOf(it));
         });
--- a/src/scheduling/tests/cell.h
+++ b/src/scheduling/tests/cell.h
@@ -71,8 +71,8 @@
         advance(settle);
     }
 
-    workflow::WorkflowResult callEngine(workflow::CallKind kind, const workflow::JobSpec& spec,
-        core::Duration timeout = ms(400), const std::string& prefix = "/q/", const std::string& team = "")
+    static workflow::WorkflowCall callOf(
+        workflow::CallKind kind, const workflow::JobSpec& spec, const std::string& prefix, const std::string& team)
     {
         workflow::WorkflowCall call;
         call.team = core::TeamId(team);
@@ -82,12 +82,19 @@
         call.host = "h";
         call.path = prefix + spec.id.value();
         call.spec = spec;
+        return call;
+    }
+    workflow::WorkflowResult callEngine(workflow::CallKind kind, const workflow::JobSpec& spec,
+        core::Duration timeout = ms(400), const std::string& prefix = "/q/", const std::string& team = "")
+    {
+        workflow::WorkflowCall call = callOf(kind, spec, prefix, team);
         call.timeout = timeout;
-        std::optional<workflow::WorkflowResult> got;
-        engine->handle(call, [&got](const workflow::WorkflowResult& answer) { got = answer; });
-        for (int n = 0; n < 400 && !got; ++n)
+        // Shared, as an answer may come after this function has given up.
+        const auto got = std::make_shared<std::optional<workflow::WorkflowResult>>();
+        engine->handle(call, [got](const workflow::WorkflowResult& answer) { *got = answer; });
+        for (int n = 0; n < 400 && !*got; ++n)
             advance(ms(5));
-        return got.value_or(workflow::WorkflowResult { workflow::WorkflowOutcome::Uncertain, {}, 0, {}, "no answer" });
+        return got->value_or(workflow::WorkflowResult { workflow::WorkflowOutcome::Uncertain, {}, 0, {}, "no answer" });
     }
     workflow::WorkflowOutcome submit(const workflow::JobSpec& spec)
     {
