A gang that waits for its team's cap gets its turn

While single tasks of the same team kept coming, each took what became free of the cap, and the gang never started (the test: 0 of 2 after 40 ends). After a second, what becomes free is left to the gang for 10 s at a time; stages of the team that come before it go on, and other teams are not affected. Left alone: a gang that exceeds a lowered cap.

--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -136,6 +136,8 @@
     std::uint32_t tasksWithinCap(const Job& job, const Stage& stage) const;
     //! Returns whether no task of the stage may start before others of its team have ended.
     bool waitsForCap(const Job& job, const Stage& stage) const;
+    //! Removes the stages that would take what a gang of the same team has waited for.
+    void leaveCapToGangs(std::vector<ReadyStage>& all, const std::vector<ReadyStage>& waitingGangs) const;
     //! Returns whether a task or gang of the job could never run within the team's cap.
     bool exceedsCap(const workflow::JobSpec& spec, const core::TeamId& team) const;
     //! Orders the stages of equal priority by the shares of their teams.
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -125,6 +125,7 @@
 std::vector<EngineImpl::ReadyStage> EngineImpl::readyStages(core::TimePoint now)
 {
     std::vector<ReadyStage> all;
+    std::vector<ReadyStage> waitingForCap; // gangs
     for (const auto& [id, job] : m_active) {
         if (job->isRecovered && !m_isBarrierPassed)
             continue;
@@ -137,15 +138,22 @@
             const std::size_t startable = stage.startable();
             if (startable == 0 || (isGang && (stage.live > 0 || startable < stage.pending)))
                 continue;
-            if (waitsForCap(*job, stage))
-                continue; // it holds back nobody else
+            const bool isWaiting = waitsForCap(*job, stage); // it holds back no other team
+            if (isWaiting && !isGang)
+                continue;
+            if (!isWaiting)
+                stage.waitsForCapSince = {};
+            else if (stage.waitsForCapSince == core::TimePoint())
+                stage.waitsForCapSince = now;
             if (!startBy)
                 startBy = job->startBy();
             const bool isExcess = job->record.isExcess;
-            all.push_back({ job, &stage, isExcess || isTooLate(*startBy, job->objectiveAt, now), isExcess,
-                job->record.queue.priority, *startBy });
+            (isWaiting ? waitingForCap : all)
+                .push_back({ job, &stage, isExcess || isTooLate(*startBy, job->objectiveAt, now), isExcess,
+                    job->record.queue.priority, *startBy });
         }
     }
+    leaveCapToGangs(all, waitingForCap);
     // A job that can't meet its objective any more is worth little, whatever its priority, so it comes after all jobs
     // that can. What a team has submitted beyond its rate comes last.
     std::sort(all.begin(), all.end(), [](const ReadyStage& a, const ReadyStage& b) {
--- a/src/scheduling/internal/engineteams.cpp
+++ b/src/scheduling/internal/engineteams.cpp
@@ -20,6 +20,12 @@
 constexpr double shortSeconds = 0.05;
 //! Share of its team's cap for which the first tasks of a wide step wait.
 constexpr double maxShareOfFirstWave = 0.25;
+//! After this time, what becomes free of a team's cap is left to its gang that waits. Otherwise single tasks of the
+//! team would take each bit of it, and the gang would never start.
+constexpr core::Duration minCapWait = std::chrono::seconds(1);
+//! How long it is left to the gang at a time, as tasks that last may never end. The team's other tasks then have the
+//! same time.
+constexpr core::Duration maxCapHold = std::chrono::seconds(10);
 constexpr const char* excessReason = "its team is over its rate and the fleet is full";
 
 double cpuSecondsOf(const core::Resources& amount, core::Duration estimate)
@@ -139,6 +145,30 @@
     return allowed == 0 || (job.stepOf(stage).isGang && allowed < stage.startable());
 }
 
+void EngineImpl::leaveCapToGangs(std::vector<ReadyStage>& all, const std::vector<ReadyStage>& waitingGangs) const
+{
+    const auto turnOf
+        = [](const ReadyStage& it) { return std::make_tuple(it.isLate, it.isExcess, it.priority, it.stage->openedAt); };
+    std::map<core::TeamId, decltype(turnOf(all.front()))> turns; // the first of the gangs that hold the cap of a team
+    for (const ReadyStage& it : waitingGangs) {
+        const core::Duration waited = m_roundAt - it.stage->waitsForCapSince;
+        const core::TeamId& team = it.job->record.team;
+        const workflow::StepSpec& step = it.job->stepOf(*it.stage);
+        if (waited < minCapWait || (waited - minCapWait) / maxCapHold % 2 == 1
+            || !m_usage.canEverRun(team, step.need * std::int64_t(step.count)))
+            continue;
+        const auto [turn, isFirst] = turns.emplace(team, turnOf(it));
+        if (!isFirst)
+            turn->second = std::min(turn->second, turnOf(it));
+    }
+    if (turns.empty())
+        return;
+    std::erase_if(all, [&](const ReadyStage& it) {
+        const auto turn = turns.find(it.job->record.team);
+        return turn != turns.end() && turn->second < turnOf(it);
+    });
+}
+
 bool EngineImpl::exceedsCap(const workflow::JobSpec& spec, const core::TeamId& team) const
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(), [&](const workflow::StepSpec& it) {
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -60,6 +60,7 @@
     bool isOpen = false; //!< the steps before it are done and its occurrence is due
     core::TimePoint openedAt {};
     core::TimePoint notBefore {}; //!< earliest next start after a failure
+    core::TimePoint waitsForCapSince {}; //!< its team's cap leaves too little for the gang; zero if it does not wait
     core::TimePoint tryAgainAt {}; //!< when to evaluate it again after it could not start
     fleet::RunNumber newestRun;
     bool isBeingStopped = false; //!< all members of the gang are being stopped
--- a/src/scheduling/tests/teamcaps.h
+++ b/src/scheduling/tests/teamcaps.h
@@ -115,12 +115,12 @@
     static constexpr std::array<Action, 37> actions { &CapsRun::submitWide, &CapsRun::submitWide, &CapsRun::submitWide,
         &CapsRun::submitGang, &CapsRun::submitGang, &CapsRun::submitLongRunning, &CapsRun::submitOnSpareCpu,
         &CapsRun::submitOnSpareCpu, &CapsRun::submitWithCheckpoints, &CapsRun::submitSteps, &CapsRun::submitSteps,
-        &CapsRun::endRuns, &CapsRun::endRuns, &CapsRun::endRuns, &CapsRun::endRuns,
-        &CapsRun::endRuns, &CapsRun::silenceBusyWorkers, &CapsRun::cancel, &CapsRun::loseStartAnswers, &CapsRun::delayStarts,
+        &CapsRun::endRuns, &CapsRun::endRuns, &CapsRun::endRuns, &CapsRun::endRuns, &CapsRun::endRuns,
+        &CapsRun::silenceBusyWorkers, &CapsRun::cancel, &CapsRun::loseStartAnswers, &CapsRun::delayStarts,
         &CapsRun::carryOutDelayedStarts, &CapsRun::toggleSilence, &CapsRun::restartWorker, &CapsRun::toggleListing,
         &CapsRun::changeLeader, &CapsRun::changeLeaderThrice, &CapsRun::changeCap, &CapsRun::dropTeam,
-        &CapsRun::toggleStore, &CapsRun::loseReports, &CapsRun::loseReports, &CapsRun::cutOff, &CapsRun::cutOff, &CapsRun::takeOver,
-        &CapsRun::takeOver, &CapsRun::takeOver, &CapsRun::heal };
+        &CapsRun::toggleStore, &CapsRun::loseReports, &CapsRun::loseReports, &CapsRun::cutOff, &CapsRun::cutOff,
+        &CapsRun::takeOver, &CapsRun::takeOver, &CapsRun::takeOver, &CapsRun::heal };
     (this->*actions[n % actions.size()])(n / actions.size());
     m_cell.advance(ms(std::array { 1, 10, 100, 400 }[n / 100'000 % 4]));
 }
@@ -336,8 +336,7 @@
     static constexpr std::array<std::int64_t, 4> percents { 30, 70, 100, 200 };
     const std::int64_t percent = percents[n / 3 % percents.size()];
     m_dropped.erase(team);
-    m_caps[team].push_back(
-        { m_cell.loop->now(), team == "a" ? capped(30 * percent) : capped(0, 4 * percent) });
+    m_caps[team].push_back({ m_cell.loop->now(), team == "a" ? capped(30 * percent) : capped(0, 4 * percent) });
     configure();
 }
 
--- a/src/scheduling/tests/teams_tests.cpp
+++ b/src/scheduling/tests/teams_tests.cpp
@@ -99,6 +99,28 @@
     BOOST_TEST(startsOf(cell, "other") == 6u);
 }
 
+//! Guards against a gang that never starts, since single tasks of its team take each bit of the cap that becomes free.
+BOOST_AUTO_TEST_CASE(single_tasks_of_a_team_do_not_keep_its_gang_waiting_for_ever)
+{
+    TeamsCell cell;
+    cell.queue.stretch = 100;
+    cell.configure();
+    cell.submitFor("a", jobOf("s0", 1, 1000));
+    cell.submitFor("a", jobOf("s1", 1, 1000));
+    cell.advance(ms(100));
+    BOOST_TEST((cell.submitFor("a", jobOf("gang", 2, 1000, true)).outcome == WorkflowOutcome::Accepted));
+    for (int n = 2; n < 40 && startsOf(cell, "gang") == 0; ++n) {
+        cell.submitFor("a", jobOf("s" + std::to_string(n), 1, 1000));
+        bool hasEnded = false; // one run at a time
+        for (auto& [id, it] : cell.workers->workers) {
+            if (!it.running.empty() && !std::exchange(hasEnded, true))
+                it.end(fleet::RunId(it.running.begin()->first), EndKind::Done);
+        }
+        cell.advance(ms(200));
+    }
+    BOOST_TEST(startsOf(cell, "gang") == 2u);
+}
+
 //! Guards against starts by a new leader while it does not know yet what a former one has started for the team.
 BOOST_AUTO_TEST_CASE(a_new_leader_counts_runs_that_it_has_not_heard_of_yet)
 {
