--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -58,7 +58,7 @@
     return unfinishedBytes > m_limits.unfinishedBytes || servedBytes > m_limits.servedBytes;
 }
 
-std::vector<Closing> OverloadPolicy::relieve(std::vector<ConnectionView> views, core::TimePoint now) const
+std::vector<Closing> OverloadPolicy::relieve(const std::vector<ConnectionView>& views, core::TimePoint now) const
 {
     std::vector<ConnectionView> unfinished;
     std::vector<ConnectionView> stalled;
--- a/src/http/internal/overloadpolicy.h
+++ b/src/http/internal/overloadpolicy.h
@@ -40,7 +40,7 @@
     bool isUnderPressure(std::size_t unfinishedBytes, std::size_t servedBytes) const;
     //! Returns the unfinished requests and stalled answers to close: the largest first, of equal ones the oldest, until
     //! an eighth of the limit is free. A single unfinished request is never closed.
-    std::vector<Closing> relieve(std::vector<ConnectionView> views, core::TimePoint now) const;
+    std::vector<Closing> relieve(const std::vector<ConnectionView>& views, core::TimePoint now) const;
     //! Returns the connection to close so that a further one may be opened, if any: the oldest that never sent a
     //! request, else the one that has been idle, receiving or stalled for longest.
     std::optional<std::size_t> makeRoom(const std::vector<ConnectionView>& views, core::TimePoint now) const;
--- a/src/runtime/eventloop.h
+++ b/src/runtime/eventloop.h
@@ -41,7 +41,8 @@
     core::TimePoint now() const override;
     core::WallTime wallNow() const override;
 
-    //! Adds an observer until it is destroyed. Must be called before `start` or on the loop's thread.
+    //! Adds an observer until it is destroyed. Must be called before `start` or on the loop's thread,
+    //! and not in `onTurn`.
     void observeTurns(std::weak_ptr<ITurnObserver> observer) { m_observers.push_back(std::move(observer)); }
     //! Starts processing. Before this call, sockets may be opened on the loop from the thread that created it.
     void start();
--- a/src/runtime/internal/eventloop.cpp
+++ b/src/runtime/internal/eventloop.cpp
@@ -217,8 +217,8 @@
 void EventLoop::notifyObservers()
 {
     bool isAnyGone = false;
-    for (std::size_t n = 0; n < m_observers.size(); ++n) {
-        const auto it = m_observers[n].lock();
+    for (const auto& observer : m_observers) {
+        const auto it = observer.lock();
         isAnyGone = isAnyGone || !it;
         if (it)
             it->onTurn();
