--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -225,7 +225,8 @@
 
     http::ServerOptions inner;
     inner.listen = settings.inner;
-    inner.maxBodyBytes = maxInnerBodyBytes;
+    // A batch of messages that takes an eighth of the VM's memory cannot be read beside the node's own state.
+    inner.maxBodyBytes = std::min(maxInnerBodyBytes, settings.memoryBytes / 8);
     inner.connections = innerConnections;
     auto innerResult
         = http::createServer(control, inner, [this](const http::Request& request, http::Responder responder) {
--- a/tests/process/untrusted_tests.py
+++ b/tests/process/untrusted_tests.py
@@ -15,7 +15,7 @@
 import time
 import unittest
 
-from cell import BUILD
+from cell import BUILD, Cell
 from dispatch_tests import HOST, PREFIX, Deployment, new_id, step
 
 CROWD = 150  # connections
@@ -189,7 +189,7 @@
     return len(os.listdir("/proc/%d/fd" % process.process.pid))
 
 
-class Untrusted(unittest.TestCase):
+class Bounds(unittest.TestCase):
     def settings(self, max_descriptors):
         limits = "memoryMb: %d\nmaxDescriptors: %d\n" % (MAX_PEAK_MB, max_descriptors)
         return limits if accepts(limits) else ""
@@ -201,6 +201,8 @@
         self.assertLess(self.measured[0], MAX_PEAK_MB)
         self.assertLessEqual(self.measured[1], max_descriptors)
 
+
+class Untrusted(Bounds):
     def check_job(self, cell):
         cell.wait_state(0, cell.submit_until_accepted(0, step(1), work_ms=20))
 
@@ -300,5 +302,33 @@
             server.close()
 
 
+class UntrustedServe(Bounds):
+    """The same limits for `sardinerun serve`, whose listeners run on two loops."""
+
+    def check_job(self, cell):
+        answers = []
+        cell.wait_until(lambda: answers.append(cell.submit(0)) or answers[-1][0] in (200, 201, 202), "accepted")
+        self.assertEqual(cell.wait_job(0, answers[-1][1]["id"])["state"], "succeeded")
+
+    def withstand(self, ports, *kinds):
+        with Cell(nodes=1, workers=2, runners=1, settings=self.settings(1024)) as cell:
+            self.check_job(cell)
+            crowd = Crowd([getattr(cell, it)[0] for it in ports], kinds)
+            try:
+                crowd.wait_until_still()
+                self.check_job(cell)
+                self.check_bounds(cell.nodes[0], 1024)
+            finally:
+                crowd.close()
+            self.check_job(cell)
+            self.check_bounds(cell.nodes[0], 1024)
+
+    def test_a_crowd_at_the_listener_for_callers(self):
+        self.withstand(["callers"], announced(), in_pieces(announced(), 4096), chunked(65536), endless_header)
+
+    def test_a_crowd_at_the_listener_for_nodes(self):
+        self.withstand(["inner"], announced(), in_pieces(announced(), 4096), chunked(65536), endless_header)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
