--- a/src/http/tests/limits_tests.cpp
+++ b/src/http/tests/limits_tests.cpp
@@ -1,9 +1,13 @@
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace sardinerun;
 using namespace std::chrono_literals;
@@ -125,3 +129,55 @@
         BOOST_TEST(it.get().value().status == 200);
     BOOST_TEST(send("/echo", 10).get().value().status == 200);
 }
+
+namespace {
+
+//! Sends bytes in two parts on a connection of its own. Returns everything that is received until `answers` have come.
+std::string sendSplit(std::uint16_t port, const std::string& bytes, std::size_t split, std::size_t answers)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    BOOST_REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    BOOST_TEST(write(fd, bytes.data(), split) == ssize_t(split));
+    std::this_thread::sleep_for(3ms); // longer than the time between two looks at the connections
+    BOOST_TEST(write(fd, bytes.data() + split, bytes.size() - split) == ssize_t(bytes.size() - split));
+    std::string text;
+    std::string buf(4096, ' ');
+    const auto count = [&text] {
+        std::size_t n = 0;
+        for (std::size_t at = 0; (at = text.find("HTTP/1.1 200", at)) != std::string::npos; ++at)
+            ++n;
+        return n;
+    };
+    while (count() < answers || !text.ends_with("7")) {
+        const ssize_t n = read(fd, buf.data(), buf.size());
+        if (n <= 0)
+            break;
+        text.append(buf.data(), std::size_t(n));
+    }
+    close(fd);
+    return text;
+}
+
+} // namespace
+
+//! Guards against a request that is lost, closed or changed because of where its bytes were divided.
+BOOST_FIXTURE_TEST_CASE(requestsMayBeDividedAtAnyByte, Limited)
+{
+    const std::string announced = "POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 7\r\n\r\n1234567";
+    const std::string chunked
+        = "POST /echo HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\n123\r\n4;x=y\r\n4567\r\n0\r\n\r\n";
+    const std::string pipelined = announced + chunked;
+    for (std::size_t split = 1; split < pipelined.size(); ++split) {
+        const std::string text = sendSplit(server->port(), pipelined, split, 2);
+        BOOST_TEST(text.ends_with("\r\n\r\n7"), "divided at " << split << ": " << text);
+    }
+    const auto usage = onLoop<http::ConnectionUsage>([this] { return http::usageOf(*table); });
+    BOOST_TEST(usage.refused == 0U);
+    BOOST_TEST(onLoop<std::size_t>([this] { return handled; }) == 2 * (pipelined.size() - 1));
+}
