--- a/src/partition/tests/teamorder_tests.cpp
+++ b/src/partition/tests/teamorder_tests.cpp
@@ -7,8 +7,8 @@
 using namespace sardinerun::partition::testing;
 using namespace std::chrono_literals;
 
-//! Guards against an order of teams that misses what starts, what ends, or a change of the weights. Load: eight tasks at
-//! a time, of different lengths, and 200 waiting jobs of each of two teams.
+//! Guards against an order of teams that misses what starts, what ends, or a change of the weights. Load: eight tasks
+//! at a time, of different lengths, and 200 waiting jobs of each of two teams.
 BOOST_AUTO_TEST_CASE(theTeamWithTheLargerWeightStartsMore)
 {
     SimulatedCell cell(1, 2, { core::MilliCpu(4000), core::MebiBytes(8000), {} });
