Runs of ended jobs on a worker of unknown size count, too

A new leader counts a run of an ended job with the size of its worker. That of a worker which is in the roster but not listed is not known, and the run counted as 0 while it was being stopped. What the job's runs occupied when it ended counts there.

--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -115,9 +115,13 @@
     if (stage)
         countRun(worker.id(), run.runId,
             { job->record.team, occupationOf(job->stepOf(*stage)), job->stepOf(*stage).estimate });
-    else if (job) // what a task of an ended job needs is no longer known
-        countRun(worker.id(), run.runId,
-            { job->record.team, { worker.entry().capacity, {} }, m_dependencies.times.stopGrace });
+    else if (job) { // what a task of an ended job needs is no longer known
+        // A worker that is not listed has no known size; all runs of the job together occupied no more than this.
+        const bool isSizeKnown = worker.entry().capacity != core::Resources();
+        const workflow::Occupation amount
+            = isSizeKnown ? workflow::Occupation { worker.entry().capacity, {} } : job->record.left;
+        countRun(worker.id(), run.runId, { job->record.team, amount, m_dependencies.times.stopGrace });
+    }
     // A run whose loss is not confirmed yet is listed after all.
     if (stage && isCurrentRun(stage->tasks[run.runId.task.index], worker.id(), run.runId)) {
         LogLine(Severity::Info, "run-found")
