--- a/bench/learning.cpp
+++ b/bench/learning.cpp
@@ -26,7 +26,7 @@
     { "work ahead", { false, false, true, false, false, false } },
     { "reservations", { false, false, false, true, false, false } },
     { "speeds", { false, false, false, false, true, false } },
-    { "all", { true, true, true, true, true, true } },
+    { "all", LearnedUses::all() },
     { "default", {} },
 };
 
@@ -48,7 +48,7 @@
 
 void play(const UseSet& set, const Estimates& estimates, double load, const Arguments& arguments)
 {
-    std::array<KindFigures, 3> sum;
+    std::array<WorthFigures, 3> sum;
     for (int seed = 1; seed <= arguments.seeds; ++seed) {
         NoisyRun run(set.uses, estimates.noise, load, unsigned(seed));
         const auto figures = run.play(arguments.seconds, arguments.burst);
@@ -60,8 +60,8 @@
         }
     }
     std::printf("%s,%s,%.1f", set.name, estimates.name, load);
-    for (const KindFigures& it : sum)
-        std::printf(",%.3f,%.3f", double(it.refused) / std::max(1, it.asked), it.earned());
+    for (const WorthFigures& it : sum)
+        std::printf(",%.3f,%.3f", it.refused / it.asked, it.earned());
     std::printf(",%.3f\n", (sum[0].earned() + sum[1].earned() + sum[2].earned()) / 3);
     std::fflush(stdout);
 }
--- a/bench/runtimes.cpp
+++ b/bench/runtimes.cpp
@@ -38,6 +38,7 @@
     constexpr int kindsOfTeam = 556;
     RunTimes learned;
     std::vector<TaskKind> kinds;
+    kinds.reserve(teams * kindsOfTeam);
     for (int n = 0; n < teams * kindsOfTeam; ++n)
         kinds.push_back({ "queue-" + std::to_string(n % 3), core::TeamId("team-" + std::to_string(n % teams)),
             "registry/image-" + std::to_string(n / teams) });
--- a/src/estimation/internal/expectation.cpp
+++ b/src/estimation/internal/expectation.cpp
@@ -37,7 +37,7 @@
     for (float& it : m_weights)
         it *= decay;
     const double position = std::clamp((residual - lowest) / width, 0.0, double(bins - 1));
-    m_weights[std::size_t(position + 0.5)] += float(weight);
+    m_weights[std::size_t(std::lround(position))] += float(weight);
 }
 
 double Residuals::quantile(double share) const
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -9,8 +9,6 @@
 #include "scheduling/headroom.h"
 #include "scheduling/internal/fleetview.h"
 #include "scheduling/internal/jobestimates.h"
-#include "scheduling/internal/jobs.h"
-#include "scheduling/internal/worker.h"
 #include "scheduling/placer.h"
 #include "scheduling/reservation.h"
 #include "scheduling/retrypacer.h"
@@ -103,7 +101,6 @@
     void read(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void cancel(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
-    //! `expected` is the submitted job with expected run times as its estimates.
     AdmissionInputs admissionInputs(
         const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const workflow::JobSpec& expected);
     //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
@@ -220,11 +217,10 @@
     //! Limits the CPU of tasks on spare CPU beside latency-sensitive tasks.
     void limitCpuBesideServing(Worker& worker);
     void checkStall(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
-    //! Counts a run that seems to hang as a failure of its worker if its run time is known well enough. Otherwise the
-    //! next run of the task decides.
+    //! A run that seems to hang counts as a failure of its worker if its run time is known, or the next run confirms
+    //! it.
     void suspectWorker(
         const Worker& worker, const Job& job, Stage& stage, const fleet::RunId& runId, core::Duration sinceProgress);
-    //! Confirms or refutes a suspicion by a completed run of the task.
     void checkSuspicion(const Job& job, TaskProgress& task, core::Duration runTime);
     void markDone(const JobPtr& job, Stage& stage, const fleet::EndedRun& end);
     void markTaskDone(Stage& stage, std::uint32_t index);
@@ -293,10 +289,9 @@
     Demand demandOf(const Job& job, const Stage& stage) const;
     //! Returns how much the speed of workers counts for a job: urgent work gets the fast ones.
     static double speedWeightOf(const Job& job);
-    //! Learns from a run that goes on for much longer than expected.
-    void learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
-    //! Learns from a run that was completed.
+    //! Learn from a run that was completed, and from one that goes on for much longer than expected.
     void learnFromRun(const Worker& worker, const fleet::RunId& runId, core::Duration runTime, Job& job, Stage& stage);
+    void learnFromOverdue(Worker& worker, const fleet::RunId& runId, const WorkerRun& run);
     void requestAdvice(const ReadyStage& ready, core::TimePoint now, const std::optional<Reservation>& reservation);
     //! Selects the workers to name. An additional request names none for which tickets are valid or requested.
     std::vector<core::VmId> workersForAdvice(
@@ -323,7 +318,7 @@
     const std::vector<RoomEvent>& roomEvents(UsableWorker& usable) const;
     //! Returns when a run is expected to end; nothing if it does not end by itself.
     std::optional<core::Duration> remainingTime(
-        const Worker& worker, const fleet::RunId& runId, const WorkerRun& run) const;
+        const Worker& at, const fleet::RunId& runId, const WorkerRun& run) const;
     //! Reserves the room for a gang, unless it is kept idle for too long; the gang has its turn in any case.
     void holdRoom(const ReadyStage& ready, const Reservation& reservation, core::TimePoint now);
     void tick();
--- a/src/scheduling/internal/jobestimates.cpp
+++ b/src/scheduling/internal/jobestimates.cpp
@@ -164,8 +164,8 @@
     const std::string& queue = job.record.queue.name;
     const double share
         = m_runTimes.expect(kindOf(queue, job.record.team, step, 0, nullptr), step.estimate).learnedShare;
-    m_metrics->add(
-        Metric::WorkRunTimeDecisions, { { "queue", queue }, { "by", share > 1.0 / 2 ? "learned" : "declared" } });
+    const bool isLearned = (m_uses.order || m_uses.admission) && share > 1.0 / 2;
+    m_metrics->add(Metric::WorkRunTimeDecisions, { { "queue", queue }, { "by", isLearned ? "learned" : "declared" } });
 }
 
 void JobEstimates::reportMetrics() const
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -40,14 +40,15 @@
 //! Decisions that use what completed runs tell about run times and the speeds of workers, instead of the declared
 //! estimates. docs/design/run-times.md says what each of them improves.
 struct LearnedUses {
-    bool admission = true; //!< whether a new job would end in time
-    bool order = true; //!< objective and expected chain of accepted jobs
-    bool workAhead = true; //!< core-seconds of pending work
+    bool admission = false; //!< whether a new job would end in time
+    bool order = false; //!< objective and expected chain of accepted jobs
+    bool workAhead = false; //!< core-seconds of pending work
     bool reservations = true; //!< when running tasks end
     bool speeds = true; //!< which work gets the fast workers
     bool hungRuns = true; //!< how long a run may stand still
 
     static LearnedUses none() { return { false, false, false, false, false, false }; }
+    static LearnedUses all() { return { true, true, true, true, true, true }; }
 };
 
 //! Maximum relative difference between the rates of two steady clocks.
--- a/src/scheduling/tests/noisyrun.h
+++ b/src/scheduling/tests/noisyrun.h
@@ -13,6 +13,16 @@
     double speeds = 0.15; //!< of workers
 };
 
+//! What became of the jobs of a kind, by their worth: 0.3 and 0.7 times the ratio of their work to the mean.
+struct WorthFigures {
+    double asked = 0;
+    double refused = 0; //!< in the end; callers send a refused job again up to four times
+    double inTime = 0;
+    double late = 0; //!< by at most three times the objective
+
+    double earned() const { return asked > 0 ? (inTime + 0.2 * late) / asked : 1; }
+};
+
 //! A leader under the mixed load, without advice, whose callers declare inaccurate estimates.
 class NoisyRun {
 public:
@@ -48,7 +58,7 @@
         };
     }
 
-    std::array<KindFigures, 3> play(int seconds, double burst)
+    std::array<WorthFigures, 3> play(int seconds, double burst)
     {
         m_cell.lead(ms(3000));
         const core::TimePoint begin = m_cell.loop->now();
@@ -82,6 +92,7 @@
         core::TimePoint submittedAt {};
         std::vector<core::Duration> lengths; //!< of its tasks, on a worker of mean speed
         core::Duration longest {};
+        double worth = 0;
     };
 
     void run(FakeWorker& worker, const fleet::StartOrder& order)
@@ -113,6 +124,8 @@
             job.lengths.push_back(scaled(it.runTime, std::exp(length + m_noise.inStep * m_normal(m_random) + tail)));
             job.longest = std::max(job.longest, job.lengths.back());
         }
+        job.worth = 0.3 + 0.7 * std::exp(length);
+        m_figures[kind].asked += job.worth;
         workflow::WorkflowCall call;
         call.kind = workflow::CallKind::Submit;
         call.host = "h";
@@ -121,7 +134,6 @@
         call.spec.steps[0].estimate = scaled(it.runTime, std::exp(length + m_noise.declaredError * m_normal(m_random)));
         call.path = std::string("/") + it.queue + "/" + id;
         m_jobs.emplace(id, std::move(job));
-        ++m_figures[kind].asked;
         send(kind, call, 0);
     }
 
@@ -131,7 +143,7 @@
             if (answer.outcome == workflow::WorkflowOutcome::Accepted)
                 read(call);
             else if (resends == maxResends)
-                ++m_figures[kind].refused;
+                m_figures[kind].refused += m_jobs.at(call.spec.id.value()).worth;
             else
                 m_cell.loop->callAfter(std::max(answer.retryAfter, ms(100)),
                     [this, kind, call, resends] { send(kind, call, resends + 1); });
@@ -151,7 +163,7 @@
         m_cell.engine->handle(
             call, [this, call, kind = job.kind, isInTime = took <= objective](const workflow::WorkflowResult& answer) {
                 if (answer.state == workflow::JobState::Completed)
-                    ++(isInTime ? m_figures[kind].inTime : m_figures[kind].late);
+                    (isInTime ? m_figures[kind].inTime : m_figures[kind].late) += m_jobs.at(call.spec.id.value()).worth;
                 else
                     m_cell.loop->callAfter(ms(100), [this, call] { read(call); });
             });
@@ -167,7 +179,7 @@
     std::map<const FakeWorker*, double> m_speedOf;
     std::map<std::string, NoisyJob> m_jobs;
     std::map<fleet::RunId, std::pair<core::TimePoint, core::Duration>> m_runs;
-    std::array<KindFigures, 3> m_figures;
+    std::array<WorthFigures, 3> m_figures;
 };
 
 } // namespace sardinerun::scheduling::testing
--- a/src/scheduling/tests/runtimes_tests.cpp
+++ b/src/scheduling/tests/runtimes_tests.cpp
@@ -15,7 +15,7 @@
 struct LearningCell : Cell {
     explicit LearningCell(bool learns = true)
     {
-        learnedUses = learns ? LearnedUses() : LearnedUses::none();
+        learnedUses = learns ? LearnedUses::all() : LearnedUses::none();
         workers->percentOf = [this](const fleet::RunId& run) {
             const double share = double((loop->now() - m_startedAt[run]).count()) / double(realOf(run).count());
             return std::min(100, int(share * 100));
