--- a/bench/runtimes.cpp
+++ b/bench/runtimes.cpp
@@ -38,7 +38,7 @@
     constexpr int kindsOfTeam = 556;
     RunTimes learned;
     std::vector<TaskKind> kinds;
-    kinds.reserve(teams * kindsOfTeam);
+    kinds.reserve(std::size_t(teams) * kindsOfTeam);
     for (int n = 0; n < teams * kindsOfTeam; ++n)
         kinds.push_back({ "queue-" + std::to_string(n % 3), core::TeamId("team-" + std::to_string(n % teams)),
             "registry/image-" + std::to_string(n / teams) });
