--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -42,6 +42,6 @@
 //! the loop starts or on its thread.
 ConnectionTablePtr createConnectionTable(const runtime::EventLoopPtr& loop, const ConnectionLimits& limits);
 //! Must be called on the loop's thread.
-ConnectionUsage usageOf(const ConnectionTable& table);
+ConnectionUsage usageOf(ConnectionTable& table);
 
 } // namespace sardinerun::http
--- a/src/http/internal/connectiontable.cpp
+++ b/src/http/internal/connectiontable.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/connectiontable.h"
 
+#include <algorithm>
 #include <cstring>
 #include <sys/socket.h>
 
@@ -7,9 +8,11 @@
 
 namespace {
 
-//! A turn of the loop reads at most what the kernel has buffered, so the limits are exceeded by what arrives within
-//! this time. With 1,000 connections a sweep takes about 20 us.
-constexpr core::Duration sweepInterval = std::chrono::milliseconds(2);
+//! Time between two looks at the connections. A loop reads and copies at most about 2 GB/s, so the next look may wait
+//! until a crowd could have filled what is free below the limit.
+constexpr core::Duration minSweepInterval = std::chrono::milliseconds(2);
+constexpr core::Duration maxSweepInterval = std::chrono::milliseconds(30);
+constexpr std::size_t bytesReadInMicrosecond = 2048;
 
 std::size_t inputBytes(const Connection& it)
 {
@@ -63,27 +66,25 @@
     return isAdmitted;
 }
 
+//! Turns that follow a look within the interval are not looked at. What arrived in them is less than the interval
+//! allows, and nothing more arrives without another turn. A timer for it would wake a loop at rest all the time.
 void ConnectionTable::onTurn()
 {
-    if (m_connections.empty())
-        return;
-    const core::Duration left = sweepInterval - (m_loop->now() - m_sweptAt);
-    if (left <= core::Duration(0)) {
+    if (!m_connections.empty() && m_loop->now() - m_sweptAt >= sweepInterval())
         sweep();
-        return;
-    }
-    if (std::exchange(m_isSweepScheduled, true))
-        return;
-    m_loop->callAfter(left, [self = weak_from_this()] {
-        if (const auto table = self.lock()) {
-            table->m_isSweepScheduled = false;
-            table->sweep();
-        }
-    });
 }
 
-ConnectionUsage ConnectionTable::usage() const
+core::Duration ConnectionTable::sweepInterval() const
+{
+    const std::size_t limit = m_policy.limits().unfinishedBytes;
+    const std::size_t free = limit - std::min(limit, m_usage.unfinishedBytes);
+    const std::chrono::microseconds fillTime(free / bytesReadInMicrosecond);
+    return std::clamp<core::Duration>(fillTime, minSweepInterval, maxSweepInterval);
+}
+
+ConnectionUsage ConnectionTable::usage()
 {
+    sweep(); // the figures of the last look may be of another time
     ConnectionUsage usage = m_usage;
     usage.connections = m_connections.size();
     return usage;
@@ -182,7 +183,7 @@
     return table;
 }
 
-ConnectionUsage usageOf(const ConnectionTable& table)
+ConnectionUsage usageOf(ConnectionTable& table)
 {
     return table.usage();
 }
--- a/src/http/internal/connectiontable.h
+++ b/src/http/internal/connectiontable.h
@@ -44,7 +44,7 @@
     bool admit(Connection& connection, std::size_t requestBytes);
     void countRefused() { ++m_usage.refused; }
     void onTurn() override;
-    ConnectionUsage usage() const;
+    ConnectionUsage usage();
 
 private:
     static void onSocketClosed(void* data);
@@ -52,6 +52,7 @@
     std::vector<ConnectionPtr> open() const;
     std::vector<ConnectionView> viewsOf(const std::vector<ConnectionPtr>& connections) const;
     bool isHeadTooLong(Connection& it) const;
+    core::Duration sweepInterval() const;
     void sweep();
     void close(Connection& it, CloseReason reason);
 
@@ -61,7 +62,6 @@
     std::size_t m_closing = 0; //!< connections that h2o has still to close
     ConnectionUsage m_usage;
     core::TimePoint m_sweptAt {};
-    bool m_isSweepScheduled = false;
 };
 
 } // namespace sardinerun::http
--- a/src/http/internal/h2oclient.cpp
+++ b/src/http/internal/h2oclient.cpp
@@ -80,20 +80,8 @@
     //! h2o collects the headers of an answer without a limit.
     void onTurn() override
     {
-        const core::Duration left = sweepInterval - (m_loop->now() - m_sweptAt);
-        if (m_budget.isEmpty() || m_isSweepScheduled)
-            return;
-        if (left <= core::Duration(0)) {
+        if (!m_budget.isEmpty() && m_loop->now() - m_sweptAt >= sweepInterval)
             cutLongHeads();
-            return;
-        }
-        m_isSweepScheduled = true;
-        m_loop->callAfter(left, [self = weak_from_this()] {
-            if (const auto client = self.lock()) {
-                client->m_isSweepScheduled = false;
-                client->cutLongHeads();
-            }
-        });
     }
 
 private:
@@ -365,7 +353,6 @@
     AnswerBudget m_budget;
     std::uint64_t m_tooLarge = 0;
     core::TimePoint m_sweptAt {};
-    bool m_isSweepScheduled = false;
     h2o_http1client_ctx_t m_context {};
     h2o_timeout_t m_ioTimeout {};
     std::shared_ptr<ClientPools> m_pools;
