--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -2,7 +2,6 @@
 
 #include "dispatch/leadertask.h"
 
-#include "codec/json.h"
 #include "telemetry/log.h"
 
 namespace sardinerun::dispatch {
--- a/src/scheduling/internal/enginerecovery.cpp
+++ b/src/scheduling/internal/enginerecovery.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduling/internal/engineimpl.h"
 
+#include "codec/json.h"
 #include "telemetry/log.h"
 #include "workflow/workflowcodec.h"
 
