A connection just accepted does not give room first

A caller's connection could be closed before its request was read, because connections without a request were closed first whatever their age.

--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -15,6 +15,9 @@
     std::size_t servedBytes = std::size_t(64) << 20; //!< of requests in progress and of answers being sent
     std::size_t headBytes = std::size_t(32) << 10; //!< of one request's line and headers
     std::size_t connections = 1024;
+    //! A connection without a request is closed first only if it is older: the request of a younger one may be on its
+    //! way.
+    core::Duration graceTime = std::chrono::milliseconds(100);
     //! Pressure closes answers whose receiver has accepted nothing for this long.
     core::Duration stallTime = std::chrono::seconds(1);
 };
--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -82,7 +82,10 @@
 std::optional<std::size_t> OverloadPolicy::makeRoom(const std::vector<ConnectionView>& views, core::TimePoint now) const
 {
     const ConnectionView* best = nullptr;
-    const auto rank = [](const ConnectionView& it) { return it.phase == Phase::Idle && !it.hasServed ? 0 : 1; };
+    const auto rank = [this, now](const ConnectionView& it) {
+        const bool isUnused = it.phase == Phase::Idle && !it.hasServed && now - it.since >= m_limits.graceTime;
+        return isUnused ? 0 : 1;
+    };
     for (const ConnectionView& it : views) {
         const bool mayClose = it.phase == Phase::Idle || it.phase == Phase::Receiving
             || (it.phase == Phase::Sending && now - it.since >= m_limits.stallTime);
--- a/src/http/internal/overloadpolicy.h
+++ b/src/http/internal/overloadpolicy.h
@@ -42,7 +42,7 @@
     //! an eighth of the limit is free. A single unfinished request is never closed.
     std::vector<Closing> relieve(const std::vector<ConnectionView>& views, core::TimePoint now) const;
     //! Returns the connection to close so that a further one may be opened, if any: the oldest that never sent a
-    //! request, else the one that has been idle, receiving or stalled for longest.
+    //! request within the grace time, else the one that has been idle, receiving or stalled for longest.
     std::optional<std::size_t> makeRoom(const std::vector<ConnectionView>& views, core::TimePoint now) const;
     //! Returns whether a complete request of this size may run. A request beside no other always may.
     bool admits(std::size_t requestBytes, std::size_t servedBytes) const;
