Services and scheduled jobs are never out of use

A service that ran for three times its objective, and every occurrence of a scheduled job after the first ones, counted as out of use. After the loss of its worker a service was restarted only after all other late work, whatever its priority.

--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -19,6 +19,12 @@
 
 bool isOutOfUse(const Job& job, core::TimePoint startBy, core::TimePoint now)
 {
+    // Nobody waits for the end of a service, and each occurrence of a scheduled job has its own users.
+    const workflow::JobSpec& spec = job.record.spec;
+    const bool isService
+        = std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& it) { return it.isLongRunning; });
+    if (isService || spec.occurrences > 0)
+        return false;
     return now > startBy + (job.objectiveAt - job.acceptedAt) * (usefulObjectives - 1) + estimateSlack;
 }
 
--- a/src/scheduling/tests/overload_tests.cpp
+++ b/src/scheduling/tests/overload_tests.cpp
@@ -422,6 +422,40 @@
     BOOST_TEST(startsOf(cell, expired) == 1u);
 }
 
+//! Load: a full fleet, a service and a scheduled job that were accepted long ago, and a late job. Guards against a
+//! service or an occurrence that is never started again while other work is late, as it counts as out of use.
+BOOST_AUTO_TEST_CASE(services_and_scheduled_jobs_stay_of_use)
+{
+    Cell cell;
+    cell.queue.stretch = 2;
+    cell.queue.latencyTarget = ms(1000);
+    cell.lead();
+    auto service = jobOf("service", 1, 4000);
+    service.steps[0].isLongRunning = true;
+    auto scheduled = jobOf("scheduled", 1, 4000);
+    scheduled.occurrences = 2;
+    scheduled.firstDueAt = core::WallTime(cell.loop->wallNow().value() + 13'000);
+    scheduled.interval = ms(1'000'000);
+    cell.submit(service);
+    cell.submit(scheduled);
+    cell.submit(blockerOf("block1"));
+    cell.advance(ms(300));
+    BOOST_REQUIRE(cell.running() == 2u);
+    cell.submit(blockerOf("block2"));
+    FakeWorker& worker = cell.worker(cell.worker("w1").running.begin()->first.task.job == service.id ? "w1" : "w2");
+    endRunsOf(cell, worker); // the other job takes its place
+    cell.advance(ms(9200));
+    const auto late = jobOf("late", 1, 4000);
+    cell.submit(late);
+    cell.advance(ms(3600)); // late, but of use; an occurrence of the scheduled job is due
+    BOOST_REQUIRE(startsOf(cell, service) == 1u);
+    cell.endAll(EndKind::Done);
+    cell.advance(ms(300));
+    BOOST_TEST(startsOf(cell, service) == 2u);
+    BOOST_TEST(startsOf(cell, scheduled) == 1u);
+    BOOST_TEST(startsOf(cell, late) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(overload_decision_cost)
