--- a/src/dispatch/internal/floodguard.cpp
+++ b/src/dispatch/internal/floodguard.cpp
@@ -10,8 +10,8 @@
 
 //! The bucket of a small team gains a job in about this time, so a longer refusal would waste its rate.
 constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(300);
-//! A team without submissions for this long after its retry time may be within its rate again. Several jobs that it then
-//! submits at once are all sent.
+//! A team without submissions for this long after its retry time may be within its rate again. Several jobs that it
+//! then submits at once are all sent.
 constexpr core::Duration refusingRetention = std::chrono::seconds(1);
 //! Callers send a job again within some seconds, or give it up.
 constexpr core::Duration sentJobRetention = std::chrono::seconds(60);
--- a/src/dispatch/tests/floodguard_tests.cpp
+++ b/src/dispatch/tests/floodguard_tests.cpp
@@ -177,8 +177,8 @@
     BOOST_TEST(!guard.refuse(a, job(4), now + 350ms));
 }
 
-//! Guards against refusals of a team that has long been within its rate. Load: a refusal, and some jobs at once a minute
-//! later.
+//! Guards against refusals of a team that has long been within its rate. Load: a refusal, and some jobs at once a
+//! minute later.
 BOOST_AUTO_TEST_CASE(an_old_refusal_by_the_leader_does_not_count)
 {
     FloodGuard guard;
