--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-EngineImpl::AdmissionSnapshot& EngineImpl::admissionSnapshot()
+AdmissionSnapshot& EngineImpl::admissionSnapshot()
 {
     const core::TimePoint now = m_dependencies.loop->now();
     const core::Duration period
--- a/src/scheduling/internal/enginebacklog.cpp
+++ b/src/scheduling/internal/enginebacklog.cpp
@@ -31,7 +31,7 @@
     m_longestRound = {};
 }
 
-EngineImpl::Backlog EngineImpl::backlogOf(const std::vector<ReadyStage>& all) const
+Backlog EngineImpl::backlogOf(const std::vector<ReadyStage>& all) const
 {
     Backlog backlog;
     for (const ReadyStage& it : all) {
--- a/src/scheduling/internal/engineimpl.h
+++ b/src/scheduling/internal/engineimpl.h
@@ -7,6 +7,7 @@
 #include "scheduling/cpulimiter.h"
 #include "scheduling/engine.h"
 #include "scheduling/headroom.h"
+#include "scheduling/internal/engineparts.h"
 #include "scheduling/internal/fleetview.h"
 #include "scheduling/internal/jobestimates.h"
 #include "scheduling/internal/teamreports.h"
@@ -45,38 +46,16 @@
     void setFormerLeaderGone() override;
 
 private:
-    using JobPtr = std::shared_ptr<Job>;
     using CallHandler = void (EngineImpl::*)(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     struct DeferredCall {
         workflow::WorkflowCall call;
         AnswerCallback callback;
         core::TimePoint deadline {};
     };
-    //! Pending work of a team.
-    struct TeamWork {
-        core::Resources need; //!< of all pending tasks
-        std::map<int, core::Resources> needByPriority;
-    };
-    //! What a run counts towards its team's cap.
-    struct CountedRun {
-        core::TeamId team;
-        workflow::Occupation amount;
-        core::Duration estimate {};
-    };
     struct ArrivedWork {
         double coreSeconds = 0;
         double tasks = 0;
     };
-    //! A stage with tasks that may start now, with its sort keys for the round.
-    struct ReadyStage {
-        JobPtr job;
-        Stage* stage = nullptr;
-        bool isLate = false; //!< too late, or beyond the rate that its team may rely on
-        bool isExcess = false;
-        bool isOutOfUse = false; //!< too late for its callers to use the result
-        int priority = 0;
-        core::TimePoint startBy {}; //!< latest start that is expected to meet the objective
-    };
 
     // Calls
     bool canAnswer(const workflow::WorkflowCall& call) const;
@@ -110,15 +89,6 @@
     void countPending(const workflow::WorkflowCall& call, const AnswerCallback& callback);
     AdmissionInputs admissionInputs(
         const workflow::WorkflowCall& call, const workflow::QueuePolicy& queue, const workflow::JobSpec& expected);
-    //! State of the fleet and of the jobs, for the admission of all jobs that are submitted within a short time.
-    struct AdmissionSnapshot {
-        core::TimePoint takenAt {};
-        core::Duration cost {}; //!< time that it took
-        std::size_t tasksHeld = 0;
-        std::map<core::ServiceId, FleetRoom> rooms;
-        WorkAhead work;
-        std::unordered_map<core::TeamId, TeamWork> teams; //!< pending work of the teams that have a cap
-    };
     //! Returns a snapshot that is recent enough.
     AdmissionSnapshot& admissionSnapshot();
     void recordArrival(int priority, const ArrivedWork& work);
@@ -281,22 +251,6 @@
     bool isLeftAlone(const ReadyStage& ready, core::TimePoint now);
     //! Starts tasks on workers that may run them; returns false if it started none.
     bool startWhereAllowed(const ReadyStage& ready, const Demand& demand, core::TimePoint now);
-    //! How a step differs between workers, apart from their room.
-    struct StageWorkers {
-        std::string requiredLabel; //!< empty: none
-        std::map<core::VmId, std::uint32_t> tasks; //!< running tasks of the step, if their number is limited
-        std::set<core::VmId> avoided; //!< workers that pending tasks avoid after an unsuccessful run
-
-        bool mayUse(const Worker& it) const
-        {
-            return requiredLabel.empty() || it.entry().labels.contains(requiredLabel);
-        }
-        std::uint32_t tasksOn(const core::VmId& worker) const
-        {
-            const auto it = tasks.find(worker);
-            return it == tasks.end() ? 0 : it->second;
-        }
-    };
     static StageWorkers stageWorkersOf(const Job& job, const Stage& stage);
     //! Selects the workers that are candidates for a step.
     enum class CandidateFilter {
@@ -344,15 +298,6 @@
     void tick();
 
     // Backlog
-    //! Steps with pending tasks after a round, and the room beside them.
-    struct Backlog {
-        std::size_t steps = 0;
-        std::array<std::array<std::int64_t, 2>, 2> counts {}; //!< of the steps, by [is a gang][is late]
-        const ReadyStage* firstGang = nullptr; //!< the next gang in order; null if none waits
-        double lateCoreSeconds = 0; //!< pending work of late jobs
-        double cores = 0;
-        double freeCores = 0; //!< without the room that late gangs have reserved
-    };
     //! Once per second, records which steps wait after a round and how much room is free beside them.
     void reportBacklog(const std::vector<ReadyStage>& all, core::TimePoint now);
     Backlog backlogOf(const std::vector<ReadyStage>& all) const;
--- a/src/scheduling/internal/engineplacing.cpp
+++ b/src/scheduling/internal/engineplacing.cpp
@@ -122,7 +122,7 @@
     m_lateStageOffset = placedUpTo == all.end() ? 0 : m_lateStageOffset + std::size_t(placedUpTo - late);
 }
 
-std::vector<EngineImpl::ReadyStage> EngineImpl::readyStages(core::TimePoint now)
+std::vector<ReadyStage> EngineImpl::readyStages(core::TimePoint now)
 {
     std::vector<ReadyStage> all;
     std::vector<ReadyStage> waitingForCap; // gangs
@@ -232,7 +232,7 @@
     return demand;
 }
 
-EngineImpl::StageWorkers EngineImpl::stageWorkersOf(const Job& job, const Stage& stage)
+StageWorkers EngineImpl::stageWorkersOf(const Job& job, const Stage& stage)
 {
     const workflow::StepSpec& step = job.stepOf(stage);
     StageWorkers it;
--- a/src/scheduling/internal/engineruns.cpp
+++ b/src/scheduling/internal/engineruns.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-EngineImpl::JobPtr EngineImpl::jobOf(const core::JobId& id) const
+JobPtr EngineImpl::jobOf(const core::JobId& id) const
 {
     const auto it = m_jobs.find(id);
     return it == m_jobs.end() ? nullptr : it->second;
