A team's old refusal no longer makes a node refuse its next jobs

The entry of a team stayed until the leader answered a submission that asked again. A team that submitted several jobs at once long after a refusal got all but the first refused, although it was within its rate.

--- a/src/dispatch/internal/floodguard.cpp
+++ b/src/dispatch/internal/floodguard.cpp
@@ -10,6 +10,9 @@
 
 //! The bucket of a small team gains a job in about this time, so a longer refusal would waste its rate.
 constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(300);
+//! A team without submissions for this long after its retry time may be within its rate again. Several jobs that it
+//! then submits at once are all sent.
+constexpr core::Duration refusingRetention = std::chrono::seconds(1);
 //! Callers send a job again within some seconds, or give it up.
 constexpr core::Duration sentJobRetention = std::chrono::seconds(60);
 //! About 3 MB. If there are more, nothing is refused until the oldest would have been forgotten anyway.
@@ -30,6 +33,10 @@
     if (it == m_refusing.end() || m_sent.contains(job) || now < m_incompleteUntil)
         return std::nullopt;
     Refusing& refusing = it->second;
+    if (now >= std::max(refusing.until, refusing.retryAt) + refusingRetention) {
+        m_refusing.erase(it);
+        return std::nullopt;
+    }
     if (now >= refusing.until) {
         // If its answer is lost, the next one is sent after the same time.
         refusing.question = job;
--- a/src/dispatch/tests/floodguard_tests.cpp
+++ b/src/dispatch/tests/floodguard_tests.cpp
@@ -177,4 +177,17 @@
     BOOST_TEST(!guard.refuse(a, job(4), now + 350ms));
 }
 
+//! Guards against refusals of a team that has long been within its rate. Load: a refusal, and some jobs at once a
+//! minute later.
+BOOST_AUTO_TEST_CASE(an_old_refusal_by_the_leader_does_not_count)
+{
+    FloodGuard guard;
+    const core::TimePoint now { 1h };
+    guard.onOverRate(a, 2s, now);
+    BOOST_TEST(!guard.refuse(a, job(1), now + 2s)); // asks again
+    BOOST_TEST(guard.refuse(a, job(2), now + 2s).has_value());
+    for (const int n : { 3, 4, 5 })
+        BOOST_TEST(!guard.refuse(a, job(n), now + 60s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
