The leader's own VM does not delay its replacement

The largest VM that the leader names included its own. When the only large VM failed, all other nodes waited for the longer timeout: 2550 ms instead of 1750 ms in the new test. Only the VMs of the other nodes count now.

--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -53,7 +53,7 @@
 //! Nodes that may know the leader while the store cannot be read.
 struct KnownNodes {
     std::vector<core::HostPort> nodes;
-    core::MilliCpu largestVmCpu; //!< of the VMs of these nodes and of the leader; 0: unknown
+    core::MilliCpu largestVmCpu; //!< of the VMs of these nodes without the leader; 0: unknown
 };
 
 //! The known leader does not answer or no longer leads; or, with `isSuspected` false, it answers again.
--- a/src/dispatch/internal/leadertask.cpp
+++ b/src/dispatch/internal/leadertask.cpp
@@ -10,10 +10,10 @@
 using telemetry::LogLine;
 using telemetry::Severity;
 
-//! Interval between queries to other nodes while no leader is known or the known one is suspected.
 //! A VM with less than this part (two thirds) of the largest VM's cores is a much worse leader.
 constexpr std::int64_t smallVmFactor = 2;
 constexpr std::int64_t smallVmDivisor = 3;
+//! Interval between queries to other nodes while no leader is known or the known one is suspected.
 constexpr core::Duration leaderQueryPeriod = std::chrono::milliseconds(250);
 //! A node that has not polled for this long is no longer listed to the other nodes.
 constexpr core::Duration proxyRetention = std::chrono::seconds(10);
@@ -424,10 +424,11 @@
     const core::TimePoint oldest = now() - proxyRetention;
     std::erase_if(m_adviceProxies, [oldest](const auto& it) { return it.second.polledAt < oldest; });
     assignment.nodes.push_back(m_dependencies.address);
-    assignment.largestVmCpu = m_dependencies.vmCpu;
     for (const auto& [address, node] : m_adviceProxies) {
         assignment.nodes.push_back(address);
-        assignment.largestVmCpu = std::max(assignment.largestVmCpu, node.vmCpu);
+        // This node polls itself, too. It is the one to be replaced, so nobody waits for its VM.
+        if (address != m_dependencies.address)
+            assignment.largestVmCpu = std::max(assignment.largestVmCpu, node.vmCpu);
     }
     return assignment;
 }
--- a/src/dispatch/tests/partitionedcell.h
+++ b/src/dispatch/tests/partitionedcell.h
@@ -300,7 +300,8 @@
 //! the milliseconds that their job's payload names. Records each task that ran twice.
 class PartitionedCell {
 public:
-    PartitionedCell(int nodeCount, int workerCount, std::int64_t milliCpu = 4000)
+    //! `largeNode`: number of the node on a VM of eight cores; the VMs of the others have one.
+    PartitionedCell(int nodeCount, int workerCount, std::int64_t milliCpu = 4000, int largeNode = -1)
         : m_loop(std::make_shared<runtime::ManualLoop>(std::make_shared<runtime::ManualClock>()))
         , store(std::make_shared<store::testing::FakeRowStore>(m_loop))
         , workers(std::make_shared<fleet::testing::FakeWorkers>(m_loop))
@@ -311,7 +312,7 @@
         for (int n = 0; n < workerCount; ++n)
             addWorker(n, milliCpu);
         for (int n = 0; n < nodeCount; ++n)
-            addNode(n);
+            addNode(n, core::MilliCpu(n == largeNode ? 8000 : 1000));
         for (auto& it : m_nodes)
             it->task->start();
         watchLeases();
@@ -482,7 +483,7 @@
         workers->workers[entry.id].startedAt = entry.startedAt;
     }
 
-    void addNode(int n)
+    void addNode(int n, core::MilliCpu vmCpu)
     {
         auto it = std::make_unique<Node>();
         it->address = { "127.0.0.1", std::uint16_t(7000 + n) };
@@ -498,6 +499,7 @@
         dependencies.metrics = telemetry::Metrics::create();
         dependencies.self = core::NodeId("n" + std::to_string(n));
         dependencies.address = it->address;
+        dependencies.vmCpu = vmCpu;
         dependencies.update = [node = it.get()](const LeaderUpdate& update) {
             node->isLeading = update.isSelf;
             node->term = update.leader ? update.leader->term.value() : 0;
@@ -505,8 +507,8 @@
         };
         const core::NodeId id = dependencies.self;
         it->task = LeaderTask::create(it->loop, std::move(dependencies));
-        it->adviceProxy
-            = AdviceProxy::create(it->loop, client, it->task->address(), std::make_shared<NoAdvice>(), id, it->address);
+        it->adviceProxy = AdviceProxy::create(
+            it->loop, client, it->task->address(), std::make_shared<NoAdvice>(), id, it->address, vmCpu);
         it->task->address().send(configuration());
         m_nodes.push_back(std::move(it));
     }
--- a/src/dispatch/tests/partitions_tests.cpp
+++ b/src/dispatch/tests/partitions_tests.cpp
@@ -350,4 +350,27 @@
     cell.checkNothingRanTwice();
 }
 
+//! Guards against small VMs that wait for a larger one to replace the leader when the leader has the only large VM.
+BOOST_AUTO_TEST_CASE(leader_on_the_only_large_vm_is_replaced_as_soon_as_one_among_equals)
+{
+    const auto replacementTime = [](int largeNode) {
+        PartitionedCell cell(4, 1, 4000, largeNode);
+        cell.waitForLeader();
+        const int first = cell.leader();
+        cell.advance(ms(3000));
+        cell.node(first).links.store = StoreLink::Silent;
+        for (int n = 0; n < cell.nodeCount(); ++n)
+            cell.setNodeCut(first, n, true);
+        const core::TimePoint cutAt = cell.now();
+        while (cell.leader() == first && cell.now() - cutAt < ms(10'000))
+            cell.advance(ms(10));
+        return std::pair(first, cell.now() - cutAt);
+    };
+    const auto [first, amongEquals] = replacementTime(-1);
+    const auto [large, ofLarge] = replacementTime(first);
+    BOOST_TEST(large == first);
+    BOOST_TEST((ofLarge <= amongEquals + ms(100)),
+        "after " << core::toMs(ofLarge) << " ms instead of " << core::toMs(amongEquals) << " ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/protocol/workcodec.h
+++ b/src/protocol/workcodec.h
@@ -39,7 +39,7 @@
     std::uint64_t requestId = 0;
     fleet::AdviceRequest request;
     std::vector<core::HostPort> nodes; //!< nodes that have polled recently; only filled in some answers
-    core::MilliCpu largestVmCpu; //!< of the VMs of these nodes and of the leader; 0: unknown
+    core::MilliCpu largestVmCpu; //!< of the VMs of these nodes without the leader; 0: unknown
 };
 
 //! A node that cannot read the configuration from its source asks another node for it.
