--- a/src/scheduling/internal/engineparts.h
+++ b/src/scheduling/internal/engineparts.h
@@ -59,10 +59,7 @@
     std::map<core::VmId, std::uint32_t> tasks; //!< running tasks of the step, if their number is limited
     std::set<core::VmId> avoided; //!< workers that pending tasks avoid after an unsuccessful run
 
-    bool mayUse(const Worker& it) const
-    {
-        return requiredLabel.empty() || it.entry().labels.contains(requiredLabel);
-    }
+    bool mayUse(const Worker& it) const { return requiredLabel.empty() || it.entry().labels.contains(requiredLabel); }
     std::uint32_t tasksOn(const core::VmId& worker) const
     {
         const auto it = tasks.find(worker);
