dispatch: the readiness address has connections and bytes of its own

The address has an eighth of the limits of the other listeners. The log lines and metrics name the two groups of listeners.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -62,8 +62,10 @@
     dispatch::LeaderTaskPtr leaderTask;
     dispatch::CallForwarderPtr callForwarder;
     dispatch::AdviceProxyPtr adviceProxy;
-    http::ConnectionTablePtr connections;
-    ConnectionReport connectionReport { metrics, "all" };
+    http::ConnectionTablePtr connections; //!< of callers and nodes
+    ConnectionReport connectionReport { metrics, "callers-inner" };
+    http::ConnectionTablePtr readinessConnections;
+    ConnectionReport readinessReport { metrics, "readiness" };
     http::IHttpServerPtr callersServer;
     http::IHttpServerPtr readinessServer;
     http::IHttpServerPtr innerServer;
@@ -74,8 +76,8 @@
     core::Ret<StartError> makeLoop();
     void makeTasks();
     core::Ret<StartError> listen();
-    core::Ret<StartError> listenAt(const core::HostPort& address, std::size_t maxBodyBytes, http::Handler handler,
-        http::IHttpServerPtr& server, const char* name);
+    core::Ret<StartError> listenAt(const core::HostPort& address, std::size_t maxBodyBytes,
+        const http::ConnectionTablePtr& table, http::Handler handler, http::IHttpServerPtr& server, const char* name);
     void onLeaderUpdate(const dispatch::LeaderUpdate& update);
     void onConfig(const workflow::QueueConfigPtr& newConfig);
     void handleInner(const http::Request& request, http::Responder responder);
@@ -148,12 +150,12 @@
 }
 
 core::Ret<StartError> DispatchNode::Impl::listenAt(const core::HostPort& address, std::size_t maxBodyBytes,
-    http::Handler handler, http::IHttpServerPtr& server, const char* name)
+    const http::ConnectionTablePtr& table, http::Handler handler, http::IHttpServerPtr& server, const char* name)
 {
     http::ServerOptions options;
     options.listen = address;
     options.maxBodyBytes = maxBodyBytes;
-    options.connections = connections;
+    options.connections = table;
     auto result = http::createServer(loop, options, std::move(handler));
     if (!result)
         return core::Failure { StartError { std::string(name) + ": " + result.error().detail } };
@@ -163,9 +165,12 @@
 
 core::Ret<StartError> DispatchNode::Impl::listen()
 {
-    constexpr std::size_t loops = 1;
     connections = http::createConnectionTable(
-        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, loops));
+        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 1));
+    // Requests in service may take all connections of a table, and they are never closed. With limits of its own, an
+    // eighth of those above, the readiness address is served all the same: its requests are answered immediately.
+    readinessConnections = http::createConnectionTable(
+        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 8));
     const auto forwardCall
         = [this](workflow::WorkflowCall call, std::function<void(const workflow::WorkflowResult&)> onResult) {
               callForwarder->address().send(dispatch::LeaderCall {
@@ -173,15 +178,17 @@
           };
     auto front = platform::createFrontHandler(
         [this] { return configFollower->config(); }, [this] { return areKeysTrusted(); }, forwardCall);
-    if (auto ret = listenAt(settings.callers, settings.maxBodyBytes, std::move(front), callersServer, "callers"); !ret)
+    if (auto ret
+        = listenAt(settings.callers, settings.maxBodyBytes, connections, std::move(front), callersServer, "callers");
+        !ret)
         return ret;
     auto readiness = platform::createReadinessHandler([this] { return configFollower->config() && !isStopping; });
-    if (auto ret
-        = listenAt(settings.readiness, settings.maxBodyBytes, std::move(readiness), readinessServer, "readiness");
+    if (auto ret = listenAt(settings.readiness, settings.maxBodyBytes, readinessConnections, std::move(readiness),
+            readinessServer, "readiness");
         !ret)
         return ret;
     return listenAt(
-        settings.inner, maxInnerBodyBytes,
+        settings.inner, maxInnerBodyBytes, connections,
         [this](const http::Request& request, http::Responder responder) { handleInner(request, std::move(responder)); },
         innerServer, "inner");
 }
@@ -262,6 +269,7 @@
 {
     reportProcess(*metrics);
     connectionReport.report(http::usageOf(*connections));
+    readinessReport.report(http::usageOf(*readinessConnections));
     metrics->set(telemetry::Metric::HttpAnswersCut, {}, double(client->tooLarge()));
     metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
     loop->callAfter(processReportPeriod, [this] { reportPeriodically(); });
--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -22,9 +22,9 @@
     core::Duration stallTime = std::chrono::seconds(1);
 };
 
-//! Returns the limits for a VM with this memory and number of descriptors, divided among `loops` loops.
+//! Returns the limits for a VM with this memory and number of descriptors, divided among `tables` tables.
 //! docs/CAPACITY.md has the arithmetic.
-ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t loops);
+ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t tables);
 
 enum class CloseReason { HeadTooLong, UnfinishedBytes, StalledAnswer, ConnectionLimit };
 constexpr std::size_t closeReasons = 4;
--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -43,13 +43,14 @@
     return names.at(std::size_t(it));
 }
 
-ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t loops)
+ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t tables)
 {
     ConnectionLimits limits;
-    limits.unfinishedBytes = std::max(memoryBytes / 8 / loops, mebibyte);
+    limits.unfinishedBytes = std::max(memoryBytes / 8 / tables, mebibyte);
     limits.servedBytes = limits.unfinishedBytes;
     // A quarter of the memory, and a quarter of the descriptors: the leader needs most of them for its workers.
-    limits.connections = std::max(std::min(memoryBytes / 4 / connectionBytes, descriptors / 4) / loops, minConnections);
+    limits.connections
+        = std::max(std::min(memoryBytes / 4 / connectionBytes, descriptors / 4) / tables, minConnections);
     return limits;
 }
 
--- a/tests/process/untrusted_tests.py
+++ b/tests/process/untrusted_tests.py
@@ -8,6 +8,7 @@
 import json
 import os
 import selectors
+import signal
 import socket
 import subprocess
 import tempfile
@@ -263,6 +264,31 @@
         self.withstand(announced(), in_pieces(announced(), 4096), chunked(65536), chunked(3, total=BODY // 4), endless_header, lambda: [],
                        pipelined(1000), listeners=(0, 1, 2))
 
+    def test_readiness_while_requests_in_service_take_all_connections(self):
+        """Guards against a node that counts as not ready because callers wait for a leader that does not answer."""
+        with Deployment(nodes=3, workers=2, settings=self.settings(200)) as cell:  # 200 / 4 connections
+            self.check_job(cell)
+            leader = cell.leader()
+            other = (leader + 1) % 3
+            cell.nodes[leader].send(signal.SIGSTOP)
+            until = time.time() + 2
+            probes = []
+
+            def submit():
+                while time.time() < until:
+                    cell.submit(other, step(1))
+
+            callers = [threading.Thread(target=submit, daemon=True) for _ in range(70)]
+            for it in callers:
+                it.start()
+            while time.time() < until:
+                probes.append(cell.is_ready(other))
+            cell.nodes[leader].send(signal.SIGCONT)
+            for it in callers:
+                it.join()
+            self.assertEqual(probes.count(False), 0, "of %d probes" % len(probes))
+            self.check_bounds(cell.nodes[other], 200)
+
     def check_endless_answers_of_workers(self, beginning, part):
         server = EndlessServer(beginning, part)
         try:
