--- a/src/dispatch/tests/configfollower_tests.cpp
+++ b/src/dispatch/tests/configfollower_tests.cpp
@@ -234,4 +234,17 @@
     }
 }
 
+//! Guards against a configuration that nodes can't get from each other any more when its source has been silent for
+//! more than a day.
+BOOST_AUTO_TEST_CASE(an_answer_that_was_confirmed_long_ago_is_readable)
+{
+    protocol::ConfigAnswer answer;
+    answer.version = core::ConfigVersion(2);
+    answer.document = "{}";
+    answer.confirmedAge = std::chrono::hours(25);
+    const protocol::ConfigAnswer decoded = protocol::decodeConfigAnswer(protocol::encodeConfigAnswer(answer));
+    BOOST_TEST(decoded.document == "{}");
+    BOOST_TEST(!decoded.confirmedAge.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -216,7 +216,8 @@
     json["version"] = Json::UInt64(it.version.value());
     if (!it.document.empty())
         json["document"] = it.document;
-    if (it.confirmedAge)
+    // An older confirmation is worth nothing, and would make the whole answer unreadable.
+    if (it.confirmedAge && core::toMs(*it.confirmedAge) <= maxAgeMs)
         json["confirmedMs"] = Json::Int64(core::toMs(*it.confirmedAge));
     return codec::writeJson(json);
 }
