No refusals by nodes themselves; connections of nodes, callers and the balancer are limited apart; small send buffers in dispatch

Review: a node's own refusal during a flood can be untrue, as another node may have sent the same job before and lost the answer. The flood guard is taken back; the leader refuses excess. Callers whose requests are in service could take all connections from other nodes: each address has its own limits.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -27,6 +27,8 @@
 using telemetry::Severity;
 
 constexpr std::size_t maxInnerBodyBytes = std::size_t(8) << 20;
+//! All answers of a dispatching node are short, so that its callers need no large send buffers.
+constexpr int shortAnswerBufferBytes = 16 << 10;
 constexpr core::Duration logFlushPeriod = std::chrono::milliseconds(250);
 constexpr core::Duration processReportPeriod = std::chrono::seconds(2);
 //! Time between reporting not ready and draining. The load balancer checks readiness once a second and removes a node
@@ -62,8 +64,10 @@
     dispatch::LeaderTaskPtr leaderTask;
     dispatch::CallForwarderPtr callForwarder;
     dispatch::AdviceProxyPtr adviceProxy;
-    http::ConnectionTablePtr connections; //!< of callers and nodes
-    ConnectionReport connectionReport { metrics, "callers-inner" };
+    http::ConnectionTablePtr callersConnections;
+    ConnectionReport callersReport { metrics, "callers" };
+    http::ConnectionTablePtr innerConnections;
+    ConnectionReport innerReport { metrics, "inner" };
     http::ConnectionTablePtr readinessConnections;
     ConnectionReport readinessReport { metrics, "readiness" };
     http::IHttpServerPtr callersServer;
@@ -156,6 +160,7 @@
     options.listen = address;
     options.maxBodyBytes = maxBodyBytes;
     options.connections = table;
+    options.sendBufferBytes = shortAnswerBufferBytes;
     auto result = http::createServer(loop, options, std::move(handler));
     if (!result)
         return core::Failure { StartError { std::string(name) + ": " + result.error().detail } };
@@ -165,10 +170,13 @@
 
 core::Ret<StartError> DispatchNode::Impl::listen()
 {
-    connections = http::createConnectionTable(
+    // Requests in service may take all connections of a table, and they are never closed. With limits of their own, the
+    // other nodes and the load balancer are served all the same. A leader has connections from all nodes, so callers
+    // have half as many.
+    callersConnections = http::createConnectionTable(
+        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 2));
+    innerConnections = http::createConnectionTable(
         loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 1));
-    // Requests in service may take all connections of a table, and they are never closed. With limits of its own, an
-    // eighth of those above, the readiness address is served all the same: its requests are answered immediately.
     readinessConnections = http::createConnectionTable(
         loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 8));
     const auto forwardCall
@@ -178,8 +186,8 @@
           };
     auto front = platform::createFrontHandler(
         [this] { return configFollower->config(); }, [this] { return areKeysTrusted(); }, forwardCall);
-    if (auto ret
-        = listenAt(settings.callers, settings.maxBodyBytes, connections, std::move(front), callersServer, "callers");
+    if (auto ret = listenAt(
+            settings.callers, settings.maxBodyBytes, callersConnections, std::move(front), callersServer, "callers");
         !ret)
         return ret;
     auto readiness = platform::createReadinessHandler([this] { return configFollower->config() && !isStopping; });
@@ -188,7 +196,7 @@
         !ret)
         return ret;
     return listenAt(
-        settings.inner, maxInnerBodyBytes, connections,
+        settings.inner, maxInnerBodyBytes, innerConnections,
         [this](const http::Request& request, http::Responder responder) { handleInner(request, std::move(responder)); },
         innerServer, "inner");
 }
@@ -268,7 +276,8 @@
 void DispatchNode::Impl::reportPeriodically()
 {
     reportProcess(*metrics);
-    connectionReport.report(http::usageOf(*connections));
+    callersReport.report(http::usageOf(*callersConnections));
+    innerReport.report(http::usageOf(*innerConnections));
     readinessReport.report(http::usageOf(*readinessConnections));
     metrics->set(telemetry::Metric::HttpAnswersCut, {}, double(client->tooLarge()));
     metrics->set(telemetry::Metric::LogLinesDropped, {}, double(telemetry::droppedLogLines()));
--- a/src/dispatch/callforwarder.h
+++ b/src/dispatch/callforwarder.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "dispatch/floodguard.h"
 #include "dispatch/leaderclient.h"
 
 namespace sardinerun::dispatch {
 
 //! Forwards callers' requests to the leader. While the leader changes, it retries for a short time, but never a request
 //! that the leader may have accepted. While the leader is silent, submissions are rejected immediately, since holding
-//! them back would not get them accepted sooner. Those of a team that floods are mostly rejected without asking, too.
+//! them back would not get them accepted sooner.
 class CallForwarder : public runtime::Task<ForwarderMessage> {
 public:
     static std::shared_ptr<CallForwarder> create(
@@ -37,12 +36,7 @@
     void onAnswer(const PendingCallPtr& pending, const workflow::WorkflowResult& answer);
     void finish(const PendingCallPtr& pending, const workflow::WorkflowResult& answer);
 
-    //! Keeps account of a submission and of its answer for the flood guard.
-    void recordSubmission(const workflow::WorkflowCall& call);
-    void recordAnswer(const workflow::WorkflowCall& call, const workflow::WorkflowResult& answer);
-
     LeaderClient m_leaderClient;
-    FloodGuard m_floodGuard;
     std::uint64_t m_leaderNumber = 0; //!< counts the leaders; answers of earlier ones say nothing about the current one
     std::size_t m_unansweredCalls = 0; //!< calls that the current leader has not answered yet
     core::TimePoint m_lastAnswerAt {}; //!< when it last answered, or when the first unanswered call was sent
--- a/src/dispatch/internal/callforwarder.cpp
+++ b/src/dispatch/internal/callforwarder.cpp
@@ -33,16 +33,6 @@
     return it;
 }
 
-workflow::WorkflowResult teamIsOverRate(core::Duration retryAfter)
-{
-    workflow::WorkflowResult it;
-    it.outcome = workflow::WorkflowOutcome::Refused;
-    it.retryAfter = retryAfter;
-    it.reason = "the leader has just refused a job of its team, which is over its rate";
-    it.isTeamOverRate = true;
-    return it;
-}
-
 } // namespace
 
 CallForwarderPtr CallForwarder::create(
@@ -91,16 +81,9 @@
     if (isSubmit && isLeaderSilent()) {
         probeLeader(pending->request.call);
         finish(pending, leaderIsSilent());
-        return;
-    }
-    if (isSubmit) {
-        const workflow::WorkflowCall& call = pending->request.call;
-        if (const auto retryAfter = m_floodGuard.refuse(call.team, call.spec.id, now())) {
-            finish(pending, teamIsOverRate(*retryAfter));
-            return;
-        }
+    } else {
+        send(pending);
     }
-    send(pending);
 }
 
 void CallForwarder::probeLeader(const workflow::WorkflowCall& submission)
@@ -140,13 +123,11 @@
     workflow::WorkflowCall call = pending->request.call;
     const core::Duration left = std::max(pending->deadline - now(), answerMargin);
     call.timeout = left;
-    recordSubmission(call);
     sendToLeader(call, left, [this, pending](const workflow::WorkflowResult& answer) { onAnswer(pending, answer); });
 }
 
 void CallForwarder::onAnswer(const PendingCallPtr& pending, const workflow::WorkflowResult& answer)
 {
-    recordAnswer(pending->request.call, answer);
     const bool isNotDone = answer.outcome == workflow::WorkflowOutcome::NotNow;
     if (isNotDone && now() < pending->retryUntil) {
         loop()->callAfter(retryPause, [weak = weak_from_this(), pending] {
@@ -158,29 +139,6 @@
     finish(pending, answer);
 }
 
-void CallForwarder::recordSubmission(const workflow::WorkflowCall& call)
-{
-    if (call.kind == workflow::CallKind::Submit && !call.team.value().empty())
-        m_floodGuard.onSent(call.spec.id, now());
-}
-
-void CallForwarder::recordAnswer(const workflow::WorkflowCall& call, const workflow::WorkflowResult& answer)
-{
-    if (call.kind != workflow::CallKind::Submit || call.team.value().empty())
-        return;
-    using workflow::WorkflowOutcome;
-    const bool isRefused = answer.outcome == WorkflowOutcome::Refused;
-    if (isRefused && answer.isTeamOverRate)
-        m_floodGuard.onOverRate(call.team, answer.retryAfter, now());
-    else if (isRefused || answer.outcome == WorkflowOutcome::Accepted)
-        m_floodGuard.onOtherAnswer(call.team, call.spec.id);
-    // An accepted job is kept in mind, too, as the answer may be lost on its way to the caller.
-    static constexpr std::array notDone { WorkflowOutcome::Refused, WorkflowOutcome::NoQueue, WorkflowOutcome::NotNow,
-        WorkflowOutcome::NoKey, WorkflowOutcome::OtherTeam };
-    if (std::find(notDone.begin(), notDone.end(), answer.outcome) != notDone.end())
-        m_floodGuard.onNotDone(call.spec.id);
-}
-
 void CallForwarder::finish(const PendingCallPtr& pending, const workflow::WorkflowResult& answer)
 {
     const bool isNotDone = answer.outcome == workflow::WorkflowOutcome::NotNow;
--- a/src/http/h2oserver.h
+++ b/src/http/h2oserver.h
@@ -20,6 +20,9 @@
     core::Duration requestTimeout = std::chrono::seconds(10); //!< for receiving a complete request
     core::Duration sendTimeout
         = std::chrono::seconds(30); //!< a client that accepts no bytes for this long is disconnected
+    //! Send buffer of a connection in the kernel, which doubles it. An answer that is not read stays there. A small one
+    //! slows down long answers.
+    int sendBufferBytes = 64 << 10;
     std::optional<TlsFiles> tls;
     ConnectionTablePtr connections; //!< shared by the servers of a loop; if null, the server has its own
 };
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -26,9 +26,8 @@
 constexpr int listenBacklog = 1024;
 //! Pause after a connection that could not be accepted for lack of descriptors or memory.
 constexpr core::Duration acceptPause = std::chrono::milliseconds(100);
-//! Receive and send buffers of a connection in the kernel, which doubles them. Unread bytes count as memory of the VM.
+//! Receive buffer of a connection in the kernel, which doubles it. Unread bytes count as memory of the VM.
 constexpr int receiveBufferBytes = 16 << 10;
-constexpr int sendBufferBytes = 64 << 10;
 constexpr core::Duration refusalRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t maxSendBytes = std::size_t(64) << 10; //!< passed to h2o in one call
 
@@ -286,6 +285,7 @@
     void configure(const ServerOptions& options)
     {
         m_sendTimeout = options.sendTimeout;
+        m_sendBufferBytes = options.sendBufferBytes;
         h2o_config_init(&m_config);
         m_config.max_request_entity_size = options.maxBodyBytes;
         const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(options.requestTimeout).count();
@@ -331,7 +331,7 @@
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         // Accepted connections inherit the sizes.
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
-        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof sendBufferBytes);
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &m_sendBufferBytes, sizeof m_sendBufferBytes);
         socklen_t n = sizeof address;
         const bool isOpen = bind(fd, reinterpret_cast<sockaddr*>(&address), n) == 0 && ::listen(fd, listenBacklog) == 0
             && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) == 0;
@@ -350,6 +350,7 @@
     Handler m_handler;
     ConnectionTablePtr m_connections;
     core::Duration m_sendTimeout {};
+    int m_sendBufferBytes = 0;
     h2o_globalconf_t m_config {};
     h2o_context_t m_context {};
     h2o_accept_ctx_t m_accept {};
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -87,7 +87,6 @@
     json["pending"] = Json::UInt64(it.pending);
     json["retryAfterMs"] = Json::Int64(core::toMs(it.retryAfter));
     json["reason"] = it.reason;
-    json["overRate"] = it.isTeamOverRate;
     return codec::writeJson(json);
 }
 
@@ -101,7 +100,6 @@
         it.pending = readUnsigned(reader, "pending");
         it.retryAfter = std::chrono::milliseconds(reader.integerOr("retryAfterMs", 0, 86'400'000, 0));
         it.reason = reader.textOr("reason", maxName, "");
-        it.isTeamOverRate = reader.flagOr("overRate", false);
         return it;
     });
 }
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -147,7 +147,6 @@
         countRefusal(*queue, team, refusal->cause);
         WorkflowResult answer = answerOf(WorkflowOutcome::Refused, refusal->reason);
         answer.retryAfter = refusal->retryAfter.value_or(core::Duration(0));
-        answer.isTeamOverRate = refusal->cause == RefusalCause::Rate;
         callback(answer);
         return;
     }
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -199,7 +199,6 @@
     std::uint64_t pending = 0;
     core::Duration retryAfter {};
     std::string reason;
-    bool isTeamOverRate = false; //!< refused, as the team submits more than the rate that it may rely on
 };
 
 //! Returns a result without further details.
