--- a/tests/process/cell.py
+++ b/tests/process/cell.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -55,9 +56,12 @@
             it.close()
 
 
-def call(port, method, target, body=None, token=None, headers=None, timeout=15):
+def call(port, method, target, body=None, token=None, headers=None, timeout=15, tls=None):
     """Sends one request. Returns (status, parsed body, headers), or (None, error, {}) without a complete answer."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    if tls:
+        connection = http.client.HTTPSConnection("127.0.0.1", port, timeout=timeout, context=tls)
+    else:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     sent = dict(headers or {})
     if token:
         sent["Authorization"] = "Bearer " + token
@@ -107,8 +111,10 @@
     """Nodes with stand-ins of the platform, workers and runners, all on loopback."""
 
     def __init__(self, nodes=3, workers=6, runners=3, cpu=8000, memory=32768, slots=4, work_ms=20, lease_ms=3000,
-                 partitions=8, settings="", configuration="examples/tolliver/cell.yaml", service="lid-orders", relays=False):
+                 partitions=8, settings="", configuration="examples/tolliver/cell.yaml", service="lid-orders", relays=False,
+                 has_tls=False):
         self.folder = tempfile.mkdtemp(prefix="sardinerun-test-")
+        self.tls = self._make_certificate() if has_tls else None
         self.settings = settings
         self.partitions = partitions
         self.lease_ms = lease_ms
@@ -135,6 +141,16 @@
             self.wait_until(lambda: self.configure(os.path.join(SOURCE, configuration), "ordinary") == 200, "configuration accepted")
             self.wait_until(self.is_ready, "ready")
 
+    def _make_certificate(self):
+        """Writes a key and a self-signed certificate for the nodes. Returns the context in which callers connect."""
+        subprocess.run(["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-subj", "/CN=localhost", "-days", "2",
+                        "-keyout", os.path.join(self.folder, "key.pem"), "-out", os.path.join(self.folder, "certificate.pem")],
+                       check=True, capture_output=True)
+        context = ssl.create_default_context()
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        return context
+
     def _platform(self, node=None):
         port = self.relays[node].port if node in self.relays else self.platform_port
         return "127.0.0.1:%d" % port
@@ -150,11 +166,12 @@
 
     def start_node(self, n):
         path = os.path.join(self.folder, "node-%d.yaml" % n)
+        tls = ", certificate: %s/certificate.pem, key: %s/key.pem" % (self.folder, self.folder) if self.tls else ""
         with open(path, "w") as out:
-            out.write("node: n%d\nfailureDomain: d%d\ncallers: { address: 127.0.0.1:%d }\ninner: 127.0.0.1:%d\n"
+            out.write("node: n%d\nfailureDomain: d%d\ncallers: { address: 127.0.0.1:%d%s }\ninner: 127.0.0.1:%d\n"
                       "platform: %s\ninnerSecret: 0123456789abcdef\nadministerFromLoopback: true\npartitions: %d\n"
                       "workers: { leaseMs: %d, patienceMs: 1500 }\n%s\n" % (
-                          n, n % 3, self.callers[n], self.inner[n], self._platform(n), self.partitions, self.lease_ms, self.settings))
+                          n, n % 3, self.callers[n], tls, self.inner[n], self._platform(n), self.partitions, self.lease_ms, self.settings))
         self.nodes[n] = self._start("node-%d" % n, os.path.join(BUILD, "src", "app", "sardinerun"), "serve", "--config", path)
 
     def add_workers(self, count):
@@ -167,7 +184,7 @@
     # --- Requests to nodes
 
     def call(self, node, *arguments, **named):
-        return call(self.callers[node], *arguments, **named)
+        return call(self.callers[node], *arguments, tls=self.tls, **named)
 
     def configure(self, path, preset, node=0, expected=None):
         with open(path) as document:
--- a/tests/process/untrusted_tests.py
+++ b/tests/process/untrusted_tests.py
@@ -78,8 +78,8 @@
 class Crowd:
     """Connections on one thread that send their parts as fast as the node takes them, and then stay open."""
 
-    def __init__(self, ports, kinds, count=CROWD, reads=True):
-        self.ports, self.kinds, self.count, self.reads = ports, kinds, count, reads
+    def __init__(self, ports, kinds, count=CROWD, reads=True, reconnects=RECONNECTS):
+        self.ports, self.kinds, self.count, self.reads, self.reconnects = ports, kinds, count, reads, reconnects
         self.selector = selectors.DefaultSelector()
         self.is_stopping = False
         self.moved_at = time.time()
@@ -118,7 +118,7 @@
     def run(self):
         self.kept = []
         for n in range(self.count):
-            self.connect(n, RECONNECTS)
+            self.connect(n, self.reconnects)
         while not self.is_stopping:
             for key, events in self.selector.select(0.05):
                 try:
