Bodies with too many JSON values are rejected before they are read

What callers saw: a few dozen callers that send complete bodies of 1 MiB, each a list of 350,000 small values, take a node to 112 MB at the address for callers and to 140 MB at the address for nodes, where a small VM has 120; each body keeps the loop for 60 to 100 ms.

Cause: what a body becomes when it is read was in no limit. The tree takes up to 200 bytes for a value of three bytes.

Change: a text of a caller, or of anyone at the address for nodes, may have 40,000 values, which are counted in one pass before anything is allocated. No legal job comes near: its record takes at most 48 KiB. Answers of the store, workers and leaders are read as before.

--- a/src/api/internal/jobbody.cpp
+++ b/src/api/internal/jobbody.cpp
@@ -31,7 +31,7 @@
 
 jobs::JobSpec readSubmission(const std::string& body, core::WallTime now)
 {
-    const Json::Value value = codec::parseJson(body);
+    const Json::Value value = codec::parseJson(body, codec::maxCallerValues);
     codec::ObjectReader reader(value);
     jobs::JobSpec it;
     it.workload = reader.text("workload", maxWorkloadLength);
--- a/src/api/internal/jobcalls.cpp
+++ b/src/api/internal/jobcalls.cpp
@@ -199,7 +199,7 @@
     std::map<core::PartitionId, std::vector<core::JobId>> byHome;
     std::string workload;
     try {
-        const Json::Value value = codec::parseJson(call->request.body);
+        const Json::Value value = codec::parseJson(call->request.body, codec::maxCallerValues);
         codec::ObjectReader reader(value);
         for (const std::string& it : reader.texts("jobs", 10'000, 64))
             byHome[core::partitionOf(it, partitionCount())].emplace_back(it);
--- a/src/api/internal/operatorcalls.cpp
+++ b/src/api/internal/operatorcalls.cpp
@@ -91,7 +91,7 @@
     node::Configure message;
     message.expected = expectedVersion(call->request);
     try {
-        const Json::Value value = codec::parseJson(call->request.body);
+        const Json::Value value = codec::parseJson(call->request.body, codec::maxCallerValues);
         codec::ObjectReader reader(value);
         message.preset = core::PresetName(reader.text("preset", 64));
         reader.finish();
--- a/src/codec/internal/json.cpp
+++ b/src/codec/internal/json.cpp
@@ -1,5 +1,6 @@
 #include "codec/json.h"
 
+#include <algorithm>
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -37,10 +38,22 @@
     return builder;
 }
 
+//! Returns an upper limit for the number of values in a text. Each value but the first follows a comma or an opening
+//! bracket, also within strings, where neither begins a value.
+std::size_t maxValuesIn(std::string_view text)
+{
+    return 1 + std::size_t(std::count_if(text.begin(), text.end(), [](char c) {
+        return c == ',' || c == '[' || c == '{';
+    }));
+}
+
 } // namespace
 
-Json::Value parseJson(std::string_view text)
+Json::Value parseJson(std::string_view text, std::size_t maxValues)
 {
+    // A value takes at least two bytes of text and up to 200 of memory.
+    if (text.size() / 2 >= maxValues && maxValuesIn(text) > maxValues)
+        throw DecodeError("", "has more than " + std::to_string(maxValues) + " values");
     // Creating a reader evaluates all of its settings, which takes longer than parsing a short message.
     thread_local const std::unique_ptr<Json::CharReader> reader(strictReader().newCharReader());
     Json::Value value;
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -26,14 +26,18 @@
     std::string m_path;
 };
 
-//! Parses a text that has to be exactly one JSON value. Rejects duplicate names and nesting beyond 32 levels.
-Json::Value parseJson(std::string_view text);
+//! Upper limit for the values in a text of an untrusted caller. The tree of such a text takes at most 8 MB.
+constexpr std::size_t maxCallerValues = 40'000;
+
+//! Parses a text that has to be exactly one JSON value. Rejects duplicate names, nesting beyond 32 levels and, before
+//! it allocates anything, a text that may have more than `maxValues` values.
+Json::Value parseJson(std::string_view text, std::size_t maxValues = SIZE_MAX);
 
 //! Parses a text and passes its value to `decode`. All errors are thrown as DecodeError, also those of the JSON library
 //! when `decode` uses a value as a type that it does not have.
-template <class Decode> auto decodeJson(std::string_view text, Decode decode)
+template <class Decode> auto decodeJson(std::string_view text, Decode decode, std::size_t maxValues = SIZE_MAX)
 {
-    const Json::Value value = parseJson(text);
+    const Json::Value value = parseJson(text, maxValues);
     try {
         return decode(value);
     } catch (const Json::Exception& error) {
--- a/src/codec/tests/json_tests.cpp
+++ b/src/codec/tests/json_tests.cpp
@@ -34,3 +34,21 @@
     ObjectReader other(value);
     BOOST_CHECK_THROW(other.finish(), DecodeError);
 }
+
+//! Guards against a text of legal length whose tree takes a hundred times as much memory.
+BOOST_AUTO_TEST_CASE(aTextWithTooManyValuesIsRejected)
+{
+    const auto listOf = [](std::size_t count, const std::string& value) {
+        std::string text = "[" + value;
+        for (std::size_t n = 1; n < count; ++n)
+            text += "," + value;
+        return text + "]";
+    };
+    for (const std::string it : { "0", "[]", "{}", "\"\"" }) {
+        BOOST_CHECK_THROW(parseJson(listOf(maxCallerValues, it), maxCallerValues), DecodeError);
+        BOOST_TEST(parseJson(listOf(maxCallerValues / 2 - 1, it), maxCallerValues).size() == maxCallerValues / 2 - 1);
+    }
+    BOOST_TEST(parseJson(listOf(maxCallerValues * 2, "0")).size() == maxCallerValues * 2);
+    const std::string commas = "\"" + std::string(4000, ',') + "\"";
+    BOOST_TEST(parseJson(commas, maxCallerValues).asString().size() == 4000U);
+}
--- a/src/protocol/internal/workcodec.cpp
+++ b/src/protocol/internal/workcodec.cpp
@@ -39,6 +39,12 @@
     return { reader.text("host", maxName), static_cast<std::uint16_t>(reader.integer("port", 1, 65535)) };
 }
 
+//! Decodes a request. It may come from anyone who reaches the address for nodes, unlike an answer.
+template <class Decode> auto decodeRequest(std::string_view text, Decode decode)
+{
+    return codec::decodeJson(text, std::move(decode), codec::maxCallerValues);
+}
+
 template <class Enum> Enum readEnum(codec::ObjectReader& reader, const char* name, Enum last)
 {
     return static_cast<Enum>(reader.integer(name, 0, std::int64_t(last)));
@@ -64,7 +70,7 @@
 
 WorkflowCall decodeCall(std::string_view text)
 {
-    return codec::decodeJson(text, [](const Json::Value& value) {
+    return decodeRequest(text, [](const Json::Value& value) {
         codec::ObjectReader reader(value);
         WorkflowCall it;
         it.kind = readEnum(reader, "kind", workflow::CallKind::CountPending);
@@ -127,7 +133,7 @@
 
 AdvicePoll decodeAdvicePoll(std::string_view text)
 {
-    return codec::decodeJson(text, [](const Json::Value& value) {
+    return decodeRequest(text, [](const Json::Value& value) {
         codec::ObjectReader reader(value);
         AdvicePoll it;
         it.node = core::NodeId(reader.text("node", maxName));
@@ -202,7 +208,7 @@
 
 ConfigQuery decodeConfigQuery(std::string_view text)
 {
-    return codec::decodeJson(text, [](const Json::Value& value) {
+    return decodeRequest(text, [](const Json::Value& value) {
         codec::ObjectReader reader(value);
         return ConfigQuery { core::ConfigVersion(readUnsigned(reader, "known")) };
     });
@@ -245,7 +251,7 @@
 
 LeaderHint decodeLeaderHint(std::string_view text)
 {
-    return codec::decodeJson(text, [](const Json::Value& value) {
+    return decodeRequest(text, [](const Json::Value& value) {
         codec::ObjectReader reader(value);
         LeaderHint it;
         it.isLeading = reader.flagOr("leading", false);
