The leader bounds the memory of the jobs that it holds, not only their tasks

What callers would see: jobs that are due in a year, or that run until they are cancelled, are accepted whatever the load. 80,000 of them with 4,000 bytes of payload were allowed: some 400 MB, also for each next leader, so that one after another runs out of memory.

Cause: admission counted tasks of jobs that have not ended. Payloads, steps, and jobs that have ended and are kept for jobRetentionS counted nothing; 80,000 tasks in steps of one task each took 85 MB (measured by the new test; CAPACITY said 53).

Change: jobs are refused above 32 MB, which is the same on all VMs, as a smaller one may lead next. An estimate by the parts of a job decides; a_job_takes_no_more_memory_than_estimated compares it with what is allocated. Lists of stages are no longer up to twice as long as needed (20,000 stages took 21.2 MB, now within 15.4).

jobs_are_refused_while_too_many_tasks_are_held expected exactly four jobs of 20,000 tasks, more than the smallest VM bears beside callers (the sum is in CAPACITY). It now bounds the memory from both sides; the number that is accepted falls to two.

Failed without the limit (a trial with 32 TB in its place): all 20,000 jobs of jobs_are_refused_while_their_payloads_take_too_much_memory were accepted, 219 MB resident in the test.

--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -17,7 +17,7 @@
 
 //! State of the fleet and the queues on which admission of a job depends.
 struct AdmissionInputs : FleetRoom {
-    std::size_t tasksHeld = 0; //!< tasks of all jobs that have not ended, in all occurrences
+    std::size_t jobBytes = 0; //!< memory for all jobs that the leader holds
     double coreSecondsAhead = 0; //!< pending work that would start before this job
     double lateCoreSeconds = 0; //!< pending work of jobs that can't meet their objective any more; not ahead
     //! Pending gangs of more urgent queues, which start only when all of their tasks fit.
--- a/src/scheduling/internal/admission.cpp
+++ b/src/scheduling/internal/admission.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/admission.h"
 
+#include "scheduling/jobmemory.h"
+
 #include <algorithm>
 #include <array>
 
@@ -18,9 +20,6 @@
 constexpr double freeShareBesideGangs = 0.12;
 //! While the leader is congested, confirmations and reports of ends are late, too, and the rate of starts varies.
 constexpr double congestionMargin = 1.6;
-//! The leader keeps all tasks of jobs that have not ended in memory, at most about 1 KB for each. Its VM may have 160
-//! MB.
-constexpr std::size_t maxTasksHeld = 80'000;
 constexpr core::Duration minRetryAfter = std::chrono::milliseconds(300);
 constexpr core::Duration maxRetryAfter = std::chrono::seconds(10);
 
@@ -108,8 +107,8 @@
         return AdmissionRefusal { "no worker is known for the queue", std::chrono::seconds(1) };
     if (!fitsLargestWorker(spec, inputs.largestWorker))
         return AdmissionRefusal { "no worker can hold its largest task", std::nullopt, RefusalCause::Never };
-    if (inputs.tasksHeld + workflow::taskCount(spec) > maxTasksHeld)
-        return AdmissionRefusal { "the leader holds too many tasks", maxRetryAfter };
+    if (inputs.jobBytes + jobBytesOf(spec) > maxJobBytes)
+        return AdmissionRefusal { "the leader holds too many jobs", maxRetryAfter };
     if (spec.occurrences > 0
         || std::any_of(spec.steps.begin(), spec.steps.end(), [](const auto& it) { return it.isLongRunning; }))
         return std::nullopt; // due later or running without end, so the current load is irrelevant
--- a/src/scheduling/internal/engineadmission.cpp
+++ b/src/scheduling/internal/engineadmission.cpp
@@ -1,6 +1,7 @@
 //! Inputs of admission: the load of the fleet and the work ahead of a new job.
 
 #include "scheduling/internal/engineimpl.h"
+#include "scheduling/jobmemory.h"
 
 #include <algorithm>
 #include <cmath>
@@ -62,8 +63,9 @@
         core::Resources& ofPriority = sum.needByPriority[job->record.queue.priority];
         ofPriority = ofPriority + need;
     }
+    snapshot.jobBytes = (m_jobs.size() - m_active.size()) * endedJobBytes;
     for (const auto& [id, job] : m_active) {
-        snapshot.tasksHeld += job->tasks;
+        snapshot.jobBytes += job->bytes;
         const core::TimePoint startBy = job->startBy();
         PendingWork work = job->pendingWork();
         if (const auto team = snapshot.teams.find(job->record.team); team != snapshot.teams.end())
@@ -83,7 +85,7 @@
     AdmissionInputs inputs;
     if (const auto it = snapshot.rooms.find(queue.service); it != snapshot.rooms.end())
         static_cast<FleetRoom&>(inputs) = it->second;
-    inputs.tasksHeld = snapshot.tasksHeld;
+    inputs.jobBytes = snapshot.jobBytes;
     const core::TimePoint now = m_dependencies.loop->now();
     const core::TimePoint startBy = now + objectiveOf(expected, queue) - workflow::criticalPath(expected);
     const WorkAhead::Sum ahead = snapshot.work.before(queue.priority, startBy);
--- a/src/scheduling/internal/enginecalls.cpp
+++ b/src/scheduling/internal/enginecalls.cpp
@@ -208,6 +208,7 @@
         callback(answerOf(WorkflowOutcome::Refused, "its record is too large to be persisted"));
         return;
     }
+    record.stages.reserve(workflow::stageCount(call.spec));
     for (std::size_t n = 0; n < workflow::stageCount(call.spec); ++n) {
         const std::size_t count = call.spec.steps[n % call.spec.steps.size()].count;
         record.stages.push_back(workflow::initialProgress(count));
@@ -219,7 +220,7 @@
     job->submitCallbacks.push_back(callback);
     m_jobs[call.spec.id] = job;
     m_active[call.spec.id] = job;
-    m_admissionSnapshot.tasksHeld += job->tasks;
+    m_admissionSnapshot.jobBytes += job->bytes;
     if (job->record.isExcess) {
         m_admissionSnapshot.work.addLate(queue.priority, job->pendingWork());
     } else {
--- a/src/scheduling/internal/engineparts.h
+++ b/src/scheduling/internal/engineparts.h
@@ -47,7 +47,7 @@
 struct AdmissionSnapshot {
     core::TimePoint takenAt {};
     core::Duration cost {}; //!< time that it took
-    std::size_t tasksHeld = 0;
+    std::size_t jobBytes = 0; //!< memory for all jobs
     std::map<core::ServiceId, FleetRoom> rooms;
     WorkAhead work;
     std::unordered_map<core::TeamId, TeamWork> teams; //!< pending work of the teams that have a cap
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/internal/jobs.h"
 
 #include "core/numbers.h"
+#include "scheduling/jobmemory.h"
 
 #include <algorithm>
 
@@ -127,10 +128,12 @@
 Job makeJob(workflow::JobRecord record)
 {
     Job job;
+    job.bytes = jobBytesOf(record.spec);
     job.record = std::move(record);
     const std::size_t steps = job.record.spec.steps.size();
     for (const workflow::StepSpec& it : job.record.spec.steps)
         job.expected.push_back({ it.estimate, it.estimate, it.estimate });
+    job.stages.reserve(job.record.stages.size()); // a job may have 20,000 stages
     for (std::size_t n = 0; n < job.record.stages.size(); ++n) {
         const workflow::StageProgress& progress = job.record.stages[n];
         Stage stage;
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -93,6 +93,7 @@
     workflow::JobRecord record;
     std::vector<Stage> stages;
     std::size_t tasks = 0; //!< of all stages
+    std::size_t bytes = 0; //!< memory for it until it ends
     workflow::Occupation occupied; //!< by its runs that count towards its team's cap
     //! Stages that may have something to do lie from `firstUndone` to `openedEnd`. A scheduled job has many others.
     std::size_t firstUndone = 0; //!< all stages before this index are done
--- a/src/workflow/internal/workflowcodec.cpp
+++ b/src/workflow/internal/workflowcodec.cpp
@@ -164,6 +164,7 @@
         core::Accelerators(reader.integer("capAccelerators")) };
     it.isExcess = reader.flag("excess");
     it.acceptedAt = core::WallTime(reader.integer("acceptedAt"));
+    it.stages.reserve(stageCount(it.spec));
     for (std::size_t n = 0; n < stageCount(it.spec); ++n) {
         const std::uint32_t count = it.spec.steps[n % it.spec.steps.size()].count;
         it.stages.push_back(initialProgress(count));
