One budget for a process: all limits together fit the smallest VM

What callers saw: crowds of all kinds that come back without end, at all addresses of three nodes, took the leader to 143 MB where the VM has 120; with 200 workers to 113 MB.

Cause: each listener had limits that fitted the VM by themselves, not together, and not beside a leader of a large fleet. They counted the bytes received, while h2o's buffers hold up to twice as many; the readiness address took bodies of 1 MiB, the address for nodes of 8 MiB.

Change: src/budget divides the memory and descriptors of a VM among all parts: connections by what one of them takes, unfinished requests and those in service by their buffers, one turn of the loop, JSON, answers. Connections of nodes have receive buffers of half the size.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -2,6 +2,7 @@
 
 #include "app/internal/connectionreport.h"
 #include "app/internal/processreport.h"
+#include "budget/processbudget.h"
 #include "codec/json.h"
 #include "dispatch/adviceproxy.h"
 #include "dispatch/callforwarder.h"
@@ -26,7 +27,10 @@
 using telemetry::LogLine;
 using telemetry::Severity;
 
-constexpr std::size_t maxInnerBodyBytes = std::size_t(8) << 20;
+//! The largest message is a submission, whose record takes at most 48 KiB, or a result of an advice request.
+constexpr std::size_t maxInnerBodyBytes = std::size_t(512) << 10;
+//! No call at the readiness address has a body.
+constexpr std::size_t maxReadinessBodyBytes = 4096;
 //! All answers of a dispatching node are short, so that its callers need no large send buffers.
 constexpr int shortAnswerBufferBytes = 16 << 10;
 constexpr core::Duration logFlushPeriod = std::chrono::milliseconds(250);
@@ -58,6 +62,7 @@
     settings::DispatchSettings settings;
     telemetry::MetricsPtr metrics = telemetry::Metrics::create();
     runtime::EventLoopPtr loop;
+    budget::DispatchBudget budget;
     http::IHttpClientPtr client;
     store::IRowStorePtr store;
     dispatch::ConfigFollowerPtr configFollower;
@@ -106,7 +111,7 @@
 
 void DispatchNode::Impl::makeTasks()
 {
-    client = http::createClient(loop, http::answerLimitsFor(settings.memoryBytes));
+    client = http::createClient(loop, budget.answers);
     store = platform::createRowStore(loop, client, settings.store);
     dispatch::ConfigFollowerDependencies configDependencies;
     configDependencies.client = client;
@@ -171,14 +176,10 @@
 core::Ret<StartError> DispatchNode::Impl::listen()
 {
     // Requests in service may take all connections of a table, and they are never closed. With limits of their own, the
-    // other nodes and the load balancer are served all the same. A leader has connections from all nodes, so callers
-    // have half as many.
-    callersConnections = http::createConnectionTable(
-        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 2));
-    innerConnections = http::createConnectionTable(
-        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 1));
-    readinessConnections = http::createConnectionTable(
-        loop, http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, 8));
+    // other nodes and the load balancer are served all the same.
+    callersConnections = http::createConnectionTable(loop, budget.callers);
+    innerConnections = http::createConnectionTable(loop, budget.inner);
+    readinessConnections = http::createConnectionTable(loop, budget.readiness);
     const auto forwardCall
         = [this](workflow::WorkflowCall call, std::function<void(const workflow::WorkflowResult&)> onResult) {
               callForwarder->address().send(dispatch::LeaderCall {
@@ -191,7 +192,7 @@
         !ret)
         return ret;
     auto readiness = platform::createReadinessHandler([this] { return configFollower->config() && !isStopping; });
-    if (auto ret = listenAt(settings.readiness, settings.maxBodyBytes, readinessConnections, std::move(readiness),
+    if (auto ret = listenAt(settings.readiness, maxReadinessBodyBytes, readinessConnections, std::move(readiness),
             readinessServer, "readiness");
         !ret)
         return ret;
@@ -298,6 +299,7 @@
     DispatchNodePtr node(new DispatchNode(std::make_unique<Impl>()));
     Impl& impl = *node->m_impl;
     impl.settings = settings;
+    impl.budget = budget::dispatchBudgetFor({ settings.memoryBytes, settings.maxDescriptors });
     if (auto ret = impl.makeLoop(); !ret)
         return core::Failure { ret.error() };
     impl.makeTasks();
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -3,6 +3,7 @@
 #include "api/iapi.h"
 #include "app/internal/connectionreport.h"
 #include "app/internal/processreport.h"
+#include "budget/processbudget.h"
 #include "core/hashing.h"
 #include "http/h2oclient.h"
 #include "http/h2oserver.h"
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr std::size_t maxInnerBodyBytes = std::size_t(64) << 20;
+//! Copies of a body that is passed on: the request's, and two of the client, which may have to send it to another runner.
+constexpr std::size_t passedOnCopies = 3;
 //! Time between reporting not ready and draining.
 constexpr core::Duration balancerDrainDelay = std::chrono::seconds(1);
 constexpr core::Duration processReportPeriod = std::chrono::seconds(1);
@@ -59,6 +61,7 @@
 struct Node::Impl {
     settings::NodeSettings settings;
     telemetry::MetricsPtr metrics = telemetry::Metrics::create();
+    budget::ServeBudget budget;
     runtime::EventLoopPtr front; //!< event loop that serves callers
     runtime::EventLoopPtr control; //!< event loop of the cell, partitions and peers tasks
     node::ICellTaskPtr cell;
@@ -105,7 +108,7 @@
 
 void Node::Impl::makeControl()
 {
-    const http::IHttpClientPtr client = http::createClient(control, http::answerLimitsFor(settings.memoryBytes, 2));
+    const http::IHttpClientPtr client = http::createClient(control, budget.answers);
     const auto store = services::createTableStore(client, settings.platform, settings.timeouts);
     const auto vms = services::createVmList(client, settings.platform, settings.timeouts);
     const auto workers = services::createWorkerClient(client, settings.timeouts);
@@ -175,7 +178,7 @@
         if (!std::exchange(isRouterIdleReported, true))
             routerIdle.set_value();
     };
-    router = routing::createRouter(front, http::createClient(front, http::answerLimitsFor(settings.memoryBytes, 2)),
+    router = routing::createRouter(front, http::createClient(front, budget.answers),
         node::createClaimClient(front, partitionClient, [this] { return partitionCount; }), metrics, std::move(hooks),
         settings.maxResponseBytes);
     api::ApiDependencies dependencies;
@@ -211,10 +214,9 @@
     callers.listen = settings.callers.address;
     callers.tls = settings.callers.tls;
     callers.maxBodyBytes = settings.maxBodyBytes;
-    constexpr std::size_t loops = 2;
-    const auto limits = http::connectionLimitsFor(settings.memoryBytes, settings.maxDescriptors, loops);
-    frontConnections = http::createConnectionTable(front, limits);
-    innerConnections = http::createConnectionTable(control, limits);
+    callers.keptCopies = passedOnCopies;
+    frontConnections = http::createConnectionTable(front, budget.callers);
+    innerConnections = http::createConnectionTable(control, budget.inner);
     callers.connections = frontConnections;
     auto server = http::createServer(front, callers, [this](http::Request request, http::Responder responder) {
         api->handle(std::move(request), std::move(responder));
@@ -225,8 +227,7 @@
 
     http::ServerOptions inner;
     inner.listen = settings.inner;
-    // A batch of messages that takes an eighth of the VM's memory cannot be read beside the node's own state.
-    inner.maxBodyBytes = std::min(maxInnerBodyBytes, settings.memoryBytes / 8);
+    inner.maxBodyBytes = budget.maxInnerBodyBytes;
     inner.connections = innerConnections;
     auto innerResult
         = http::createServer(control, inner, [this](const http::Request& request, http::Responder responder) {
@@ -253,6 +254,8 @@
     NodePtr node(new Node(std::make_unique<Impl>()));
     Impl& impl = *node->m_impl;
     impl.settings = settings;
+    impl.budget = budget::serveBudgetFor(
+        { settings.memoryBytes, settings.maxDescriptors }, settings.callers.tls.has_value());
     if (auto ret = impl.makeLoops(); !ret)
         return core::Failure { ret.error() };
     impl.makeControl();
--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -9,8 +9,22 @@
 
 namespace sardinerun::http {
 
+//! Who connects to the servers of a table. It decides the sizes of the connections' buffers.
+enum class ListenerKind {
+    Callers,
+    CallersWithTls,
+    Nodes //!< other nodes and load balancers, whose requests are short or few
+};
+
+//! Returns the receive buffer in the kernel that the servers request; the kernel doubles it.
+int receiveBufferBytesOf(ListenerKind kind);
+//! Returns the most that one connection takes besides the bytes of its requests: its buffers in the kernel, in h2o and in
+//! OpenSSL.
+std::size_t bytesOfConnection(ListenerKind kind);
+
 //! Limits of all servers on one loop. The defaults suit a VM with 512 MB.
 struct ConnectionLimits {
+    ListenerKind kind = ListenerKind::Callers;
     std::size_t unfinishedBytes = std::size_t(64) << 20; //!< received of requests that are not complete
     std::size_t servedBytes = std::size_t(64) << 20; //!< of requests in progress and of answers being sent
     std::size_t headBytes = std::size_t(32) << 10; //!< of one request's line and headers
@@ -22,9 +36,17 @@
     core::Duration stallTime = std::chrono::seconds(1);
 };
 
-//! Returns the limits for a VM with this memory and number of descriptors, divided among `tables` tables.
-//! docs/CAPACITY.md has the arithmetic.
-ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t tables);
+//! What the servers of one table may take of a VM.
+struct ListenerShare {
+    ListenerKind kind = ListenerKind::Callers;
+    std::size_t connectionBytes = 0; //!< for `bytesOfConnection` of all connections
+    std::size_t unfinishedBytes = 0;
+    std::size_t servedBytes = 0;
+    std::size_t descriptors = 0;
+};
+
+//! Returns the limits that keep to a share. Some connections and one request with a body of a few bytes are always allowed.
+ConnectionLimits connectionLimitsFor(const ListenerShare& share);
 
 enum class CloseReason { HeadTooLong, UnfinishedBytes, StalledAnswer, ConnectionLimit };
 constexpr std::size_t closeReasons = 4;
@@ -41,6 +63,9 @@
 class ConnectionTable;
 using ConnectionTablePtr = std::shared_ptr<ConnectionTable>;
 
+//! Returns the buffer that h2o needs for a request with headers and a body of these sizes.
+std::size_t bufferBytesFor(std::size_t headBytes, std::size_t bodyBytes);
+
 //! Creates the table of the connections of all servers on this loop, which enforces the limits. Must be called before
 //! the loop starts or on its thread.
 ConnectionTablePtr createConnectionTable(const runtime::EventLoopPtr& loop, const ConnectionLimits& limits);
--- a/src/http/h2oclient.h
+++ b/src/http/h2oclient.h
@@ -11,9 +11,6 @@
     std::size_t headBytes = std::size_t(64) << 10; //!< of the status line and headers of one answer
 };
 
-//! Returns the limits of each of the clients of a process on a VM with this memory.
-AnswerLimits answerLimitsFor(std::size_t memoryBytes, std::size_t clients = 1);
-
 //! Creates an HTTP/1.1 client based on h2o, with one connection pool for each address.
 IHttpClientPtr createClient(const runtime::EventLoopPtr& loop, const AnswerLimits& limits = {});
 
--- a/src/http/h2oserver.h
+++ b/src/http/h2oserver.h
@@ -23,6 +23,7 @@
     //! Send buffer of a connection in the kernel, which doubles it. An answer that is not read stays there. A small one
     //! slows down long answers.
     int sendBufferBytes = 64 << 10;
+    std::size_t keptCopies = 1; //!< of a body, by the handler and what it calls while the request is served
     std::optional<TlsFiles> tls;
     ConnectionTablePtr connections; //!< shared by the servers of a loop; if null, the server has its own
 };
--- a/src/http/internal/answerbudget.cpp
+++ b/src/http/internal/answerbudget.cpp
@@ -4,19 +4,6 @@
 
 namespace sardinerun::http {
 
-namespace {
-
-constexpr std::size_t minTotalBytes = std::size_t(8) << 20; //!< twice the longest answer of the store
-
-} // namespace
-
-AnswerLimits answerLimitsFor(std::size_t memoryBytes, std::size_t clients)
-{
-    AnswerLimits limits;
-    limits.totalBytes = std::max(memoryBytes / 8 / clients, minTotalBytes);
-    return limits;
-}
-
 void AnswerBudget::remove(Call* call)
 {
     m_calls.erase(call);
--- a/src/http/internal/connectiontable.cpp
+++ b/src/http/internal/connectiontable.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/connectiontable.h"
 
+#include "http/internal/bufferbytes.h"
+
 #include <algorithm>
 #include <cstring>
 #include <sys/socket.h>
@@ -14,9 +16,9 @@
 constexpr core::Duration maxSweepInterval = std::chrono::milliseconds(30);
 constexpr std::size_t bytesReadInMicrosecond = 2048;
 
-std::size_t inputBytes(const Connection& it)
+std::size_t inputBytesOf(const Connection& it)
 {
-    return it.socket && it.socket->input ? it.socket->input->size : 0;
+    return it.socket ? inputBytes(it.socket->input) : 0;
 }
 
 } // namespace
@@ -24,7 +26,7 @@
 void ConnectionTable::allowBody(std::size_t maxBodyBytes)
 {
     ConnectionLimits limits = m_policy.limits();
-    limits.unfinishedBytes = std::max(limits.unfinishedBytes, maxBodyBytes + limits.headBytes);
+    limits.unfinishedBytes = std::max(limits.unfinishedBytes, bufferBytesFor(limits.headBytes, maxBodyBytes));
     m_policy = OverloadPolicy(limits);
 }
 
@@ -104,7 +106,7 @@
     using Phase = ConnectionView::Phase;
     ConnectionView view;
     view.index = index;
-    view.heldBytes = inputBytes(it) + it.servedBytes;
+    view.heldBytes = inputBytesOf(it) + it.servedBytes;
     view.since = it.since;
     view.hasServed = it.hasServed;
     if (it.inProgress > 0)
@@ -136,7 +138,7 @@
 bool ConnectionTable::isHeadTooLong(Connection& it) const
 {
     const std::size_t limit = m_policy.limits().headBytes;
-    if (it.hasHead || it.inProgress > 0 || inputBytes(it) <= limit)
+    if (it.hasHead || it.inProgress > 0 || inputBytesOf(it) <= limit)
         return false;
     it.hasHead = memmem(it.socket->input->bytes, limit, "\r\n\r\n", 4) != nullptr;
     return !it.hasHead;
@@ -153,7 +155,7 @@
         if (isHeadTooLong(*it))
             close(*it, CloseReason::HeadTooLong);
         else
-            (it->inProgress > 0 ? m_usage.servedBytes : m_usage.unfinishedBytes) += inputBytes(*it) + it->servedBytes;
+            (it->inProgress > 0 ? m_usage.servedBytes : m_usage.unfinishedBytes) += inputBytesOf(*it) + it->servedBytes;
     }
     if (!m_policy.isUnderPressure(m_usage.unfinishedBytes, m_usage.servedBytes))
         return;
--- a/src/http/internal/connectiontable.h
+++ b/src/http/internal/connectiontable.h
@@ -34,6 +34,7 @@
     {
     }
 
+    const ConnectionLimits& limits() const { return m_policy.limits(); }
     //! Raises the limit of unfinished bytes so that a single request with such a body fits.
     void allowBody(std::size_t maxBodyBytes);
     //! Must be called before the connection is passed to h2o. May close an older connection; returns false if this one
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -26,8 +26,6 @@
 constexpr int listenBacklog = 1024;
 //! Pause after a connection that could not be accepted for lack of descriptors or memory.
 constexpr core::Duration acceptPause = std::chrono::milliseconds(100);
-//! Receive buffer of a connection in the kernel, which doubles it. Unread bytes count as memory of the VM.
-constexpr int receiveBufferBytes = 16 << 10;
 constexpr core::Duration refusalRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t maxSendBytes = std::size_t(64) << 10; //!< passed to h2o in one call
 
@@ -112,16 +110,17 @@
     }
 
 private:
-    //! Counts the request on its connection: its bytes are in the connection's buffer and in the copy passed on.
-    //! Returns whether it may run.
+    //! Counts the request on its connection: its bytes are in the connection's buffer and in the copies that are kept
+    //! while it is served. Returns whether it may run.
     bool begin(Exchange& exchange)
     {
         h2o_conn_t* from = exchange.request->conn;
         exchange.connection = m_connections->find(from->callbacks->get_socket(from));
         if (!exchange.connection)
             return true;
-        const bool isAdmitted = m_connections->admit(*exchange.connection, 2 * exchange.request->entity.len);
-        exchange.requestBytes = isAdmitted ? exchange.request->entity.len : 0;
+        const std::size_t copies = m_keptCopies * exchange.request->entity.len;
+        const bool isAdmitted = m_connections->admit(*exchange.connection, exchange.request->entity.len + copies);
+        exchange.requestBytes = isAdmitted ? copies : 0;
         exchange.connection->servedBytes += exchange.requestBytes;
         ++exchange.connection->inProgress;
         return isAdmitted;
@@ -285,6 +284,7 @@
     void configure(const ServerOptions& options)
     {
         m_sendTimeout = options.sendTimeout;
+        m_keptCopies = options.keptCopies;
         m_sendBufferBytes = options.sendBufferBytes;
         h2o_config_init(&m_config);
         m_config.max_request_entity_size = options.maxBodyBytes;
@@ -329,7 +329,8 @@
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         const int on = 1;
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        // Accepted connections inherit the sizes.
+        // Accepted connections inherit the sizes. Unread bytes count as memory of the VM.
+        const int receiveBufferBytes = receiveBufferBytesOf(m_connections->limits().kind);
         setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
         setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &m_sendBufferBytes, sizeof m_sendBufferBytes);
         socklen_t n = sizeof address;
@@ -350,6 +351,7 @@
     Handler m_handler;
     ConnectionTablePtr m_connections;
     core::Duration m_sendTimeout {};
+    std::size_t m_keptCopies = 1;
     int m_sendBufferBytes = 0;
     h2o_globalconf_t m_config {};
     h2o_context_t m_context {};
--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/overloadpolicy.h"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 namespace sardinerun::http {
@@ -9,10 +10,23 @@
 
 using Phase = ConnectionView::Phase;
 
-constexpr std::size_t mebibyte = std::size_t(1) << 20;
-//! Memory of one connection: its receive buffer in the kernel (32 KiB), its buffers in h2o and its send buffer.
-constexpr std::size_t connectionBytes = std::size_t(48) << 10;
+constexpr std::size_t kibibyte = 1024;
 constexpr std::size_t minConnections = 16;
+constexpr std::size_t minRequestBytes = 64 * kibibyte;
+constexpr std::size_t readBytes = 4 * kibibyte; //!< that h2o has free before it reads
+//! A connection and its request in h2o, with the buffer of a short request.
+constexpr std::size_t h2oBytes = 12 * kibibyte;
+//! The state of a connection in OpenSSL, and a buffer for a record in each direction.
+constexpr std::size_t opensslBytes = 56 * kibibyte;
+
+struct ListenerTraits {
+    std::size_t receiveBufferBytes;
+    std::size_t otherBytes;
+};
+
+// indexed by ListenerKind
+constexpr std::array<ListenerTraits, 3> listenerTraits { { { 16 * kibibyte, h2oBytes },
+    { 16 * kibibyte, h2oBytes + opensslBytes }, { 8 * kibibyte, h2oBytes } } };
 
 std::size_t lowMark(std::size_t limit)
 {
@@ -43,17 +57,34 @@
     return names.at(std::size_t(it));
 }
 
-ConnectionLimits connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors, std::size_t tables)
+int receiveBufferBytesOf(ListenerKind kind)
+{
+    return int(listenerTraits.at(std::size_t(kind)).receiveBufferBytes);
+}
+
+std::size_t bytesOfConnection(ListenerKind kind)
+{
+    const ListenerTraits& it = listenerTraits.at(std::size_t(kind));
+    return 2 * it.receiveBufferBytes + it.otherBytes;
+}
+
+ConnectionLimits connectionLimitsFor(const ListenerShare& share)
 {
     ConnectionLimits limits;
-    limits.unfinishedBytes = std::max(memoryBytes / 8 / tables, mebibyte);
-    limits.servedBytes = limits.unfinishedBytes;
-    // A quarter of the memory, and a quarter of the descriptors: the leader needs most of them for its workers.
+    limits.kind = share.kind;
+    limits.unfinishedBytes = std::max(share.unfinishedBytes, minRequestBytes);
+    limits.servedBytes = std::max(share.servedBytes, minRequestBytes);
     limits.connections
-        = std::max(std::min(memoryBytes / 4 / connectionBytes, descriptors / 4) / tables, minConnections);
+        = std::max(std::min(share.connectionBytes / bytesOfConnection(share.kind), share.descriptors), minConnections);
     return limits;
 }
 
+//! h2o's buffers double when less than one read fits.
+std::size_t bufferBytesFor(std::size_t headBytes, std::size_t bodyBytes)
+{
+    return std::bit_ceil(headBytes + bodyBytes + readBytes);
+}
+
 bool OverloadPolicy::isUnderPressure(std::size_t unfinishedBytes, std::size_t servedBytes) const
 {
     return unfinishedBytes > m_limits.unfinishedBytes || servedBytes > m_limits.servedBytes;
--- a/src/http/tests/overload_tests.cpp
+++ b/src/http/tests/overload_tests.cpp
@@ -100,14 +100,15 @@
     BOOST_TEST((room() == 1U));
 }
 
-//! Guards against limits that together exceed the smallest VM, or leave a leader without descriptors for its workers.
-BOOST_AUTO_TEST_CASE(theLimitsOfASmallVmLeaveRoomForTheProcess)
+//! Guards against a share that is exceeded by the buffers of connections.
+BOOST_AUTO_TEST_CASE(connectionsKeepToTheirShare)
 {
-    const std::size_t memory = std::size_t(120) << 20;
-    const auto it = http::connectionLimitsFor(memory, 3075, 1);
-    BOOST_TEST(it.unfinishedBytes + it.servedBytes + it.connections * (std::size_t(48) << 10) <= memory / 2);
-    BOOST_TEST(it.connections <= 3075U / 4);
-    BOOST_TEST(it.connections >= 400U);
-    const auto half = http::connectionLimitsFor(memory, 3075, 2);
-    BOOST_TEST(half.unfinishedBytes * 2 <= it.unfinishedBytes);
+    using http::ListenerKind;
+    for (const auto kind : { ListenerKind::Callers, ListenerKind::CallersWithTls, ListenerKind::Nodes }) {
+        const std::size_t share = std::size_t(8) << 20;
+        const auto it = http::connectionLimitsFor({ kind, share, 1000, 2000, 10000 });
+        BOOST_TEST(it.connections * http::bytesOfConnection(kind) <= share);
+        BOOST_TEST((it.connections + 1) * http::bytesOfConnection(kind) > share);
+        BOOST_TEST(http::connectionLimitsFor({ kind, share, 1000, 2000, 70 }).connections == 70U);
+    }
 }
