Bodies of HTTP/2 streams count towards the limit of unfinished requests

What callers saw: 12 callers over HTTP/2, with 90 bodies each that stop short of their end, took a node of serve to 1,293 MB at memoryMb 120.

Cause: h2o keeps the bodies of streams in buffers that its public interface does not show, and the limits did not count them. Streams without a body were not counted either.

Change: the table looks into h2o's connections with the private header that its development package installs. A connection that has unfinished streams beside requests in service is closed last, and only for the unfinished ones: its caller alone has chosen to put them on one connection.

--- a/src/http/internal/connectiontable.cpp
+++ b/src/http/internal/connectiontable.cpp
@@ -106,7 +106,8 @@
     using Phase = ConnectionView::Phase;
     ConnectionView view;
     view.index = index;
-    view.heldBytes = inputBytesOf(it) + it.servedBytes;
+    view.heldBytes = inputBytesOf(it) + it.servedBytes + it.http2.servedBytes + it.http2.unfinishedBytes;
+    view.unfinishedBytes = it.inProgress > 0 ? it.http2.unfinishedBytes : 0;
     view.since = it.since;
     view.hasServed = it.hasServed;
     if (it.inProgress > 0)
@@ -144,18 +145,32 @@
     return !it.hasHead;
 }
 
+void ConnectionTable::lookAtHttp2()
+{
+    for (const h2o_context_t* context : m_contexts) {
+        forEachHttp2Connection(*context, [this](h2o_socket_t* socket, const Http2Usage& usage) {
+            if (const ConnectionPtr it = find(socket))
+                it->http2 = usage;
+        });
+    }
+}
+
 void ConnectionTable::sweep()
 {
     m_sweptAt = m_loop->now();
     m_usage.unfinishedBytes = 0;
     m_usage.servedBytes = 0;
+    lookAtHttp2();
     for (const auto& [socket, it] : m_connections) {
         if (it->isClosing)
             continue;
-        if (isHeadTooLong(*it))
+        if (isHeadTooLong(*it)) {
             close(*it, CloseReason::HeadTooLong);
-        else
-            (it->inProgress > 0 ? m_usage.servedBytes : m_usage.unfinishedBytes) += inputBytesOf(*it) + it->servedBytes;
+            continue;
+        }
+        const ConnectionView view = viewOf(*it, 0);
+        m_usage.unfinishedBytes += unfinishedBytesOf(view);
+        m_usage.servedBytes += view.heldBytes - unfinishedBytesOf(view);
     }
     if (!m_policy.isUnderPressure(m_usage.unfinishedBytes, m_usage.servedBytes))
         return;
--- a/src/http/internal/connectiontable.h
+++ b/src/http/internal/connectiontable.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "http/internal/http2usage.h"
 #include "http/internal/overloadpolicy.h"
 
 #include <unordered_map>
+#include <vector>
 
 extern "C" {
 #include <h2o.h>
@@ -18,6 +20,7 @@
     std::size_t inProgress = 0; //!< requests whose answer is not complete
     std::size_t sending = 0; //!< those of them that are being answered
     std::size_t servedBytes = 0; //!< copies of requests, and parts of answers
+    Http2Usage http2; //!< at the last look; zero for HTTP/1.1
     bool hasServed = false;
     bool hasHead = false; //!< the headers of the unfinished request are complete
     bool isClosing = false; //!< no further request on it may run
@@ -37,6 +40,10 @@
     const ConnectionLimits& limits() const { return m_policy.limits(); }
     //! Raises the limit of unfinished bytes so that a single request with such a body fits.
     void allowBody(std::size_t maxBodyBytes);
+    //! Registers the context of a server whose connections may speak HTTP/2. It must outlive the table's last turn, or be
+    //! removed.
+    void addContext(const h2o_context_t* context) { m_contexts.push_back(context); }
+    void removeContext(const h2o_context_t* context) { std::erase(m_contexts, context); }
     //! Must be called before the connection is passed to h2o. May close an older connection; returns false if this one
     //! must be closed.
     bool add(h2o_socket_t* socket);
@@ -53,6 +60,7 @@
     std::vector<ConnectionPtr> open() const;
     std::vector<ConnectionView> viewsOf(const std::vector<ConnectionPtr>& connections) const;
     bool isHeadTooLong(Connection& it) const;
+    void lookAtHttp2();
     core::Duration sweepInterval() const;
     void sweep();
     void close(Connection& it, CloseReason reason);
@@ -60,6 +68,7 @@
     runtime::EventLoopPtr m_loop;
     OverloadPolicy m_policy;
     std::unordered_map<h2o_socket_t*, ConnectionPtr> m_connections;
+    std::vector<const h2o_context_t*> m_contexts;
     std::size_t m_closing = 0; //!< connections that h2o has still to close
     ConnectionUsage m_usage;
     core::TimePoint m_sweptAt {};
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -63,12 +63,21 @@
     {
     }
 
+    ~H2oServer() override
+    {
+        if (m_connections)
+            m_connections->removeContext(&m_context);
+    }
+    H2oServer(const H2oServer&) = delete;
+    H2oServer& operator=(const H2oServer&) = delete;
+
     core::Ret<ServerError> open(const ServerOptions& options)
     {
         m_connections = options.connections ? options.connections : createConnectionTable(m_loop, {});
         m_connections->allowBody(options.maxBodyBytes);
         configure(options);
         if (options.tls) {
+            m_connections->addContext(&m_context); // HTTP/2 is offered with TLS only
             if (auto ret = loadTls(*options.tls); !ret)
                 return ret;
         }
--- a/src/http/internal/overloadpolicy.cpp
+++ b/src/http/internal/overloadpolicy.cpp
@@ -34,11 +34,12 @@
 }
 
 //! Closes the largest of these connections until at most `lowMark(limit)` bytes are held, and keeps `kept` of them.
-void closeLargest(std::vector<ConnectionView> candidates, std::size_t held, std::size_t limit, std::size_t kept,
+//! Returns the bytes that are held then.
+std::size_t closeLargest(std::vector<ConnectionView> candidates, std::size_t held, std::size_t limit, std::size_t kept,
     CloseReason reason, std::vector<Closing>& to)
 {
     if (held <= limit)
-        return;
+        return held;
     std::sort(candidates.begin(), candidates.end(), [](const ConnectionView& a, const ConnectionView& b) {
         return std::tie(b.heldBytes, a.since) < std::tie(a.heldBytes, b.since);
     });
@@ -46,6 +47,7 @@
         held -= std::min(held, candidates[n].heldBytes);
         to.push_back({ candidates[n].index, reason });
     }
+    return held;
 }
 
 } // namespace
@@ -85,6 +87,12 @@
     return std::bit_ceil(headBytes + bodyBytes + readBytes);
 }
 
+std::size_t unfinishedBytesOf(const ConnectionView& it)
+{
+    const bool isServed = it.phase == Phase::Serving || it.phase == Phase::Sending;
+    return isServed ? it.unfinishedBytes : it.heldBytes;
+}
+
 bool OverloadPolicy::isUnderPressure(std::size_t unfinishedBytes, std::size_t servedBytes) const
 {
     return unfinishedBytes > m_limits.unfinishedBytes || servedBytes > m_limits.servedBytes;
@@ -93,20 +101,27 @@
 std::vector<Closing> OverloadPolicy::relieve(const std::vector<ConnectionView>& views, core::TimePoint now) const
 {
     std::vector<ConnectionView> unfinished;
+    std::vector<ConnectionView> multiplexed; // with requests in progress, too
     std::vector<ConnectionView> stalled;
     std::size_t unfinishedBytes = 0;
     std::size_t servedBytes = 0;
     for (const ConnectionView& it : views) {
-        const bool isServed = it.phase == Phase::Serving || it.phase == Phase::Sending;
-        (isServed ? servedBytes : unfinishedBytes) += it.heldBytes;
-        if (it.phase == Phase::Receiving)
+        unfinishedBytes += unfinishedBytesOf(it);
+        servedBytes += it.heldBytes - unfinishedBytesOf(it);
+        if (it.phase == Phase::Receiving) {
             unfinished.push_back(it);
-        else if (it.phase == Phase::Sending && now - it.since >= m_limits.stallTime)
+        } else if (it.unfinishedBytes > 0) {
+            multiplexed.push_back(it);
+            multiplexed.back().heldBytes = it.unfinishedBytes;
+        } else if (it.phase == Phase::Sending && now - it.since >= m_limits.stallTime) {
             stalled.push_back(it);
+        }
     }
     std::vector<Closing> result;
-    closeLargest(
-        std::move(unfinished), unfinishedBytes, m_limits.unfinishedBytes, 1, CloseReason::UnfinishedBytes, result);
+    const std::size_t limit = m_limits.unfinishedBytes;
+    const std::size_t left
+        = closeLargest(std::move(unfinished), unfinishedBytes, limit, 1, CloseReason::UnfinishedBytes, result);
+    closeLargest(std::move(multiplexed), left, limit, 0, CloseReason::UnfinishedBytes, result);
     closeLargest(std::move(stalled), servedBytes, m_limits.servedBytes, 0, CloseReason::StalledAnswer, result);
     return result;
 }
--- a/src/http/internal/overloadpolicy.h
+++ b/src/http/internal/overloadpolicy.h
@@ -20,6 +20,7 @@
     std::size_t heldBytes = 0;
     core::TimePoint since {}; //!< start of the phase; of Sending: when the receiver last accepted bytes
     bool hasServed = false; //!< a request on this connection was answered
+    std::size_t unfinishedBytes = 0; //!< part of `heldBytes`, while other requests are in progress (HTTP/2)
 };
 
 struct Closing {
@@ -27,7 +28,11 @@
     CloseReason reason = CloseReason::UnfinishedBytes;
 };
 
-//! Decides which connections are closed and which requests are refused. Requests in progress are never interrupted.
+//! Returns the bytes of a connection's unfinished requests.
+std::size_t unfinishedBytesOf(const ConnectionView& it);
+
+//! Decides which connections are closed and which requests are refused. Requests in progress are not interrupted, unless
+//! their connection has unfinished requests, too, that are over the limit by themselves.
 class OverloadPolicy {
 public:
     explicit OverloadPolicy(ConnectionLimits limits)
@@ -39,7 +44,8 @@
 
     bool isUnderPressure(std::size_t unfinishedBytes, std::size_t servedBytes) const;
     //! Returns the unfinished requests and stalled answers to close: the largest first, of equal ones the oldest, until
-    //! an eighth of the limit is free. A single unfinished request is never closed.
+    //! an eighth of the limit is free. Connections with requests in progress come last. A single unfinished request is
+    //! never closed.
     std::vector<Closing> relieve(const std::vector<ConnectionView>& views, core::TimePoint now) const;
     //! Returns the connection to close so that a further one may be opened, if any: the oldest that never sent a
     //! request within the grace time, else the one that has been idle, receiving or stalled for longest.
--- a/src/http/tests/overload_tests.cpp
+++ b/src/http/tests/overload_tests.cpp
@@ -100,6 +100,20 @@
     BOOST_TEST((room() == 1U));
 }
 
+//! Guards against an HTTP/2 connection whose unfinished bodies are never closed, as another of its requests is in service.
+BOOST_FIXTURE_TEST_CASE(connectionsWithRequestsInProgressAreClosedLastAndOnlyForTheirUnfinishedOnes, Fixture)
+{
+    add(Phase::Serving, 5000, 10);
+    views[0].unfinishedBytes = 900;
+    add(Phase::Receiving, 400, 20);
+    add(Phase::Receiving, 300, 30);
+    BOOST_TEST((relieved() == Indexes { 1, 0 })); // one of those that receive is kept
+    views[0].unfinishedBytes = 500;
+    BOOST_TEST((relieved() == Indexes { 1 }));
+    views[0].unfinishedBytes = 0;
+    BOOST_TEST(relieved().empty());
+}
+
 //! Guards against a share that is exceeded by the buffers of connections.
 BOOST_AUTO_TEST_CASE(connectionsKeepToTheirShare)
 {
