A server with TLS keeps no sessions, and idle connections no buffers

What callers would see: nothing at first. Callers over TLS 1.2 without tickets leave a session each, up to 20,480 of them.

Cause: OpenSSL's session cache is on by default; the limits did not know it.

Change: the cache is off; callers resume by tickets, which they keep themselves. Buffers of records are released while a connection is at rest.

--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -316,6 +316,9 @@
     {
         SSL_CTX* tls = SSL_CTX_new(TLS_server_method());
         SSL_CTX_set_min_proto_version(tls, TLS1_2_VERSION);
+        // Callers resume sessions by tickets, which the node does not keep.
+        SSL_CTX_set_session_cache_mode(tls, SSL_SESS_CACHE_OFF);
+        SSL_CTX_set_mode(tls, SSL_MODE_RELEASE_BUFFERS);
         const bool isLoaded = SSL_CTX_use_certificate_chain_file(tls, files.certificate.c_str()) == 1
             && SSL_CTX_use_PrivateKey_file(tls, files.key.c_str(), SSL_FILETYPE_PEM) == 1;
         if (!isLoaded) {
--- a/src/http/tests/tls_tests.cpp
+++ b/src/http/tests/tls_tests.cpp
@@ -55,7 +55,7 @@
 
 //! A TLS connection; `isOpen` is false if the handshake failed.
 struct TlsConnection {
-    TlsConnection(std::uint16_t port, int newestVersion)
+    TlsConnection(std::uint16_t port, int newestVersion, SSL_SESSION* session = nullptr)
         : fd(socket(AF_INET, SOCK_STREAM, 0))
         , context(SSL_CTX_new(TLS_client_method()))
     {
@@ -68,7 +68,10 @@
         SSL_CTX_set_security_level(context, 0); // allows old versions, so that the server must reject them
         static const unsigned char protocols[] = "\x02h2\x08http/1.1";
         SSL_CTX_set_alpn_protos(context, protocols, sizeof protocols - 1);
+        SSL_CTX_set_options(context, SSL_OP_NO_TICKET);
         ssl = SSL_new(context);
+        if (session)
+            SSL_set_session(ssl, session);
         SSL_set_fd(ssl, fd);
         isOpen = SSL_connect(ssl) == 1;
     }
@@ -122,6 +125,24 @@
     loop->stop();
 }
 
+//! Guards against sessions that the server keeps for callers without tickets, some 20,000 of them, whether or not they return.
+BOOST_FIXTURE_TEST_CASE(aServerKeepsNoSessions, Fixture)
+{
+    const SelfSigned credentials;
+    const auto server = http::createServer(loop, options(credentials.files), handler).value();
+    loop->start();
+    {
+        TlsConnection first(server->port(), TLS1_2_VERSION);
+        BOOST_REQUIRE(first.isOpen);
+        SSL_SESSION* session = SSL_get1_session(first.ssl);
+        TlsConnection second(server->port(), TLS1_2_VERSION, session);
+        SSL_SESSION_free(session);
+        BOOST_REQUIRE(second.isOpen);
+        BOOST_TEST(SSL_session_reused(second.ssl) == 0);
+    }
+    loop->stop();
+}
+
 BOOST_FIXTURE_TEST_CASE(aServerWithoutItsCertificateIsNotCreated, Fixture)
 {
     const auto server = http::createServer(loop, options({ "/nowhere/certificate", "/nowhere/key" }), handler);
