--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-//! Copies of a body that is passed on: the request's, and two of the client, which may have to send it to another runner.
+//! Copies of a body that is passed on: the request's, and two of the client, which may have to send it to another
+//! runner.
 constexpr std::size_t passedOnCopies = 3;
 //! Time between reporting not ready and draining.
 constexpr core::Duration balancerDrainDelay = std::chrono::seconds(1);
@@ -254,8 +255,8 @@
     NodePtr node(new Node(std::make_unique<Impl>()));
     Impl& impl = *node->m_impl;
     impl.settings = settings;
-    impl.budget = budget::serveBudgetFor(
-        { settings.memoryBytes, settings.maxDescriptors }, settings.callers.tls.has_value());
+    impl.budget
+        = budget::serveBudgetFor({ settings.memoryBytes, settings.maxDescriptors }, settings.callers.tls.has_value());
     if (auto ret = impl.makeLoops(); !ret)
         return core::Failure { ret.error() };
     impl.makeControl();
--- a/src/budget/processbudget.h
+++ b/src/budget/processbudget.h
@@ -6,8 +6,8 @@
 #include <cstddef>
 #include <vector>
 
-//! Division of a VM's memory and descriptors among the parts of a process, so that all parts together fit while each is at its
-//! limit. docs/CAPACITY.md has the sums.
+//! Division of a VM's memory and descriptors among the parts of a process, so that all parts together fit while each is
+//! at its limit. docs/CAPACITY.md has the sums.
 namespace sardinerun::budget {
 
 //! What a process may use of its VM.
--- a/src/codec/internal/json.cpp
+++ b/src/codec/internal/json.cpp
@@ -42,9 +42,8 @@
 //! bracket, also within strings, where neither begins a value.
 std::size_t maxValuesIn(std::string_view text)
 {
-    return 1 + std::size_t(std::count_if(text.begin(), text.end(), [](char c) {
-        return c == ',' || c == '[' || c == '{';
-    }));
+    return 1
+        + std::size_t(std::count_if(text.begin(), text.end(), [](char c) { return c == ',' || c == '[' || c == '{'; }));
 }
 
 } // namespace
--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -18,8 +18,8 @@
 
 //! Returns the receive buffer in the kernel that the servers request; the kernel doubles it.
 int receiveBufferBytesOf(ListenerKind kind);
-//! Returns the most that one connection takes besides the bytes of its requests: its buffers in the kernel, in h2o and in
-//! OpenSSL.
+//! Returns the most that one connection takes besides the bytes of its requests: its buffers in the kernel, in h2o and
+//! in OpenSSL.
 std::size_t bytesOfConnection(ListenerKind kind);
 
 //! Limits of all servers on one loop. The defaults suit a VM with 512 MB.
@@ -45,7 +45,8 @@
     std::size_t descriptors = 0;
 };
 
-//! Returns the limits that keep to a share. Some connections and one request with a body of a few bytes are always allowed.
+//! Returns the limits that keep to a share. Some connections and one request with a body of a few bytes are always
+//! allowed.
 ConnectionLimits connectionLimitsFor(const ListenerShare& share);
 
 enum class CloseReason { HeadTooLong, UnfinishedBytes, StalledAnswer, ConnectionLimit };
--- a/src/http/internal/connectiontable.h
+++ b/src/http/internal/connectiontable.h
@@ -40,8 +40,8 @@
     const ConnectionLimits& limits() const { return m_policy.limits(); }
     //! Raises the limit of unfinished bytes so that a single request with such a body fits.
     void allowBody(std::size_t maxBodyBytes);
-    //! Registers the context of a server whose connections may speak HTTP/2. It must outlive the table's last turn, or be
-    //! removed.
+    //! Registers the context of a server whose connections may speak HTTP/2. It must outlive the table's last turn, or
+    //! be removed.
     void addContext(const h2o_context_t* context) { m_contexts.push_back(context); }
     void removeContext(const h2o_context_t* context) { std::erase(m_contexts, context); }
     //! Must be called before the connection is passed to h2o. May close an older connection; returns false if this one
--- a/src/http/internal/h2oprivate/khash.h
+++ b/src/http/internal/h2oprivate/khash.h
@@ -2,9 +2,9 @@
 
 #include <stdint.h>
 
-//! The hash table that h2o's private header <h2o/http2_internal.h> includes under this name. The development package of h2o
-//! lacks it. Only what that header needs is declared here, with the layout that libh2o was built with; tables are read, never
-//! changed.
+//! The hash table that h2o's private header <h2o/http2_internal.h> includes under this name. The development package of
+//! h2o lacks it. Only what that header needs is declared here, with the layout that libh2o was built with; tables are
+//! read, never changed.
 
 typedef uint32_t khint_t;
 typedef khint_t khiter_t;
--- a/src/http/internal/http2usage.cpp
+++ b/src/http/internal/http2usage.cpp
@@ -1,5 +1,5 @@
-//! h2o collects the bodies of HTTP/2 streams in buffers that its public interface does not show. Its private header, which its
-//! development package contains, is read here and nowhere else.
+//! h2o collects the bodies of HTTP/2 streams in buffers that its public interface does not show. Its private header,
+//! which its development package contains, is read here and nowhere else.
 
 #include "http/internal/http2usage.h"
 
--- a/src/http/internal/overloadpolicy.h
+++ b/src/http/internal/overloadpolicy.h
@@ -31,8 +31,8 @@
 //! Returns the bytes of a connection's unfinished requests.
 std::size_t unfinishedBytesOf(const ConnectionView& it);
 
-//! Decides which connections are closed and which requests are refused. Requests in progress are not interrupted, unless
-//! their connection has unfinished requests, too, that are over the limit by themselves.
+//! Decides which connections are closed and which requests are refused. Requests in progress are not interrupted,
+//! unless their connection has unfinished requests, too, that are over the limit by themselves.
 class OverloadPolicy {
 public:
     explicit OverloadPolicy(ConnectionLimits limits)
--- a/src/http/tests/overload_tests.cpp
+++ b/src/http/tests/overload_tests.cpp
@@ -100,7 +100,8 @@
     BOOST_TEST((room() == 1U));
 }
 
-//! Guards against an HTTP/2 connection whose unfinished bodies are never closed, as another of its requests is in service.
+//! Guards against an HTTP/2 connection whose unfinished bodies are never closed, as another of its requests is in
+//! service.
 BOOST_FIXTURE_TEST_CASE(connectionsWithRequestsInProgressAreClosedLastAndOnlyForTheirUnfinishedOnes, Fixture)
 {
     add(Phase::Serving, 5000, 10);
--- a/src/http/tests/tls_tests.cpp
+++ b/src/http/tests/tls_tests.cpp
@@ -125,7 +125,8 @@
     loop->stop();
 }
 
-//! Guards against sessions that the server keeps for callers without tickets, some 20,000 of them, whether or not they return.
+//! Guards against sessions that the server keeps for callers without tickets, some 20,000 of them, whether or not they
+//! return.
 BOOST_FIXTURE_TEST_CASE(aServerKeepsNoSessions, Fixture)
 {
     const SelfSigned credentials;
--- a/src/scheduling/tests/largejobs_tests.cpp
+++ b/src/scheduling/tests/largejobs_tests.cpp
@@ -210,7 +210,8 @@
     BOOST_TEST((cell.submit(jobOf("a", 1, 1000)) == WorkflowOutcome::Accepted));
 }
 
-//! Guards against many small jobs that are legal, each due in a year, and together exhaust the memory of every leader in turn.
+//! Guards against many small jobs that are legal, each due in a year, and together exhaust the memory of every leader
+//! in turn.
 BOOST_AUTO_TEST_CASE(jobs_are_refused_while_their_payloads_take_too_much_memory)
 {
     Cell cell;
