--- a/soak/soak.py
+++ b/soak/soak.py
@@ -21,6 +21,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tests", "process"))
 
+import crowds  # noqa: E402
 import untrusted_tests as untrusted  # noqa: E402
 from dispatch_tests import Deployment, new_id, step  # noqa: E402
 from teams import Teams  # noqa: E402
@@ -142,10 +143,9 @@
         if time.time() < self.next_crowd_at or "crowd" in self.busy:
             return
         pick = self.crowding
-        kinds = pick.sample([untrusted.announced(), untrusted.in_pieces(untrusted.announced(), 4096), untrusted.chunked(65536),
-                             untrusted.chunked(3, total=100000), untrusted.endless_header, list], 3)
+        kinds = pick.sample(crowds.ALL + [crowds.MANY_STEPS], 3)
         node = pick.randrange(len(self.cell.nodes))
-        crowd = untrusted.Crowd(self.cell.node_ports[node], kinds, count=CROWD)
+        crowd = pick.choice([untrusted.Crowd, crowds.EndlessCrowd])(self.cell.node_ports[node], kinds, count=CROWD)
         self.end_after(pick.uniform(1, 6), lambda: self.end_crowd(crowd), "crowd")
 
     def end_crowd(self, crowd):
