--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,7 +4,7 @@
 //! returned to the system as soon as they are freed. Otherwise each size through which such a buffer has grown stays
 //! resident for 10 s.
 extern "C" {
-const char* malloc_conf = "oversize_threshold:262144"; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+const char* malloc_conf = "oversize_threshold:262144"; // NOLINT(readability-identifier-naming): its name
 }
 
 int main(int argc, char** argv)
--- a/src/dispatch/internal/callbudget.cpp
+++ b/src/dispatch/internal/callbudget.cpp
@@ -6,20 +6,14 @@
 
 //! The job in the call, its encoded message, and the copy that the client sends.
 constexpr std::size_t copies = 3;
-constexpr std::size_t bytesOfCall = 1024; //!< without its job
+constexpr std::size_t emptyCallBytes = 1024; //!< without its job
 constexpr core::Duration retryAfter = std::chrono::milliseconds(400);
 
-std::size_t bytesOf(const workflow::StepSpec& it)
+std::size_t bytesOfCall(const workflow::WorkflowCall& call)
 {
-    return sizeof it + it.after.size() * sizeof(it.after[0]) + it.requiredLabel.size() + it.dataRack.size()
-        + it.image.size();
-}
-
-std::size_t bytesOf(const workflow::WorkflowCall& call)
-{
-    std::size_t bytes = bytesOfCall + call.host.size() + call.path.size() + call.spec.payload.size();
+    std::size_t bytes = emptyCallBytes + call.host.size() + call.path.size() + call.spec.payload.size();
     for (const workflow::StepSpec& it : call.spec.steps)
-        bytes += bytesOf(it);
+        bytes += workflow::bytesOf(it);
     return copies * bytes;
 }
 
@@ -27,7 +21,7 @@
 
 CallBudget::Share CallBudget::tryTake(const workflow::WorkflowCall& call)
 {
-    const std::size_t bytes = bytesOf(call);
+    const std::size_t bytes = bytesOfCall(call);
     if (*m_heldBytes > 0 && *m_heldBytes + bytes > m_maxBytes) {
         ++m_refused;
         return nullptr;
@@ -38,10 +32,9 @@
 
 workflow::WorkflowResult tooManyCalls()
 {
-    workflow::WorkflowResult it;
-    it.outcome = workflow::WorkflowOutcome::NotNow;
+    workflow::WorkflowResult it
+        = workflow::answerOf(workflow::WorkflowOutcome::NotNow, "too many calls are in progress");
     it.retryAfter = retryAfter;
-    it.reason = "too many calls are in progress";
     return it;
 }
 
--- a/src/workflow/internal/workflowtypes.cpp
+++ b/src/workflow/internal/workflowtypes.cpp
@@ -67,6 +67,12 @@
     return true;
 }
 
+std::size_t bytesOf(const StepSpec& it)
+{
+    const std::size_t texts = it.requiredLabel.size() + it.dataRack.size() + it.image.size();
+    return sizeof it + it.after.size() * sizeof(it.after[0]) + texts;
+}
+
 StageProgress initialProgress(std::size_t tasks)
 {
     StageProgress it;
--- a/src/workflow/workflowtypes.h
+++ b/src/workflow/workflowtypes.h
@@ -154,6 +154,8 @@
 
 //! Returns the progress of a stage of which no task is done or has failed.
 StageProgress initialProgress(std::size_t tasks);
+//! Returns the memory of a step, with what it refers to.
+std::size_t bytesOf(const StepSpec& it);
 //! Returns the number of steps times the number of occurrences.
 std::size_t stageCount(const JobSpec& spec);
 //! Returns the number of tasks in all occurrences.
