Jobs that have ended give back their payload and lists

What callers would see: a leader that accepts many short jobs grows by their payloads for jobRetentionS, also where nobody reads them.

Cause: the payload and lists were cleared, which keeps the memory of a string or vector.

Change: they are swapped with empty ones.

--- a/src/scheduling/internal/enginepersistence.cpp
+++ b/src/scheduling/internal/enginepersistence.cpp
@@ -109,11 +109,7 @@
         m_dependencies.metrics->observe(telemetry::Metric::WorkJobSeconds,
             { { "queue", job->record.queue.name }, { "state", workflow::nameOf(state) } },
             std::chrono::duration<double>(m_dependencies.loop->now() - job->acceptedAt).count());
-        // Answers to later calls need only the state.
-        job->record.spec.steps.clear();
-        job->record.spec.payload.clear();
-        job->record.stages.clear();
-        job->stages.clear();
+        job->releaseDetails();
         m_ended.push_back(job->record.spec.id);
     });
     scheduleRound();
--- a/src/scheduling/internal/jobs.cpp
+++ b/src/scheduling/internal/jobs.cpp
@@ -62,6 +62,16 @@
         visibleState = workflow::JobState::Running;
 }
 
+//! Swaps, since clearing a container keeps its memory.
+void Job::releaseDetails()
+{
+    std::string().swap(record.spec.payload);
+    decltype(record.spec.steps)().swap(record.spec.steps);
+    decltype(record.stages)().swap(record.stages);
+    decltype(stages)().swap(stages);
+    decltype(expected)().swap(expected);
+}
+
 void Job::skipDoneStages()
 {
     while (firstUndone < stages.size() && stages[firstUndone].isDone())
--- a/src/scheduling/internal/jobs.h
+++ b/src/scheduling/internal/jobs.h
@@ -122,6 +122,8 @@
     Stage* find(const fleet::TaskId& task);
     bool hasEnded() const { return workflow::isFinal(record.state); }
     void skipDoneStages();
+    //! Frees what is not needed any more once the final state is persisted: answers to later calls need only the state.
+    void releaseDetails();
     //! Returns the pending work of the occurrences that are due.
     PendingWork pendingWork() const;
     //! Returns the expected work of one occurrence in core-seconds.
--- a/src/scheduling/tests/largejobs_tests.cpp
+++ b/src/scheduling/tests/largejobs_tests.cpp
@@ -233,6 +233,18 @@
     BOOST_TEST(bytes <= maxJobBytes);
 }
 
+//! Guards against jobs that have ended and keep their payload and tasks until their retention has passed.
+BOOST_AUTO_TEST_CASE(a_job_that_has_ended_keeps_only_its_state)
+{
+    auto spec = jobOf("0123456789abcdef", 1000, 1000);
+    spec.payload = std::string(4000, 'x');
+    const std::size_t before = mallinfo2().uordblks;
+    const auto job = std::make_shared<Job>(
+        makeJob({ spec, {}, {}, {}, false, {}, JobState::Completed, { workflow::initialProgress(1000) }, {} }));
+    job->releaseDetails();
+    BOOST_TEST(mallinfo2().uordblks - before <= endedJobBytes);
+}
+
 //! Guards against an estimate that is below what a job takes.
 BOOST_AUTO_TEST_CASE(a_job_takes_no_more_memory_than_estimated)
 {
