Stored answers of requests that may run once only have a share of the memory

What callers saw: 60 callers of a service whose requests may run once only, each under a new Idempotency-Key and with an answer of 60 KB, took a node of serve to 238 MB within 10 s, where it stayed for ten minutes.

Cause: claims and answers are kept for their retention without any limit, and again in the log of the partition.

Change: ClaimTable knows what claims and bodies take, copies in the log included. Above its share the largest bodies are dropped, and their records written again without them. A resend then learns that the request has run and that its answer is not kept, as it does for an answer above 64 KB. Claims are never dropped, so that nothing runs twice; while they alone fill the share, a new key is refused before the request runs.

--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -257,6 +257,7 @@
     impl.settings = settings;
     impl.budget
         = budget::serveBudgetFor({ settings.memoryBytes, settings.maxDescriptors }, settings.callers.tls.has_value());
+    impl.settings.partition.maxClaimBytes = impl.budget.claimBytes;
     if (auto ret = impl.makeLoops(); !ret)
         return core::Failure { ret.error() };
     impl.makeControl();
--- a/src/budget/internal/processbudget.cpp
+++ b/src/budget/internal/processbudget.cpp
@@ -27,15 +27,21 @@
     return std::size_t(double(vm.memoryBytes) * share / parts);
 }
 
-//! Returns limits of a table whose connections, unfinished requests and requests in service may take these parts.
+//! Parts of the VM's memory for the connections of a table, their unfinished requests, and their requests in service.
+struct TableParts {
+    double connections;
+    double unfinished;
+    double served;
+};
+
 http::ConnectionLimits limitsOf(
-    const VmSize& vm, http::ListenerKind kind, double connectionParts, double requestParts, std::size_t descriptors)
+    const VmSize& vm, http::ListenerKind kind, const TableParts& table, std::size_t descriptors)
 {
     http::ListenerShare share;
     share.kind = kind;
-    share.connectionBytes = shareOf(vm, connectionParts);
-    share.unfinishedBytes = shareOf(vm, requestParts);
-    share.servedBytes = shareOf(vm, requestParts);
+    share.connectionBytes = shareOf(vm, table.connections);
+    share.unfinishedBytes = shareOf(vm, table.unfinished);
+    share.servedBytes = shareOf(vm, table.served);
     share.descriptors = descriptors;
     return http::connectionLimitsFor(share);
 }
@@ -71,9 +77,9 @@
 {
     // A leader has connections from all nodes, and many more to its workers.
     DispatchBudget budget;
-    budget.callers = limitsOf(vm, http::ListenerKind::Callers, 8.25, 3, vm.descriptors / 8);
-    budget.inner = limitsOf(vm, http::ListenerKind::Nodes, 10, 1.5, vm.descriptors / 4);
-    budget.readiness = limitsOf(vm, http::ListenerKind::Nodes, 1, 0.25, vm.descriptors / 32);
+    budget.callers = limitsOf(vm, http::ListenerKind::Callers, { 8.25, 3, 3 }, vm.descriptors / 8);
+    budget.inner = limitsOf(vm, http::ListenerKind::Nodes, { 10, 1.5, 1.5 }, vm.descriptors / 4);
+    budget.readiness = limitsOf(vm, http::ListenerKind::Nodes, { 1, 0.25, 0.25 }, vm.descriptors / 32);
     budget.callersCallBytes = shareOf(vm, 2);
     budget.innerCallBytes = shareOf(vm, 3);
     budget.answers = answersOf(vm, 8);
@@ -84,10 +90,11 @@
 {
     ServeBudget budget;
     const auto kind = hasTls ? http::ListenerKind::CallersWithTls : http::ListenerKind::Callers;
-    budget.callers = limitsOf(vm, kind, 14, 6, vm.descriptors / 8);
-    budget.inner = limitsOf(vm, http::ListenerKind::Nodes, 7, 8, vm.descriptors / 8);
+    budget.callers = limitsOf(vm, kind, { 12, 5, 5 }, vm.descriptors / 8);
+    budget.inner = limitsOf(vm, http::ListenerKind::Nodes, { 4, 8, 2 }, vm.descriptors / 8);
     // h2o's buffer for the largest batch, which doubles as it grows, takes all unfinished bytes.
     budget.maxInnerBodyBytes = std::min(largestInnerBody, std::bit_floor(budget.inner.unfinishedBytes) - maxHeadBytes);
+    budget.claimBytes = shareOf(vm, 16);
     budget.answers = answersOf(vm, 7.5);
     return budget;
 }
@@ -118,6 +125,7 @@
         { "requests of callers", requestBytes(it.callers) },
         { "requests of nodes", requestBytes(it.inner) },
         { "received in one turn", turnBytes(it.callers.connections) + turnBytes(it.inner.connections) },
+        { "claims and stored answers", it.claimBytes },
         { "reading JSON", jsonBytes },
         { "answers", 2 * it.answers.totalBytes },
     };
--- a/src/budget/processbudget.h
+++ b/src/budget/processbudget.h
@@ -37,6 +37,7 @@
     http::ConnectionLimits callers;
     http::ConnectionLimits inner; //!< other nodes
     std::size_t maxInnerBodyBytes = 0; //!< of a batch of messages between nodes
+    std::size_t claimBytes = 0; //!< for claims and stored answers of all partitions
     http::AnswerLimits answers; //!< of each loop
 };
 
--- a/src/node/internal/partitionstask.cpp
+++ b/src/node/internal/partitionstask.cpp
@@ -130,7 +130,9 @@
     ownership.isFormerOwnerGone = m_update->formerOwnersGone.contains(id);
     Owned owned;
     owned.epoch = row.epoch;
-    owned.partition = partition::Partition::create(ownership, m_times);
+    partition::PartitionTimes times = m_times;
+    times.maxClaimBytes /= std::max(1u, ownership.partitionCount); // the node may own all partitions
+    owned.partition = partition::Partition::create(ownership, times);
     if (m_update->vms)
         owned.partition->setWorkers(*m_update->vms, eventTime());
     m_owned[id] = std::move(owned);
--- a/src/once/tests/claimtable_tests.cpp
+++ b/src/once/tests/claimtable_tests.cpp
@@ -77,3 +77,56 @@
     BOOST_TEST(table.removeExpired(start + 10min + 1s).size() == 1U);
     BOOST_TEST(table.size() == 0U);
 }
+
+namespace {
+
+RequestKey keyOf(int n)
+{
+    return { core::TeamId("dealers"), core::IdempotencyKey("key-" + std::to_string(n)) };
+}
+
+} // namespace
+
+//! Guards against callers that leave an answer of 60 KB under a new key each time, for ten minutes.
+BOOST_AUTO_TEST_CASE(theLargestStoredBodiesAreDroppedWhileClaimsAndStatesStay)
+{
+    constexpr std::size_t maxBytes = 1'000'000;
+    ClaimTable table { ClaimTimes {}, maxBytes };
+    const StoredAnswer longAnswer { 200, "text/plain", std::string(60'000, 'x'), true };
+    table.claim(key, 1, claimId, start, wall);
+    table.finish(key, claimId, answer);
+    std::size_t dropped = 0;
+    for (int n = 0; n < 100; ++n) {
+        BOOST_TEST((table.claim(keyOf(n), 1, claimId, start, wall).result == ClaimResult::Granted));
+        table.finish(keyOf(n), claimId, longAnswer);
+        for (const RequestKey& it : table.dropBodies()) {
+            ++dropped;
+            BOOST_TEST(!table.snapshot(it)->answer.isBodyStored);
+        }
+        BOOST_TEST(table.heldBytes() <= maxBytes);
+    }
+    BOOST_TEST(dropped > 80U);
+    BOOST_TEST((table.claim(key, 1, claimId, start, wall).answer == answer)); // a short one stays
+    for (int n = 0; n < 100; ++n)
+        BOOST_TEST((table.claim(keyOf(n), 1, claimId, start, wall).result == ClaimResult::Replayed));
+    table.removeExpired(start + 20min);
+    BOOST_TEST(table.heldBytes() == 0U);
+}
+
+//! Guards against claims without end, and against a key that is forgotten so that its request runs twice.
+BOOST_AUTO_TEST_CASE(newKeysAreRefusedWhileClaimsTakeAllMemory)
+{
+    constexpr std::size_t maxBytes = 100'000;
+    ClaimTable table { ClaimTimes {}, maxBytes };
+    int granted = 0;
+    while (table.claim(keyOf(granted), 1, claimId, start, wall).result == ClaimResult::Granted)
+        ++granted;
+    BOOST_TEST(granted > 10);
+    BOOST_TEST(table.heldBytes() <= maxBytes);
+    BOOST_TEST((table.claim(keyOf(granted), 1, claimId, start, wall).result == ClaimResult::NotPersisted));
+    BOOST_TEST((table.claim(keyOf(0), 1, claimId, start, wall).result == ClaimResult::InProgress));
+    table.abandon(keyOf(0), claimId);
+    BOOST_TEST((table.claim(keyOf(0), 1, claimId, start, wall).result == ClaimResult::Granted));
+    table.removeExpired(start + 20min);
+    BOOST_TEST((table.claim(keyOf(granted), 1, claimId, start, wall).result == ClaimResult::Granted));
+}
--- a/src/partition/internal/claimhandler.cpp
+++ b/src/partition/internal/claimhandler.cpp
@@ -9,7 +9,7 @@
 
 ClaimHandler::ClaimHandler(const PartitionTimes& times, acceptance::GroupLog& log)
     : m_log(log)
-    , m_claimTable(times.once)
+    , m_claimTable(times.once, times.maxClaimBytes)
 {
 }
 
@@ -22,6 +22,14 @@
 {
     const std::int64_t ageMs = std::max<std::int64_t>(0, at.wall.value() - snapshot.claimedAt.value());
     m_claimTable.recover(snapshot, at.now, std::chrono::milliseconds(ageMs));
+    dropBodies();
+}
+
+//! Replaces the records, too: the log has a copy of each.
+void ClaimHandler::dropBodies()
+{
+    for (const once::RequestKey& it : m_claimTable.dropBodies())
+        m_log.append(itemOf(it), codec::writeJson(once::encodeSnapshot(*m_claimTable.snapshot(it))), false);
 }
 
 void ClaimHandler::persist(const once::RequestKey& key, bool mayBeDropped, PendingAnswer pending)
@@ -55,6 +63,7 @@
     }
     const protocol::ClaimAnswer granted { message.requester.token, once::ClaimResult::Granted, {} };
     persist(message.key, true, { {}, {}, { { message.requester.node, granted } }, true, message.requester });
+    dropBodies();
 }
 
 void ClaimHandler::onFinish(const protocol::FinishOnce& message, Effects& effects)
@@ -66,6 +75,7 @@
         persist(message.key, false, { {}, {}, std::move(answer), false, message.requester });
     else
         effects.push_back(std::move(answer));
+    dropBodies();
 }
 
 void ClaimHandler::onPersisted(const acceptance::ItemId& item, acceptance::Revision revision, Effects& effects)
--- a/src/partition/internal/claimhandler.h
+++ b/src/partition/internal/claimhandler.h
@@ -32,6 +32,7 @@
         protocol::Requester requester;
     };
     void persist(const once::RequestKey& key, bool mayBeDropped, PendingAnswer pending);
+    void dropBodies();
     void answerClaim(
         const protocol::Requester& requester, const once::ClaimTable::Claim& claim, Effects& effects) const;
 
--- a/src/partition/partitiontypes.h
+++ b/src/partition/partitiontypes.h
@@ -47,6 +47,7 @@
     core::Duration jobRetention = std::chrono::minutes(10); //!< time for which ended jobs remain readable
     acceptance::LogOptions log;
     once::ClaimTimes once;
+    std::size_t maxClaimBytes = once::defaultClaimBytes; //!< memory for claims and stored answers of a partition
     placement::HealthPolicy health;
 };
 
--- a/tests/process/crowds.py
+++ b/tests/process/crowds.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from dispatch_tests import new_id
 from untrusted_tests import (BODY, Crowd, announced, chunked, descriptors, endless_header, head, in_pieces, peak_mb,
                              pipelined)
 
@@ -28,6 +29,15 @@
                      % (method, target, host, token, len(body))).encode(), body]
 
 
+def complete_once(body):
+    """A call that may run once only, under a key of its own, so that its answer is kept for a resend."""
+    def parts():
+        yield ("POST /lid-orders/fit-checks HTTP/1.1\r\nHost: lid-orders.tolliver.example\r\nAuthorization: Bearer dealers-token\r\n"
+               "Idempotency-Key: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n" % (new_id(), len(body))).encode()
+        yield body
+    return parts
+
+
 def steps_of(value, size=BODY):
     """A submission of about `size` bytes whose list of steps repeats a value."""
     begin, end = b'{"spec":"1","steps":[', b']}'
--- a/tests/process/crowds_tests.py
+++ b/tests/process/crowds_tests.py
@@ -174,9 +174,13 @@
         self.withstand(lambda cell: EndlessCrowd([cell.callers[0]], kinds, count=60))
 
     def test_complete_bodies_that_are_passed_on(self):
-        kinds = [crowds.complete_call("/lid-orders/fit-checks", b"x" * crowds.BODY)]
+        kinds = [crowds.complete_once(b"x" * crowds.BODY), crowds.complete_call("/lid-orders/fit-checks", b"x" * crowds.BODY)]
         self.withstand(lambda cell: EndlessCrowd([cell.callers[0]], kinds, count=60), work_ms=200)
 
+    def test_answers_that_are_kept_for_resends(self):
+        kinds = [crowds.complete_once(b"x" * 60000)]
+        self.withstand(lambda cell: EndlessCrowd([cell.callers[0]], kinds, count=60))
+
     def test_long_answers_that_are_passed_on_and_not_read(self):
         kinds = [crowds.complete_call("/lid-orders/status?bytes=8000000", b"", method="GET")]
         self.withstand(lambda cell: EndlessCrowd([cell.callers[0]], kinds, count=60, reads=False))
