A node of dispatch that lacks memory does not say that a job never runs

What callers would see: a submission whose answer was lost is sent again, meets a node that is out of memory, and gets 503, which promises that the job never runs, though it was accepted the first time.

Cause: a node cannot know whether another one has passed on an earlier submission with the same id; the refusal for lack of memory (and the new one for calls in progress) did not allow for it.

Change: both are answered with 504, after which callers ask again or send the same id. serve, whose refusal is about the one request, keeps 503.

--- a/src/app/internal/dispatchnode.cpp
+++ b/src/app/internal/dispatchnode.cpp
@@ -175,6 +175,7 @@
     options.connections = table;
     options.sendBufferBytes = shortAnswerBufferBytes;
     options.keptCopies = keptCopies;
+    options.refusedRequest = http::Executed::Unknown; // an earlier submission with the same id may have been accepted
     auto result = http::createServer(loop, options, std::move(handler));
     if (!result)
         return core::Failure { StartError { std::string(name) + ": " + result.error().detail } };
@@ -238,7 +239,7 @@
 {
     const dispatch::CallBudget::Share share = callersCalls->tryTake(call);
     if (!share) {
-        onResult(dispatch::tooManyCalls());
+        onResult(dispatch::tooManyCalls(call.kind));
         return;
     }
     auto reply = [share, onResult = std::move(onResult)](const workflow::WorkflowResult& it) { onResult(it); };
@@ -254,7 +255,7 @@
         responder.send({ 200, {}, protocol::encodeResult(answer), {} });
     };
     if (!share) {
-        reply(dispatch::tooManyCalls());
+        reply(dispatch::tooManyCalls(call.kind));
         return;
     }
     leaderTask->address().send(dispatch::LeaderCall { std::move(call), dispatch::callReply(loop, std::move(reply)) });
--- a/src/dispatch/callbudget.h
+++ b/src/dispatch/callbudget.h
@@ -31,7 +31,8 @@
     std::uint64_t m_refused = 0;
 };
 
-//! Returns the answer to a call that was refused. It has not been passed on.
-workflow::WorkflowResult tooManyCalls();
+//! Returns the answer to a call of this kind that was not passed on. For a submission the outcome is uncertain: an
+//! earlier one with the same id may have been accepted.
+workflow::WorkflowResult tooManyCalls(workflow::CallKind kind);
 
 } // namespace sardinerun::dispatch
--- a/src/dispatch/internal/callbudget.cpp
+++ b/src/dispatch/internal/callbudget.cpp
@@ -30,10 +30,12 @@
     return { this, [held = m_heldBytes, bytes](const void*) { *held -= bytes; } };
 }
 
-workflow::WorkflowResult tooManyCalls()
+workflow::WorkflowResult tooManyCalls(workflow::CallKind kind)
 {
+    const bool isSubmission = kind == workflow::CallKind::Submit;
     workflow::WorkflowResult it
-        = workflow::answerOf(workflow::WorkflowOutcome::NotNow, "too many calls are in progress");
+        = workflow::answerOf(isSubmission ? workflow::WorkflowOutcome::Uncertain : workflow::WorkflowOutcome::NotNow,
+            "too many calls are in progress");
     it.retryAfter = retryAfter;
     return it;
 }
--- a/src/dispatch/tests/callbudget_tests.cpp
+++ b/src/dispatch/tests/callbudget_tests.cpp
@@ -64,9 +64,15 @@
     copy.reset();
 }
 
-BOOST_AUTO_TEST_CASE(aRefusedCallSaysThatNothingWasDone)
+//! Guards against a resend that is told that its job never runs, though it was accepted before.
+BOOST_AUTO_TEST_CASE(onlyCallsThatAcceptNothingAreSaidNotToHaveRun)
 {
-    const workflow::WorkflowResult it = dispatch::tooManyCalls();
-    BOOST_TEST((it.outcome == workflow::WorkflowOutcome::NotNow));
-    BOOST_TEST((it.retryAfter > core::Duration(0)));
+    using workflow::CallKind;
+    using workflow::WorkflowOutcome;
+    BOOST_TEST((dispatch::tooManyCalls(CallKind::Submit).outcome == WorkflowOutcome::Uncertain));
+    for (const CallKind kind : { CallKind::Read, CallKind::Cancel, CallKind::CountPending }) {
+        const workflow::WorkflowResult it = dispatch::tooManyCalls(kind);
+        BOOST_TEST((it.outcome == WorkflowOutcome::NotNow));
+        BOOST_TEST((it.retryAfter > core::Duration(0)));
+    }
 }
--- a/src/http/h2oserver.h
+++ b/src/http/h2oserver.h
@@ -3,6 +3,7 @@
 #include "core/ret.h"
 #include "http/connectionlimits.h"
 #include "http/ihttpserver.h"
+#include "http/problem.h"
 #include "runtime/eventloop.h"
 
 #include <string>
@@ -24,6 +25,9 @@
     //! slows down long answers.
     int sendBufferBytes = 64 << 10;
     std::size_t keptCopies = 1; //!< of a body, by the handler and what it calls while the request is served
+    //! What the refusal of a complete request, for lack of memory, says of it: `No` is answered with 503, `Unknown`
+    //! with 504, since an earlier request of the same content may have run.
+    Executed refusedRequest = Executed::No;
     std::optional<TlsFiles> tls;
     ConnectionTablePtr connections; //!< shared by the servers of a loop; if null, the server has its own
 };
--- a/src/http/internal/h2oserver.cpp
+++ b/src/http/internal/h2oserver.cpp
@@ -2,7 +2,6 @@
 
 #include "http/internal/connectiontable.h"
 #include "http/internal/h2orequest.h"
-#include "http/problem.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
@@ -139,8 +138,9 @@
     {
         m_connections->countRefused();
         request->http1_is_persistent = 0;
-        responder.send(toResponse({ 503, "out-of-memory", "No memory for this request", Executed::No,
-            "too many bytes of requests and answers are in progress", refusalRetryAfter }));
+        responder.send(
+            toResponse({ m_refusedRequest == Executed::No ? 503 : 504, "out-of-memory", "No memory for this request",
+                m_refusedRequest, "too many bytes of requests and answers are in progress", refusalRetryAfter }));
     }
 
     //! Updates what is counted on the connection while the answer is being sent.
@@ -294,6 +294,7 @@
     {
         m_sendTimeout = options.sendTimeout;
         m_keptCopies = options.keptCopies;
+        m_refusedRequest = options.refusedRequest;
         m_sendBufferBytes = options.sendBufferBytes;
         h2o_config_init(&m_config);
         m_config.max_request_entity_size = options.maxBodyBytes;
@@ -364,6 +365,7 @@
     ConnectionTablePtr m_connections;
     core::Duration m_sendTimeout {};
     std::size_t m_keptCopies = 1;
+    Executed m_refusedRequest = Executed::No;
     int m_sendBufferBytes = 0;
     h2o_globalconf_t m_config {};
     h2o_context_t m_context {};
--- a/src/http/tests/limits_tests.cpp
+++ b/src/http/tests/limits_tests.cpp
@@ -18,7 +18,7 @@
 
 //! A server with small limits. It answers a request for "/hold" only when released.
 struct Limited {
-    Limited()
+    explicit Limited(http::Executed refusedRequest = http::Executed::No)
     {
         http::ConnectionLimits limits;
         limits.servedBytes = servedBytes;
@@ -26,6 +26,7 @@
         http::ServerOptions options;
         options.listen = { "127.0.0.1", 0 };
         options.connections = table = http::createConnectionTable(loop, limits);
+        options.refusedRequest = refusedRequest;
         server = http::createServer(loop, options, [this](const http::Request& request, http::Responder responder) {
             ++handled;
             if (request.path == "/hold")
@@ -102,6 +103,20 @@
     BOOST_TEST(usage.refused == 1U);
 }
 
+//! Guards against a refusal that says that a job never runs, to a caller that sends an accepted one again.
+BOOST_AUTO_TEST_CASE(aRefusalIsUncertainWhereAnEarlierRequestMayHaveRun)
+{
+    Limited it(http::Executed::Unknown);
+    auto first = it.send("/hold", servedBytes);
+    it.waitUntilHeld(1);
+    const auto second = it.send("/echo", 100).get();
+    BOOST_REQUIRE(bool(second));
+    BOOST_TEST(second.value().status == 504);
+    BOOST_TEST(second.value().body.find("\"run\":\"no\"") == std::string::npos);
+    it.release();
+    BOOST_TEST(first.get().value().status == 200);
+}
+
 //! Guards against a counter that loses bytes or connections, so that a calm server refuses requests in the end.
 BOOST_FIXTURE_TEST_CASE(nothingIsCountedAfterRequestsHaveEnded, Limited)
 {
--- a/tests/process/crowds_tests.py
+++ b/tests/process/crowds_tests.py
@@ -87,13 +87,15 @@
             self.check_job(cell)
             watches = [MemoryWatch(cell.nodes[n], cell.node_ports[n]) for n in range(3)]
             crowd = EndlessCrowd([port for it in cell.node_ports for port in it], crowds.ALL, count=180)
-            statuses = {}
+            statuses, again = {}, {}
             until = time.time() + SECONDS
 
             def submit(node):
                 while time.time() < until:
                     job, status = cell.submit(node, step(2), work_ms=20)
                     statuses[job] = status
+                    if status == 200:
+                        again[job] = cell.submit((node + 1) % 3, step(2), work_ms=20, job=job)[1]
 
             callers = [threading.Thread(target=submit, args=(n % 3,)) for n in range(9)]
             for it in callers:
@@ -103,6 +105,8 @@
             crowd.close()
             print("  " + str(collections.Counter(statuses.values())), flush=True)
             self.assertIn(200, statuses.values())
+            for job, status in again.items():
+                self.assertNotIn(status, (413, 429, 503), "%s was accepted, and refused when it was sent again" % job)
             for job, status in statuses.items():
                 if status == 200:
                     cell.wait_state(0, job)
