--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -86,6 +86,9 @@
         self.changes = []  # (version, key, value or None)
         self.version = 0
         self.changed = asyncio.Condition()
+        self.lost_claims = 0  # so many of the next claims of the leadership are done and not answered
+        self.lost_at = None
+        self.writes = 0
 
     def row(self, key, value, version):
         row = dict(table=key[0], part=key[1], key=key[2], ver=version)
@@ -133,8 +136,19 @@
         updates = [(key_of(it), it["value"]) for it in call.get("set_keys", [])]
         updates += [(key_of(it), None) for it in call.get("remove", [])]
         await self.apply(updates)
+        self.writes += 1
+        if self.lost_claims > 0 and any(key[0] == "leader" for key, _ in updates) and self.is_claim(updates):
+            self.lost_claims -= 1
+            self.lost_at = now()
+            return None
         return 200, self.answer()
 
+    @staticmethod
+    def is_claim(updates):
+        """Returns whether a transaction begins a term, which it does with the head \"TERM.0\"."""
+        import base64
+        return any(key[0] == "leaderhead" and base64.b64decode(value).endswith(b".0") for key, value in updates if value)
+
     def get(self, asked):
         keys = sorted(key for key in self.rows if key[0] == asked["table"] and key[1] == asked.get("part", "")
                       and key[2] >= asked.get("from", "") and ("to" not in asked or key[2] < asked["to"]))
